--- /dev/null
+++ b/examples/placeholder.ts
@@ -0,0 +1,1 @@
+export const version = '0.1.0';
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,14 @@
+/**
+ * The shared base of samphiremill: identifiers, results, findings, hashing, chance and time.
+ *
+ * @packageDocumentation
+ */
+export type {Brand} from './brand.js';
+export * from './ids.js';
+export * from './assert-never.js';
+export * from './result.js';
+export * from './findings.js';
+export * from './rendezvous.js';
+export * from './random.js';
+export type * from './timer-service.js';
+export * from './virtual-timer-service.js';
--- /dev/null
+++ b/vitest.config.js
@@ -0,0 +1,18 @@
+import {defineConfig} from 'vitest/config';
+
+const sourceOf = name => new URL(`packages/${name}/src/index.ts`, import.meta.url).pathname;
+
+export default defineConfig({
+	resolve: {
+		alias: {
+			'@samphiremill/common': sourceOf('common'),
+			'@samphiremill/core': sourceOf('core'),
+			'@samphiremill/daemon': sourceOf('daemon'),
+			'@samphiremill/cli': sourceOf('cli'),
+		},
+	},
+	test: {
+		include: ['packages/*/src/**/*.test.ts', 'examples/**/*.test.ts', 'bench/**/*.test.ts'],
+		testTimeout: 60_000,
+	},
+});
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,38 @@
+/** @type {import('xo').FlatXoConfig} */
+const config = [
+	{
+		ignores: ['**/dist/**', '**/__snapshots__/**', 'vitest.config.js'],
+	},
+	{
+		// Customary short names of the house style, on top of XO's own.
+		rules: {
+			'unicorn/prevent-abbreviations': [
+				'error',
+				{
+					allowList: {
+						req: true,
+						res: true,
+						cfg: true,
+						err: true,
+						Err: true,
+
+						args: true,
+						Args: true,
+						env: true,
+					},
+				},
+			],
+			'unicorn/catch-error-name': ['error', {name: 'err'}],
+		},
+	},
+	{
+		// Test tools are dependencies of the workspace, not of each package.
+		files: ['**/*.test.ts', '**/test-*.ts', 'bench/**', 'examples/**'],
+		rules: {
+			'import-x/no-extraneous-dependencies': 'off',
+			'n/no-extraneous-import': 'off',
+		},
+	},
+];
+
+export default config;
