--- a/packages/core/src/control/types.ts
+++ b/packages/core/src/control/types.ts
@@ -94,15 +94,15 @@
 };
 
 /** Every record an operator writes, in the internal form. */
-export type ControlRecord =
-	| PoolRecord
-	| TeamRecord
-	| ShareRecord
-	| LimitRecord
-	| KeyRecord
-	| QueueRecord
-	| WorkerRecord
-	| WaveRecord;
+export type ControlRecord
+	= | PoolRecord
+		| TeamRecord
+		| ShareRecord
+		| LimitRecord
+		| KeyRecord
+		| QueueRecord
+		| WorkerRecord
+		| WaveRecord;
 
 /** The name of a record's kind. */
 export type RecordKind = ControlRecord['kind'];
--- a/packages/core/src/escrow/types.ts
+++ b/packages/core/src/escrow/types.ts
@@ -5,11 +5,11 @@
 import type {MinionId, TeamId} from '@samphiremill/common';
 
 /** What a right is a right to. */
-export type EscrowResource =
+export type EscrowResource
 	/** One slot of one incarnation of a minion. */
-	| {readonly type: 'slot'; readonly minion: MinionId; readonly incarnation: number}
+	= | {readonly type: 'slot'; readonly minion: MinionId; readonly incarnation: number}
 	/** One running job of a team. */
-	| {readonly type: 'teamLimit'; readonly team: TeamId};
+		| {readonly type: 'teamLimit'; readonly team: TeamId};
 
 /** What this node may spend at this moment. */
 export type HeldRight = {
--- a/packages/core/src/jobs/types.ts
+++ b/packages/core/src/jobs/types.ts
@@ -37,36 +37,36 @@
 };
 
 /** Why a job was refused. Each reason fixes what may be said of whether it ran. */
-export type RefusalReason =
-	| 'queueFull'
-	| 'deadlineTooNear'
-	| 'fitsNowhere'
-	| 'noMinion'
-	| 'limitReached'
-	| 'failedEverywhere'
-	| 'keyNotAccepted'
-	| 'configurationStale'
-	| 'ownerUnreachable'
-	| 'keyConflict'
-	| 'stopping'
-	| 'cancelled'
-	| 'attemptLost'
-	| 'deadlinePassed'
-	| 'bodyBudgetFull';
+export type RefusalReason
+	= | 'queueFull'
+		| 'deadlineTooNear'
+		| 'fitsNowhere'
+		| 'noMinion'
+		| 'limitReached'
+		| 'failedEverywhere'
+		| 'keyNotAccepted'
+		| 'configurationStale'
+		| 'ownerUnreachable'
+		| 'keyConflict'
+		| 'stopping'
+		| 'cancelled'
+		| 'attemptLost'
+		| 'deadlinePassed'
+		| 'bodyBudgetFull';
 
 /** What is known of whether the work was run. */
 export type Ran = 'no' | 'maybe' | 'yes';
 
 /** Every way a job can end. */
-export type JobOutcome =
-	| {readonly type: 'answered'; readonly minion: MinionId; readonly status: number}
-	| {
-		readonly type: 'refused';
-		readonly reason: RefusalReason;
-		readonly ran: Ran;
-		/** When to come back; absent where coming back does not help. */
-		readonly retryAfterMs?: number;
-	};
+export type JobOutcome
+	= | {readonly type: 'answered'; readonly minion: MinionId; readonly status: number}
+		| {
+			readonly type: 'refused';
+			readonly reason: RefusalReason;
+			readonly ran: Ran;
+			/** When to come back; absent where coming back does not help. */
+			readonly retryAfterMs?: number;
+		};
 
 /** Where a minion stands for placement. */
 export type PlaceableMinion = {
