Own idempotency keys under committed views, with a second copy before dispatch

Cause: a non-idempotent job must run at most once across resends, entry-host loss and late answers. Change: claims part. A key's home data centre is its prefix or its hash; its owner is ranked over the committed view. The start is recorded on a second host (or synced disk) before the first byte; new owners wait for hand-overs and for the configuration lease of removed members; keys whose holders may all be lost are answered as unknown. Also the bounded HTTP server and router.

--- /dev/null
+++ b/packages/core/src/claims/owner.ts
@@ -0,0 +1,270 @@
+/**
+ * The side of the entry host that owns a key: it decides who may run the job, records the start on a
+ * second host before it allows the first byte, and keeps the outcome for resends.
+ */
+import type {MonotonicMs, NodeId} from '@samphiremill/common';
+import type {Step} from '../step.js';
+import {maximumStoredAnswerBytes} from './constants.js';
+import {secureCopy} from './copies.js';
+import {canAnswerFor, isQuarantined} from './ownership.js';
+import type {
+	ClaimAnswer,
+	ClaimOutcomeMessage,
+	ClaimRecord,
+	ClaimRequestMessage,
+	ClaimsConfig,
+	ClaimsEffect,
+	ClaimsState,
+	ClaimStartMessage,
+} from './types.js';
+
+type ClaimsStep = Step<ClaimsState, ClaimsEffect>;
+
+type OwnerInput<Message> = {
+	readonly state: ClaimsState;
+	readonly from: NodeId;
+	readonly message: Message;
+	readonly cfg: ClaimsConfig;
+	readonly nowMs: MonotonicMs;
+};
+
+const getAnswerToResend = (record: ClaimRecord, message: ClaimRequestMessage): ClaimAnswer => {
+	if (record.bodyHash !== message.bodyHash) {
+		return {type: 'conflict'};
+	}
+
+	const {stage} = record;
+	if (stage.type === 'finished') {
+		const {outcome, answer} = stage;
+		return {type: 'replay', outcome, ...(answer === undefined ? {} : {answer})};
+	}
+
+	if (stage.type === 'lost') {
+		return {type: 'unknown'};
+	}
+
+	return record.job === message.job && stage.type === 'claimed' ? {type: 'granted'} : {type: 'inProgress'};
+};
+
+const addWaiter = ({state, from, message}: OwnerInput<ClaimRequestMessage>): ClaimsState => {
+	const {name, job} = message;
+	const waiters = state.waiters.get(name) ?? [];
+	if (waiters.some(waiter => waiter.job === job)) {
+		return state;
+	}
+
+	return {...state, waiters: state.waiters.set(name, [...waiters, {node: from, job}])};
+};
+
+const answerRequest = (input: OwnerInput<ClaimRequestMessage>, answer: ClaimAnswer): ClaimsEffect => {
+	const {job, name} = input.message;
+	return {
+		type: 'peer/send',
+		to: input.from,
+		message: {
+			type: 'claims/answer', job, name, answer,
+		},
+	};
+};
+
+/**
+ * Decides who may run the job of a key. A node that may not answer stays silent, so that the asking
+ * node asks again, by then perhaps the right owner.
+ *
+ * @param input - The claims of this node, and the request with its sender.
+ * @returns The next state and the answer.
+ */
+export function receiveRequest(input: OwnerInput<ClaimRequestMessage>): ClaimsStep {
+	const {state, from, message, nowMs} = input;
+	const {name, bodyHash, job, epoch, isFirstSend} = message;
+	if (!canAnswerFor({
+		state, name, epoch, nowMs,
+	})) {
+		return {state, effects: []};
+	}
+
+	const record = state.records.get(name);
+	if (record !== undefined) {
+		const answer = getAnswerToResend(record, message);
+		const next = answer.type === 'inProgress' ? addWaiter(input) : state;
+		return {state: next, effects: [answerRequest(input, answer)]};
+	}
+
+	if (!isFirstSend && isQuarantined({state, name, nowMs})) {
+		return {state, effects: [answerRequest(input, {type: 'unknown'})]};
+	}
+
+	const claimed: ClaimRecord = {
+		name, bodyHash, job, claimer: from, stage: {type: 'claimed'}, version: 1, changedAtMs: nowMs,
+	};
+	return {
+		state: {...state, records: state.records.set(name, claimed)},
+		effects: [answerRequest(input, {type: 'granted'})],
+	};
+}
+
+const answerStart = (input: OwnerInput<ClaimStartMessage>, ok: boolean): ClaimsEffect => {
+	const {job, attempt} = input.message;
+	return {
+		type: 'peer/send',
+		to: input.from,
+		message: {
+			type: 'claims/startAnswer', job, attempt, ok,
+		},
+	};
+};
+
+/**
+ * Records that a job is about to send its first byte. The answer follows once the record stands twice.
+ *
+ * @param input - The claims of this node, and the request with its sender.
+ * @returns The next state, with the copy under way.
+ */
+export function receiveStart(input: OwnerInput<ClaimStartMessage>): ClaimsStep {
+	const {state, message, cfg, nowMs} = input;
+	const {name, job, epoch, attempt, minion} = message;
+	if (!canAnswerFor({
+		state, name, epoch, nowMs,
+	})) {
+		return {state, effects: []};
+	}
+
+	const record = state.records.get(name);
+	if (record?.job !== job || record.stage.type === 'finished' || record.stage.type === 'lost') {
+		return {state, effects: [answerStart(input, false)]};
+	}
+
+	const isRecorded = record.stage.type === 'started' && record.stage.attempt === attempt;
+	if (isRecorded) {
+		const isSecured = !state.awaitedCopies.has(name);
+		return {state, effects: isSecured ? [answerStart(input, true)] : []};
+	}
+
+	if (record.stage.type === 'started' && record.stage.attempt > attempt) {
+		return {state, effects: [answerStart(input, false)]};
+	}
+
+	const started: ClaimRecord = {
+		...record, stage: {type: 'started', minion, attempt}, version: record.version + 1, changedAtMs: nowMs,
+	};
+	return secureCopy({
+		state, record: started, attempt, cfg, nowMs,
+	});
+}
+
+const isAnswerKept = ({answer}: ClaimOutcomeMessage): boolean =>
+	answer !== undefined && answer.bodyBase64.length <= maximumStoredAnswerBytes;
+
+const createFinishedRecord = ({from, message, nowMs}: OwnerInput<ClaimOutcomeMessage>, version: number): ClaimRecord => ({
+	name: message.name,
+	bodyHash: message.bodyHash,
+	job: message.job,
+	claimer: from,
+	stage: {
+		type: 'finished',
+		outcome: message.outcome,
+		...(isAnswerKept(message) && message.answer !== undefined ? {answer: message.answer} : {}),
+	},
+	version,
+	changedAtMs: nowMs,
+});
+
+const answerWaiters = (state: ClaimsState, record: ClaimRecord): ClaimsStep => {
+	const waiters = state.waiters.get(record.name) ?? [];
+	if (record.stage.type !== 'finished') {
+		return {state, effects: []};
+	}
+
+	const {outcome, answer} = record.stage;
+	const replay: ClaimAnswer = {type: 'replay', outcome, ...(answer === undefined ? {} : {answer})};
+	return {
+		state: {...state, waiters: state.waiters.delete(record.name)},
+		effects: waiters.map(({node, job}) => ({
+			type: 'peer/send',
+			to: node,
+			message: {
+				type: 'claims/answer', job, name: record.name, answer: replay,
+			},
+		})),
+	};
+};
+
+const confirmOutcome = ({from, message}: OwnerInput<ClaimOutcomeMessage>): ClaimsEffect => ({
+	type: 'peer/send', to: from, message: {type: 'claims/outcomeKept', job: message.job},
+});
+
+/**
+ * Keeps the outcome of a job for resends. A job that was not run gives its key back, and the next
+ * resend of the key, which asks again by itself, may run.
+ *
+ * @param input - The claims of this node, and the report with its sender.
+ * @returns The next state, with the confirmation and the answers to waiting resends.
+ */
+export function receiveOutcome(input: OwnerInput<ClaimOutcomeMessage>): ClaimsStep {
+	const {state, message, cfg, nowMs} = input;
+	const {name, job, epoch, outcome} = message;
+	if (!canAnswerFor({
+		state, name, epoch, nowMs,
+	})) {
+		return {state, effects: []};
+	}
+
+	const record = state.records.get(name);
+	if (record?.job !== job || record.stage.type === 'finished') {
+		return {state, effects: [confirmOutcome(input)]};
+	}
+
+	if (outcome.type === 'refused' && outcome.ran === 'no') {
+		return {
+			state: {...state, records: state.records.delete(name), awaitedCopies: state.awaitedCopies.delete(name)},
+			effects: [confirmOutcome(input)],
+		};
+	}
+
+	const finished = createFinishedRecord(input, record.version + 1);
+	const answered = answerWaiters(state, finished);
+	const secured = secureCopy({
+		state: answered.state, record: finished, attempt: 0, cfg, nowMs,
+	});
+	return {state: secured.state, effects: [confirmOutcome(input), ...answered.effects, ...secured.effects]};
+}
+
+/**
+ * Marks the jobs of a lost entry host: what was started is lost, what was only claimed is free again.
+ *
+ * @param options - The claims of this node, the lost host and the time.
+ * @returns The next state, with the answers to waiting resends.
+ */
+export function markNodeLost({state, node, nowMs}: {
+	readonly state: ClaimsState;
+	readonly node: NodeId;
+	readonly nowMs: MonotonicMs;
+}): ClaimsStep {
+	const affected = state.records.filter(({claimer}) => claimer === node);
+	let next = state;
+	const effects: ClaimsEffect[] = [];
+	for (const record of affected.values()) {
+		if (record.stage.type === 'claimed') {
+			next = {...next, records: next.records.delete(record.name)};
+			continue;
+		}
+
+		if (record.stage.type !== 'started') {
+			continue;
+		}
+
+		const lost: ClaimRecord = {
+			...record, stage: {type: 'lost'}, version: record.version + 1, changedAtMs: nowMs,
+		};
+		effects.push(...(next.waiters.get(record.name) ?? []).map(({node: to, job}): ClaimsEffect => ({
+			type: 'peer/send',
+			to,
+			message: {
+				type: 'claims/answer', job, name: record.name, answer: {type: 'unknown'},
+			},
+		})));
+		next = {...next, records: next.records.set(record.name, lost), waiters: next.waiters.delete(record.name)};
+	}
+
+	return {state: next, effects};
+}
--- /dev/null
+++ b/packages/core/src/claims/reduce-claims.ts
@@ -0,0 +1,194 @@
+import {
+	assertNever, toBrand, type DataCentreId, type MonotonicMs, type NodeId,
+} from '@samphiremill/common';
+import {Map as ImmutableMap} from 'immutable';
+import type {Step} from '../step.js';
+import {
+	receiveAnswer,
+	receiveOutcomeKept,
+	receiveStartAnswer,
+	reportOutcome,
+	requestClaim,
+	requestStart,
+	resendUnanswered,
+} from './claimer.js';
+import {claimRetentionMs} from './constants.js';
+import {
+	confirmCopy, keepAll, receiveCopy, resendCopies,
+} from './copies.js';
+import {
+	markNodeLost, receiveOutcome, receiveRequest, receiveStart,
+} from './owner.js';
+import type {
+	ClaimsConfig, ClaimsEffect, ClaimsEvent, ClaimsMessage, ClaimsState,
+} from './types.js';
+import {
+	answerHandover, changeView, receiveHandover, resendHandovers,
+} from './view-changes.js';
+
+type ClaimsStep = Step<ClaimsState, ClaimsEffect>;
+
+/**
+ * @param self - This node.
+ * @param dataCentre - The data centre of this node.
+ * @returns Claims that know no view yet, and so answer for no key.
+ */
+export function createClaimsState(self: NodeId, dataCentre: DataCentreId): ClaimsState {
+	return {
+		self,
+		dataCentre,
+		views: ImmutableMap(),
+		isConfigurationFresh: false,
+		servesFromMs: toBrand<MonotonicMs>(0),
+		awaitedHandovers: [],
+		handoverSentAtMs: toBrand<MonotonicMs>(0),
+		isRecovering: false,
+		quarantines: [],
+		records: ImmutableMap(),
+		waiters: ImmutableMap(),
+		active: ImmutableMap(),
+		awaitedCopies: ImmutableMap(),
+	};
+}
+
+const receiveMessage = ({state, from, message, cfg, nowMs}: {
+	readonly state: ClaimsState;
+	readonly from: NodeId;
+	readonly message: ClaimsMessage;
+	readonly cfg: ClaimsConfig;
+	readonly nowMs: MonotonicMs;
+}): ClaimsStep => {
+	switch (message.type) {
+		case 'claims/request': {
+			return receiveRequest({
+				state, from, message, cfg, nowMs,
+			});
+		}
+
+		case 'claims/answer': {
+			return receiveAnswer({state, ...message, from});
+		}
+
+		case 'claims/start': {
+			return receiveStart({
+				state, from, message, cfg, nowMs,
+			});
+		}
+
+		case 'claims/startAnswer': {
+			return receiveStartAnswer({state, ...message});
+		}
+
+		case 'claims/outcome': {
+			return receiveOutcome({
+				state, from, message, cfg, nowMs,
+			});
+		}
+
+		case 'claims/outcomeKept': {
+			return receiveOutcomeKept(state, message.job);
+		}
+
+		case 'claims/copy': {
+			return receiveCopy({
+				state, record: message.record, from, nowMs,
+			});
+		}
+
+		case 'claims/copied': {
+			return confirmCopy({state, ...message});
+		}
+
+		case 'claims/handoverRequest': {
+			return answerHandover({
+				state, from, epoch: message.epoch, cfg, nowMs,
+			});
+		}
+
+		case 'claims/handover': {
+			return receiveHandover({
+				state, from, ...message, nowMs,
+			});
+		}
+
+		default: {
+			return assertNever(message);
+		}
+	}
+};
+
+const forgetOld = (state: ClaimsState, nowMs: MonotonicMs): ClaimsState => {
+	const isOld = (changedAtMs: MonotonicMs) => nowMs - changedAtMs >= claimRetentionMs;
+	const records = state.records.filterNot(({stage, changedAtMs}) => (stage.type === 'finished' || stage.type === 'lost') && isOld(changedAtMs));
+	const quarantines = state.quarantines.filter(({untilMs}) => nowMs < untilMs);
+	return records.size === state.records.size && quarantines.length === state.quarantines.length
+		? state
+		: {...state, records, quarantines};
+};
+
+const tick = (state: ClaimsState, cfg: ClaimsConfig, nowMs: MonotonicMs): ClaimsStep => {
+	const asked = resendUnanswered(forgetOld(state, nowMs), nowMs);
+	const copied = resendCopies({state: asked.state, cfg, nowMs});
+	const handed = resendHandovers(copied.state, nowMs);
+	return {state: handed.state, effects: [...asked.effects, ...copied.effects, ...handed.effects]};
+};
+
+/**
+ * Carries the claims of one entry host on by one event.
+ *
+ * @param state - The claims so far.
+ * @param event - What happened.
+ * @param cfg - What varies between deployments.
+ * @returns The next claims, and effects for the shell and the jobs part.
+ */
+export function reduceClaims(state: ClaimsState, event: ClaimsEvent, cfg: ClaimsConfig): ClaimsStep {
+	switch (event.type) {
+		case 'claims/wanted': {
+			return requestClaim(state, event);
+		}
+
+		case 'claims/starting': {
+			return requestStart(state, event);
+		}
+
+		case 'claims/ended': {
+			return reportOutcome(state, event);
+		}
+
+		case 'claims/viewChanged': {
+			return changeView({state, event, cfg});
+		}
+
+		case 'claims/freshnessChanged': {
+			return {state: {...state, isConfigurationFresh: event.isFresh}, effects: []};
+		}
+
+		case 'claims/nodeLost': {
+			return markNodeLost({state, node: event.node, nowMs: event.nowMs});
+		}
+
+		case 'claims/persisted': {
+			return confirmCopy({state, name: event.name, version: event.version});
+		}
+
+		case 'claims/restored': {
+			const {records, nowMs} = event;
+			return {state: keepAll({state, records, nowMs}), effects: []};
+		}
+
+		case 'claims/tick': {
+			return tick(state, cfg, event.nowMs);
+		}
+
+		case 'peer/received': {
+			const {from, message, nowMs} = event;
+			return receiveMessage({
+				state, from, message, cfg, nowMs,
+			});
+		}
+
+		default: {
+			return assertNever(event);
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/claims/test-claims-cluster.ts
@@ -0,0 +1,282 @@
+/**
+ * Entry hosts of one data centre on a fake network in virtual time, and a leader that commits views.
+ */
+import {
+	createSeededRandom, toBrand, type DataCentreId, type JobId, type MinionId, type MonotonicMs, type NodeId,
+} from '@samphiremill/common';
+import {
+	createClaimName, createClaimsState, reduceClaims, type ClaimsEffect, type ClaimsEvent, type ClaimsMessage, type ClaimsState, type ClaimView,
+} from './index.js';
+
+const stepMs = 50;
+const configurationLeaseMs = 2000;
+const runTimeMs = 400;
+const dataCentre = toBrand<DataCentreId>('recife');
+
+type Packet = {
+	readonly dueMs: number;
+	readonly from: NodeId;
+	readonly to: NodeId;
+	readonly message: ClaimsMessage;
+};
+
+type ClusterNode = {
+	readonly id: NodeId;
+	readonly state: ClaimsState;
+	readonly isUp: boolean;
+	readonly isCutOff: boolean;
+	readonly confirmedAtMs: number;
+	readonly running: ReadonlyArray<{readonly job: JobId; readonly endsAtMs: number}>;
+};
+
+/** What a caller was told, and what was dispatched. */
+export type ClusterReport = {
+	readonly dispatches: ReadonlyArray<{readonly name: string; readonly job: JobId; readonly node: NodeId; readonly atMs: number}>;
+	readonly answers: ReadonlyArray<{readonly job: JobId; readonly type: string}>;
+};
+
+/** Drives the cluster as callers, the network and the leader do. */
+export type ClaimsCluster = {
+	readonly submit: (options: {readonly node: number; readonly key: string; readonly body: string}) => JobId;
+	readonly advance: (durationMs: number) => void;
+	readonly setCutOff: (node: number, isCutOff: boolean) => void;
+	readonly crash: (node: number) => void;
+	readonly restart: (node: number) => void;
+	/** The leader commits a view of the nodes that are up and reachable. */
+	readonly commitView: () => void;
+	readonly getReport: () => ClusterReport;
+	readonly getState: (node: number) => ClaimsState;
+};
+
+/**
+ * @param options - How many nodes, the seed of chance, and which part of the messages is lost or doubled.
+ * @returns The cluster, all nodes up under view 1.
+ */
+export function createClaimsCluster({nodeCount, seed, lossRate, duplicateRate}: {
+	readonly nodeCount: number;
+	readonly seed: number;
+	readonly lossRate: number;
+	readonly duplicateRate: number;
+}): ClaimsCluster {
+	const random = createSeededRandom(seed);
+	const ids = Array.from({length: nodeCount}, (_, index) => toBrand<NodeId>(`node-${index}`));
+	let nowMs = 0;
+	let nextJob = 0;
+	let packets: readonly Packet[] = [];
+	let committed: ClaimView = {dataCentre, epoch: 1, members: ids};
+	let report: ClusterReport = {dispatches: [], answers: []};
+	const nodes = new Map<NodeId, ClusterNode>(ids.map(id => [id, {
+		id, state: createClaimsState(id, dataCentre), isUp: true, isCutOff: false, confirmedAtMs: 0, running: [],
+	}]));
+
+	const getNow = () => toBrand<MonotonicMs>(nowMs);
+	const getNode = (id: NodeId): ClusterNode => {
+		const node = nodes.get(id);
+		if (node === undefined) {
+			throw new Error(`no node ${id}`);
+		}
+
+		return node;
+	};
+
+	const isConnected = (from: NodeId, to: NodeId) => from === to || getNode(from).isCutOff === getNode(to).isCutOff;
+
+	const send = (from: NodeId, to: NodeId, message: ClaimsMessage) => {
+		const delay = () => from === to ? 0 : 1 + (random() * 120);
+		if (from !== to && random() < lossRate) {
+			return;
+		}
+
+		const copies = from !== to && random() < duplicateRate ? 2 : 1;
+		for (let copy = 0; copy < copies; copy += 1) {
+			packets = [...packets, {
+				dueMs: nowMs + delay(), from, to, message,
+			}];
+		}
+	};
+
+	const carryOut = (id: NodeId, effect: ClaimsEffect) => {
+		switch (effect.type) {
+			case 'peer/send': {
+				send(id, effect.to, effect.message);
+				return;
+			}
+
+			case 'claims/persist': {
+				const {name, version} = effect.record;
+				handle(id, {
+					type: 'claims/persisted', name, version, nowMs: getNow(),
+				});
+				return;
+			}
+
+			case 'claims/answered': {
+				report = {...report, answers: [...report.answers, {job: effect.job, type: effect.answer.type}]};
+				if (effect.answer.type === 'granted') {
+					handle(id, {
+						type: 'claims/starting', job: effect.job, attempt: 1, minion: toBrand<MinionId>('minion-1'), nowMs: getNow(),
+					});
+				}
+
+				return;
+			}
+
+			case 'claims/startRecorded': {
+				if (effect.ok) {
+					dispatch(id, effect.job);
+				}
+			}
+		}
+	};
+
+	const dispatch = (id: NodeId, job: JobId) => {
+		const node = getNode(id);
+		const name = node.state.active.get(job)?.name ?? 'unknown';
+		report = {
+			...report, dispatches: [...report.dispatches, {
+				name, job, node: id, atMs: nowMs,
+			}],
+		};
+		nodes.set(id, {...node, running: [...node.running, {job, endsAtMs: nowMs + runTimeMs}]});
+	};
+
+	const handle = (id: NodeId, event: ClaimsEvent) => {
+		const node = getNode(id);
+		if (!node.isUp) {
+			return;
+		}
+
+		const {state, effects} = reduceClaims(node.state, event, {hasStore: nodeCount === 1});
+		nodes.set(id, {...node, state});
+		for (const effect of effects) {
+			carryOut(id, effect);
+		}
+	};
+
+	const learnView = (id: NodeId, isRestart: boolean) => {
+		const {views} = getNode(id).state;
+		const former = views.get(dataCentre);
+		if (former?.epoch === committed.epoch) {
+			return;
+		}
+
+		handle(id, {
+			type: 'claims/viewChanged', view: committed, isRestart, nowMs: getNow(),
+		});
+		const removed = (former?.members ?? []).filter(member => !committed.members.includes(member));
+		for (const node of removed) {
+			handle(id, {type: 'claims/nodeLost', node, nowMs: getNow()});
+		}
+	};
+
+	const confirm = (id: NodeId) => {
+		const node = getNode(id);
+		if (!node.isUp) {
+			return;
+		}
+
+		if (!node.isCutOff) {
+			nodes.set(id, {...node, confirmedAtMs: nowMs});
+			learnView(id, false);
+		}
+
+		const isFresh = nowMs - getNode(id).confirmedAtMs < configurationLeaseMs;
+		handle(id, {type: 'claims/freshnessChanged', isFresh, nowMs: getNow()});
+	};
+
+	const finishJobs = (id: NodeId) => {
+		const node = getNode(id);
+		const ended = node.running.filter(({endsAtMs}) => endsAtMs <= nowMs);
+		nodes.set(id, {...node, running: node.running.filter(({endsAtMs}) => endsAtMs > nowMs)});
+		for (const {job} of ended) {
+			handle(id, {
+				type: 'claims/ended', job, outcome: {type: 'answered', minion: toBrand<MinionId>('minion-1'), status: 200}, nowMs: getNow(),
+			});
+		}
+	};
+
+	const takeDuePackets = (): readonly Packet[] => {
+		const due = packets.filter(({dueMs}) => dueMs <= nowMs);
+		packets = packets.filter(({dueMs}) => dueMs > nowMs);
+		return due;
+	};
+
+	const deliver = () => {
+		for (let due = takeDuePackets(); due.length > 0; due = takeDuePackets()) {
+			for (const {from, to, message} of due.filter(packet => isConnected(packet.from, packet.to))) {
+				handle(to, {
+					type: 'peer/received', from, message, nowMs: getNow(),
+				});
+			}
+		}
+	};
+
+	const step = () => {
+		nowMs += stepMs;
+		for (const id of ids) {
+			confirm(id);
+			finishJobs(id);
+			handle(id, {type: 'claims/tick', nowMs: getNow()});
+		}
+
+		deliver();
+	};
+
+	const idAt = (index: number) => ids[index % ids.length] ?? toBrand<NodeId>('none');
+
+	for (const id of ids) {
+		confirm(id);
+	}
+
+	return {
+		submit({node, key, body}) {
+			const job = toBrand<JobId>(`job-${nextJob}`);
+			nextJob += 1;
+			handle(idAt(node), {
+				type: 'claims/wanted',
+				job,
+				name: createClaimName(toBrand('team-1'), key),
+				bodyHash: body,
+				isFirstSend: false,
+				nowMs: getNow(),
+			});
+			deliver();
+			return job;
+		},
+		advance(durationMs) {
+			for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
+				step();
+			}
+		},
+		setCutOff(node, isCutOff) {
+			nodes.set(idAt(node), {...getNode(idAt(node)), isCutOff});
+		},
+		crash(node) {
+			nodes.set(idAt(node), {...getNode(idAt(node)), isUp: false, running: []});
+		},
+		restart(node) {
+			const id = idAt(node);
+			if (getNode(id).isUp) {
+				return;
+			}
+
+			nodes.set(id, {
+				...getNode(id), state: createClaimsState(id, dataCentre), isUp: true, confirmedAtMs: nowMs,
+			});
+			for (const other of ids) {
+				handle(other, {type: 'claims/nodeLost', node: id, nowMs: getNow()});
+			}
+
+			learnView(id, true);
+		},
+		commitView() {
+			const members = ids.filter(id => getNode(id).isUp && !getNode(id).isCutOff);
+			const isSame = members.length === committed.members.length && members.every(member => committed.members.includes(member));
+			if (members.length > 0 && !isSame) {
+				committed = {dataCentre, epoch: committed.epoch + 1, members};
+			}
+		},
+		getReport: () => report,
+		getState: node => getNode(idAt(node)).state,
+	};
+}
--- /dev/null
+++ b/packages/core/src/claims/view-changes.ts
@@ -0,0 +1,236 @@
+/**
+ * What happens to ownership when the members of a data centre change, or when this node restarts.
+ */
+import {toBrand, type MonotonicMs, type NodeId} from '@samphiremill/common';
+import type {Step} from '../step.js';
+import {claimResendMs, claimRetentionMs, takeoverWaitMs} from './constants.js';
+import {keepAll, secureCopy} from './copies.js';
+import {findOwnership} from './ownership.js';
+import type {
+	ClaimRecord,
+	ClaimsConfig,
+	ClaimsEffect,
+	ClaimsState,
+	ClaimView,
+	ClaimViewChangedEvent,
+	Quarantine,
+} from './types.js';
+
+type ClaimsStep = Step<ClaimsState, ClaimsEffect>;
+
+const addMs = (nowMs: MonotonicMs, durationMs: number): MonotonicMs => toBrand<MonotonicMs>(nowMs + durationMs);
+
+const requestHandovers = (members: readonly NodeId[], epoch: number): ClaimsEffect[] =>
+	members.map(to => ({type: 'peer/send', to, message: {type: 'claims/handoverRequest', epoch}}));
+
+/**
+ * Records are on two hosts at least, so only the loss of two at once can lose one. A host that lost
+ * its memory in a restart and has not been told everything since counts as one of them.
+ */
+const createQuarantines = ({state, former, view, nowMs}: {
+	readonly state: ClaimsState;
+	readonly former: ClaimView;
+	readonly view: ClaimView;
+	readonly nowMs: MonotonicMs;
+}): Quarantine[] => {
+	const removed = former.members.filter(member => !view.members.includes(member));
+	const isRecoveryCut = state.isRecovering && state.awaitedHandovers.some(member => removed.includes(member));
+	const lost = isRecoveryCut ? [state.self, ...removed] : removed;
+	if (lost.length < 2) {
+		return [];
+	}
+
+	return [{members: former.members, lost, untilMs: addMs(nowMs, claimRetentionMs)}];
+};
+
+const startAfterRestart = (state: ClaimsState, event: ClaimViewChangedEvent): ClaimsStep => {
+	const {view, nowMs} = event;
+	const others = view.members.filter(member => member !== state.self);
+	return {
+		state: {
+			...state,
+			awaitedHandovers: others,
+			handoverSentAtMs: nowMs,
+			isRecovering: others.length > 0,
+			servesFromMs: others.length === 0 ? nowMs : addMs(nowMs, takeoverWaitMs),
+		},
+		effects: requestHandovers(others, view.epoch),
+	};
+};
+
+const takeOver = ({state, former, event}: {
+	readonly state: ClaimsState;
+	readonly former: ClaimView;
+	readonly event: ClaimViewChangedEvent;
+}): ClaimsStep => {
+	const {view, nowMs} = event;
+	const survivors = view.members.filter(member => member !== state.self && former.members.includes(member));
+	return {
+		state: {
+			...state,
+			awaitedHandovers: survivors,
+			handoverSentAtMs: nowMs,
+			servesFromMs: addMs(nowMs, takeoverWaitMs),
+			quarantines: [...state.quarantines, ...createQuarantines({
+				state, former, view, nowMs,
+			})],
+		},
+		effects: requestHandovers(survivors, view.epoch),
+	};
+};
+
+/**
+ * Takes a committed view. A view of another data centre only tells whom to ask. Under a new view of
+ * this one, a node serves after the survivors have handed over what they hold for it, and after the
+ * configuration lease of a removed member has run out.
+ *
+ * @param options - The claims of this node and the committed view.
+ * @returns The next state, with requests for records.
+ */
+export function changeView({state, event, cfg}: {
+	readonly state: ClaimsState;
+	readonly event: ClaimViewChangedEvent;
+	readonly cfg: ClaimsConfig;
+}): ClaimsStep {
+	const {view, isRestart, nowMs} = event;
+	const former = state.views.get(view.dataCentre);
+	if (former !== undefined && former.epoch >= view.epoch) {
+		return {state, effects: []};
+	}
+
+	const known = {...state, views: state.views.set(view.dataCentre, view)};
+	if (view.dataCentre !== state.dataCentre || !view.members.includes(state.self)) {
+		return {state: known, effects: []};
+	}
+
+	if (former === undefined) {
+		return isRestart ? startAfterRestart(known, event) : {state: known, effects: []};
+	}
+
+	const step = takeOver({state: known, former, event});
+	const copied = copyOwnedRecords({state: step.state, cfg, nowMs});
+	return {state: copied.state, effects: [...step.effects, ...copied.effects]};
+}
+
+const isOwnedBy = (state: ClaimsState, record: ClaimRecord, node: NodeId): boolean =>
+	findOwnership(state, record.name)?.owner === node;
+
+/** A member that left or restarted may have held the only second copy. */
+const copyOwnedRecords = ({state, cfg, nowMs}: {
+	readonly state: ClaimsState;
+	readonly cfg: ClaimsConfig;
+	readonly nowMs: MonotonicMs;
+}): ClaimsStep => {
+	let next = state;
+	const effects: ClaimsEffect[] = [];
+	for (const record of state.records.values()) {
+		if (record.stage.type === 'claimed' || !isOwnedBy(state, record, state.self)) {
+			continue;
+		}
+
+		const attempt = record.stage.type === 'started' ? record.stage.attempt : 0;
+		const step = secureCopy({
+			state: next, record, attempt, cfg, nowMs,
+		});
+		next = step.state;
+		effects.push(...step.effects);
+	}
+
+	return {state: next, effects};
+};
+
+const getQuarantineRemainingMs = (state: ClaimsState, nowMs: MonotonicMs): number => {
+	if (state.isRecovering) {
+		return claimRetentionMs;
+	}
+
+	return Math.max(0, ...state.quarantines.map(({untilMs}) => untilMs - nowMs));
+};
+
+/**
+ * Hands the asking member the records of its ranges. Those of this node go along, so that a member
+ * that restarted holds its copies again as soon as it serves: its next loss may be this node's.
+ *
+ * @param options - The claims of this node, the asking member, the epoch it saw and the time.
+ * @returns The next state and the records.
+ */
+export function answerHandover({state, from, epoch, cfg, nowMs}: {
+	readonly state: ClaimsState;
+	readonly from: NodeId;
+	readonly epoch: number;
+	readonly cfg: ClaimsConfig;
+	readonly nowMs: MonotonicMs;
+}): ClaimsStep {
+	if (state.views.get(state.dataCentre)?.epoch !== epoch) {
+		return {state, effects: []};
+	}
+
+	const records = [...state.records.values()].filter(record => isOwnedBy(state, record, from) || isOwnedBy(state, record, state.self));
+	const copied = copyOwnedRecords({state, cfg, nowMs});
+	return {
+		state: copied.state,
+		effects: [
+			{
+				type: 'peer/send',
+				to: from,
+				message: {
+					type: 'claims/handover', epoch, records, quarantineRemainingMs: getQuarantineRemainingMs(state, nowMs),
+				},
+			},
+			...copied.effects,
+		],
+	};
+}
+
+/**
+ * Takes the records that a member held for this node. When that member may itself have lost records,
+ * unknown keys of this node's ranges are answered as unknown for as long as records are kept.
+ *
+ * @param options - The claims of this node, the sender, its records and the time.
+ * @returns The next state.
+ */
+export function receiveHandover({state, from, epoch, records, quarantineRemainingMs, nowMs}: {
+	readonly state: ClaimsState;
+	readonly from: NodeId;
+	readonly epoch: number;
+	readonly records: readonly ClaimRecord[];
+	readonly quarantineRemainingMs: number;
+	readonly nowMs: MonotonicMs;
+}): ClaimsStep {
+	const view = state.views.get(state.dataCentre);
+	if (view?.epoch !== epoch || !state.awaitedHandovers.includes(from)) {
+		return {state, effects: []};
+	}
+
+	const awaitedHandovers = state.awaitedHandovers.filter(member => member !== from);
+	const quarantine: Quarantine = {
+		members: view.members, lost: [state.self], untilMs: addMs(nowMs, quarantineRemainingMs),
+	};
+	return {
+		state: {
+			...keepAll({state, records, nowMs}),
+			awaitedHandovers,
+			isRecovering: state.isRecovering && awaitedHandovers.length > 0,
+			quarantines: quarantineRemainingMs > 0 ? [...state.quarantines, quarantine] : state.quarantines,
+		},
+		effects: [],
+	};
+}
+
+/**
+ * @param state - The claims of this node.
+ * @param nowMs - The time.
+ * @returns The state with unanswered requests for records sent again.
+ */
+export function resendHandovers(state: ClaimsState, nowMs: MonotonicMs): ClaimsStep {
+	const view = state.views.get(state.dataCentre);
+	const isDue = nowMs - state.handoverSentAtMs >= claimResendMs;
+	if (view === undefined || state.awaitedHandovers.length === 0 || !isDue) {
+		return {state, effects: []};
+	}
+
+	return {
+		state: {...state, handoverSentAtMs: nowMs},
+		effects: requestHandovers(state.awaitedHandovers, view.epoch),
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/http/server.ts
@@ -0,0 +1,107 @@
+import {Buffer} from 'node:buffer';
+import {createServer, STATUS_CODES, type Server} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {
+	connectionsCheckingIntervalMs,
+	headersTimeoutMs,
+	keepAliveTimeoutMs,
+	maximumHeaderBytes,
+	maximumHeadersCount,
+	requestTimeoutMs,
+} from './constants.js';
+import {formatProblem} from './problem.js';
+import {createRouter} from './router.js';
+import type {HttpRoute} from './types.js';
+
+/** A running HTTP server. */
+export type HttpServer = {
+	readonly host: string;
+	readonly port: number;
+	/** Stops accepting, lets open requests finish, then resolves. */
+	readonly close: () => Promise<void>;
+};
+
+const getClientErrorStatus = (code: string | undefined): number => {
+	if (code === 'HPE_HEADER_OVERFLOW') {
+		return 431;
+	}
+
+	return code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400;
+};
+
+const answerClientError = (err: NodeJS.ErrnoException, socket: Socket): number => {
+	const status = getClientErrorStatus(err.code);
+	if (socket.writable && err.code !== 'ECONNRESET') {
+		const title = STATUS_CODES[status] ?? 'Bad request';
+		const body = formatProblem({
+			status, title, reason: 'malformedRequest', ran: 'no',
+		});
+		socket.end([
+			`HTTP/1.1 ${status} ${title}`,
+			'Content-Type: application/problem+json',
+			`Content-Length: ${Buffer.byteLength(body)}`,
+			'Connection: close',
+			'',
+			body,
+		].join('\r\n'));
+		return status;
+	}
+
+	socket.destroy();
+	return status;
+};
+
+const listen = async (server: Server, host: string, port: number): Promise<AddressInfo> => new Promise((resolve, reject) => {
+	server.once('error', reject);
+	server.listen(port, host, () => {
+		server.off('error', reject);
+		const address = server.address();
+		if (address === null || typeof address === 'string') {
+			reject(new TypeError('The server has no IP address'));
+			return;
+		}
+
+		resolve(address);
+	});
+});
+
+const closeServer = async (server: Server): Promise<void> => new Promise(resolve => {
+	server.close(() => {
+		resolve();
+	});
+	server.closeIdleConnections();
+});
+
+/**
+ * Starts an HTTP server that bounds headers, slow senders and connections.
+ *
+ * @param options - The address (an IP number and a port, 0 for any free one), the most open
+ * connections, the routes, and what to call on bad input and on unexpected errors.
+ * @returns The running server.
+ * @throws The system's error when the address cannot be bound.
+ */
+export async function startHttpServer({host, port, maximumConnections, routes, onClientError, onUnexpectedError}: {
+	readonly host: string;
+	readonly port: number;
+	readonly maximumConnections: number;
+	readonly routes: readonly HttpRoute[];
+	readonly onClientError: (status: number) => void;
+	readonly onUnexpectedError: (err: unknown) => void;
+}): Promise<HttpServer> {
+	const router = createRouter({routes, onUnexpectedError});
+	const server = createServer({
+		headersTimeout: headersTimeoutMs,
+		requestTimeout: requestTimeoutMs,
+		keepAliveTimeout: keepAliveTimeoutMs,
+		connectionsCheckingInterval: connectionsCheckingIntervalMs,
+		maxHeaderSize: maximumHeaderBytes,
+		noDelay: true,
+	}, router);
+	server.maxHeadersCount = maximumHeadersCount;
+	server.maxConnections = maximumConnections;
+	server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
+		onClientError(answerClientError(err, socket));
+	});
+	const address = await listen(server, host, port);
+	return {host: address.address, port: address.port, close: async () => closeServer(server)};
+}
