Read and check the daemon's settings

Cause: a daemon learns its addresses, data centre, peers and voters from its settings, and an operator should see everything that is wrong with them at once.

--- /dev/null
+++ b/packages/core/src/control/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Control records: what operators write, and the state machine over the committed commands.
+ */
+export type * from './types.js';
+export * from './parse-document.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,1 +1,2 @@
-export const version = '0.1.0';
+export * from './control/index.js';
+export type * from './membership/types.js';
--- /dev/null
+++ b/packages/daemon/src/settings/find-conflicts.ts
@@ -0,0 +1,74 @@
+import {joinPath, type Finding} from '@samphiremill/common';
+import type {SettingsDocument} from './schema.js';
+
+function findRepeated(args: {
+	readonly path: string;
+	readonly values: readonly string[];
+	readonly place: (index: number) => string;
+}): readonly Finding[] {
+	const findings: Finding[] = [];
+	for (const [index, value] of args.values.entries()) {
+		if (args.values.indexOf(value) < index) {
+			findings.push({path: args.place(index), message: `${JSON.stringify(value)} stands twice in ${args.path}`});
+		}
+	}
+
+	return findings;
+}
+
+function findPeerConflicts({node, peers}: SettingsDocument): readonly Finding[] {
+	const placeOf = (field: string) => (index: number) => joinPath(joinPath('/peers', index), field);
+	const own = peers.findIndex(peer => peer.node === node);
+	return [
+		...findRepeated({path: '/peers', values: peers.map(peer => peer.node), place: placeOf('node')}),
+		...findRepeated({
+			path: '/peers',
+			values: peers.map(({host, peerPort}) => `${host}:${peerPort}`),
+			place: placeOf('peerPort'),
+		}),
+		...(own === -1 ? [] : [{path: placeOf('node')(own), message: 'names this node itself'}]),
+	];
+}
+
+function findVoterConflicts({node, peers, voters, dataFolder}: SettingsDocument): readonly Finding[] {
+	const known = new Set([node, ...peers.map(peer => peer.node)]);
+	const findings = [...findRepeated({
+		path: '/voters', values: voters, place: index => joinPath('/voters', index),
+	})];
+	for (const [index, voter] of voters.entries()) {
+		if (!known.has(voter)) {
+			findings.push({path: joinPath('/voters', index), message: `${voter} is neither this node nor a peer`});
+		}
+	}
+
+	if (voters.includes(node) && dataFolder === undefined) {
+		findings.push({path: '/dataFolder', message: 'is required, since this node is a voter'});
+	}
+
+	return findings;
+}
+
+function findLimitConflicts({limits}: SettingsDocument): readonly Finding[] {
+	return limits.bodyBudgetBytes < limits.maximumBodyBytes
+		? [{path: '/limits/bodyBudgetBytes', message: 'is below maximumBodyBytes, so that no largest body fits'}]
+		: [];
+}
+
+/**
+ * Finds what is wrong across several settings that are well-formed one by one.
+ *
+ * @param settings - The settings file as it was read.
+ * @returns All findings, each with its place.
+ */
+export function findConflicts(settings: SettingsDocument): readonly Finding[] {
+	return [
+		...findPeerConflicts(settings),
+		...findVoterConflicts(settings),
+		...findLimitConflicts(settings),
+		...findRepeated({
+			path: '/operators',
+			values: settings.operators.map(({name}) => name),
+			place: index => joinPath(joinPath('/operators', index), 'name'),
+		}),
+	];
+}
