Apply control commands to records, ownership and views

Cause: every entry host must come to the same control records from the same log, operators race under equal numbers and resend after lost answers.

Change: packages/core/src/control holds ControlState, applyControlCommand and the selectors. Writes carry an expected revision and a change id; several writes of one command are accepted together or not at all; references and secrets are checked against the state after the writes; a deleted worker that comes back starts at its last owner under a higher epoch.

Broken on scratch copies, each seen to fail: resends applied again (2 tests, counterexample of two commands), conflicts ignored (1), no owner for a new worker (3), revisions restarting after a deletion (1, counterexample put-delete-put). The tests found a real fault on the way: a secret could be granted twice, since the index already named the new key when it was checked.

--- /dev/null
+++ b/packages/core/src/control/apply-control-command.ts
@@ -0,0 +1,109 @@
+import {assertNever, hashText} from '@samphiremill/common';
+import {toCanonicalJson} from './canonical-json.js';
+import {appliedChangeCount} from './constants.js';
+import {controlParts, type PartCommand} from './parts.js';
+import type {
+	ControlCommand, ControlState, ControlStep, OperatorCommand, RecordWrite, SetViewCommand,
+} from './types.js';
+import {writeRecords} from './write-records.js';
+
+function toWrites(command: OperatorCommand): readonly RecordWrite[] {
+	switch (command.type) {
+		case 'control/putRecord': {
+			const {record, expectedRevision} = command;
+			return [{type: 'put', record, ...(expectedRevision !== undefined && {expectedRevision})}];
+		}
+
+		case 'control/deleteRecord': {
+			const {kind, id, expectedRevision} = command;
+			return [{
+				type: 'delete', kind, id, ...(expectedRevision !== undefined && {expectedRevision}),
+			}];
+		}
+
+		case 'control/writeRecords': {
+			return command.writes;
+		}
+
+		default: {
+			return assertNever(command);
+		}
+	}
+}
+
+function getFingerprint(command: OperatorCommand, writes: readonly RecordWrite[]): string {
+	const text = toCanonicalJson({actor: command.actor, writes});
+	return `${text.length}-${hashText(text)}`;
+}
+
+function rememberAnswer({step, command, fingerprint}: {
+	readonly step: ControlStep;
+	readonly command: OperatorCommand;
+	readonly fingerprint: string;
+}): ControlStep {
+	const {state, answer} = step;
+	const changes = state.changes.set(command.changeId, {fingerprint, answer});
+	const oldest = changes.keySeq().first();
+	const isFull = changes.size > appliedChangeCount && oldest !== undefined;
+	return {answer, state: {...state, changes: isFull ? changes.delete(oldest) : changes}};
+}
+
+function applyOperatorCommand(state: ControlState, command: OperatorCommand): ControlStep {
+	const writes = toWrites(command);
+	const fingerprint = getFingerprint(command, writes);
+	const earlier = state.changes.get(command.changeId);
+	if (earlier !== undefined) {
+		return {state, answer: earlier.fingerprint === fingerprint ? earlier.answer : {type: 'changeIdReused'}};
+	}
+
+	const step = writeRecords({state, writes, origin: command});
+	return rememberAnswer({step, command, fingerprint});
+}
+
+function setView(state: ControlState, command: SetViewCommand): ControlStep {
+	const {dataCentre, expectedEpoch, members} = command;
+	const epoch = state.views.get(dataCentre)?.epoch ?? 0;
+	if (epoch !== expectedEpoch) {
+		const message = `the view of ${dataCentre} is at epoch ${epoch}, not ${expectedEpoch}`;
+		return {state, answer: {type: 'rejected', reason: 'staleEpoch', message}};
+	}
+
+	const view = {dataCentre, epoch: epoch + 1, members};
+	return {state: {...state, views: state.views.set(dataCentre, view)}, answer: {type: 'applied'}};
+}
+
+function applyPartCommand(state: ControlState, command: PartCommand): ControlStep {
+	const {type} = command as {readonly type: string};
+	const part = controlParts.find(({name}) => type.startsWith(`${String(name)}/`));
+	// A replica that is older than the leader may meet commands that it does not know.
+	return part === undefined
+		? {state, answer: {type: 'rejected', reason: 'unknownCommand', message: `no part takes ${type}`}}
+		: part.applyCommand({state, command});
+}
+
+/**
+ * Applies one committed command. The outcome depends on the arguments alone, so that every replica
+ * that applies the same commands in the same order comes to the same state.
+ *
+ * @param state - The state before.
+ * @param command - The committed command.
+ * @returns The state after, and the answer for whoever proposed the command. A change id that was
+ *   seen before gets its first answer.
+ */
+export function applyControlCommand(state: ControlState, command: ControlCommand): ControlStep {
+	switch (command.type) {
+		case 'control/putRecord':
+		case 'control/deleteRecord':
+		case 'control/writeRecords': {
+			return applyOperatorCommand(state, command);
+		}
+
+		case 'control/setView': {
+			return setView(state, command);
+		}
+
+		default: {
+			return applyPartCommand(state, command);
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/control/constants.ts
@@ -0,0 +1,20 @@
+/** How many answers are kept for resends: more than two days at 1,800 changes a day. */
+export const appliedChangeCount = 4096;
+
+/** How many changes of one record are kept. */
+export const historyEntriesPerRecord = 8;
+
+/** How many deleted records keep their history. */
+export const deletedRecordCount = 512;
+
+/** How many deleted workers are remembered with their last owner. */
+export const retiredWorkerCount = 1024;
+
+/** The weight of a team without a share record. */
+export const defaultTeamWeight = 1;
+
+/** The team on whose account open queues take work. */
+export const openTeamId = 'open';
+
+/** Every kind of record, referred-to kinds before those that refer to them. */
+export const recordKinds = ['pool', 'team', 'share', 'limit', 'key', 'queue', 'worker', 'wave'] as const;
--- a/packages/core/src/control/index.ts
+++ b/packages/core/src/control/index.ts
@@ -2,4 +2,10 @@
  * Control records: what operators write, and the state machine over the committed commands.
  */
 export type * from './types.js';
+export * from './constants.js';
 export * from './parse-document.js';
+export * from './parts.js';
+export * from './create-control-state.js';
+export * from './selectors.js';
+export * from './apply-control-command.js';
+export {toCanonicalJson} from './canonical-json.js';
--- /dev/null
+++ b/packages/core/src/control/references.ts
@@ -0,0 +1,121 @@
+/**
+ * Which records name which others, and what is wrong with that.
+ */
+import {
+	assertNever, joinPath, type Finding, type PoolId,
+} from '@samphiremill/common';
+import {openTeamId, recordKinds} from './constants.js';
+import {getVersionedRecord, listVersionedRecords} from './selectors.js';
+import type {ControlRecord, ControlState, RecordKind} from './types.js';
+
+/** One mention of another record, with its place. */
+type Reference = {
+	readonly path: string;
+	readonly kind: RecordKind;
+	readonly id: string;
+};
+
+function listPoolReferences(pools: readonly PoolId[]): readonly Reference[] {
+	return pools.map((id, index) => ({path: joinPath('/pools', index), kind: 'pool', id}));
+}
+
+/**
+ * @param record - Any record.
+ * @returns Every other record that it names, with the place.
+ */
+export function listReferences(record: ControlRecord): readonly Reference[] {
+	switch (record.kind) {
+		case 'pool':
+		case 'team': {
+			return [];
+		}
+
+		case 'share':
+		case 'limit': {
+			return [{path: '/id', kind: 'team', id: record.id}];
+		}
+
+		case 'key': {
+			return [{path: '/team', kind: 'team', id: record.team}];
+		}
+
+		case 'queue': {
+			return [{path: '/pool', kind: 'pool', id: record.pool}];
+		}
+
+		case 'worker': {
+			return [{path: '/homePool', kind: 'pool', id: record.homePool}];
+		}
+
+		case 'wave': {
+			const workers = (record.workers ?? []).map((id, index): Reference =>
+				({path: joinPath('/workers', index), kind: 'worker', id}));
+			return [...listPoolReferences(record.pools), ...workers];
+		}
+
+		default: {
+			return assertNever(record);
+		}
+	}
+}
+
+function findKeyFindings(state: ControlState, record: ControlRecord): readonly Finding[] {
+	if (record.kind !== 'key') {
+		return [];
+	}
+
+	const isTaken = listVersionedRecords(state, 'key')
+		.some(other => other.record.id !== record.id && other.record.secretHash === record.secretHash);
+	const findings: Finding[] = [];
+	if (isTaken) {
+		findings.push({path: '/secretHash', message: 'belongs to another key'});
+	}
+
+	if (record.team === openTeamId) {
+		findings.push({path: '/team', message: `${openTeamId} is the account of open queues and has no keys`});
+	}
+
+	return findings;
+}
+
+/**
+ * Finds what a record says that the other records do not bear out.
+ *
+ * @param state - The control state in which the record is written.
+ * @param record - The written record.
+ * @returns Every finding with its place in the record.
+ */
+export function findRecordFindings(state: ControlState, record: ControlRecord): readonly Finding[] {
+	const dangling = listReferences(record)
+		.filter(({kind, id}) => getVersionedRecord(state, {kind, id}) === undefined)
+		.map(({path, kind, id}) => ({path, message: `there is no ${kind} ${id}`}));
+	return [...dangling, ...findKeyFindings(state, record)];
+}
+
+function findOwnedHosts(state: ControlState, pool: string): readonly Finding[] {
+	const owned = [...state.ownership.values()]
+		.filter(({phase}) => phase.pool === pool || (phase.type === 'releasing' && phase.to === pool));
+	return owned.map(({worker}) => ({path: '', message: `pool ${pool} still owns worker ${worker}`}));
+}
+
+/**
+ * Finds what still needs a record that is to be deleted.
+ *
+ * @param state - The control state.
+ * @param address - The kind and id of the record.
+ * @returns One finding for each record that names it.
+ */
+export function findReferrers(
+	state: ControlState,
+	address: {readonly kind: RecordKind; readonly id: string},
+): readonly Finding[] {
+	const referrers = recordKinds
+		.flatMap(kind => listVersionedRecords(state, kind))
+		.flatMap(({record}) => listReferences(record)
+			.filter(({kind, id}) => kind === address.kind && id === address.id)
+			.map(({path}) => ({
+				path: '',
+				message: `${address.kind} ${address.id} is named by ${record.kind} ${record.id} at ${path}`,
+			})));
+	return address.kind === 'pool' ? [...referrers, ...findOwnedHosts(state, address.id)] : referrers;
+}
--- a/packages/core/src/control/types.ts
+++ b/packages/core/src/control/types.ts
@@ -5,6 +5,7 @@
 import type {
 	ChangeId,
 	DataCentreId,
+	Finding,
 	KeyId,
 	NodeId,
 	PoolId,
@@ -15,6 +16,8 @@
 	WaveId,
 	WorkerId,
 } from '@samphiremill/common';
+import type {Map as ImmutableMap, OrderedMap} from 'immutable';
+import type {PartCommand, PartStates} from './parts.js';
 
 /** Hosts that serve the same queues, and how many of them may be unavailable at once. */
 export type PoolRecord = {
@@ -166,3 +169,94 @@
 	readonly expectedEpoch: number;
 	readonly members: readonly NodeId[];
 };
+
+/** One write among those of a command. */
+export type RecordWrite
+	= | {readonly type: 'put'; readonly record: ControlRecord; readonly expectedRevision?: number}
+		| {readonly type: 'delete'; readonly kind: RecordKind; readonly id: string; readonly expectedRevision?: number};
+
+/** Several writes that are all accepted or all refused. */
+export type WriteRecordsCommand = {
+	readonly type: 'control/writeRecords';
+	readonly changeId: ChangeId;
+	readonly actor: string;
+	readonly acceptedAtMs: WallClockMs;
+	readonly writes: readonly RecordWrite[];
+};
+
+/** The commands that operators send. Each carries a change id, so that resends are safe. */
+export type OperatorCommand = PutRecordCommand | DeleteRecordCommand | WriteRecordsCommand;
+
+/** Every command of the control state machine, those of its parts included. */
+export type ControlCommand = OperatorCommand | SetViewCommand | PartCommand;
+
+/** What became of one record. */
+export type RecordChange = {
+	readonly kind: RecordKind;
+	readonly id: string;
+	/** The revision after the change; of a deleted record, the revision of its deletion. */
+	readonly revision: number;
+	readonly outcome: 'created' | 'updated' | 'unchanged' | 'deleted';
+};
+
+/** A record whose revision is not the one that the writer saw. */
+export type RecordConflict = {
+	readonly kind: RecordKind;
+	readonly id: string;
+	readonly expectedRevision: number;
+	/** The record that won; absent where there is none. */
+	readonly current?: VersionedRecord;
+};
+
+/** What a command came to. */
+export type ControlAnswer
+	= | {readonly type: 'accepted'; readonly changes: readonly RecordChange[]}
+		| {readonly type: 'conflict'; readonly conflicts: readonly RecordConflict[]}
+		| {readonly type: 'invalid'; readonly findings: readonly Finding[]}
+		| {readonly type: 'notFound'; readonly kind: RecordKind; readonly id: string}
+	/** The change id was used before, for another change. */
+		| {readonly type: 'changeIdReused'}
+	/** A planner's command took effect. */
+		| {readonly type: 'applied'}
+	/** A planner's command no longer fits the state. */
+		| {readonly type: 'rejected'; readonly reason: string; readonly message: string};
+
+/** One change of one record. A deletion has no record. */
+export type HistoryEntry = {
+	readonly revision: number;
+	readonly changedAtMs: WallClockMs;
+	readonly changedBy: string;
+	readonly changeId: ChangeId;
+	readonly record?: ControlRecord;
+};
+
+/** The first answer to a change id, kept for resends. */
+export type AppliedChange = {
+	/** Tells a resend of the same change from another change under the same id. */
+	readonly fingerprint: string;
+	readonly answer: ControlAnswer;
+};
+
+/** Everything that the committed commands have come to. Never mutated. */
+export type ControlState = PartStates & {
+	readonly records: ImmutableMap<RecordKind, ImmutableMap<string, VersionedRecord>>;
+	/** The latest changes of each record, oldest first, by `kind/id`. */
+	readonly history: ImmutableMap<string, readonly HistoryEntry[]>;
+	/** Deleted records whose history is kept, by `kind/id`, the longest deleted first. */
+	readonly deleted: OrderedMap<string, number>;
+	/** The answers of the latest changes, oldest first. */
+	readonly changes: OrderedMap<ChangeId, AppliedChange>;
+	readonly keyBySecretHash: ImmutableMap<string, KeyId>;
+	readonly ownership: ImmutableMap<WorkerId, HostOwnership>;
+	/** The last owners of deleted workers, the longest deleted first. */
+	readonly retiredOwnership: OrderedMap<WorkerId, HostOwnership>;
+	/** No ownership that was dropped from `retiredOwnership` had a higher epoch. */
+	readonly highestRetiredEpoch: number;
+	readonly views: ImmutableMap<DataCentreId, DataCentreView>;
+};
+
+/** The next state and what the command came to. */
+export type ControlStep = {
+	readonly state: ControlState;
+	readonly answer: ControlAnswer;
+};
