--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 export * from './claims/index.js';
-export type * from './control/types.js';
+export * from './control/index.js';
 export type * from './escrow/types.js';
 export type * from './jobs/types.js';
 export type * from './membership/types.js';
