Decide jobs: queues, shares, placement, attempts and outcomes

Cause: the entry host needs one place that decides what happens to a job, and that says truthfully whether it ran.

Change: `reduceJobs` takes a job from submission over the claim of its key, its queue, a reserved slot and limit, the start record and the dispatch to one outcome. Teams are picked by least running for their weight, urgent work ahead within the due; minions by power of k choices; workers that fail everything are taken out and probed; sizes and run times are learned as quantiles. All orders are kept in a persistent weight-balanced tree, so that a change costs the logarithm of its size.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,1 +1,3 @@
-export const version = '0.1.0';
+export * from './jobs/index.js';
+export * from './placement/index.js';
+export * from './shares/index.js';
--- /dev/null
+++ b/packages/core/src/jobs/apply-tick.ts
@@ -0,0 +1,141 @@
+/**
+ * What falls due: claims without an answer, waits and attempts past their time, retries, probes.
+ */
+import {assertNever} from '@samphiremill/common';
+import {getFirstItem} from '../collections/sorted-set.js';
+import {startDueProbe} from '../placement/index.js';
+import {requeueJob} from './admit-jobs.js';
+import {giveUpJob, noteWorker} from './attempts.js';
+import {defaultRetryAfterMs} from './constants.js';
+import {estimateWaitMs} from './estimates.js';
+import {resetTimer, runSteps} from './job-table.js';
+import {putWorkerHealth} from './minions.js';
+import {placeWaitingJobs} from './place-jobs.js';
+import {
+	canRunMore, getPoolTeam, getTeam, getWaitingCount,
+} from './pool-teams.js';
+import {getReservationKey} from './reservations.js';
+import type {
+	Context, JobsState, JobsStep, JobState,
+} from './state.js';
+import type {JobsEffect, TeamDemand} from './types.js';
+
+function refuseWaitingJob(state: JobsState, job: JobState, context: Context): JobsStep {
+	const isBlocked = !canRunMore(getTeam(state, job.spec.team));
+	const retryAfterMs = Math.max(defaultRetryAfterMs, estimateWaitMs(state, job.spec) ?? 0);
+	return giveUpJob(state, {
+		job, reason: isBlocked ? 'limitReached' : 'deadlineTooNear', retryAfterMs,
+	}, context);
+}
+
+/** An attempt that is not answered in time speaks against its worker, too. */
+function endLateAttempt(state: JobsState, job: JobState, context: Context): JobsStep {
+	const reservation = state.reservations.get(getReservationKey({job: job.spec.job, attempt: job.attempt}));
+	return runSteps(state, [
+		before => noteWorker({
+			state: before, reservation, isFailure: true, context,
+		}),
+		before => giveUpJob(before, {job, reason: 'deadlinePassed'}, context),
+	]);
+}
+
+function applyDueJob(state: JobsState, job: JobState, context: Context): JobsStep {
+	switch (job.type) {
+		case 'claiming': {
+			return giveUpJob(state, {job, reason: 'ownerUnreachable', retryAfterMs: defaultRetryAfterMs}, context);
+		}
+
+		case 'queued': {
+			return refuseWaitingJob(state, job, context);
+		}
+
+		case 'backingOff': {
+			return requeueJob(state, job, context);
+		}
+
+		case 'reserved': {
+			return giveUpJob(state, {job, reason: 'ownerUnreachable', retryAfterMs: defaultRetryAfterMs}, context);
+		}
+
+		case 'dispatched':
+		case 'byteSent': {
+			return endLateAttempt(state, job, context);
+		}
+
+		case 'answering': {
+			return {state, effects: []};
+		}
+
+		default: {
+			return assertNever(job);
+		}
+	}
+}
+
+function applyTimers(state: JobsState, context: Context): JobsStep {
+	const effects: JobsEffect[] = [];
+	let current = state;
+	for (;;) {
+		const timer = getFirstItem(current.timers);
+		const job = timer && current.jobs.get(timer.job);
+		if (timer === undefined || job === undefined || timer.atMs > context.nowMs) {
+			return {state: current, effects};
+		}
+
+		const step = job.dueAtMs > context.nowMs
+			? {state: resetTimer(current, job), effects: []}
+			: applyDueJob(current, job, context);
+		current = step.state;
+		effects.push(...step.effects);
+	}
+}
+
+function startDueProbes(state: JobsState, context: Context): JobsStep {
+	const due = [...state.workers].filter(([, health]) => startDueProbe(health, context.nowMs) !== health);
+	const steps = due.map(([worker, health]) => (before: JobsState): JobsStep => ({
+		state: putWorkerHealth(before, worker, startDueProbe(health, context.nowMs)),
+		effects: [{
+			type: 'jobs/decision',
+			decision: {kind: 'workerProbed', worker, failuresCounted: health.failuresInRow},
+		}],
+	}));
+	const pools = new Set(due.flatMap(([worker]) => [...state.minions.values()]
+		.filter(({info}) => info.worker === worker)
+		.map(({info}) => info.pool)));
+	return runSteps(state, [
+		...steps,
+		...[...pools].map(pool => (before: JobsState) => placeWaitingJobs(before, pool, context)),
+	]);
+}
+
+function reportDemands(state: JobsState): JobsStep {
+	if (state.changedDemands.size === 0) {
+		return {state, effects: []};
+	}
+
+	const demands = [...state.changedDemands.values()].map(({pool, team}): TeamDemand => {
+		const poolTeam = getPoolTeam(state, {pool, team});
+		return {
+			pool, team, waiting: getWaitingCount(poolTeam), running: poolTeam.running,
+		};
+	});
+	return {
+		state: {...state, changedDemands: state.changedDemands.clear()},
+		effects: [{type: 'jobs/demandChanged', demands}],
+	};
+}
+
+/**
+ * Does what has fallen due, and makes known whose demand has changed since the last time.
+ *
+ * @param state - The jobs before.
+ * @param context - The time, bounds and chance.
+ * @returns The step.
+ */
+export function applyTick(state: JobsState, context: Context): JobsStep {
+	return runSteps(state, [
+		before => applyTimers(before, context),
+		before => startDueProbes(before, context),
+		reportDemands,
+	]);
+}
--- /dev/null
+++ b/packages/core/src/jobs/attempts.ts
@@ -0,0 +1,404 @@
+/**
+ * What becomes of an attempt once it is placed: recorded, dispatched, answered or failed.
+ */
+import {recordWorkerFailure, recordWorkerSuccess} from '../placement/index.js';
+import {requeueJob} from './admit-jobs.js';
+import {
+	defaultRetryAfterMs, jobFaultWorkers, maximumEjectedPart, neverMs,
+} from './constants.js';
+import {getLatestStartMs, learnRunTime} from './estimates.js';
+import {
+	finishJob, putJob, refuseJob, runSteps,
+} from './job-table.js';
+import {getWorkerHealth, putWorkerHealth} from './minions.js';
+import {dispatchJob, placeWaitingJobs} from './place-jobs.js';
+import {
+	dropConnection, getReservationKey, removeReservation,
+} from './reservations.js';
+import {createRetryBudget, getRetryDelayMs, spendRetry} from './retry-budget.js';
+import type {
+	Context, JobsState, JobsStep, JobState, Reservation,
+} from './state.js';
+import type {
+	AttemptFailureKind, JobAttempt as JobAttempterence, JobsEffect, JobsEvent, RefusalReason,
+} from './types.js';
+
+type PlacedJob = Extract<JobState, {readonly worker: unknown}>;
+type EventOf<Type extends JobsEvent['type']> = Extract<JobsEvent, {readonly type: Type}>;
+
+/** The first status of the class of server errors. */
+const firstServerErrorStatus = 500;
+
+function findPlacedJob(state: JobsState, {job, attempt}: JobAttempterence): PlacedJob | undefined {
+	const found = state.jobs.get(job);
+	const isPlaced = found !== undefined && 'worker' in found;
+	return isPlaced && found.attempt === attempt ? found : undefined;
+}
+
+/** A reserved job has sent nothing, so that no word of its sending can be true. */
+function findSentJob(state: JobsState, reference: JobAttempterence): PlacedJob | undefined {
+	const job = findPlacedJob(state, reference);
+	return job?.type === 'reserved' ? undefined : job;
+}
+
+function findDispatchedReservation(state: JobsState, reference: JobAttempterence): Reservation | undefined {
+	const reservation = state.reservations.get(getReservationKey(reference));
+	return reservation?.isDispatched === true ? reservation : undefined;
+}
+
+function learnFrom(state: JobsState, reservation: Reservation | undefined, {nowMs}: Context): JobsState {
+	return reservation === undefined
+		? state
+		: learnRunTime(state, reservation, nowMs - reservation.reservedAtMs);
+}
+
+function isMinionStillOpen(state: JobsState, {minion, incarnation}: PlacedJob): boolean {
+	const info = state.minions.get(minion)?.info;
+	return info?.incarnation === incarnation && info.isAcceptingWork;
+}
+
+/**
+ * Gives back what an attempt holds and lets the next job of the pool have it.
+ *
+ * @param state - The jobs before.
+ * @param ref - The attempt.
+ * @param context - The time, bounds and chance.
+ * @returns The step; none where the attempt holds nothing any more.
+ */
+export function freeAttempt(state: JobsState, reference: JobAttempterence, context: Context): JobsStep {
+	const reservation = state.reservations.get(getReservationKey(reference));
+	if (reservation === undefined) {
+		return {state, effects: []};
+	}
+
+	const {pool, team} = reservation;
+	return runSteps(state, [
+		before => removeReservation(before, reference, context.nowMs),
+		before => placeWaitingJobs(before, pool, context),
+		before => placeFreedLimit(before, {pool, team}, context),
+	]);
+}
+
+/**
+ * Gives back what an attempt holds, on the word of its minion. While the shell may still be sending
+ * the job, such a word is about something else and is passed over.
+ *
+ * @param state - The jobs before.
+ * @param ref - The attempt.
+ * @param context - The time, bounds and chance.
+ * @returns The step.
+ */
+export function applySlotFreed(state: JobsState, reference: JobAttempterence, context: Context): JobsStep {
+	const type = findPlacedJob(state, reference)?.type;
+	return type === 'reserved' || type === 'dispatched'
+		? {state, effects: []}
+		: freeAttempt(state, reference, context);
+}
+
+/** Room below a team's limit may let its jobs in other pools start. */
+function placeFreedLimit(
+	state: JobsState,
+	{pool, team}: Pick<Reservation, 'pool' | 'team'>,
+	context: Context,
+): JobsStep {
+	const teamState = state.teams.get(team);
+	if (!teamState?.isLimited) {
+		return {state, effects: []};
+	}
+
+	const others = teamState.pools.delete(pool).toArray();
+	return runSteps(state, others.map(other => (before: JobsState) => placeWaitingJobs(before, other, context)));
+}
+
+/**
+ * Goes on once the start record is safe. The minion may have begun to leave since; then the job
+ * is placed anew, for no byte was sent.
+ *
+ * @param state - The jobs before.
+ * @param event - Whether the record was written.
+ * @param context - The time, bounds and chance.
+ * @returns The step; none for an attempt that was given up.
+ */
+export function applyStartRecorded(
+	state: JobsState,
+	event: EventOf<'jobs/startRecorded'>,
+	context: Context,
+): JobsStep {
+	const job = findPlacedJob(state, event);
+	if (job?.type !== 'reserved') {
+		return {state, effects: []};
+	}
+
+	if (event.ok && isMinionStillOpen(state, job)) {
+		return dispatchJob(state, job);
+	}
+
+	return runSteps(state, [
+		before => removeReservation(before, event, context.nowMs),
+		before => event.ok
+			? requeueJob(before, job, context)
+			: refuseJob(before, {job, reason: 'ownerUnreachable', retryAfterMs: defaultRetryAfterMs}),
+		before => placeWaitingJobs(before, job.spec.pool, context),
+	]);
+}
+
+/**
+ * @param state - The jobs before.
+ * @param event - Word that the first byte of an attempt was sent.
+ * @returns The step; none for an attempt that is past that or was given up.
+ */
+export function applyFirstByteSent(state: JobsState, event: EventOf<'jobs/firstByteSent'>): JobsStep {
+	const job = findPlacedJob(state, event);
+	if (job?.type !== 'dispatched') {
+		return {state, effects: []};
+	}
+
+	return {state: putJob(state, {...job, type: 'byteSent', mayHaveRun: true}), effects: []};
+}
+
+/**
+ * @param state - The jobs before.
+ * @param event - Word that the answer has begun to arrive. From here on the deadline cuts nothing.
+ * @returns The step; none for an attempt that was given up.
+ */
+export function applyAnswerStarted(state: JobsState, event: EventOf<'jobs/answerStarted'>): JobsStep {
+	const job = findSentJob(state, event);
+	if (job === undefined || job.type === 'answering') {
+		return {state, effects: []};
+	}
+
+	const answering = {
+		...job, type: 'answering' as const, status: event.status, mayHaveRun: true, dueAtMs: neverMs,
+	};
+	return {state: putJob(state, answering), effects: []};
+}
+
+function listHealthDecision(before: JobsState, after: JobsState, {worker}: Pick<Reservation, 'worker'>): readonly JobsEffect[] {
+	const from = getWorkerHealth(before, worker);
+	const to = getWorkerHealth(after, worker);
+	if (from.type === to.type) {
+		return [];
+	}
+
+	const decision = to.type === 'ejected'
+		? {
+			kind: 'workerEjected' as const, worker, failuresCounted: to.failuresInRow, untilMs: to.untilMs,
+		}
+		: {kind: 'workerRestored' as const, worker, failuresCounted: from.failuresInRow};
+	return [{type: 'jobs/decision', decision}];
+}
+
+function canSpareWorker(state: JobsState, {pool}: Reservation): boolean {
+	const workers = new Set([...state.minions.values()]
+		.filter(({info}) => info.pool === pool)
+		.map(({info}) => info.worker));
+	const ejected = [...workers].filter(worker => getWorkerHealth(state, worker).type !== 'healthy');
+	return ejected.length + 1 <= workers.size * maximumEjectedPart;
+}
+
+/**
+ * Counts a success or a failure of a worker, and takes it out or back where that is due.
+ *
+ * @param options - The jobs before, the attempt, how it went, and the time and bounds.
+ * @returns The step; none for an attempt that holds nothing any more.
+ */
+export function noteWorker(options: {
+	readonly state: JobsState;
+	readonly reservation: Reservation | undefined;
+	readonly isFailure: boolean;
+	readonly context: Context;
+}): JobsStep {
+	const {state, reservation, isFailure, context} = options;
+	if (reservation === undefined) {
+		return {state, effects: []};
+	}
+
+	const {worker} = reservation;
+	const health = getWorkerHealth(state, worker);
+	if (!isFailure && !state.workers.has(worker)) {
+		return {state, effects: []};
+	}
+
+	const cfg = context.cfg.health;
+	const isNearBound = health.failuresInRow + 1 >= cfg.ejectionFailures;
+	const next = isFailure
+		? recordWorkerFailure({
+			health, nowMs: context.nowMs, canSpare: isNearBound && canSpareWorker(state, reservation), cfg,
+		})
+		: recordWorkerSuccess(health);
+	const after = putWorkerHealth(state, worker, next);
+	return {state: after, effects: listHealthDecision(state, after, reservation)};
+}
+
+/**
+ * Ends an attempt whose answer is whole. For a job that was given up the answer is dropped, and
+ * only what the attempt held is given back. The minion may have said before that its slot is free.
+ *
+ * @param state - The jobs before.
+ * @param event - The answer's status.
+ * @param context - The time, bounds and chance.
+ * @returns The step.
+ */
+export function applyAnswered(state: JobsState, event: EventOf<'jobs/answered'>, context: Context): JobsStep {
+	const reservation = findDispatchedReservation(state, event);
+	const job = findSentJob(state, event);
+	const isFailure = event.status >= firstServerErrorStatus;
+	return runSteps(state, [
+		before => ({state: isFailure ? before : learnFrom(before, reservation, context), effects: []}),
+		before => noteWorker({
+			state: before, reservation, isFailure, context,
+		}),
+		before => job === undefined
+			? {state: before, effects: []}
+			: finishJob(before, job.spec, {type: 'answered', minion: job.minion, status: event.status}),
+		before => reservation === undefined
+			? {state: before, effects: []}
+			: freeAttempt(before, event, context),
+	]);
+}
+
+/** Only an attempt that certainly ended gives its slot back at once. */
+function hasCertainlyEnded({bytesSent, kind}: EventOf<'jobs/attemptFailed'>): boolean {
+	return !bytesSent || kind === 'busy' || kind === 'stopped';
+}
+
+function endAttempt(state: JobsState, event: EventOf<'jobs/attemptFailed'>, context: Context): JobsStep {
+	return hasCertainlyEnded(event)
+		? freeAttempt(state, event, context)
+		: {state: dropConnection(state, event), effects: []};
+}
+
+function findGivingUpReason(job: JobState, {cfg}: Context): RefusalReason | undefined {
+	if (job.mayHaveRun && !job.spec.isIdempotent) {
+		return 'attemptLost';
+	}
+
+	const isJobsFault = new Set(job.failedWorkers).size >= jobFaultWorkers;
+	return isJobsFault || job.attempt >= cfg.maximumAttempts ? 'failedEverywhere' : undefined;
+}
+
+function backOff(state: JobsState, options: {
+	readonly job: PlacedJob;
+	readonly failed: JobState;
+	readonly kind: AttemptFailureKind;
+	readonly context: Context;
+}): JobsStep {
+	const {job, failed, kind, context: {nowMs, cfg}} = options;
+	const {spec, attempt} = job;
+	const budget = spendRetry(state.budgets.get(spec.queue) ?? createRetryBudget(cfg.maximumRetryTokens));
+	const delayMs = getRetryDelayMs({failures: attempt, baseDelayMs: cfg.retryBaseDelayMs, random: cfg.random});
+	if (budget === undefined || nowMs + delayMs > getLatestStartMs(state, spec)) {
+		return refuseJob(state, {job: failed, reason: 'attemptLost', retryAfterMs: defaultRetryAfterMs});
+	}
+
+	const waiting = putJob({...state, budgets: state.budgets.set(spec.queue, budget)}, {
+		type: 'backingOff',
+		spec,
+		attempt,
+		mayHaveRun: failed.mayHaveRun,
+		failedWorkers: failed.failedWorkers,
+		dueAtMs: nowMs + delayMs,
+	});
+	const decision = {
+		kind: 'retried' as const,
+		job: spec.job,
+		team: spec.team,
+		queue: spec.queue,
+		pool: spec.pool,
+		minion: job.minion,
+		attempt,
+		reason: kind,
+		delayMs,
+	};
+	return {state: waiting, effects: [{type: 'jobs/decision', decision}]};
+}
+
+function retryOrRefuse(state: JobsState, options: {
+	readonly job: PlacedJob;
+	readonly event: EventOf<'jobs/attemptFailed'>;
+	readonly context: Context;
+}): JobsStep {
+	const {job, event, context} = options;
+	// The answer has begun to go to the caller, who cannot be given another one.
+	if (job.type === 'answering') {
+		return refuseJob(state, {job, reason: 'attemptLost'});
+	}
+
+	const failed: JobState = {
+		...job,
+		type: 'backingOff',
+		mayHaveRun: job.mayHaveRun || event.bytesSent,
+		failedWorkers: event.kind === 'busy' ? job.failedWorkers : [...job.failedWorkers, job.worker],
+	};
+	const reason = findGivingUpReason(failed, context);
+	return reason === undefined
+		? backOff(state, {
+			job, failed, kind: event.kind, context,
+		})
+		: refuseJob(state, {job: failed, reason});
+}
+
+/**
+ * Ends an attempt that failed. An idempotent job, and one of which no byte was sent, is tried
+ * again under the queue's budget; any other gets its outcome at once.
+ *
+ * @param state - The jobs before.
+ * @param event - How the attempt failed, and whether a byte may have been sent.
+ * @param context - The time, bounds and chance.
+ * @returns The step.
+ */
+export function applyAttemptFailed(
+	state: JobsState,
+	event: EventOf<'jobs/attemptFailed'>,
+	context: Context,
+): JobsStep {
+	const reservation = findDispatchedReservation(state, event);
+	const job = findSentJob(state, event);
+	const isFailure = event.kind !== 'busy' && event.kind !== 'stopped' && reservation?.hasConnection === true;
+	return runSteps(state, [
+		before => noteWorker({
+			state: before, reservation: isFailure ? reservation : undefined, isFailure, context,
+		}),
+		before => job === undefined
+			? {state: before, effects: []}
+			: retryOrRefuse(before, {job, event, context}),
+		before => reservation === undefined
+			? {state: before, effects: []}
+			: endAttempt(before, event, context),
+	]);
+}
+
+/**
+ * Gives a job up on the caller's wish. A waiting one costs constant time; what a running one holds
+ * stays held until the minion says that it is free.
+ *
+ * @param state - The jobs before.
+ * @param job - The job; it may have ended.
+ * @param reason - Why the job is given up.
+ * @param context - The time, bounds and chance.
+ * @returns The step.
+ */
+export function giveUpJob(
+	state: JobsState,
+	options: {readonly job: JobState | undefined; readonly reason: RefusalReason; readonly retryAfterMs?: number},
+	context: Context,
+): JobsStep {
+	const {job, ...rest} = options;
+	if (job === undefined) {
+		return {state, effects: []};
+	}
+
+	const refused = refuseJob(state, {job, ...rest});
+	if (!('worker' in job)) {
+		return refused;
+	}
+
+	const reference = {job: job.spec.job, attempt: job.attempt};
+	if (job.type === 'reserved') {
+		const freed = freeAttempt(refused.state, reference, context);
+		return {state: freed.state, effects: [...refused.effects, ...freed.effects]};
+	}
+
+	const cancel = {type: 'jobs/cancelAttempt' as const, ...reference, minion: job.minion};
+	return {state: refused.state, effects: [...refused.effects, cancel]};
+}
--- /dev/null
+++ b/packages/core/src/jobs/estimates.ts
@@ -0,0 +1,149 @@
+/**
+ * What a job will take and how long it will wait, as learned from what was seen.
+ */
+import type {QueueId, TeamId} from '@samphiremill/common';
+import {
+	addSample, emptySketch, getQuantile, type QuantileSketch,
+} from '../placement/index.js';
+import {
+	shortestRunQuantile, sizeQuantile, trustedSampleCount, waitQuantile,
+} from './constants.js';
+import {getPool, getPoolTeam, getTeam} from './pool-teams.js';
+import type {JobsState, PoolState, RunProfile} from './state.js';
+import type {JobSpec, TaskUsage} from './types.js';
+
+const emptyProfile: RunProfile = {runTimeMs: emptySketch, cores: emptySketch, memoryMb: emptySketch};
+
+type ProfileOwnererence = {
+	readonly queue: QueueId;
+	readonly team: TeamId;
+};
+
+function getProfileKey({queue, team}: ProfileOwnererence): string {
+	return `${queue}/${team}`;
+}
+
+function getProfile(state: JobsState, reference: ProfileOwnererence): RunProfile {
+	return state.profiles.get(getProfileKey(reference), emptyProfile);
+}
+
+function getTrusted(sketch: QuantileSketch, quantile: number): number | undefined {
+	return sketch.total < trustedSampleCount ? undefined : getQuantile(sketch, quantile);
+}
+
+/**
+ * @param state - The jobs before.
+ * @param ref - The queue and the team.
+ * @param runTimeMs - How long an answered job ran.
+ * @returns The jobs after.
+ */
+export function learnRunTime(state: JobsState, reference: ProfileOwnererence, runTimeMs: number): JobsState {
+	const profile = getProfile(state, reference);
+	const changed = {...profile, runTimeMs: addSample(profile.runTimeMs, runTimeMs)};
+	return {...state, profiles: state.profiles.set(getProfileKey(reference), changed)};
+}
+
+function learnUsage(state: JobsState, usage: TaskUsage): JobsState {
+	const profile = getProfile(state, usage);
+	const changed = {
+		...profile,
+		cores: addSample(profile.cores, usage.cores),
+		memoryMb: addSample(profile.memoryMb, usage.memoryMb),
+	};
+	return {...state, profiles: state.profiles.set(getProfileKey(usage), changed)};
+}
+
+/**
+ * @param state - The jobs before.
+ * @param usages - What finished tasks used, as reported with a lag.
+ * @returns The jobs after. Run times are learned from the answers, which have no lag.
+ */
+export function learnUsages(state: JobsState, usages: readonly TaskUsage[]): JobsState {
+	let next = state;
+	for (const usage of usages) {
+		next = learnUsage(next, usage);
+	}
+
+	return next;
+}
+
+/**
+ * @param state - The jobs.
+ * @param spec - A job.
+ * @returns The cores and megabytes that it takes: learned ones where enough was seen, else the
+ * declared ones, else none besides its slot.
+ */
+export function estimateSize(
+	state: JobsState,
+	spec: JobSpec,
+): {readonly cores: number; readonly memoryMb: number} {
+	const {cores, memoryMb} = getProfile(state, spec);
+	return {
+		cores: getTrusted(cores, sizeQuantile) ?? spec.declared?.cores ?? 0,
+		memoryMb: getTrusted(memoryMb, sizeQuantile) ?? spec.declared?.memoryMb ?? 0,
+	};
+}
+
+/**
+ * @param size - What a job takes.
+ * @param pool - The pool.
+ * @returns Whether any worker of the pool is large enough when it is empty.
+ */
+export function canEverFit(size: {readonly cores: number; readonly memoryMb: number}, pool: PoolState): boolean {
+	return pool.sizes.some(worker => size.cores <= worker.cores && size.memoryMb <= worker.memoryMb);
+}
+
+/**
+ * @param pool - The pool.
+ * @param size - What a job takes.
+ * @returns The job's part of the pool's scarcest resource in slots, at least 1.
+ */
+export function getShareSlots(
+	pool: PoolState,
+	size: {readonly cores: number; readonly memoryMb: number},
+): number {
+	const part = Math.max(
+		pool.cores > 0 ? size.cores / pool.cores : 0,
+		pool.memoryMb > 0 ? size.memoryMb / pool.memoryMb : 0,
+	);
+	return Math.max(1, part * pool.heldSlots);
+}
+
+/**
+ * @param state - The jobs.
+ * @param spec - A job.
+ * @returns The last moment, in milliseconds, at which the job can start and still be answered in
+ * time, going by the shortest tenth of the runs seen.
+ */
+export function getLatestStartMs(state: JobsState, spec: JobSpec): number {
+	const {runTimeMs} = getProfile(state, spec);
+	return spec.deadlineAtMs - (getTrusted(runTimeMs, shortestRunQuantile) ?? 0);
+}
+
+function getExpectedSlots(state: JobsState, spec: JobSpec): number {
+	const pool = getPool(state, spec.pool);
+	const poolTeam = getPoolTeam(state, spec);
+	const team = getTeam(state, spec.team);
+	const waitingWeight = pool.order.weightSum + (poolTeam.rank === undefined ? team.weight : 0);
+	const due = pool.heldSlots * team.weight / waitingWeight;
+	const bound = team.isLimited ? team.heldLimit : Number.POSITIVE_INFINITY;
+	return Math.min(bound, Math.max(due, poolTeam.running));
+}
+
+/**
+ * @param state - The jobs.
+ * @param spec - A job that is to be queued.
+ * @returns How long the job will wait in milliseconds, or `undefined` where nothing is known yet
+ * or the node has no slots to reckon with.
+ */
+export function estimateWaitMs(state: JobsState, spec: JobSpec): number | undefined {
+	const runTimeMs = getTrusted(getProfile(state, spec).runTimeMs, waitQuantile);
+	const slots = getExpectedSlots(state, spec);
+	if (runTimeMs === undefined || slots <= 0) {
+		return undefined;
+	}
+
+	const {urgent, ordinary} = getPoolTeam(state, spec);
+	const ahead = urgent.entries.size + (spec.urgency === 'urgent' ? 0 : ordinary.entries.size);
+	return ahead * runTimeMs / slots;
+}
--- /dev/null
+++ b/packages/core/src/jobs/place-jobs.ts
@@ -0,0 +1,277 @@
+/**
+ * Places waiting jobs as long as a team may run one and a minion has room.
+ */
+import {
+	type MinionId, type PoolId, type TeamId,
+} from '@samphiremill/common';
+import {getItemCount} from '../collections/sorted-set.js';
+import {
+	chooseMinion, type Candidate, type PlacementChoice, type TaskSize,
+} from '../placement/index.js';
+import {pickTeam, removeTeam, type TeamPick} from '../shares/index.js';
+import {maximumPassedOverTeams} from './constants.js';
+import {estimateSize, getShareSlots} from './estimates.js';
+import {getFrontJob, takeJob} from './job-queue.js';
+import {putJob} from './job-table.js';
+import {getWorkerHealth} from './minions.js';
+import {getPool, getPoolTeam, updatePoolTeam} from './pool-teams.js';
+import {addReservation, markDispatched} from './reservations.js';
+import {createRetryBudget, payForRetries} from './retry-budget.js';
+import type {
+	Context, JobsState, JobsStep, JobState, Placed, Reservation,
+} from './state.js';
+import type {JobsDecision, JobsEffect} from './types.js';
+
+type QueuedJob = JobState & {readonly type: 'queued'};
+type ReservedJob = JobState & {readonly type: 'reserved'};
+
+function getCandidate(state: JobsState, id: MinionId): Candidate | undefined {
+	const minion = state.minions.get(id);
+	if (minion === undefined) {
+		return undefined;
+	}
+
+	const {info, usedSlots, usedCores, usedMemoryMb} = minion;
+	return {
+		minion: id,
+		worker: info.worker,
+		rack: info.rack,
+		usedSlots,
+		heldSlots: info.heldSlots,
+		freeCores: info.cores - usedCores,
+		freeMemoryMb: info.memoryMb - usedMemoryMb,
+		failuresInRow: getWorkerHealth(state, info.worker).failuresInRow,
+	};
+}
+
+function findNextJob(state: JobsState, pool: PoolId, pick: TeamPick): QueuedJob | undefined {
+	const {urgent, ordinary} = getPoolTeam(state, {pool, team: pick.team});
+	const id = getFrontJob(urgent) ?? getFrontJob(ordinary);
+	const job = id === undefined ? undefined : state.jobs.get(id);
+	return job?.type === 'queued' ? job : undefined;
+}
+
+function choosePlace(options: {
+	readonly state: JobsState;
+	readonly job: QueuedJob;
+	readonly size: TaskSize;
+	readonly context: Context;
+}): PlacementChoice | undefined {
+	const {state, job, size, context} = options;
+	const {rackUse} = getPoolTeam(state, job.spec);
+	return chooseMinion({
+		ready: getPool(state, job.spec.pool).ready,
+		getCandidate: minion => getCandidate(state, minion),
+		request: {size, avoidedWorkers: job.failedWorkers, getRackUse: rack => rackUse.get(rack, 0)},
+		choices: context.cfg.placementChoices,
+		random: context.cfg.random,
+	});
+}
+
+function createReservation(options: {
+	readonly state: JobsState;
+	readonly job: QueuedJob;
+	readonly size: TaskSize;
+	readonly candidate: Candidate;
+	readonly incarnation: number;
+	readonly nowMs: number;
+}): Reservation {
+	const {state, job, size, candidate, incarnation, nowMs} = options;
+	const {spec} = job;
+	return {
+		job: spec.job,
+		attempt: job.attempt + 1,
+		minion: candidate.minion,
+		incarnation,
+		worker: candidate.worker,
+		rack: candidate.rack,
+		pool: spec.pool,
+		team: spec.team,
+		queue: spec.queue,
+		shareSlots: getShareSlots(getPool(state, spec.pool), size),
+		cores: size.cores,
+		memoryMb: size.memoryMb,
+		reservedAtMs: nowMs,
+		isDispatched: false,
+		hasConnection: true,
+	};
+}
+
+function createPlacedDecision(options: {
+	readonly job: QueuedJob;
+	readonly choice: PlacementChoice;
+	readonly pick: TeamPick;
+	readonly candidatesCounted: number;
+}): JobsDecision {
+	const {job, choice, pick, candidatesCounted} = options;
+	const {spec} = job;
+	return {
+		kind: 'placed',
+		job: spec.job,
+		team: spec.team,
+		queue: spec.queue,
+		pool: spec.pool,
+		worker: choice.candidate.worker,
+		minion: choice.candidate.minion,
+		attempt: job.attempt + 1,
+		reason: pick.reason,
+		alternativesCounted: choice.compared,
+		candidatesCounted,
+	};
+}
+
+/**
+ * Gives a reserved job to the shell.
+ *
+ * @param state - The jobs before.
+ * @param job - The job.
+ * @returns The step.
+ */
+export function dispatchJob(state: JobsState, job: ReservedJob): JobsStep {
+	const {spec, attempt, minion, incarnation} = job;
+	const {timerAtMs: _, ...rest} = job;
+	const dispatched = putJob(state, {...rest, type: 'dispatched', dueAtMs: spec.deadlineAtMs});
+	return {
+		state: markDispatched(dispatched, {job: spec.job, attempt}),
+		effects: [{
+			type: 'jobs/dispatch', job: spec.job, attempt, minion, incarnation, deadlineAtMs: spec.deadlineAtMs,
+		}],
+	};
+}
+
+/** A start record guards a key; a job that may run again, or that nobody can ask for again, needs none. */
+function needsStartRecord({spec}: JobState): boolean {
+	return !spec.isIdempotent && spec.idempotencyKey !== undefined;
+}
+
+function startAttempt(state: JobsState, options: {
+	readonly job: QueuedJob;
+	readonly placed: Placed;
+	readonly context: Context;
+}): JobsStep {
+	const {job, placed, context} = options;
+	const {spec, mayHaveRun, failedWorkers} = job;
+	const attempt = job.attempt + 1;
+	const dueAtMs = Math.min(spec.deadlineAtMs, context.nowMs + context.cfg.claimTimeoutMs);
+	const reserved = putJob(state, {
+		...placed, type: 'reserved', spec, attempt, mayHaveRun, failedWorkers, dueAtMs,
+	});
+	const reservedJob = reserved.jobs.get(spec.job);
+	if (reservedJob?.type === 'reserved' && !needsStartRecord(job)) {
+		return dispatchJob(reserved, reservedJob);
+	}
+
+	return {
+		state: reserved,
+		effects: [{
+			type: 'jobs/recordStart', job: spec.job, attempt, spec, minion: placed.minion,
+		}],
+	};
+}
+
+function payBudget(state: JobsState, job: QueuedJob, {cfg}: Context): JobsState {
+	if (job.attempt > 0) {
+		return state;
+	}
+
+	const budget = state.budgets.get(job.spec.queue) ?? createRetryBudget(cfg.maximumRetryTokens);
+	const paid = payForRetries(budget, {ratio: cfg.retryRatio, maximumTokens: cfg.maximumRetryTokens});
+	return paid.tokens === budget.tokens && state.budgets.has(job.spec.queue)
+		? state
+		: {...state, budgets: state.budgets.set(job.spec.queue, paid)};
+}
+
+function raiseServedFloor(state: JobsState, {pool, team}: JobState['spec']): JobsState {
+	const before = getPool(state, pool);
+	const {servedPerWeight} = getPoolTeam(state, {pool, team});
+	return servedPerWeight <= before.servedFloor
+		? state
+		: {...state, pools: state.pools.set(pool, {...before, servedFloor: servedPerWeight})};
+}
+
+function placeNextJob(state: JobsState, options: {
+	readonly job: QueuedJob;
+	readonly pick: TeamPick;
+	readonly context: Context;
+}): JobsStep | undefined {
+	const {job, pick, context} = options;
+	const {spec, ticket} = job;
+	const size = estimateSize(state, spec);
+	const choice = choosePlace({
+		state, job, size, context,
+	});
+	const incarnation = choice && state.minions.get(choice.candidate.minion)?.info.incarnation;
+	if (choice === undefined || incarnation === undefined) {
+		return undefined;
+	}
+
+	const {candidate} = choice;
+	const reservation = createReservation({
+		state, job, size, candidate, incarnation, nowMs: context.nowMs,
+	});
+	const paid = raiseServedFloor(payBudget(state, job, context), spec);
+	const added = addReservation(paid, reservation, poolTeam => ({
+		...poolTeam,
+		[spec.urgency]: takeJob(poolTeam[spec.urgency], ticket),
+	}));
+	const placed = {minion: candidate.minion, worker: candidate.worker, incarnation};
+	const started = startAttempt(added.state, {job, placed, context});
+	const candidatesCounted = getItemCount(getPool(state, spec.pool).ready);
+	const decision = createPlacedDecision({
+		job, choice, pick, candidatesCounted,
+	});
+	return {
+		state: started.state,
+		effects: [{type: 'jobs/decision', decision}, ...added.effects, ...started.effects],
+	};
+}
+
+/** Takes a team out of the order until the round is over. */
+function passOver(state: JobsState, pool: PoolId, team: TeamId): JobsState {
+	const before = getPool(state, pool);
+	const poolTeam = getPoolTeam(state, {pool, team});
+	if (poolTeam.rank === undefined) {
+		return state;
+	}
+
+	const {rank, ...rest} = poolTeam;
+	const changed = {...before, order: removeTeam(before.order, rank), teams: before.teams.set(team, rest)};
+	return {...state, pools: state.pools.set(pool, changed)};
+}
+
+/**
+ * Places the jobs of a pool in the order of its teams. A team whose next job has no room on any
+ * minion now is passed over for this round.
+ *
+ * @param state - The jobs before.
+ * @param pool - The pool.
+ * @param context - The time, bounds and chance.
+ * @returns The step.
+ */
+export function placeWaitingJobs(state: JobsState, pool: PoolId, context: Context): JobsStep {
+	const effects: JobsEffect[] = [];
+	const passedOver: TeamId[] = [];
+	let current = state;
+	while (passedOver.length < maximumPassedOverTeams) {
+		const {ready, order, heldSlots} = getPool(current, pool);
+		const pick = getItemCount(ready) === 0 ? undefined : pickTeam(order, heldSlots);
+		const job = pick && findNextJob(current, pool, pick);
+		if (pick === undefined || job === undefined) {
+			break;
+		}
+
+		const step = placeNextJob(current, {job, pick, context});
+		if (step === undefined) {
+			passedOver.push(pick.team);
+		}
+
+		current = step?.state ?? passOver(current, pool, pick.team);
+		effects.push(...step?.effects ?? []);
+	}
+
+	for (const team of passedOver) {
+		current = updatePoolTeam(current, {pool, team});
+	}
+
+	return {state: current, effects};
+}
--- /dev/null
+++ b/packages/core/src/jobs/reduce-jobs.test.ts
@@ -0,0 +1,132 @@
+import {expect, test} from 'vitest';
+import {
+	createMinion, createSpec, createTestNode, toJob, toKey, toMinion, toMs, toPool, toTeam, toWorker,
+} from './test-fleet.js';
+
+const keyed = {idempotencyKey: toKey('key-1'), isIdempotent: false};
+const first = {job: toJob('job-1'), attempt: 1};
+
+test('a non-idempotent job is claimed, placed, recorded, dispatched and answered, in this order', () => {
+	const node = createTestNode();
+	node.send({type: 'jobs/minionsChanged', minions: [createMinion()]});
+	const session = [
+		node.send({type: 'jobs/submitted', spec: createSpec(keyed)}),
+		node.send({type: 'jobs/claimAnswered', job: toJob('job-1'), answer: {type: 'granted'}}),
+		node.send({type: 'jobs/startRecorded', ...first, ok: true}),
+		node.send({type: 'jobs/firstByteSent', ...first}),
+		node.send({type: 'jobs/answerStarted', ...first, status: 201}),
+		node.send({type: 'jobs/answered', ...first, status: 201}),
+	];
+	expect(session).toMatchSnapshot();
+	expect(node.getState().jobs.size).toBe(0);
+	expect(node.getState().reservations.size).toBe(0);
+	expect(node.getState().timers.root).toBeUndefined();
+});
+
+test('a lost attempt is said to have perhaps run, at once, and its slot stays taken until it is known to be free', () => {
+	const node = createTestNode();
+	node.send({type: 'jobs/minionsChanged', minions: [createMinion()]});
+	node.send({type: 'jobs/submitted', spec: createSpec(keyed)});
+	node.send({type: 'jobs/claimAnswered', job: toJob('job-1'), answer: {type: 'granted'}});
+	node.send({type: 'jobs/startRecorded', ...first, ok: true});
+	node.send({type: 'jobs/firstByteSent', ...first});
+	expect(node.send({
+		type: 'jobs/attemptFailed', ...first, bytesSent: true, kind: 'reset',
+	})).toMatchSnapshot();
+	expect(node.getState().minions.get(toMinion('minion-1'))?.usedSlots).toBe(1);
+	node.send({type: 'jobs/slotFreed', ...first});
+	expect(node.getState().minions.get(toMinion('minion-1'))?.usedSlots).toBe(0);
+});
+
+test('no job is given to a minion that began to leave while the start was recorded', () => {
+	const node = createTestNode();
+	node.send({type: 'jobs/minionsChanged', minions: [createMinion()]});
+	node.send({type: 'jobs/submitted', spec: createSpec(keyed)});
+	node.send({type: 'jobs/claimAnswered', job: toJob('job-1'), answer: {type: 'granted'}});
+	const other = createMinion({minion: toMinion('minion-2'), worker: toWorker('worker-2')});
+	node.send({type: 'jobs/minionsChanged', minions: [createMinion({isAcceptingWork: false}), other]});
+	const effects = node.send({type: 'jobs/startRecorded', ...first, ok: true});
+	expect(effects.filter(({type}) => type === 'jobs/dispatch')).toEqual([]);
+	expect(effects).toContainEqual(expect.objectContaining({
+		type: 'jobs/recordStart', attempt: 2, minion: toMinion('minion-2'),
+	}));
+});
+
+test('a limited team runs no more than is held, and goes on when more is granted', () => {
+	const node = createTestNode();
+	const team = toTeam('parish');
+	node.send({type: 'jobs/policyChanged', policy: {queues: [], teams: [{team, weight: 1, isLimited: true}]}});
+	node.send({type: 'jobs/minionsChanged', minions: [createMinion()]});
+	node.send({type: 'jobs/limitHeld', team, amount: 1});
+	node.send({type: 'jobs/submitted', spec: createSpec()});
+	node.send({type: 'jobs/submitted', spec: createSpec({job: toJob('job-2')})});
+	expect(node.getState().reservations.size).toBe(1);
+	const effects = node.send({type: 'jobs/limitHeld', team, amount: 2});
+	expect(effects).toContainEqual(expect.objectContaining({type: 'jobs/dispatch', job: toJob('job-2')}));
+});
+
+test('a job that fits no worker, or whose pool has none, is refused at once as not run', () => {
+	const node = createTestNode();
+	expect(node.send({type: 'jobs/submitted', spec: createSpec()})).toMatchSnapshot();
+	node.send({type: 'jobs/minionsChanged', minions: [createMinion()]});
+	const declared = {cores: 33, memoryMb: 1, runTimeMs: 1};
+	expect(node.send({type: 'jobs/submitted', spec: createSpec({declared})})).toMatchSnapshot();
+});
+
+test('a job that cannot be started in time is refused when that is known, not at its deadline', () => {
+	const node = createTestNode();
+	node.send({type: 'jobs/minionsChanged', minions: [createMinion({heldSlots: 1})]});
+	for (let index = 0; index < 8; index += 1) {
+		const job = toJob(`past-${index}`);
+		node.send({type: 'jobs/submitted', spec: createSpec({job})});
+		node.advance(1000);
+		node.send({
+			type: 'jobs/answered', job, attempt: 1, status: 200,
+		});
+	}
+
+	node.send({type: 'jobs/submitted', spec: createSpec({job: toJob('running')})});
+	node.send({type: 'jobs/submitted', spec: createSpec({job: toJob('waiting')})});
+	const deadlineAtMs = toMs(node.getNowMs() + 1500);
+	expect(node.send({
+		type: 'jobs/submitted', spec: createSpec({job: toJob('late'), deadlineAtMs}),
+	})).toMatchSnapshot();
+});
+
+test('a worker that fails all it gets is taken out, probed with one job at a time, and restored', () => {
+	const node = createTestNode({maximumAttempts: 20, maximumRetryTokens: 100});
+	const bad = createMinion({minion: toMinion('bad'), worker: toWorker('bad')});
+	node.send({type: 'jobs/minionsChanged', minions: [createMinion(), bad]});
+	for (let index = 0; index < 16; index += 1) {
+		const job = toJob(`job-${index}`);
+		node.send({type: 'jobs/submitted', spec: createSpec({job})});
+	}
+
+	const onBad = [...node.getState().reservations.values()].filter(({minion}) => minion === 'bad');
+	const effects = onBad.slice(0, 5).flatMap(({job, attempt}) => node.send({
+		type: 'jobs/attemptFailed', job, attempt, bytesSent: false, kind: 'connectRefused',
+	}));
+	expect(effects).toContainEqual({
+		type: 'jobs/decision',
+		decision: {
+			kind: 'workerEjected', worker: 'bad', failuresCounted: 5, untilMs: 5000,
+		},
+	});
+	for (const {job, attempt} of onBad.slice(5)) {
+		node.send({
+			type: 'jobs/attemptFailed', job, attempt, bytesSent: false, kind: 'connectRefused',
+		});
+	}
+
+	node.advance(5000);
+	const probes = node.send({type: 'jobs/tick'}).filter(({type}) => type === 'jobs/dispatch');
+	expect(probes).toEqual([expect.objectContaining({minion: 'bad'})]);
+	const probe = [...node.getState().reservations.values()].find(({minion}) => minion === 'bad');
+	expect(probe && node.send({
+		type: 'jobs/answered', job: probe.job, attempt: probe.attempt, status: 200,
+	})).toContainEqual({
+		type: 'jobs/decision',
+		decision: {kind: 'workerRestored', worker: 'bad', failuresCounted: 8},
+	});
+	expect(node.getState().pools.get(toPool('counters'))?.heldSlots).toBe(16);
+});
--- /dev/null
+++ b/packages/core/src/shares/index.ts
@@ -0,0 +1,8 @@
+/**
+ * Weighted max-min shares, the order of teams by them, and the report over a window.
+ */
+export type * from './types.js';
+export {computeDominantShares, computeShares, getDominantPart} from './compute-shares.js';
+export {
+	addTeam, createTeamOrder, pickTeam, removeTeam, type TeamOrder, type TeamPick, type TeamRank,
+} from './team-order.js';
