--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,8 @@
 export * from './claims/index.js';
 export * from './control/index.js';
 export type * from './escrow/types.js';
-export type * from './jobs/types.js';
+export * from './jobs/index.js';
 export type * from './membership/types.js';
+export * from './placement/index.js';
+export * from './shares/index.js';
 export type * from './step.js';
