--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -40,3 +40,25 @@
 	readonly condition: 'ready' | 'leaving' | 'silent';
 	readonly renewedAtMs: MonotonicMs;
 };
+
+/**
+ * How a worker stands: `up` has a minion within its lease, `silent` had one whose lease ran out,
+ * `unknown` was never seen, or its data centre's summary is out of date.
+ */
+export type WorkerCondition = 'up' | 'silent' | 'unknown';
+
+/** One worker as this node knows it. */
+export type FleetWorker = {
+	readonly worker: WorkerId;
+	/** The pool that the worker's minions announced; the owner by record is in `HostOwnership`. */
+	readonly pool: PoolId;
+	readonly dataCentre: DataCentreId;
+	readonly condition: WorkerCondition;
+	/** When a minion of the worker was last known to be alive, on this node's clock. */
+	readonly lastSeenAtMs: MonotonicMs;
+};
+
+/** Every worker that this node has heard of, in order of id. A worker that is absent is unknown. */
+export type FleetView = {
+	readonly workers: readonly FleetWorker[];
+};
