Add authenticated links between entry hosts

Entry hosts had no way to talk. Each pair now shares one TCP connection with length-prefixed JSON-RPC 2.0 frames, mutual challenge-response by the cluster secret, heartbeats that tell a mute connection, bounded frames and send buffers, and correlation by id that counts and drops late answers. The lifecycle is an XState machine driven by the pure transition.

--- /dev/null
+++ b/packages/core/src/membership/index.ts
@@ -0,0 +1,1 @@
+export type * from './types.js';
--- /dev/null
+++ b/packages/core/src/peer-link/constants.ts
@@ -0,0 +1,12 @@
+import type {PeerLinkConfig} from './types.js';
+
+/** Timings of a link for data centres a few milliseconds apart. */
+export const defaultPeerLinkConfig: PeerLinkConfig = {
+	dialTimeoutMs: 1000,
+	heartbeatPeriodMs: 300,
+	muteTimeoutMs: 1000,
+	idleCloseMs: 30_000,
+	simultaneousDialMs: 250,
+	firstBackoffMs: 100,
+	maximumBackoffMs: 3000,
+};
--- /dev/null
+++ b/packages/core/src/peer-link/index.ts
@@ -0,0 +1,3 @@
+export type * from './types.js';
+export * from './constants.js';
+export * from './reduce-peer-link.js';
--- /dev/null
+++ b/packages/core/src/peer-link/machine.ts
@@ -0,0 +1,166 @@
+/**
+ * The lifecycle of a peer link as an XState machine. It is driven through the pure `transition()`;
+ * the actions that come back are the effects.
+ *
+ * A node dials only while it has no connection, so an authenticated connection from the peer means
+ * that the peer gave up the previous one: the newer connection wins. When both ends dial at once,
+ * the dial of the lower id wins.
+ */
+import {toBrand, type MonotonicMs} from '@samphiremill/common';
+import {
+	and, assign, not, setup,
+} from 'xstate';
+import type {
+	CloseReason, ConnectionId, PeerLinkContext, PeerLinkEffect, PeerLinkEvent,
+} from './types.js';
+
+type Input = Pick<PeerLinkContext, 'cfg' | 'self' | 'peer' | 'isPermanent'> & {readonly nowMs: MonotonicMs};
+type Scope = {readonly context: PeerLinkContext; readonly event: PeerLinkEvent};
+
+const noConnection = toBrand<ConnectionId>(0);
+
+function getEventConnection({event}: Scope): ConnectionId {
+	return 'connection' in event ? event.connection : noConnection;
+}
+
+function getOwnConnection({context}: Scope): ConnectionId {
+	return context.connection ?? noConnection;
+}
+
+function createPerform(createEffect: (scope: Scope) => PeerLinkEffect) {
+	return {type: 'perform' as const, params: createEffect};
+}
+
+function createClose(reason: CloseReason) {
+	return createPerform(scope => ({type: 'peerLink/close', connection: getOwnConnection(scope), reason}));
+}
+
+const accept = createPerform(scope => ({type: 'peerLink/accept', connection: getEventConnection(scope)}));
+const refuse = createPerform(scope => ({type: 'peerLink/close', connection: getEventConnection(scope), reason: 'simultaneousDial'}));
+const dial = createPerform(scope => ({type: 'peerLink/dial', connection: getOwnConnection(scope)}));
+const sendHeartbeat = createPerform(scope => ({type: 'peerLink/sendHeartbeat', connection: getOwnConnection(scope)}));
+const reportUp = createPerform(() => ({type: 'peerLink/changed', isUp: true}));
+const reportDown = createPerform(() => ({type: 'peerLink/changed', isUp: false}));
+
+function planRetryAtMs({context, event}: Scope): MonotonicMs {
+	const {cfg, failedDials} = context;
+	const ceilingMs = Math.min(cfg.maximumBackoffMs, cfg.firstBackoffMs * (2 ** Math.min(failedDials, 16)));
+	const chance = 'chance' in event ? event.chance : 0.5;
+	return toBrand<MonotonicMs>(event.nowMs + (ceilingMs * (0.5 + (chance / 2))));
+}
+
+function hasWaited({context, event}: Scope, durationMs: number): boolean {
+	return event.nowMs - context.enteredAtMs >= durationMs;
+}
+
+/* eslint-disable @typescript-eslint/naming-convention -- XState names transitions after event types */
+/** The machine of one link. Its input names both ends, the timings and the first connection id. */
+export const peerLinkMachine = setup({
+	types: {
+		/* eslint-disable @typescript-eslint/consistent-type-assertions, @typescript-eslint/no-unsafe-type-assertion -- how XState takes types */
+		context: {} as PeerLinkContext,
+		events: {} as PeerLinkEvent,
+		input: {} as Input,
+		/* eslint-enable @typescript-eslint/consistent-type-assertions, @typescript-eslint/no-unsafe-type-assertion */
+	},
+	actions: {
+		/** Hands an effect to the shell. */
+		perform(_, _effect: PeerLinkEffect) {
+			// The pure transition returns the action, it never runs it.
+		},
+		enter: assign({enteredAtMs: ({event}) => event.nowMs}),
+		startDial: assign({connection: ({event}) => 'freshConnection' in event ? event.freshConnection : undefined}),
+		adopt: assign({
+			connection: scope => getEventConnection(scope),
+			failedDials: 0,
+		}),
+		planRetry: assign({
+			connection: undefined,
+			retryAtMs: scope => planRetryAtMs(scope),
+			failedDials: ({context}) => context.failedDials + 1,
+		}),
+		forget: assign({connection: undefined, failedDials: 0}),
+	},
+	guards: {
+		isOwnConnection: ({context, event}) => 'connection' in event && event.connection === context.connection,
+		isDialOverdue: scope => hasWaited(scope, scope.context.cfg.dialTimeoutMs),
+		isOwnDialPreferred: scope => scope.context.self < scope.context.peer && !hasWaited(scope, scope.context.cfg.simultaneousDialMs),
+		isMute: ({context, event}) => event.type === 'peerLink/tick'
+			&& event.nowMs - Math.max(event.lastReceivedAtMs, context.enteredAtMs) >= context.cfg.muteTimeoutMs,
+		isUnused: ({context, event}) => event.type === 'peerLink/tick' && !context.isPermanent
+			&& event.nowMs - Math.max(event.lastUsedAtMs, context.enteredAtMs) >= context.cfg.idleCloseMs,
+		isHeartbeatDue: ({context, event}) => event.type === 'peerLink/tick'
+			&& event.nowMs - event.lastSentAtMs >= context.cfg.heartbeatPeriodMs,
+		isRetryDue: ({context, event}) => event.nowMs >= context.retryAtMs,
+		isPermanent: ({context}) => context.isPermanent,
+	},
+}).createMachine({
+	id: 'peerLink',
+	context: ({input}) => ({
+		cfg: input.cfg,
+		self: input.self,
+		peer: input.peer,
+		isPermanent: input.isPermanent,
+		connection: undefined,
+		enteredAtMs: input.nowMs,
+		retryAtMs: input.nowMs,
+		failedDials: 0,
+	}),
+	initial: 'idle',
+	on: {
+		'peerLink/helloReceived': {actions: accept},
+	},
+	states: {
+		idle: {
+			on: {
+				'peerLink/wanted': {target: 'dialling'},
+				'peerLink/tick': {guard: 'isPermanent', target: 'dialling'},
+				'peerLink/established': {target: 'up'},
+			},
+		},
+		dialling: {
+			entry: ['enter', 'startDial', dial],
+			on: {
+				'peerLink/helloReceived': [
+					{guard: 'isOwnDialPreferred', actions: refuse},
+					{actions: accept},
+				],
+				'peerLink/established': [
+					{guard: 'isOwnConnection', target: 'up'},
+					{target: 'up', actions: createClose('simultaneousDial')},
+				],
+				'peerLink/closed': {guard: 'isOwnConnection', target: 'waiting'},
+				'peerLink/tick': {guard: 'isDialOverdue', target: 'waiting', actions: createClose('dialTimeout')},
+			},
+		},
+		up: {
+			entry: ['enter', 'adopt', reportUp],
+			exit: reportDown,
+			on: {
+				'peerLink/established': {
+					guard: not('isOwnConnection'),
+					target: 'up',
+					reenter: true,
+					actions: createClose('replaced'),
+				},
+				'peerLink/closed': {guard: 'isOwnConnection', target: 'waiting'},
+				'peerLink/tick': [
+					{guard: 'isMute', target: 'waiting', actions: createClose('mute')},
+					{guard: 'isUnused', target: 'idle', actions: [createClose('idle'), 'forget']},
+					{guard: 'isHeartbeatDue', actions: sendHeartbeat},
+				],
+			},
+		},
+		waiting: {
+			entry: ['enter', 'planRetry'],
+			on: {
+				'peerLink/established': {target: 'up'},
+				'peerLink/tick': [
+					{guard: and(['isRetryDue', 'isPermanent']), target: 'dialling'},
+					{guard: 'isRetryDue', target: 'idle'},
+				],
+			},
+		},
+	},
+});
+/* eslint-enable @typescript-eslint/naming-convention */
--- /dev/null
+++ b/packages/daemon/src/peers/counters.ts
@@ -0,0 +1,30 @@
+import type {PeerCounters} from './types.js';
+
+/** The counters of one transport. */
+export type PeerCounterStore = {
+	readonly add: (name: keyof PeerCounters, amount?: number) => void;
+	readonly get: () => PeerCounters;
+};
+
+/** @returns Counters that all stand at zero. */
+export function createPeerCounters(): PeerCounterStore {
+	let counters: PeerCounters = {
+		sentFrames: 0,
+		sentBytes: 0,
+		receivedFrames: 0,
+		receivedBytes: 0,
+		droppedMessages: 0,
+		oversizedMessages: 0,
+		lateAnswers: 0,
+		malformedFrames: 0,
+		rejectedHandshakes: 0,
+		muteConnections: 0,
+		dials: 0,
+	};
+	return {
+		add(name, amount = 1) {
+			counters = {...counters, [name]: counters[name] + amount};
+		},
+		get: () => counters,
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/peers/frames.test.ts
@@ -0,0 +1,22 @@
+import {Buffer} from 'node:buffer';
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {maximumFrameBytes} from './constants.js';
+import {createFrameDecoder, encodeFrame} from './frames.js';
+
+test('frames survive any division into chunks', () => {
+	fc.assert(fc.property(fc.array(fc.jsonValue(), {maxLength: 5}), fc.array(fc.integer({min: 1, max: 9}), {minLength: 1}), (values, sizes) => {
+		const bytes = Buffer.concat(values.map(value => encodeFrame(value)));
+		const decoder = createFrameDecoder();
+		const decoded: unknown[] = [];
+		for (let offset = 0, turn = 0; offset < bytes.length; turn += 1) {
+			const end = offset + (sizes[turn % sizes.length] ?? 1);
+			const result = decoder.decode(bytes.subarray(offset, end), maximumFrameBytes);
+			expect(result.ok).toBe(true);
+			decoded.push(...(result.ok ? result.value : []));
+			offset = end;
+		}
+
+		expect(JSON.stringify(decoded)).toBe(JSON.stringify(values));
+	}), {seed: 1});
+});
--- /dev/null
+++ b/packages/daemon/src/peers/frames.ts
@@ -0,0 +1,88 @@
+/**
+ * Frames on a peer link: a length in four bytes, most significant first, then UTF-8 JSON.
+ */
+import {Buffer} from 'node:buffer';
+import {createFailure, createSuccess, type Result} from '@samphiremill/common';
+import {framePrefixBytes} from './constants.js';
+
+const textDecoder = new TextDecoder();
+
+/** Why received bytes are not frames. */
+export type FrameError
+	= | {readonly type: 'frame/tooLarge'; readonly lengthBytes: number; readonly maximumBytes: number}
+		| {readonly type: 'frame/notJson'};
+
+/** Takes bytes as they arrive and gives whole frames. */
+export type FrameDecoder = {
+	/** @returns The frames completed by these bytes, or why the connection must be closed. */
+	readonly decode: (chunk: Uint8Array, maximumBytes: number) => Result<readonly unknown[], FrameError>;
+};
+
+/**
+ * @param value - Any JSON value.
+ * @returns Its frame.
+ */
+export function encodeFrame(value: unknown): Uint8Array {
+	const body = Buffer.from(JSON.stringify(value));
+	const prefix = Buffer.alloc(framePrefixBytes);
+	prefix.writeUInt32BE(body.length);
+	return Buffer.concat([prefix, body]);
+}
+
+function parseJson(body: Uint8Array): Result<unknown, FrameError> {
+	try {
+		return createSuccess<unknown>(JSON.parse(textDecoder.decode(body)));
+	} catch {
+		return createFailure({type: 'frame/notJson'});
+	}
+}
+
+/**
+ * Creates the decoder of one connection. It never holds more than one frame's bytes and one chunk.
+ *
+ * @returns The decoder.
+ */
+export function createFrameDecoder(): FrameDecoder {
+	let chunks: readonly Uint8Array[] = [];
+	let heldBytes = 0;
+	let neededBytes = framePrefixBytes;
+
+	const decode: FrameDecoder['decode'] = (chunk, maximumBytes) => {
+		chunks = [...chunks, chunk];
+		heldBytes += chunk.length;
+		if (heldBytes < neededBytes) {
+			return createSuccess([]);
+		}
+
+		const held = Buffer.concat(chunks);
+		const frames: unknown[] = [];
+		let offset = 0;
+		neededBytes = framePrefixBytes;
+		while (held.length - offset >= framePrefixBytes) {
+			const lengthBytes = held.readUInt32BE(offset);
+			if (lengthBytes > maximumBytes) {
+				return createFailure({type: 'frame/tooLarge', lengthBytes, maximumBytes});
+			}
+
+			const end = offset + framePrefixBytes + lengthBytes;
+			if (end > held.length) {
+				neededBytes = framePrefixBytes + lengthBytes;
+				break;
+			}
+
+			const parsed = parseJson(held.subarray(offset + framePrefixBytes, end));
+			if (!parsed.ok) {
+				return parsed;
+			}
+
+			frames.push(parsed.value);
+			offset = end;
+		}
+
+		chunks = offset === held.length ? [] : [held.subarray(offset)];
+		heldBytes = held.length - offset;
+		return createSuccess(frames);
+	};
+
+	return {decode};
+}
--- /dev/null
+++ b/packages/daemon/src/peers/index.ts
@@ -0,0 +1,2 @@
+export type * from './types.js';
+export * from './transport.js';
--- /dev/null
+++ b/packages/daemon/src/peers/rpc.ts
@@ -0,0 +1,109 @@
+/**
+ * Correlation of requests and answers by id. An answer to a request that was given up is counted
+ * and dropped, so that it can never reach another caller.
+ */
+import {
+	createFailure, createSuccess, type CancelTimer, type NodeId, type Result, type TimerService,
+} from '@samphiremill/common';
+import {
+	createJSONRPCErrorResponse, createJSONRPCRequest, createJSONRPCSuccessResponse,
+	JSONRPCErrorCode, type JSONRPCID, type JSONRPCRequest, type JSONRPCResponse,
+} from 'json-rpc-2.0';
+import type {PeerCounterStore} from './counters.js';
+import type {OutgoingPeerRequest, PeerRequest, PeerRequestError} from './types.js';
+
+type Answer = Result<unknown, PeerRequestError>;
+
+type PendingRequest = {
+	readonly to: NodeId;
+	readonly resolve: (answer: Answer) => void;
+	readonly cancelTimer: CancelTimer;
+};
+
+/** The requests of one transport that wait for an answer. */
+export type PeerRpc = {
+	readonly request: (req: OutgoingPeerRequest) => Promise<Answer>;
+	/** Takes an answer from a peer. */
+	readonly receive: (from: NodeId, res: JSONRPCResponse) => void;
+	/** Ends the requests that wait for this peer. */
+	readonly abandon: (peer: NodeId) => void;
+};
+
+/**
+ * @param options - The timer service, the counters, and how to send; `send` returns whether the
+ * request may reach the peer.
+ * @returns The correlation of requests and answers.
+ */
+export function createPeerRpc({timers, counters, send}: {
+	readonly timers: TimerService;
+	readonly counters: PeerCounterStore;
+	readonly send: (to: NodeId, req: JSONRPCRequest) => boolean;
+}): PeerRpc {
+	const pending = new Map<JSONRPCID, PendingRequest>();
+	let nextId = 1;
+
+	const finish = (id: JSONRPCID, answer: Answer) => {
+		const entry = pending.get(id);
+		pending.delete(id);
+		entry?.cancelTimer();
+		entry?.resolve(answer);
+	};
+
+	const noAnswer: Answer = createFailure({type: 'peer/noAnswer'});
+
+	return {
+		async request({to, method, params, timeoutMs}) {
+			const id = nextId;
+			nextId += 1;
+			return new Promise(resolve => {
+				const cancelTimer = timers.scheduleOnce(timeoutMs, () => {
+					finish(id, noAnswer);
+				});
+				pending.set(id, {to, resolve, cancelTimer});
+				if (!send(to, createJSONRPCRequest(id, method, params))) {
+					finish(id, createFailure({type: 'peer/notSent'}));
+				}
+			});
+		},
+		receive(from, {id, error, result}) {
+			if (pending.get(id)?.to !== from) {
+				counters.add('lateAnswers');
+				return;
+			}
+
+			finish(id, error === undefined
+				? createSuccess<unknown>(result)
+				: createFailure({type: 'peer/failed', message: error.message}));
+		},
+		abandon(peer) {
+			for (const [id, {to}] of pending) {
+				if (to === peer) {
+					finish(id, noAnswer);
+				}
+			}
+		},
+	};
+}
+
+/**
+ * Carries out a peer's request.
+ *
+ * @param req - The request as it arrived, and from whom.
+ * @param onRequest - The handler; its rejection becomes an error answer.
+ * @returns The answer to send back.
+ */
+export async function answerRequest(
+	{from, rpc}: {readonly from: NodeId; readonly rpc: JSONRPCRequest},
+	onRequest: ((req: PeerRequest) => Promise<unknown>) | undefined,
+): Promise<JSONRPCResponse> {
+	const id = rpc.id ?? '';
+	if (onRequest === undefined) {
+		return createJSONRPCErrorResponse(id, JSONRPCErrorCode.MethodNotFound, `No method ${rpc.method}`);
+	}
+
+	try {
+		return createJSONRPCSuccessResponse(id, await onRequest({from, method: rpc.method, params: rpc.params}));
+	} catch (err) {
+		return createJSONRPCErrorResponse(id, JSONRPCErrorCode.InternalError, err instanceof Error ? err.message : String(err));
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/peers/transport.ts
@@ -0,0 +1,348 @@
+/**
+ * Links between entry hosts over TCP: at most one authenticated connection a pair, whoever dialled.
+ * The lifecycle of each link is decided by `reducePeerLink`; this module carries it out.
+ */
+import {connect, createServer, type Socket} from 'node:net';
+import {once} from 'node:events';
+import {
+	toBrand, type CancelTimer, type MonotonicMs, type NodeId,
+} from '@samphiremill/common';
+import {
+	createPeerLinkState, defaultPeerLinkConfig, getUpConnection, needsTick, reducePeerLink,
+	type ConnectionId, type NodeAddress, type PeerLinkEffect, type PeerLinkEvent, type PeerLinkState,
+} from '@samphiremill/core';
+import {
+	createJSONRPCNotification, isJSONRPCRequest, isJSONRPCResponse, type JSONRPCRequest,
+} from 'json-rpc-2.0';
+import {createPeerConnection, type PeerConnection, type PeerConnectionOptions} from './connection.js';
+import {
+	linkTickPeriodMs, maximumUnprovedConnections, maximumWaitingMessages, waitingMessageLifetimeMs,
+} from './constants.js';
+import {createPeerCounters} from './counters.js';
+import {answerRequest, createPeerRpc} from './rpc.js';
+import type {PeerTransport, PeerTransportOptions} from './types.js';
+
+const messageMethod = 'message';
+const heartbeatMethod = 'heartbeat';
+
+type WaitingMessage = {
+	readonly queuedAtMs: MonotonicMs;
+	readonly payload: JSONRPCRequest;
+};
+
+type Link = {
+	readonly address: NodeAddress;
+	readonly state: PeerLinkState;
+	readonly waiting: readonly WaitingMessage[];
+	readonly incarnation: number | undefined;
+};
+
+function isPermanentLink(self: NodeAddress, peer: NodeAddress): boolean {
+	return self.dataCentre === peer.dataCentre || (self.isVoter && peer.isVoter);
+}
+
+/**
+ * Creates the links of one entry host. Nothing is opened before `start`.
+ *
+ * Links inside the data centre and between voters are kept open; any other opens when a message
+ * is sent and closes after some time without use.
+ *
+ * @param options - The addresses, the cluster's secret, the timer service and the callbacks.
+ * @returns The transport.
+ */
+export function createPeerTransport(options: PeerTransportOptions): PeerTransport {
+	const {self, timers, random, cfg = defaultPeerLinkConfig} = options;
+	const counters = createPeerCounters();
+	const connections = new Map<ConnectionId, PeerConnection>();
+	const unproved = new Set<ConnectionId>();
+	const links = new Map<NodeId, Link>();
+	let nextConnection = 0;
+	let isClosed = false;
+
+	const createConnectionId = () => {
+		nextConnection += 1;
+		return toBrand<ConnectionId>(nextConnection);
+	};
+
+	const updateLink = (peer: NodeId, change: Partial<Link>) => {
+		const link = links.get(peer);
+		if (link !== undefined) {
+			links.set(peer, {...link, ...change});
+		}
+	};
+
+	const getUp = (peer: NodeId) => {
+		const link = links.get(peer);
+		const id = link && getUpConnection(link.state);
+		return id === undefined ? undefined : connections.get(id);
+	};
+
+	const write = (peer: NodeId, payload: JSONRPCRequest): boolean => {
+		const outcome = getUp(peer)?.send(payload) ?? 'bufferFull';
+		if (outcome === 'bufferFull') {
+			counters.add('droppedMessages');
+		}
+
+		return outcome === 'sent';
+	};
+
+	const flushWaiting = (peer: NodeId) => {
+		const waiting = links.get(peer)?.waiting ?? [];
+		updateLink(peer, {waiting: []});
+		for (const {queuedAtMs, payload} of waiting) {
+			if (timers.getNow() - queuedAtMs <= waitingMessageLifetimeMs) {
+				write(peer, payload);
+			} else {
+				counters.add('droppedMessages');
+			}
+		}
+	};
+
+	const openConnection = (id: ConnectionId, details: Pick<PeerConnectionOptions, 'socket' | 'dialledNode'>) => {
+		const connection = createPeerConnection({
+			...details,
+			id,
+			self: {node: self.node, incarnation: options.incarnation},
+			secret: options.secret,
+			getNow: timers.getNow,
+			counters,
+			onHello(from) {
+				if (!links.has(from)) {
+					counters.add('rejectedHandshakes');
+					connection.destroy();
+					return;
+				}
+
+				handleEvent(from, {type: 'peerLink/helloReceived', connection: id, nowMs: timers.getNow()});
+			},
+			onEstablished({node, incarnation}) {
+				unproved.delete(id);
+				updateLink(node, {incarnation});
+				handleEvent(node, {type: 'peerLink/established', connection: id, nowMs: timers.getNow()});
+			},
+			onFrame: handleFrame,
+			onClosed() {
+				unproved.delete(id);
+				connections.delete(id);
+				const peer = details.dialledNode ?? connection.getOtherEnd()?.node;
+				if (peer !== undefined) {
+					handleEvent(peer, {
+						type: 'peerLink/closed', connection: id, nowMs: timers.getNow(), chance: random(),
+					});
+				}
+			},
+		});
+		connections.set(id, connection);
+	};
+
+	const dial = (peer: NodeId, id: ConnectionId) => {
+		const address = links.get(peer)?.address;
+		if (address === undefined || isClosed) {
+			return;
+		}
+
+		counters.add('dials');
+		openConnection(id, {socket: connect({host: address.host, port: address.peerPort}), dialledNode: peer});
+	};
+
+	const closeConnection = ({connection, reason}: PeerLinkEffect & {type: 'peerLink/close'}) => {
+		if (reason === 'mute') {
+			counters.add('muteConnections');
+		}
+
+		connections.get(connection)?.destroy();
+	};
+
+	const reportChange = (peer: NodeId, isUp: boolean) => {
+		options.onLinkChanged({peer, isUp, incarnation: links.get(peer)?.incarnation});
+		if (isUp) {
+			flushWaiting(peer);
+		} else {
+			rpc.abandon(peer);
+		}
+	};
+
+	const performEffect = (peer: NodeId, effect: PeerLinkEffect) => {
+		switch (effect.type) {
+			case 'peerLink/dial': {
+				dial(peer, effect.connection);
+				return;
+			}
+
+			case 'peerLink/accept': {
+				connections.get(effect.connection)?.accept();
+				return;
+			}
+
+			case 'peerLink/close': {
+				closeConnection(effect);
+				return;
+			}
+
+			case 'peerLink/sendHeartbeat': {
+				connections.get(effect.connection)?.send(createJSONRPCNotification(heartbeatMethod), true);
+				return;
+			}
+
+			case 'peerLink/changed': {
+				reportChange(peer, effect.isUp);
+			}
+		}
+	};
+
+	const handleEvent = (peer: NodeId, event: PeerLinkEvent) => {
+		const link = links.get(peer);
+		if (link === undefined) {
+			return;
+		}
+
+		const {state, effects} = reducePeerLink(link.state, event);
+		updateLink(peer, {state});
+		for (const effect of effects) {
+			performEffect(peer, effect);
+		}
+	};
+
+	const answer = async (from: NodeId, req: JSONRPCRequest) => {
+		const res = await answerRequest({from, rpc: req}, options.onRequest);
+		getUp(from)?.send(res);
+	};
+
+	const handleFrame = (from: NodeId, frame: unknown): boolean => {
+		if (isJSONRPCResponse(frame)) {
+			rpc.receive(from, frame);
+			return true;
+		}
+
+		if (!isJSONRPCRequest(frame) || frame.method === heartbeatMethod) {
+			return false;
+		}
+
+		if (frame.id === undefined) {
+			options.onMessage(from, frame.params);
+		} else {
+			void answer(from, frame);
+		}
+
+		return true;
+	};
+
+	const sendPayload = (to: NodeId, payload: JSONRPCRequest): boolean => {
+		const link = links.get(to);
+		if (link === undefined || isClosed) {
+			counters.add('droppedMessages');
+			return false;
+		}
+
+		if (getUp(to) !== undefined) {
+			return write(to, payload);
+		}
+
+		if (link.waiting.length >= maximumWaitingMessages) {
+			counters.add('droppedMessages');
+			return false;
+		}
+
+		updateLink(to, {waiting: [...link.waiting, {queuedAtMs: timers.getNow(), payload}]});
+		handleEvent(to, {type: 'peerLink/wanted', nowMs: timers.getNow(), freshConnection: createConnectionId()});
+		return true;
+	};
+
+	const rpc = createPeerRpc({timers, counters, send: sendPayload});
+
+	const dropStaleMessages = (peer: NodeId, waiting: readonly WaitingMessage[]) => {
+		const fresh = waiting.filter(({queuedAtMs}) => timers.getNow() - queuedAtMs <= waitingMessageLifetimeMs);
+		counters.add('droppedMessages', waiting.length - fresh.length);
+		updateLink(peer, {waiting: fresh});
+	};
+
+	const tickLink = (peer: NodeId, {state, waiting}: Link) => {
+		if (waiting.length > 0) {
+			dropStaleMessages(peer, waiting);
+		}
+
+		if (!needsTick(state)) {
+			return;
+		}
+
+		const nowMs = timers.getNow();
+		const times = getUp(peer)?.getTimes() ?? {lastReceivedAtMs: nowMs, lastSentAtMs: nowMs, lastUsedAtMs: nowMs};
+		handleEvent(peer, {
+			type: 'peerLink/tick', nowMs, freshConnection: createConnectionId(), chance: random(), ...times,
+		});
+	};
+
+	const closeOverdueHandshakes = () => {
+		for (const id of unproved) {
+			const connection = connections.get(id);
+			const openedAtMs = connection?.getTimes().lastSentAtMs ?? timers.getNow();
+			if (timers.getNow() - openedAtMs > cfg.dialTimeoutMs) {
+				connection?.destroy();
+			}
+		}
+	};
+
+	const accept = (socket: Socket) => {
+		if (isClosed || unproved.size >= maximumUnprovedConnections) {
+			counters.add('rejectedHandshakes');
+			socket.destroy();
+			return;
+		}
+
+		const id = createConnectionId();
+		unproved.add(id);
+		openConnection(id, {socket, dialledNode: undefined});
+	};
+
+	const tick = () => {
+		closeOverdueHandshakes();
+		for (const [peer, link] of links) {
+			tickLink(peer, link);
+		}
+	};
+
+	for (const address of options.peers) {
+		if (address.node !== self.node) {
+			const state = createPeerLinkState({
+				cfg,
+				self: self.node,
+				peer: address.node,
+				isPermanent: isPermanentLink(self, address),
+				nowMs: timers.getNow(),
+			});
+			links.set(address.node, {
+				address, state, waiting: [], incarnation: undefined,
+			});
+		}
+	}
+
+	const server = createServer(accept);
+	let cancelTick: CancelTimer = () => undefined;
+
+	return {
+		async start() {
+			server.listen({host: self.host, port: self.peerPort});
+			await once(server, 'listening');
+			cancelTick = timers.scheduleEvery(linkTickPeriodMs, tick);
+			tick();
+		},
+		send(to, message) {
+			sendPayload(to, createJSONRPCNotification(messageMethod, message));
+		},
+		request: rpc.request,
+		async close() {
+			isClosed = true;
+			cancelTick();
+			for (const connection of connections.values()) {
+				connection.destroy();
+			}
+
+			if (server.listening) {
+				server.close();
+				await once(server, 'close');
+			}
+		},
+		getCounters: counters.get,
+		listLinkedPeers: () => [...links.keys()].filter(peer => getUp(peer) !== undefined),
+	};
+}
