Refuse copies of claims under another epoch, and add up losses during hand-overs

Cause: a cut-off owner at epoch 1 got its second copy from a host that had already moved to epoch 2, and a second loss during a hand-over was taken for a single one. Ruled out: the configuration lease, which had run out as it should.

--- /dev/null
+++ b/examples/stand-in-minion.ts
@@ -0,0 +1,192 @@
+/**
+ * A small stand-in for a back end: it announces itself to the entry hosts, renews, runs each job for
+ * the time that the job's body asks for, answers, and knows about every attempt it has seen.
+ */
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {request} from 'undici';
+
+const renewPeriodMs = 1000;
+const defaultRunTimeMs = 20;
+
+/** How a stand-in minion is set up. */
+export type StandInMinionOptions = {
+	readonly minion: string;
+	readonly worker: string;
+	readonly pool: string;
+	readonly dataCentre: string;
+	readonly slots: number;
+	readonly connections: number;
+	/** Grows with every restart. */
+	readonly incarnation: number;
+	/** An IP number to listen on. */
+	readonly host: string;
+	/** Origins of the entry hosts; announcements go to one after the other. */
+	readonly entryHosts: readonly string[];
+	/** Answers every job with status 500 when true. */
+	readonly failsEverything?: boolean;
+};
+
+type AttemptState = 'running' | 'finished' | 'stopped';
+
+/** A running stand-in minion. */
+export type StandInMinion = {
+	readonly port: number;
+	/** Ids of the jobs that ran, one entry a run. */
+	readonly getRuns: () => readonly string[];
+	readonly getMaximumRunning: () => number;
+	/** Announces that no new work is wanted. */
+	readonly leave: () => Promise<void>;
+	readonly close: () => Promise<void>;
+};
+
+const readBody = async (req: IncomingMessage): Promise<Uint8Array> => {
+	const chunks: Uint8Array[] = [];
+	for await (const chunk of req as AsyncIterable<Uint8Array>) {
+		chunks.push(chunk);
+	}
+
+	return Uint8Array.from(chunks.flatMap(chunk => [...chunk]));
+};
+
+const getRunTimeMs = (body: Uint8Array): number => {
+	try {
+		const document: unknown = JSON.parse(new TextDecoder().decode(body));
+		const runTimeMs = typeof document === 'object' && document !== null && 'runTimeMs' in document ? document.runTimeMs : undefined;
+		return typeof runTimeMs === 'number' ? runTimeMs : defaultRunTimeMs;
+	} catch {
+		return defaultRunTimeMs;
+	}
+};
+
+const sendJson = (res: ServerResponse, status: number, document: unknown, headers: Record<string, string> = {}) => {
+	res.writeHead(status, {'content-type': 'application/json', ...headers});
+	res.end(JSON.stringify(document));
+};
+
+/**
+ * Starts a stand-in minion.
+ *
+ * @param options - Who it is and whom it announces itself to.
+ * @returns The running minion, once it listens and has announced itself.
+ */
+export async function startStandInMinion(options: StandInMinionOptions): Promise<StandInMinion> {
+	const {minion, incarnation, slots, entryHosts, host} = options;
+	const attempts = new Map<string, AttemptState>();
+	const runs: string[] = [];
+	let running = 0;
+	let maximumRunning = 0;
+	let nextEntryHost = 0;
+
+	const run = async (job: string, attempt: string, req: IncomingMessage, res: ServerResponse) => {
+		const name = `${job}#${attempt}`;
+		if (attempts.has(name) || running >= slots) {
+			sendJson(res, 503, {state: attempts.get(name) ?? 'busy'}, {'samphiremill-ran': 'no'});
+			return;
+		}
+
+		attempts.set(name, 'running');
+		running += 1;
+		maximumRunning = Math.max(maximumRunning, running);
+		runs.push(job);
+		const body = await readBody(req);
+		setTimeout(() => {
+			running -= 1;
+			if (attempts.get(name) === 'stopped') {
+				res.destroy();
+				return;
+			}
+
+			attempts.set(name, 'finished');
+			sendJson(res, options.failsEverything === true ? 500 : 200, {
+				job, minion, team: req.headers['samphiremill-team'], receivedBytes: body.length,
+			});
+		}, getRunTimeMs(body));
+	};
+
+	const stop = (job: string, attempt: string, mode: string, res: ServerResponse) => {
+		const name = `${job}#${attempt}`;
+		const state = attempts.get(name);
+		if (state === undefined || (mode === 'always' && state === 'running')) {
+			attempts.set(name, 'stopped');
+		}
+
+		sendJson(res, 200, {state: state ?? 'neverSeen'});
+	};
+
+	const server = createServer((req, res) => {
+		const url = new URL(req.url ?? '/', 'http://minion');
+		const [, resource = '', encodedJob = ''] = url.pathname.split('/');
+		const job = decodeURIComponent(encodedJob);
+		if (req.method === 'POST' && resource === 'jobs') {
+			void run(job, String(req.headers['samphiremill-attempt'] ?? '1'), req, res);
+			return;
+		}
+
+		if (req.method === 'DELETE' && resource === 'jobs') {
+			stop(job, url.searchParams.get('attempt') ?? '1', url.searchParams.get('stop') ?? 'always', res);
+			return;
+		}
+
+		sendJson(res, resource === 'health' ? 200 : 404, {state: resource === 'health' ? 'ready' : 'notFound'});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, host, resolve);
+	});
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- a TCP server that listens has this address
+	const {port} = server.address() as AddressInfo;
+
+	const tell = async (method: 'PUT' | 'POST', path: string, document: unknown) => {
+		for (const _ of entryHosts) {
+			const origin = entryHosts[nextEntryHost % entryHosts.length] ?? '';
+			nextEntryHost += 1;
+			try {
+				// eslint-disable-next-line no-await-in-loop -- the next entry host is tried only when this one fails
+				const {statusCode, body} = await request(`${origin}/v1/minions/${encodeURIComponent(minion)}${path}`, {
+					method, headers: {'content-type': 'application/json'}, body: JSON.stringify(document), headersTimeout: 1000,
+				});
+				// eslint-disable-next-line no-await-in-loop -- the body must be read before the connection is used again
+				await body.dump();
+				if (statusCode < 300) {
+					return;
+				}
+			} catch {
+				continue;
+			}
+		}
+	};
+
+	const announce = async () => tell('PUT', '', {
+		incarnation,
+		worker: options.worker,
+		pool: options.pool,
+		dataCentre: options.dataCentre,
+		host,
+		port,
+		slots,
+		connections: options.connections,
+	});
+	await announce();
+	const renewal = setInterval(() => {
+		void announce();
+	}, renewPeriodMs);
+
+	return {
+		port,
+		getRuns: () => runs,
+		getMaximumRunning: () => maximumRunning,
+		async leave() {
+			clearInterval(renewal);
+			await tell('POST', '/leave', {incarnation});
+		},
+		async close() {
+			clearInterval(renewal);
+			server.closeAllConnections();
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+		},
+	};
+}
--- a/packages/core/src/claims/claimer.ts
+++ b/packages/core/src/claims/claimer.ts
@@ -8,7 +8,7 @@
 import {findOwnership} from './ownership.js';
 import type {
 	ActiveClaim,
-	ClaimAnswer,
+	OwnerAnswer,
 	ClaimEndedEvent,
 	ClaimName,
 	ClaimsEffect,
@@ -117,7 +117,7 @@
 	readonly state: ClaimsState;
 	readonly job: JobId;
 	readonly name: ClaimName;
-	readonly answer: ClaimAnswer;
+	readonly answer: OwnerAnswer;
 	readonly from: NodeId;
 }): ClaimsStep {
 	const claim = state.active.get(job);
--- a/packages/core/src/claims/claims.test.ts
+++ b/packages/core/src/claims/claims.test.ts
@@ -169,6 +169,50 @@
 	), {numRuns: runs, seed});
 }, 300_000);
 
+test('a cut-off owner whose lease still runs and its successors do not both serve a key', () => {
+	const cluster = createClaimsCluster({
+		nodeCount, seed: 3, lossRate: 0, duplicateRate: 0,
+	});
+	perform(cluster, {type: 'cut', nodes: [0]});
+	cluster.commitView();
+	cluster.advance(1000);
+	perform(cluster, {type: 'cut', nodes: [1]});
+	for (const key of Array.from({length: 20}, (_, index) => index)) {
+		perform(cluster, {type: 'submitEverywhere', key});
+	}
+
+	cluster.advance(500);
+	cluster.commitView();
+	cluster.advance(9000);
+	expect(Math.max(...countDispatches(cluster))).toBe(1);
+	expect(countDispatches(cluster).length).toBeGreaterThan(10);
+});
+
+test('a second loss during the hand-over after a first one leaves no key to run again', () => {
+	const cluster = createClaimsCluster({
+		nodeCount, seed: 4, lossRate: 0, duplicateRate: 0,
+	});
+	for (const key of Array.from({length: 20}, (_, index) => index)) {
+		cluster.submit({node: key, key: `key-${key}`, body: 'a'});
+	}
+
+	cluster.advance(1500);
+	expect(countDispatches(cluster)).toHaveLength(20);
+	perform(cluster, {type: 'crash', nodes: [0]});
+	cluster.commitView();
+	cluster.advance(50);
+	perform(cluster, {type: 'crash', nodes: [1]});
+	cluster.advance(50);
+	cluster.commitView();
+	cluster.advance(4000);
+	for (const key of Array.from({length: 20}, (_, index) => index)) {
+		perform(cluster, {type: 'submitEverywhere', key});
+	}
+
+	cluster.advance(3000);
+	expect(Math.max(...countDispatches(cluster))).toBe(1);
+});
+
 test('once all is healed, every new key is granted', () => {
 	fc.assert(fc.property(
 		fc.integer({min: 1, max: 1_000_000}),
--- a/packages/core/src/claims/copies.ts
+++ b/packages/core/src/claims/copies.ts
@@ -18,10 +18,15 @@
 	readonly tries: number;
 	readonly cfg: ClaimsConfig;
 }): ClaimsEffect[] => {
-	const successors = findOwnership(state, record.name)?.successors ?? [];
+	const ownership = findOwnership(state, record.name);
+	if (ownership === undefined) {
+		return [];
+	}
+
+	const {epoch, successors} = ownership;
 	const holder = successors[tries % Math.max(1, successors.length)];
 	if (holder !== undefined) {
-		return [{type: 'peer/send', to: holder, message: {type: 'claims/copy', record}}];
+		return [{type: 'peer/send', to: holder, message: {type: 'claims/copy', epoch, record}}];
 	}
 
 	return cfg.hasStore ? [{type: 'claims/persist', record}] : [];
@@ -91,17 +96,23 @@
 }
 
 /**
- * Keeps a copy for its owner, unless a newer one is here already.
+ * Keeps a copy for its owner, unless a newer one is here already. A copy under another epoch is not
+ * confirmed: a new owner may have been told already what this node holds.
  *
- * @param options - The claims of this node, the record, its sender and the time.
+ * @param options - The claims of this node, the record, its sender with the epoch it saw, and the time.
  * @returns The next state and the confirmation.
  */
-export function receiveCopy({state, record, from, nowMs}: {
+export function receiveCopy({state, epoch, record, from, nowMs}: {
 	readonly state: ClaimsState;
+	readonly epoch: number;
 	readonly record: ClaimRecord;
 	readonly from: NodeId;
 	readonly nowMs: MonotonicMs;
 }): ClaimsStep {
+	if (findOwnership(state, record.name)?.epoch !== epoch) {
+		return {state, effects: []};
+	}
+
 	return {
 		state: keepNewer({state, record, nowMs}),
 		effects: [{
--- a/packages/core/src/claims/owner.ts
+++ b/packages/core/src/claims/owner.ts
@@ -8,7 +8,7 @@
 import {secureCopy} from './copies.js';
 import {canAnswerFor, isQuarantined} from './ownership.js';
 import type {
-	ClaimAnswer,
+	OwnerAnswer,
 	ClaimOutcomeMessage,
 	ClaimRecord,
 	ClaimRequestMessage,
@@ -28,7 +28,7 @@
 	readonly nowMs: MonotonicMs;
 };
 
-const getAnswerToResend = (record: ClaimRecord, message: ClaimRequestMessage): ClaimAnswer => {
+const getAnswerToResend = (record: ClaimRecord, message: ClaimRequestMessage): OwnerAnswer => {
 	if (record.bodyHash !== message.bodyHash) {
 		return {type: 'conflict'};
 	}
@@ -56,7 +56,7 @@
 	return {...state, waiters: state.waiters.set(name, [...waiters, {node: from, job}])};
 };
 
-const answerRequest = (input: OwnerInput<ClaimRequestMessage>, answer: ClaimAnswer): ClaimsEffect => {
+const answerRequest = (input: OwnerInput<ClaimRequestMessage>, answer: OwnerAnswer): ClaimsEffect => {
 	const {job, name} = input.message;
 	return {
 		type: 'peer/send',
@@ -176,7 +176,7 @@
 	}
 
 	const {outcome, answer} = record.stage;
-	const replay: ClaimAnswer = {type: 'replay', outcome, ...(answer === undefined ? {} : {answer})};
+	const replay: OwnerAnswer = {type: 'replay', outcome, ...(answer === undefined ? {} : {answer})};
 	return {
 		state: {...state, waiters: state.waiters.delete(record.name)},
 		effects: waiters.map(({node, job}) => ({
--- a/packages/core/src/claims/reduce-claims.ts
+++ b/packages/core/src/claims/reduce-claims.ts
@@ -42,6 +42,7 @@
 		servesFromMs: toBrand<MonotonicMs>(0),
 		awaitedHandovers: [],
 		handoverSentAtMs: toBrand<MonotonicMs>(0),
+		unsettled: undefined,
 		isRecovering: false,
 		quarantines: [],
 		records: ImmutableMap(),
@@ -91,7 +92,7 @@
 
 		case 'claims/copy': {
 			return receiveCopy({
-				state, record: message.record, from, nowMs,
+				state, ...message, from, nowMs,
 			});
 		}
 
--- a/packages/core/src/claims/types.ts
+++ b/packages/core/src/claims/types.ts
@@ -42,7 +42,7 @@
 };
 
 /** What the owner tells an entry host that asked for a key. */
-export type ClaimAnswer
+export type OwnerAnswer
 	= | {readonly type: 'granted'}
 		| {readonly type: 'replay'; readonly outcome: JobOutcome; readonly answer?: StoredAnswer}
 		| {readonly type: 'conflict'}
@@ -108,6 +108,8 @@
 	/** Members whose records for this node's ranges have not arrived since the view changed. */
 	readonly awaitedHandovers: readonly NodeId[];
 	readonly handoverSentAtMs: MonotonicMs;
+	/** The members before the hand-overs under way began, and who was lost since. */
+	readonly unsettled: {readonly members: readonly NodeId[]; readonly lost: readonly NodeId[]} | undefined;
 	/** This node has restarted and does not hold yet what it held before. */
 	readonly isRecovering: boolean;
 	readonly quarantines: readonly Quarantine[];
@@ -157,12 +159,12 @@
 /** What entry hosts say to each other about claims. */
 export type ClaimsMessage
 	= | ClaimRequestMessage
-		| {readonly type: 'claims/answer'; readonly job: JobId; readonly name: ClaimName; readonly answer: ClaimAnswer}
+		| {readonly type: 'claims/answer'; readonly job: JobId; readonly name: ClaimName; readonly answer: OwnerAnswer}
 		| ClaimStartMessage
 		| {readonly type: 'claims/startAnswer'; readonly job: JobId; readonly attempt: number; readonly ok: boolean}
 		| ClaimOutcomeMessage
 		| {readonly type: 'claims/outcomeKept'; readonly job: JobId}
-		| {readonly type: 'claims/copy'; readonly record: ClaimRecord}
+		| {readonly type: 'claims/copy'; readonly epoch: number; readonly record: ClaimRecord}
 		| {readonly type: 'claims/copied'; readonly name: ClaimName; readonly version: number}
 		| {readonly type: 'claims/handoverRequest'; readonly epoch: number}
 		| {
@@ -230,5 +232,5 @@
 	= | {readonly type: 'peer/send'; readonly to: NodeId; readonly message: ClaimsMessage}
 	/** Sync the record to disk, then report `claims/persisted`. */
 		| {readonly type: 'claims/persist'; readonly record: ClaimRecord}
-		| {readonly type: 'claims/answered'; readonly job: JobId; readonly answer: ClaimAnswer}
+		| {readonly type: 'claims/answered'; readonly job: JobId; readonly answer: OwnerAnswer}
 		| {readonly type: 'claims/startRecorded'; readonly job: JobId; readonly attempt: number; readonly ok: boolean};
--- a/packages/core/src/claims/view-changes.ts
+++ b/packages/core/src/claims/view-changes.ts
@@ -23,26 +23,27 @@
 const requestHandovers = (members: readonly NodeId[], epoch: number): ClaimsEffect[] =>
 	members.map(to => ({type: 'peer/send', to, message: {type: 'claims/handoverRequest', epoch}}));
 
-/**
- * Records are on two hosts at least, so only the loss of two at once can lose one. A host that lost
- * its memory in a restart and has not been told everything since counts as one of them.
- */
-const createQuarantines = ({state, former, view, nowMs}: {
+type Unsettled = NonNullable<ClaimsState['unsettled']>;
+
+/** Losses add up until every hand-over of an earlier view change has arrived. */
+const getUnsettled = ({state, former, view}: {
 	readonly state: ClaimsState;
 	readonly former: ClaimView;
 	readonly view: ClaimView;
-	readonly nowMs: MonotonicMs;
-}): Quarantine[] => {
+}): Unsettled => {
 	const removed = former.members.filter(member => !view.members.includes(member));
-	const isRecoveryCut = state.isRecovering && state.awaitedHandovers.some(member => removed.includes(member));
-	const lost = isRecoveryCut ? [state.self, ...removed] : removed;
-	if (lost.length < 2) {
-		return [];
-	}
-
-	return [{members: former.members, lost, untilMs: addMs(nowMs, claimRetentionMs)}];
+	const restarted = state.isRecovering ? [state.self] : [];
+	const earlier = state.awaitedHandovers.length > 0 ? state.unsettled : undefined;
+	return {
+		members: earlier?.members ?? former.members,
+		lost: [...new Set([...(earlier?.lost ?? []), ...removed, ...restarted])],
+	};
 };
 
+/** Records are on two hosts at least, so only the loss of two can lose one. */
+const createQuarantines = ({members, lost}: Unsettled, nowMs: MonotonicMs): Quarantine[] =>
+	lost.length < 2 ? [] : [{members, lost, untilMs: addMs(nowMs, claimRetentionMs)}];
+
 const startAfterRestart = (state: ClaimsState, event: ClaimViewChangedEvent): ClaimsStep => {
 	const {view, nowMs} = event;
 	const others = view.members.filter(member => member !== state.self);
@@ -64,16 +65,16 @@
 	readonly event: ClaimViewChangedEvent;
 }): ClaimsStep => {
 	const {view, nowMs} = event;
+	const unsettled = getUnsettled({state, former, view});
 	const survivors = view.members.filter(member => member !== state.self && former.members.includes(member));
 	return {
 		state: {
 			...state,
 			awaitedHandovers: survivors,
+			unsettled,
 			handoverSentAtMs: nowMs,
 			servesFromMs: addMs(nowMs, takeoverWaitMs),
-			quarantines: [...state.quarantines, ...createQuarantines({
-				state, former, view, nowMs,
-			})],
+			quarantines: [...state.quarantines, ...createQuarantines(unsettled, nowMs)],
 		},
 		effects: requestHandovers(survivors, view.epoch),
 	};
@@ -210,6 +211,7 @@
 		state: {
 			...keepAll({state, records, nowMs}),
 			awaitedHandovers,
+			unsettled: awaitedHandovers.length > 0 ? state.unsettled : undefined,
 			isRecovering: state.isRecovering && awaitedHandovers.length > 0,
 			quarantines: quarantineRemainingMs > 0 ? [...state.quarantines, quarantine] : state.quarantines,
 		},
--- /dev/null
+++ b/packages/daemon/src/dispatch/index.ts
@@ -0,0 +1,2 @@
+export {createMinionClient} from './minion-client.js';
+export type * from './types.js';
--- /dev/null
+++ b/packages/daemon/src/dispatch/minion-client.ts
@@ -0,0 +1,207 @@
+/**
+ * Sends attempts to minions over HTTP/1.1, a few connections a minion, and says for each attempt
+ * whether the minion may have seen it.
+ */
+import {Buffer} from 'node:buffer';
+import type {IncomingHttpHeaders} from 'node:http';
+import type {MinionId, TimerService} from '@samphiremill/common';
+import {errors, Pool, type Dispatcher} from 'undici';
+import {
+	connectTimeoutMs, deadlineGraceMs, maximumIdleReuseMs, probeTimeoutMs, silenceBeforeProbeMs,
+} from './constants.js';
+import {fenceAttempt, type FenceResult} from './fence-attempt.js';
+import type {
+	AttemptFailureKind, DispatchAttempt, DispatchHandlers, MinionClient, RunningAttempt,
+} from './types.js';
+
+type ClientContext = {
+	readonly timers: TimerService;
+	readonly getPool: (attempt: DispatchAttempt) => Pool;
+};
+
+const getOrigin = ({host, port}: {readonly host: string; readonly port: number}): string =>
+	`http://${host.includes(':') ? `[${host}]` : host}:${port}`;
+
+const getFailureKind = (err: Error): AttemptFailureKind => {
+	if (err instanceof errors.ConnectTimeoutError) {
+		return 'connectTimeout';
+	}
+
+	const code = 'code' in err ? err.code : undefined;
+	return code === 'ECONNREFUSED' || code === 'EHOSTUNREACH' ? 'connectRefused' : 'reset';
+};
+
+const getHeader = (headers: IncomingHttpHeaders, name: string): string | undefined => {
+	const value = headers[name];
+	return Array.isArray(value) ? value[0] : value;
+};
+
+const createHeaders = (attempt: DispatchAttempt, remainingMs: number): Record<string, string> => ({
+	'content-type': attempt.contentType,
+	'samphiremill-queue': attempt.queue,
+	'samphiremill-team': attempt.team,
+	'samphiremill-attempt': String(attempt.attempt),
+	'samphiremill-deadline-ms': String(Math.max(1, Math.floor(remainingMs))),
+});
+
+/** A minion that answers 503 with this header states that it has not run the job. */
+const isBusy = (status: number, headers: IncomingHttpHeaders): boolean =>
+	status === 503 && getHeader(headers, 'samphiremill-ran') === 'no';
+
+const runAttempt = ({timers, getPool}: ClientContext, attempt: DispatchAttempt, handlers: DispatchHandlers): RunningAttempt => {
+	const sentAtMs = timers.getNow();
+	const remainingMs = attempt.deadlineAtMs - sentAtMs;
+	let isFirstByteSent = false;
+	let isRefusedAsBusy = false;
+	let isOver = false;
+	let heardAtMs: number = sentAtMs;
+	let controller: Dispatcher.DispatchController | undefined;
+
+	const end = (report: () => void) => {
+		if (isOver) {
+			return;
+		}
+
+		isOver = true;
+		cancelDeadline();
+		cancelSilenceCheck();
+		report();
+	};
+
+	const fail = (kind: AttemptFailureKind, bytesSent: boolean) => {
+		end(() => {
+			handlers.onFailure({kind, bytesSent});
+		});
+	};
+
+	const abort = (reason: string) => {
+		controller?.abort(new Error(reason));
+	};
+
+	const takeFence = (result: FenceResult) => {
+		if (result.type === 'neverSeen') {
+			fail('reset', false);
+			abort('the connection is mute and the minion never saw the job');
+		}
+	};
+
+	const checkSilence = () => {
+		if (!isFirstByteSent || timers.getNow() - heardAtMs < silenceBeforeProbeMs) {
+			return;
+		}
+
+		heardAtMs = timers.getNow();
+		void fenceAttempt({
+			origin: getOrigin(attempt), job: attempt.job, attempt: attempt.attempt, mode: 'ifNeverSeen', timeoutMs: probeTimeoutMs,
+		}).then(takeFence);
+	};
+
+	const cancelDeadline = timers.scheduleOnce(remainingMs + deadlineGraceMs, () => {
+		fail('timeout', isFirstByteSent);
+		abort('the deadline passed');
+	});
+	const cancelSilenceCheck = timers.scheduleEvery(silenceBeforeProbeMs / 2, checkSilence);
+
+	getPool(attempt).dispatch({
+		method: 'POST',
+		path: `/jobs/${encodeURIComponent(attempt.job)}`,
+		headers: createHeaders(attempt, remainingMs),
+		body: Buffer.from(attempt.body.buffer, attempt.body.byteOffset, attempt.body.byteLength),
+		idempotent: false,
+		headersTimeout: 0,
+		bodyTimeout: 0,
+	}, {
+		onRequestStart(started) {
+			controller = started;
+			if (isOver) {
+				started.abort(new Error('the attempt was given up'));
+				return;
+			}
+
+			isFirstByteSent = true;
+			heardAtMs = timers.getNow();
+			handlers.onFirstByte();
+		},
+		onResponseStart(_controller, status, headers) {
+			heardAtMs = timers.getNow();
+			if (isBusy(status, headers)) {
+				isRefusedAsBusy = true;
+				return;
+			}
+
+			handlers.onAnswerStart({status, contentType: getHeader(headers, 'content-type')});
+		},
+		onResponseData(current, chunk) {
+			heardAtMs = timers.getNow();
+			if (!isOver && !isRefusedAsBusy && !handlers.onAnswerData(chunk)) {
+				current.pause();
+			}
+		},
+		onResponseEnd() {
+			if (isRefusedAsBusy) {
+				fail('busy', false);
+				return;
+			}
+
+			end(handlers.onAnswerEnd);
+		},
+		onResponseError(_controller, err) {
+			fail(getFailureKind(err), isFirstByteSent);
+		},
+	});
+
+	return {
+		cancel() {
+			void fenceAttempt({
+				origin: getOrigin(attempt), job: attempt.job, attempt: attempt.attempt, mode: 'always', timeoutMs: probeTimeoutMs,
+			}).then(result => {
+				fail('stopped', result.type !== 'neverSeen' && isFirstByteSent);
+				abort('the attempt was cancelled');
+			});
+		},
+		resume() {
+			controller?.resume();
+		},
+	};
+};
+
+/**
+ * Creates the client through which this node reaches its minions.
+ *
+ * @param options - The timer service.
+ * @returns The client.
+ */
+export function createMinionClient({timers}: {readonly timers: TimerService}): MinionClient {
+	const pools = new Map<MinionId, Pool>();
+
+	const getPool = (attempt: DispatchAttempt): Pool => {
+		const known = pools.get(attempt.minion);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const pool = new Pool(getOrigin(attempt), {
+			connections: attempt.maximumConnections,
+			pipelining: 1,
+			keepAliveTimeout: maximumIdleReuseMs,
+			keepAliveMaxTimeout: maximumIdleReuseMs,
+			connect: {timeout: connectTimeoutMs},
+		});
+		pools.set(attempt.minion, pool);
+		return pool;
+	};
+
+	return {
+		dispatch: (attempt, handlers) => runAttempt({timers, getPool}, attempt, handlers),
+		forget(minion) {
+			const pool = pools.get(minion);
+			pools.delete(minion);
+			void pool?.close();
+		},
+		async close() {
+			const all = [...pools.values()];
+			pools.clear();
+			await Promise.all(all.map(async pool => pool.close()));
+		},
+	};
+}
