--- /dev/null
+++ b/packages/core/src/replica/confirmation.ts
@@ -0,0 +1,214 @@
+/**
+ * The configuration lease. A node asks a majority of the voters for the ends of their logs. Whatever
+ * was committed before it asked is in at least one of the answers, whether or not there is a leader,
+ * so once everything up to them is applied, its configuration was the newest when it asked.
+ */
+import type {NodeId} from '@samphiremill/common';
+import {Map as ImmutableMap} from 'immutable';
+import {maximumOpenPolls, maximumUnappliedConfirmations} from './constants.js';
+import {getLastIndex} from './log.js';
+import type {ConfirmedMessage, PollAnswerMessage, PollMessage} from './messages.js';
+import {
+	getOtherVoters, getQuorumSize, hasVoter, isVotingReplica,
+} from './quorum.js';
+import {
+	chainSteps, createSend, createStep, type ReplicaContext, type ReplicaStep,
+} from './replica-step.js';
+import type {ConfirmationPoll, ReplicaState} from './types.js';
+import {getUpstream, noteUpstreamHeard} from './upstream.js';
+
+/** How far this node's configuration can be relied on. */
+export type ConfigurationFreshness = 'fresh' | 'stale' | 'starting';
+
+/**
+ * @param state - The replica.
+ * @param options - The time in monotonic milliseconds and the length of the lease.
+ * @returns `fresh` while the lease holds, `starting` before the first confirmation since the start.
+ */
+export function getConfigurationFreshness<Command>(
+	state: ReplicaState<Command>,
+	{nowMs, leaseMs}: {readonly nowMs: number; readonly leaseMs: number},
+): ConfigurationFreshness {
+	const {confirmedAtMs} = state.confirmation;
+	if (confirmedAtMs === undefined) {
+		return 'starting';
+	}
+
+	return nowMs < confirmedAtMs + leaseMs ? 'fresh' : 'stale';
+}
+
+/**
+ * Notes that a fed node wants a confirmation. The next poll, which is sent after this, answers it.
+ *
+ * @param state - The state.
+ * @param from - The node.
+ * @param token - What it calls its request.
+ * @returns The state.
+ */
+export function registerAsker<Command>(state: ReplicaState<Command>, from: NodeId, token: number): ReplicaState<Command> {
+	const {confirmation} = state;
+	return {...state, confirmation: {...confirmation, waitingAskers: confirmation.waitingAskers.set(from, token)}};
+}
+
+/**
+ * Makes those confirmations effective whose index is applied by now.
+ *
+ * @param state - The state.
+ * @returns The state.
+ */
+export function settleConfirmations<Command>(state: ReplicaState<Command>): ReplicaState<Command> {
+	const {confirmation, commitIndex} = state;
+	if (confirmation.unapplied.length === 0) {
+		return state;
+	}
+
+	const effective = confirmation.unapplied.filter(({index}) => index <= commitIndex).map(({sentAtMs}) => sentAtMs);
+	const confirmedAtMs = Math.max(...effective, confirmation.confirmedAtMs ?? Number.NEGATIVE_INFINITY);
+	return effective.length === 0
+		? state
+		: {
+			...state,
+			confirmation: {
+				...confirmation,
+				confirmedAtMs,
+				unapplied: confirmation.unapplied.filter(({index}) => index > commitIndex),
+			},
+		};
+}
+
+const confirmPoll = <Command>(
+	state: ReplicaState<Command>,
+	poll: ConfirmationPoll,
+	index: number,
+): ReplicaStep<Command> => {
+	const {confirmation} = state;
+	// A later answer matters only if it lets the poll do with less of the log.
+	if (poll.index !== undefined && poll.index <= index) {
+		return createStep(state);
+	}
+
+	const polls = confirmation.polls.map(other => other.round === poll.round ? {...poll, index} : other);
+	const unapplied = [...confirmation.unapplied, {sentAtMs: poll.sentAtMs, index}].slice(-maximumUnappliedConfirmations);
+	const answers = [...poll.askers].map(([to, token]) => createSend<Command>(to, {
+		type: 'replica/confirmed', token, index, leader: state.leader,
+	}));
+	return createStep(settleConfirmations({...state, confirmation: {...confirmation, polls, unapplied}}), answers);
+};
+
+const countAnswer = <Command>(
+	state: ReplicaState<Command>,
+	poll: ConfirmationPoll,
+	{from, lastIndex}: {readonly from: NodeId; readonly lastIndex: number},
+): ReplicaStep<Command> => {
+	const answered = {...poll, answers: poll.answers.set(from, lastIndex)};
+	const polls = state.confirmation.polls.map(other => other.round === poll.round ? answered : other);
+	const next = {...state, confirmation: {...state.confirmation, polls}};
+	const ascending = [...answered.answers.values()].toSorted((left, right) => left - right);
+	const index = ascending[getQuorumSize(state.voters.length) - 1];
+	return index === undefined ? createStep(next) : confirmPoll(next, answered, index);
+};
+
+const startPoll = <Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> => {
+	const {cfg, nowMs} = context;
+	const {confirmation} = state;
+	const round = confirmation.nextRound;
+	const poll: ConfirmationPoll = {
+		round, sentAtMs: nowMs, index: undefined, answers: ImmutableMap(), askers: confirmation.waitingAskers,
+	};
+	const next: ReplicaState<Command> = {
+		...state,
+		confirmation: {
+			...confirmation,
+			nextRound: round + 1,
+			nextPollMs: nowMs + cfg.limits.confirmationPeriodMs,
+			lastPollMs: nowMs,
+			polls: [...confirmation.polls, poll].slice(-maximumOpenPolls),
+			waitingAskers: ImmutableMap(),
+		},
+	};
+	if (isVotingReplica(next, cfg)) {
+		return chainSteps(
+			createStep(next, getOtherVoters(next, cfg).map(to => createSend<Command>(to, {type: 'replica/poll', round}))),
+			polled => countAnswer(polled, poll, {from: cfg.self, lastIndex: getLastIndex(polled.log)}),
+		);
+	}
+
+	const upstream = getUpstream(next, cfg);
+	return createStep(next, upstream === undefined
+		? []
+		: [createSend(upstream, {type: 'replica/pull', token: round, lastIndex: next.commitIndex})]);
+};
+
+/**
+ * Renews the lease when that is due, for this node and all that asked it.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @returns The next step.
+ */
+export function tickConfirmation<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
+	const {nextPollMs, lastPollMs, waitingAskers} = state.confirmation;
+	const isAsked = !waitingAskers.isEmpty()
+		&& context.nowMs >= lastPollMs + context.cfg.limits.confirmationSpacingMs;
+	return isAsked || context.nowMs >= nextPollMs ? startPoll(state, context) : createStep(state);
+}
+
+/**
+ * Tells how far this node's log goes. Entries that aren't synced yet count as well, which can only
+ * make the asker wait.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @param received - The poll and its sender.
+ * @returns The next step; nothing on a node without a disk.
+ */
+export function handlePoll<Command>(
+	state: ReplicaState<Command>,
+	{cfg}: ReplicaContext,
+	{from, message}: {readonly from: NodeId; readonly message: PollMessage},
+): ReplicaStep<Command> {
+	return createStep(state, cfg.storeId === undefined
+		? []
+		: [createSend(from, {
+			type: 'replica/pollAnswer', round: message.round, storeId: cfg.storeId, lastIndex: getLastIndex(state.log),
+		})]);
+}
+
+/**
+ * Counts a voter's answer to a poll.
+ *
+ * @param state - The state.
+ * @param received - The answer and its sender.
+ * @returns The next step. Another data folder than the voter's counts for nothing.
+ */
+export function handlePollAnswer<Command>(
+	state: ReplicaState<Command>,
+	{from, message}: {readonly from: NodeId; readonly message: PollAnswerMessage},
+): ReplicaStep<Command> {
+	const poll = state.confirmation.polls.find(({round}) => round === message.round);
+	return poll === undefined || !hasVoter(state.voters, {node: from, storeId: message.storeId})
+		? createStep(state)
+		: countAnswer(state, poll, {from, lastIndex: message.lastIndex});
+}
+
+/**
+ * Takes the confirmation that the node which feeds this one got from a majority.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @param received - The confirmation and its sender.
+ * @returns The next step.
+ */
+export function handleConfirmed<Command>(
+	state: ReplicaState<Command>,
+	context: ReplicaContext,
+	{from, message}: {readonly from: NodeId; readonly message: ConfirmedMessage},
+): ReplicaStep<Command> {
+	const poll = state.confirmation.polls.find(({round}) => round === message.token);
+	if (poll === undefined || state.role !== 'observer') {
+		return createStep(state);
+	}
+
+	const heard = noteUpstreamHeard({...state, leader: message.leader ?? state.leader}, context, from);
+	return confirmPoll(heard, poll, message.index);
+}
--- /dev/null
+++ b/packages/core/src/replica/constants.ts
@@ -0,0 +1,37 @@
+import type {ReplicaLimits} from './types.js';
+
+/** Periods and bounds for entry hosts up to 100 ms apart, one way. */
+export const defaultReplicaLimits: ReplicaLimits = {
+	heartbeatPeriodMs: 200,
+	electionTimeoutMs: 1000,
+	leaderLeaseMs: 750,
+	retransmitTimeoutMs: 500,
+	proposalTimeoutMs: 5000,
+	confirmationPeriodMs: 500,
+	confirmationSpacingMs: 250,
+	configurationLeaseMs: 2000,
+	upstreamTimeoutMs: 1200,
+	upstreamRetryMs: 5000,
+	learnerTimeoutMs: 60_000,
+	snapshotEveryEntries: 1000,
+	trailingEntries: 500,
+	maximumBatchEntries: 64,
+	maximumInFlightMessages: 4,
+	maximumChunkLength: 32_768,
+	maximumPendingRequests: 4096,
+};
+
+/** How often an unanswered proposal, read or snapshot request is sent again. */
+export const requestResendMs = 500;
+
+/** How long a snapshot transfer may stand still. */
+export const snapshotStallMs = 2000;
+
+/** How many polls for a confirmation may be open at once. */
+export const maximumOpenPolls = 4;
+
+/** How many confirmations may wait for their index to be applied. */
+export const maximumUnappliedConfirmations = 8;
+
+/** How long a fed node stays subscribed after its last pull. */
+export const subscriptionMs = 3000;
--- /dev/null
+++ b/packages/core/src/replica/create-replica.ts
@@ -0,0 +1,80 @@
+import {Map as ImmutableMap} from 'immutable';
+import {
+	appendEntries, createLog, getLastIndex, getLatestVoters,
+} from './log.js';
+import {createStep, type ReplicaContext, type ReplicaStep} from './replica-step.js';
+import {getElectionDeadline, reconcileRole} from './roles.js';
+import type {
+	LogEntry, RecoveredReplica, ReplicaLog, ReplicaSnapshot, ReplicaState,
+} from './types.js';
+
+const restoreLog = <Command>(
+	entries: ReadonlyArray<LogEntry<Command>>,
+	snapshot: ReplicaSnapshot | undefined,
+): ReplicaLog<Command> => {
+	const [first] = entries;
+	if (snapshot === undefined || first === undefined || first.index > snapshot.index) {
+		const base = snapshot ?? {index: 0, term: 0};
+		return appendEntries(createLog<Command>(base), entries);
+	}
+
+	return appendEntries(createLog<Command>(first), entries.slice(1));
+};
+
+/**
+ * Creates a replica, blank or from what its store recovered.
+ *
+ * @param context - The set-up and the time of the start.
+ * @param recovered - What the store holds; absent on a node without a disk.
+ * @returns The first state. A recovered snapshot is to be installed; the entries behind it are
+ * applied once a leader confirms that they are committed.
+ */
+export function createReplica<Command>(
+	context: ReplicaContext,
+	recovered?: RecoveredReplica<Command>,
+): ReplicaStep<Command> {
+	const {nowMs} = context;
+	const {hardState, snapshot, entries}: RecoveredReplica<Command> = recovered ?? {hardState: {term: 0}, entries: []};
+	const log = restoreLog(entries, snapshot);
+	const {voters, index} = getLatestVoters(log, {voters: snapshot?.voters ?? [], index: snapshot?.index ?? 0});
+	const state: ReplicaState<Command> = {
+		role: 'observer',
+		term: hardState.term,
+		votedFor: hardState.votedFor,
+		clusterId: hardState.clusterId ?? snapshot?.clusterId,
+		leader: undefined,
+		log,
+		snapshot,
+		commitIndex: snapshot?.index ?? 0,
+		voters,
+		votersIndex: index,
+		isSnapshotRequested: false,
+		electionDeadlineMs: getElectionDeadline(context),
+		leaderHeardMs: nowMs,
+		votes: [],
+		leadership: undefined,
+		persistence: {
+			nextSequence: 1, persistedIndex: getLastIndex(log), pending: [], hasFailed: false,
+		},
+		proposals: ImmutableMap(),
+		reads: ImmutableMap(),
+		voterRequests: ImmutableMap(),
+		incomingSnapshot: undefined,
+		feed: {
+			upstreamRank: 0, upstreamHeardMs: nowMs, upstreamRetryAtMs: nowMs, subscribers: ImmutableMap(),
+		},
+		confirmation: {
+			nextRound: 1,
+			nextPollMs: nowMs,
+			lastPollMs: Number.NEGATIVE_INFINITY,
+			polls: [],
+			waitingAskers: ImmutableMap(),
+			unapplied: [],
+			confirmedAtMs: undefined,
+		},
+		formation: {nextQueryMs: nowMs, blankStores: ImmutableMap()},
+	};
+	return createStep(reconcileRole(state, context), snapshot === undefined
+		? []
+		: [{type: 'replica/installSnapshot', index: snapshot.index, data: snapshot.data}]);
+}
--- /dev/null
+++ b/packages/core/src/replica/feed.ts
@@ -0,0 +1,129 @@
+import type {NodeId} from '@samphiremill/common';
+import {commitUpTo} from './commit.js';
+import {registerAsker} from './confirmation.js';
+import {subscriptionMs} from './constants.js';
+import {acceptEntries} from './following.js';
+import {getEntries} from './log.js';
+import type {FeedMessage, PullMessage} from './messages.js';
+import {
+	chainSteps, createSend, createStep, type ReplicaContext, type ReplicaStep,
+} from './replica-step.js';
+import type {ReplicaState} from './types.js';
+import {getUpstream, noteUpstreamHeard} from './upstream.js';
+
+// Sends one batch; a subscriber that needs more asks for it, so a slow one is never flooded.
+const feedSubscriber = <Command>(
+	state: ReplicaState<Command>,
+	{cfg, nowMs}: ReplicaContext,
+	{to, previousIndex}: {readonly to: NodeId; readonly previousIndex: number},
+): ReplicaStep<Command> => {
+	const {log, commitIndex, clusterId, leader, snapshot} = state;
+	if (clusterId === undefined) {
+		return createStep(state);
+	}
+
+	if (previousIndex < log.baseIndex) {
+		return createStep(state, snapshot === undefined
+			? []
+			: [createSend(to, {type: 'replica/snapshotOffer', index: snapshot.index, length: snapshot.data.length})]);
+	}
+
+	const sentIndex = Math.min(commitIndex, previousIndex + cfg.limits.maximumBatchEntries);
+	const entries = getEntries(log, {from: previousIndex + 1, until: sentIndex + 1});
+	const renewedAtMs = state.feed.subscribers.get(to)?.renewedAtMs ?? nowMs;
+	const subscribers = state.feed.subscribers.set(to, {sentIndex, renewedAtMs});
+	return createStep({...state, feed: {...state.feed, subscribers}}, [createSend(to, {
+		type: 'replica/feed', previousIndex, entries, commitIndex, clusterId, leader,
+	})]);
+};
+
+/**
+ * Takes an observer's pull: renews its subscription and sends what it lacks.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @param received - The pull and its sender.
+ * @returns The next step. A pull without a token is always answered, so that it probes this node.
+ */
+export function handlePull<Command>(
+	state: ReplicaState<Command>,
+	context: ReplicaContext,
+	{from, message}: {readonly from: NodeId; readonly message: PullMessage},
+): ReplicaStep<Command> {
+	const {token, lastIndex} = message;
+	const subscribers = state.feed.subscribers.set(from, {sentIndex: lastIndex, renewedAtMs: context.nowMs});
+	const subscribed = {...state, feed: {...state.feed, subscribers}};
+	const next = token === undefined ? subscribed : registerAsker(subscribed, from, token);
+	return token === undefined || lastIndex < state.commitIndex
+		? feedSubscriber(next, context, {to: from, previousIndex: lastIndex})
+		: createStep(next);
+}
+
+/**
+ * Sends newly committed entries to all subscribers that had everything before.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @returns The next step.
+ */
+export function pushFeed<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
+	const behind = [...state.feed.subscribers].filter(([, {sentIndex}]) => sentIndex < state.commitIndex);
+	return chainSteps(
+		createStep(state),
+		...behind.map(([to, {sentIndex}]) => (next: ReplicaState<Command>) =>
+			feedSubscriber(next, context, {to, previousIndex: sentIndex})),
+	);
+}
+
+/**
+ * Drops subscribers that stopped pulling.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @returns The next step.
+ */
+export function tickSubscribers<Command>(state: ReplicaState<Command>, {nowMs}: ReplicaContext): ReplicaStep<Command> {
+	const subscribers = state.feed.subscribers.filter(({renewedAtMs}) => nowMs - renewedAtMs <= subscriptionMs);
+	return createStep(subscribers.size === state.feed.subscribers.size
+		? state
+		: {...state, feed: {...state.feed, subscribers}});
+}
+
+const pullMore = <Command>(state: ReplicaState<Command>, from: NodeId, knownCommitIndex: number): ReplicaStep<Command> =>
+	createStep(state, state.commitIndex < knownCommitIndex
+		? [createSend(from, {type: 'replica/pull', lastIndex: state.commitIndex})]
+		: []);
+
+/**
+ * Takes committed entries from the node that feeds this one.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @param received - The entries and their sender.
+ * @returns The next step. A gap is answered by a pull, another cluster by nothing.
+ */
+export function handleFeed<Command>(
+	state: ReplicaState<Command>,
+	context: ReplicaContext,
+	{from, message}: {readonly from: NodeId; readonly message: FeedMessage<Command>},
+): ReplicaStep<Command> {
+	const isForeign = state.clusterId !== undefined && state.clusterId !== message.clusterId;
+	if (isForeign || state.role !== 'observer') {
+		return createStep(state);
+	}
+
+	const heard = noteUpstreamHeard({...state, clusterId: message.clusterId, leader: message.leader ?? state.leader}, context, from);
+	if (getUpstream(heard, context.cfg) !== from) {
+		return createStep(heard);
+	}
+
+	if (message.previousIndex > heard.commitIndex) {
+		return pullMore(heard, from, message.commitIndex);
+	}
+
+	return chainSteps(
+		acceptEntries(heard, context, message.entries),
+		next => commitUpTo(next, message.previousIndex + message.entries.length),
+		next => pullMore(next, from, message.commitIndex),
+	);
+}
--- /dev/null
+++ b/packages/core/src/replica/index.ts
@@ -0,0 +1,16 @@
+/**
+ * The replicated log: elections, replication, reads, snapshots, voter changes, observers and the
+ * configuration lease, as one pure reducer.
+ */
+export type * from './types.js';
+export type * from './messages.js';
+export {defaultReplicaLimits} from './constants.js';
+export {getConfigurationFreshness, type ConfigurationFreshness} from './confirmation.js';
+export {createReplica} from './create-replica.js';
+export {reduceReplica} from './reduce-replica.js';
+export {getUpstream, getUpstreamCandidates} from './upstream.js';
+export {
+	applyPersist, createPersistReplay, getRecoveredReplica, type PersistedWrite, type PersistReplay,
+} from './persist-replay.js';
+export {hasLeaderLease} from './replication.js';
+export type {ReplicaContext, ReplicaStep} from './replica-step.js';
--- /dev/null
+++ b/packages/core/src/replica/log.ts
@@ -0,0 +1,139 @@
+import {List, Map as ImmutableMap} from 'immutable';
+import type {
+	LogEntry, ReplicaLog, RequestId, VoterIdentity,
+} from './types.js';
+
+/**
+ * @param base - The index and term of the entry before the first retained one.
+ * @returns A log without entries.
+ */
+export function createLog<Command>(base: {readonly index: number; readonly term: number}): ReplicaLog<Command> {
+	return {
+		baseIndex: base.index, baseTerm: base.term, entries: List(), requests: ImmutableMap(),
+	};
+}
+
+/**
+ * @param log - The log.
+ * @returns The index of its last entry, 0 for an empty log.
+ */
+export function getLastIndex<Command>(log: ReplicaLog<Command>): number {
+	return log.baseIndex + log.entries.size;
+}
+
+/**
+ * @param log - The log.
+ * @param index - Any index.
+ * @returns The entry, or nothing where it is compacted or not there yet.
+ */
+export function getEntry<Command>(log: ReplicaLog<Command>, index: number): LogEntry<Command> | undefined {
+	return index <= log.baseIndex ? undefined : log.entries.get(index - log.baseIndex - 1);
+}
+
+/**
+ * @param log - The log.
+ * @param index - Any index.
+ * @returns The entry's term, or nothing where the log does not know it.
+ */
+export function getTerm<Command>(log: ReplicaLog<Command>, index: number): number | undefined {
+	return index === log.baseIndex ? log.baseTerm : getEntry(log, index)?.term;
+}
+
+/**
+ * @param log - The log.
+ * @returns The term of its last entry.
+ */
+export function getLastTerm<Command>(log: ReplicaLog<Command>): number {
+	return log.entries.last()?.term ?? log.baseTerm;
+}
+
+/**
+ * @param log - The log.
+ * @param range - The first index and the index after the last.
+ * @returns The entries of the range that the log holds.
+ */
+export function getEntries<Command>(
+	log: ReplicaLog<Command>,
+	range: {readonly from: number; readonly until: number},
+): ReadonlyArray<LogEntry<Command>> {
+	return log.entries.slice(Math.max(0, range.from - log.baseIndex - 1), Math.max(0, range.until - log.baseIndex - 1)).toArray();
+}
+
+const addRequests = <Command>(requests: ImmutableMap<RequestId, number>, entries: ReadonlyArray<LogEntry<Command>>) =>
+	requests.withMutations(mutable => {
+		for (const {index, payload} of entries) {
+			if (payload.type === 'command') {
+				mutable.set(payload.requestId, index);
+			}
+		}
+	});
+
+const removeRequests = <Command>(requests: ImmutableMap<RequestId, number>, entries: Iterable<LogEntry<Command>>) =>
+	requests.withMutations(mutable => {
+		for (const {index, payload} of entries) {
+			if (payload.type === 'command' && mutable.get(payload.requestId) === index) {
+				mutable.delete(payload.requestId);
+			}
+		}
+	});
+
+/**
+ * @param log - The log.
+ * @param entries - Entries that follow its last one without a gap.
+ * @returns The longer log.
+ */
+export function appendEntries<Command>(log: ReplicaLog<Command>, entries: ReadonlyArray<LogEntry<Command>>): ReplicaLog<Command> {
+	return {...log, entries: log.entries.push(...entries), requests: addRequests(log.requests, entries)};
+}
+
+/**
+ * @param log - The log.
+ * @param fromIndex - The first index to drop.
+ * @returns The shorter log.
+ */
+export function truncateLog<Command>(log: ReplicaLog<Command>, fromIndex: number): ReplicaLog<Command> {
+	const size = Math.max(0, fromIndex - log.baseIndex - 1);
+	return {
+		...log,
+		entries: log.entries.take(size),
+		requests: removeRequests(log.requests, log.entries.skip(size)),
+	};
+}
+
+/**
+ * @param log - The log.
+ * @param newBaseIndex - The last index to drop.
+ * @returns The log without the entries up to that index.
+ */
+export function compactLog<Command>(log: ReplicaLog<Command>, newBaseIndex: number): ReplicaLog<Command> {
+	const baseTerm = getTerm(log, newBaseIndex);
+	if (baseTerm === undefined || newBaseIndex <= log.baseIndex) {
+		return log;
+	}
+
+	const count = newBaseIndex - log.baseIndex;
+	return {
+		baseIndex: newBaseIndex,
+		baseTerm,
+		entries: log.entries.skip(count),
+		requests: removeRequests(log.requests, log.entries.take(count)),
+	};
+}
+
+/** A voter set and the index of the entry that set it. */
+export type IndexedVoters = {
+	readonly voters: readonly VoterIdentity[];
+	readonly index: number;
+};
+
+/**
+ * Finds the voter set in force at the end of the log.
+ *
+ * @param log - The log.
+ * @param fallback - The set in force at the log's base.
+ * @returns The newest set.
+ */
+export function getLatestVoters<Command>(log: ReplicaLog<Command>, fallback: IndexedVoters): IndexedVoters {
+	const entry = log.entries.findLast(({payload}) => payload.type === 'voters');
+	return entry?.payload.type === 'voters' ? {voters: entry.payload.voters, index: entry.index} : fallback;
+}
--- /dev/null
+++ b/packages/core/src/replica/proposals.ts
@@ -0,0 +1,199 @@
+import {assertNever, type NodeId} from '@samphiremill/common';
+import {requestResendMs} from './constants.js';
+import type {ForwardedMessage, ForwardMessage} from './messages.js';
+import {appendAsLeader} from './replication.js';
+import {
+	chainSteps, createSend, createStep, type ReplicaContext, type ReplicaStep,
+} from './replica-step.js';
+import type {
+	PendingProposal, ReplicaEffect, ReplicaFailure, ReplicaState, RequestId,
+} from './types.js';
+
+const failProposal = <Command>(
+	state: ReplicaState<Command>,
+	requestId: RequestId,
+	failure: ReplicaFailure,
+): ReplicaStep<Command> => createStep({...state, proposals: state.proposals.delete(requestId)}, [{
+	type: 'replica/proposalFailed', requestId, failure, leader: state.leader,
+}]);
+
+const appendOnce = <Command>(
+	state: ReplicaState<Command>,
+	context: ReplicaContext,
+	{requestId, command}: {readonly requestId: RequestId; readonly command: Command},
+): ReplicaStep<Command> => state.log.requests.has(requestId)
+	? createStep(state)
+	: appendAsLeader(state, context, [{type: 'command', requestId, command}]);
+
+const isTakingProposals = <Command>(state: ReplicaState<Command>) =>
+	state.leadership !== undefined && state.leadership.transfer === undefined;
+
+// A proposal keeps its request id on every resend; whichever leader has the entry answers with it.
+const sendProposal = <Command>(
+	state: ReplicaState<Command>,
+	context: ReplicaContext,
+	requestId: RequestId,
+): ReplicaStep<Command> => {
+	const pending = state.proposals.get(requestId);
+	if (pending === undefined || pending.index !== undefined) {
+		return createStep(state);
+	}
+
+	const isLocal = isTakingProposals(state);
+	const to = state.leader === context.cfg.self ? undefined : state.leader;
+	const sent: PendingProposal<Command> = {
+		...pending,
+		resendAtMs: context.nowMs + requestResendMs,
+		wasSent: pending.wasSent || isLocal || to !== undefined,
+	};
+	const next = {...state, proposals: state.proposals.set(requestId, sent)};
+	if (isLocal) {
+		return appendOnce(next, context, {requestId, command: pending.command});
+	}
+
+	const message: ForwardMessage<Command> = {type: 'replica/forward', requestId, command: pending.command};
+	return createStep(next, to === undefined ? [] : [createSend(to, message)]);
+};
+
+/**
+ * Takes a proposal made on this node.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @param proposal - The command under its request id.
+ * @returns The next step. It ends in `replica/proposalDone` once the entry is applied here, or in
+ * `replica/proposalFailed`.
+ */
+export function handlePropose<Command>(
+	state: ReplicaState<Command>,
+	context: ReplicaContext,
+	{requestId, command}: {readonly requestId: RequestId; readonly command: Command},
+): ReplicaStep<Command> {
+	const {limits} = context.cfg;
+	if (state.proposals.size >= limits.maximumPendingRequests) {
+		return failProposal(state, requestId, {type: 'notProposed', reason: 'busy'});
+	}
+
+	const pending: PendingProposal<Command> = {
+		command,
+		deadlineMs: context.nowMs + limits.proposalTimeoutMs,
+		resendAtMs: context.nowMs + requestResendMs,
+		wasSent: false,
+		index: undefined,
+	};
+	return sendProposal({...state, proposals: state.proposals.set(requestId, pending)}, context, requestId);
+}
+
+/**
+ * Takes a proposal that another node forwarded.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @param received - The message and its sender.
+ * @returns The next step. The sender learns of the commit by applying the entry; a resend of a
+ * committed proposal is answered with its index.
+ */
+export function handleForward<Command>(
+	state: ReplicaState<Command>,
+	context: ReplicaContext,
+	{from, message}: {readonly from: NodeId; readonly message: ForwardMessage<Command>},
+): ReplicaStep<Command> {
+	const answer = (outcome: ForwardedMessage['outcome']) => createStep(state, [
+		createSend<Command>(from, {type: 'replica/forwarded', requestId: message.requestId, outcome}),
+	]);
+	if (!isTakingProposals(state)) {
+		return answer({type: 'notLeader', leader: state.leader});
+	}
+
+	const index = state.log.requests.get(message.requestId);
+	return index !== undefined && index <= state.commitIndex
+		? answer({type: 'committed', index})
+		: appendOnce(state, context, message);
+}
+
+/**
+ * Takes the answer to a forwarded proposal.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @param message - The answer.
+ * @returns The next step.
+ */
+export function handleForwarded<Command>(
+	state: ReplicaState<Command>,
+	context: ReplicaContext,
+	{requestId, outcome}: ForwardedMessage,
+): ReplicaStep<Command> {
+	const pending = state.proposals.get(requestId);
+	if (pending === undefined) {
+		return createStep(state);
+	}
+
+	switch (outcome.type) {
+		case 'committed': {
+			const proposals = state.proposals.set(requestId, {...pending, index: outcome.index});
+			return finishProposals({...state, proposals}, []);
+		}
+
+		case 'notLeader': {
+			const isObserver = state.role === 'observer' && outcome.leader !== undefined && outcome.leader !== context.cfg.self;
+			return createStep(isObserver ? {...state, leader: outcome.leader} : state);
+		}
+
+		case 'failed': {
+			return failProposal(state, requestId, outcome.failure);
+		}
+
+		default: {
+			return assertNever(outcome);
+		}
+	}
+}
+
+/**
+ * Ends the proposals whose entries are applied here by now.
+ *
+ * @param state - The state after the entries were applied.
+ * @param appliedIds - The request ids of the entries just applied, with their indexes.
+ * @returns The next step.
+ */
+export function finishProposals<Command>(
+	state: ReplicaState<Command>,
+	appliedIds: ReadonlyArray<{readonly requestId: RequestId; readonly index: number}>,
+): ReplicaStep<Command> {
+	if (state.proposals.isEmpty()) {
+		return createStep(state);
+	}
+
+	const applied = appliedIds.filter(({requestId}) => state.proposals.has(requestId));
+	const overtaken = [...state.proposals]
+		.filter(([, {index}]) => index !== undefined && index <= state.commitIndex)
+		.map(([requestId, {index}]) => ({requestId, index: index ?? 0}));
+	const done = [...applied, ...overtaken.filter(({requestId}) => !applied.some(other => other.requestId === requestId))];
+	const effects = done.map(({requestId, index}): ReplicaEffect<Command> => ({type: 'replica/proposalDone', requestId, index}));
+	return createStep({...state, proposals: state.proposals.deleteAll(done.map(({requestId}) => requestId))}, effects);
+}
+
+/**
+ * Sends unanswered proposals again and gives up those that are past their deadline.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @returns The next step.
+ */
+export function tickProposals<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
+	const {nowMs} = context;
+	const due = [...state.proposals].filter(([, {resendAtMs, deadlineMs}]) => Math.min(resendAtMs, deadlineMs) <= nowMs);
+	return chainSteps(
+		createStep(state),
+		...due.map(([requestId, {deadlineMs, wasSent}]) => (next: ReplicaState<Command>) => {
+			if (deadlineMs > nowMs) {
+				return sendProposal(next, context, requestId);
+			}
+
+			return failProposal(next, requestId, wasSent
+				? {type: 'unknown'}
+				: {type: 'notProposed', reason: next.persistence.hasFailed ? 'storageFailed' : 'noLeader'});
+		}),
+	);
+}
--- /dev/null
+++ b/packages/core/src/replica/sending.ts
@@ -0,0 +1,161 @@
+import type {NodeId} from '@samphiremill/common';
+import {getEntries, getLastIndex, getTerm} from './log.js';
+import type {AppendMessage} from './messages.js';
+import {
+	createSend, createStep, type ReplicaContext, type ReplicaStep,
+} from './replica-step.js';
+import type {Leadership, PeerProgress, ReplicaState} from './types.js';
+
+/**
+ * @param state - A leader.
+ * @param peer - A voter or learner.
+ * @param progress - What is now known of it.
+ * @returns The state with that progress.
+ */
+export function setProgress<Command>(
+	state: ReplicaState<Command>,
+	peer: NodeId,
+	progress: PeerProgress,
+): ReplicaState<Command> {
+	const {leadership} = state;
+	return leadership === undefined
+		? state
+		: {...state, leadership: {...leadership, progress: leadership.progress.set(peer, progress)}};
+}
+
+const createAppend = <Command>(
+	state: ReplicaState<Command>,
+	{round, previousIndex, maximumEntries}: {
+		readonly round: number;
+		readonly previousIndex: number;
+		readonly maximumEntries: number;
+	},
+): AppendMessage<Command> | undefined => {
+	if (state.clusterId === undefined) {
+		return undefined;
+	}
+
+	// A peer whose next entries are compacted gets a heartbeat that holds for any log.
+	const previousTerm = getTerm(state.log, previousIndex);
+	const isCompacted = previousTerm === undefined;
+	return {
+		type: 'replica/append',
+		clusterId: state.clusterId,
+		term: state.term,
+		round,
+		previousIndex: isCompacted ? 0 : previousIndex,
+		previousTerm: previousTerm ?? 0,
+		entries: isCompacted ? [] : getEntries(state.log, {from: previousIndex + 1, until: previousIndex + 1 + maximumEntries}),
+		commitIndex: isCompacted ? 0 : state.commitIndex,
+	};
+};
+
+/**
+ * Sends a peer what it lacks, as one message.
+ *
+ * @param state - A leader.
+ * @param context - The set-up and the time.
+ * @param peer - A voter or learner.
+ * @returns The state with the message counted as in flight, and the message.
+ */
+export function sendAppend<Command>(
+	state: ReplicaState<Command>,
+	{cfg}: ReplicaContext,
+	peer: NodeId,
+): ReplicaStep<Command> {
+	const {leadership} = state;
+	const progress = leadership?.progress.get(peer);
+	if (leadership === undefined || progress === undefined) {
+		return createStep(state);
+	}
+
+	const previousIndex = progress.nextIndex - 1;
+	const message = createAppend(state, {
+		round: leadership.round, previousIndex, maximumEntries: cfg.limits.maximumBatchEntries,
+	});
+	if (message === undefined) {
+		return createStep(state);
+	}
+
+	const offer = previousIndex < state.log.baseIndex && state.snapshot !== undefined
+		? [createSend<Command>(peer, {
+			type: 'replica/snapshotOffer', index: state.snapshot.index, length: state.snapshot.data.length,
+		})]
+		: [];
+	const nextIndex = progress.nextIndex + message.entries.length;
+	const inFlight = progress.inFlight + (message.entries.length > 0 ? 1 : 0);
+	return createStep(
+		setProgress(state, peer, {...progress, nextIndex, inFlight}),
+		[createSend(peer, message), ...offer],
+	);
+}
+
+/**
+ * Sends a peer new entries while its window of unanswered messages has room.
+ *
+ * @param state - A leader.
+ * @param context - The set-up and the time.
+ * @param peer - A voter or learner.
+ * @returns The next step.
+ */
+export function sendNewEntries<Command>(
+	state: ReplicaState<Command>,
+	context: ReplicaContext,
+	peer: NodeId,
+): ReplicaStep<Command> {
+	let step = createStep(state);
+	for (;;) {
+		const progress = step.state.leadership?.progress.get(peer);
+		const hasRoom = progress !== undefined
+			&& progress.nextIndex <= getLastIndex(step.state.log)
+			&& progress.nextIndex > step.state.log.baseIndex
+			&& progress.inFlight < context.cfg.limits.maximumInFlightMessages;
+		if (!hasRoom) {
+			return step;
+		}
+
+		const next = sendAppend(step.state, context, peer);
+		step = {state: next.state, effects: [...step.effects, ...next.effects]};
+	}
+}
+
+const rewindLostMessages = (progress: PeerProgress, {cfg, nowMs}: ReplicaContext): PeerProgress => {
+	const isWaiting = progress.nextIndex > progress.receivedIndex + 1;
+	const isOverdue = nowMs - progress.lastAckMs > cfg.limits.retransmitTimeoutMs;
+	return isWaiting && isOverdue && progress.lastAckMs > 0
+		? {...progress, nextIndex: progress.receivedIndex + 1, inFlight: 0}
+		: progress;
+};
+
+/**
+ * Opens a new round: one message to each peer, whose answers confirm this leader.
+ *
+ * @param state - A leader.
+ * @param context - The set-up and the time.
+ * @returns The next step.
+ */
+export function sendRound<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
+	const {leadership} = state;
+	if (leadership === undefined) {
+		return createStep(state);
+	}
+
+	const {nowMs, cfg: {limits}} = context;
+	const round = leadership.round + 1;
+	const next: Leadership = {
+		...leadership,
+		round,
+		roundSentAtMs: leadership.roundSentAtMs
+			.filter(({sentAtMs}) => nowMs - sentAtMs <= limits.electionTimeoutMs)
+			.push({round, sentAtMs: nowMs}),
+		nextHeartbeatMs: nowMs + limits.heartbeatPeriodMs,
+		progress: leadership.progress.map(progress => rewindLostMessages(progress, context)),
+	};
+	let step = createStep({...state, leadership: next});
+	for (const peer of next.progress.keys()) {
+		const sent = sendAppend(step.state, context, peer);
+		step = {state: sent.state, effects: [...step.effects, ...sent.effects]};
+	}
+
+	return step;
+}
--- /dev/null
+++ b/packages/core/src/replica/snapshots.ts
@@ -0,0 +1,230 @@
+import type {NodeId} from '@samphiremill/common';
+import {requestResendMs, snapshotStallMs} from './constants.js';
+import {
+	compactLog, createLog, getLatestVoters, getTerm, truncateLog,
+} from './log.js';
+import type {PullSnapshotMessage, SnapshotChunkMessage, SnapshotOfferMessage} from './messages.js';
+import {persistState, sendWhenPersisted} from './persistence.js';
+import {
+	chainSteps, createSend, createStep, type ReplicaContext, type ReplicaStep,
+} from './replica-step.js';
+import {reconcileRole} from './roles.js';
+import type {IncomingSnapshot, ReplicaSnapshot, ReplicaState} from './types.js';
+
+/**
+ * Asks the host for a snapshot once enough entries were applied since the last.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @returns The next step.
+ */
+export function requestSnapshot<Command>(state: ReplicaState<Command>, {cfg}: ReplicaContext): ReplicaStep<Command> {
+	const appliedSince = state.commitIndex - (state.snapshot?.index ?? 0);
+	return state.isSnapshotRequested || appliedSince < cfg.limits.snapshotEveryEntries
+		? createStep(state)
+		: createStep({...state, isSnapshotRequested: true}, [{type: 'replica/takeSnapshot', index: state.commitIndex}]);
+}
+
+const getVotersAt = <Command>(state: ReplicaState<Command>, index: number) =>
+	getLatestVoters(truncateLog(state.log, index + 1), {
+		voters: state.snapshot?.voters ?? [], index: state.snapshot?.index ?? 0,
+	}).voters;
+
+/**
+ * Takes the host's snapshot, writes it and compacts the log behind it.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @param taken - The serialised state and the index up to which it is applied.
+ * @returns The next step.
+ */
+export function handleSnapshotTaken<Command>(
+	state: ReplicaState<Command>,
+	context: ReplicaContext,
+	{index, data}: {readonly index: number; readonly data: string},
+): ReplicaStep<Command> {
+	const term = getTerm(state.log, index);
+	const released = {...state, isSnapshotRequested: false};
+	if (term === undefined || state.clusterId === undefined || index <= (state.snapshot?.index ?? 0)) {
+		return createStep(released);
+	}
+
+	const snapshot: ReplicaSnapshot = {
+		index, term, voters: getVotersAt(state, index), clusterId: state.clusterId, data,
+	};
+	const log = compactLog(state.log, index - context.cfg.limits.trailingEntries);
+	return persistState({...released, log, snapshot}, context, {snapshot, firstIndex: log.baseIndex + 1});
+}
+
+const getTransferTimes = (nowMs: number) => ({resendAtMs: nowMs + requestResendMs, giveUpAtMs: nowMs + snapshotStallMs});
+
+// Tells a leader where to go on from. It counts only from a voter or learner with a disk.
+const acknowledgeSnapshot = <Command>(
+	state: ReplicaState<Command>,
+	{cfg}: ReplicaContext,
+	{to, index}: {readonly to: NodeId; readonly index: number},
+): ReplicaStep<Command> => cfg.storeId === undefined
+	? createStep(state)
+	: sendWhenPersisted(state, [{
+		to,
+		message: {
+			type: 'replica/appended', term: state.term, storeId: cfg.storeId, round: 0, isAccepted: true, matchIndex: index, receivedIndex: index,
+		},
+	}]);
+
+const createPull = <Command>({from, index, offset}: IncomingSnapshot) => createSend<Command>(from, {
+	type: 'replica/pullSnapshot', index, offset,
+});
+
+/**
+ * Takes the news that the entries needed are gone, and starts to fetch the snapshot.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @param received - The offer and its sender.
+ * @returns The next step. An offer during another transfer is passed over; it is repeated later.
+ */
+export function handleSnapshotOffer<Command>(
+	state: ReplicaState<Command>,
+	context: ReplicaContext,
+	{from, message}: {readonly from: NodeId; readonly message: SnapshotOfferMessage},
+): ReplicaStep<Command> {
+	const {nowMs} = context;
+	if (message.index <= state.commitIndex) {
+		return acknowledgeSnapshot(state, context, {to: from, index: message.index});
+	}
+
+	if (state.incomingSnapshot !== undefined) {
+		return createStep(state);
+	}
+
+	const incomingSnapshot: IncomingSnapshot = {
+		from, index: message.index, chunks: [], offset: 0, length: message.length, ...getTransferTimes(nowMs),
+	};
+	return createStep({...state, incomingSnapshot}, [createPull(incomingSnapshot)]);
+}
+
+/**
+ * Sends a chunk of the snapshot. If a newer snapshot took its place, that one is offered.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @param received - The request and its sender.
+ * @returns The next step.
+ */
+export function handlePullSnapshot<Command>(
+	state: ReplicaState<Command>,
+	{cfg}: ReplicaContext,
+	{from, message}: {readonly from: NodeId; readonly message: PullSnapshotMessage},
+): ReplicaStep<Command> {
+	const {snapshot} = state;
+	if (snapshot === undefined) {
+		return createStep(state);
+	}
+
+	const {index, term, voters, clusterId, data} = snapshot;
+	if (index !== message.index) {
+		return createStep(state, [createSend(from, {type: 'replica/snapshotOffer', index, length: data.length})]);
+	}
+
+	return createStep(state, [createSend(from, {
+		type: 'replica/snapshotChunk',
+		index,
+		term,
+		voters,
+		clusterId,
+		offset: message.offset,
+		length: data.length,
+		data: data.slice(message.offset, message.offset + cfg.limits.maximumChunkLength),
+	})]);
+}
+
+const installSnapshot = <Command>(
+	state: ReplicaState<Command>,
+	context: ReplicaContext,
+	{from, snapshot}: {readonly from: NodeId; readonly snapshot: ReplicaSnapshot},
+): ReplicaStep<Command> => {
+	// What follows a matching entry stays; any other tail is older than the snapshot.
+	const isTailKept = getTerm(state.log, snapshot.index) === snapshot.term;
+	const log = isTailKept ? compactLog(state.log, snapshot.index) : createLog<Command>(snapshot);
+	const latest = getLatestVoters(log, {voters: snapshot.voters, index: snapshot.index});
+	const next: ReplicaState<Command> = {
+		...state,
+		log,
+		snapshot,
+		clusterId: snapshot.clusterId,
+		commitIndex: snapshot.index,
+		voters: latest.voters,
+		votersIndex: latest.index,
+		incomingSnapshot: undefined,
+	};
+	return chainSteps(
+		createStep(next, [{type: 'replica/installSnapshot', index: snapshot.index, data: snapshot.data}]),
+		installed => persistState(reconcileRole(installed, context), context, {
+			snapshot, firstIndex: snapshot.index + 1, ...(!isTailKept && {truncateFrom: 1}),
+		}),
+		persisted => acknowledgeSnapshot(persisted, context, {to: from, index: snapshot.index}),
+	);
+};
+
+/**
+ * Takes a chunk; the last one installs the snapshot.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @param received - The chunk and its sender.
+ * @returns The next step. Chunks out of order, or of another snapshot, are dropped.
+ */
+export function handleSnapshotChunk<Command>(
+	state: ReplicaState<Command>,
+	context: ReplicaContext,
+	{from, message}: {readonly from: NodeId; readonly message: SnapshotChunkMessage},
+): ReplicaStep<Command> {
+	const incoming = state.incomingSnapshot;
+	const isForeign = state.clusterId !== undefined && state.clusterId !== message.clusterId;
+	const isExpected = incoming?.from === from && incoming.index === message.index && incoming.offset === message.offset;
+	if (incoming === undefined || !isExpected || isForeign) {
+		return createStep(state);
+	}
+
+	if (message.index <= state.commitIndex) {
+		return createStep({...state, incomingSnapshot: undefined});
+	}
+
+	const chunks = [...incoming.chunks, message.data];
+	const offset = incoming.offset + message.data.length;
+	if (offset >= message.length) {
+		const {index, term, voters, clusterId} = message;
+		return installSnapshot(state, context, {
+			from, snapshot: {
+				index, term, voters, clusterId, data: chunks.join(''),
+			},
+		});
+	}
+
+	const next: IncomingSnapshot = {
+		...incoming, chunks, offset, ...getTransferTimes(context.nowMs),
+	};
+	return createStep({...state, incomingSnapshot: next}, [createPull(next)]);
+}
+
+/**
+ * Gives up a transfer that does not move, so that the next offer, from anyone, starts anew.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @returns The next step.
+ */
+export function tickSnapshot<Command>(state: ReplicaState<Command>, {nowMs}: ReplicaContext): ReplicaStep<Command> {
+	const incoming = state.incomingSnapshot;
+	if (incoming === undefined || nowMs < incoming.resendAtMs) {
+		return createStep(state);
+	}
+
+	if (nowMs >= incoming.giveUpAtMs) {
+		return createStep({...state, incomingSnapshot: undefined});
+	}
+
+	const next = {...incoming, resendAtMs: nowMs + requestResendMs};
+	return createStep({...state, incomingSnapshot: next}, [createPull(next)]);
+}
--- /dev/null
+++ b/packages/core/src/replica/test-network.ts
@@ -0,0 +1,434 @@
+/**
+ * A small network of replicas in virtual time, with disks that lose what isn't synced and clocks that
+ * run at different rates. It checks the invariants of the log after every event.
+ */
+import {
+	createSeededRandom, toBrand, type DataCentreId, type NodeId, type RandomSource,
+} from '@samphiremill/common';
+import {getConfigurationFreshness} from './confirmation.js';
+import {defaultReplicaLimits} from './constants.js';
+import {createReplica} from './create-replica.js';
+import type {ReplicaMessage} from './messages.js';
+import {
+	applyPersist, createPersistReplay, getRecoveredReplica, type PersistReplay,
+} from './persist-replay.js';
+import {reduceReplica} from './reduce-replica.js';
+import type {
+	LogEntry, PersistEffect, ReplicaConfig, ReplicaEffect, ReplicaEvent, ReplicaLimits, ReplicaState, RequestId, StoreId, VoterChange,
+} from './types.js';
+
+/** One node of the test network, as a test describes it. */
+export type TestNode = {
+	readonly name: string;
+	readonly dataCentre: string;
+	readonly kind: 'voter' | 'spareDisk' | 'diskless';
+	/** How fast its clock runs; 1 by default. */
+	readonly clockRate?: number;
+};
+
+/** How a test network is set up. */
+export type TestNetworkOptions = {
+	readonly nodes: readonly TestNode[];
+	readonly seed: number;
+	readonly limits?: Partial<ReplicaLimits>;
+	readonly delayMs?: {readonly least: number; readonly most: number};
+	readonly syncMs?: {readonly least: number; readonly most: number};
+	/** Chances in [0, 1] that a message is lost or comes twice. */
+	readonly lossChance?: number;
+	readonly repeatChance?: number;
+	/** Breaks one rule of the replica on purpose, to see that a check finds it. */
+	readonly alterState?: (state: ReplicaState<string>, event: ReplicaEvent<string>) => ReplicaState<string>;
+};
+
+/** How a request ended. */
+export type TestOutcome
+	= | {readonly type: 'done'; readonly index: number}
+		| {readonly type: 'failed'; readonly failure: string}
+		| {readonly type: 'read'; readonly index: number; readonly applied: readonly string[]};
+
+type RunningNode = {
+	readonly cfg: ReplicaConfig;
+	state: ReplicaState<string>;
+	disk: PersistReplay<string>;
+	life: number;
+	applied: string[];
+	isUp: boolean;
+	hasFailedDisk: boolean;
+};
+
+type ScheduledCall = {readonly atMs: number; readonly order: number; readonly run: () => void};
+
+const tickMs = 50;
+const stalenessBoundMs = 3000;
+
+/** A running test network. */
+export type TestNetwork = {
+	readonly getNowMs: () => number;
+	readonly getState: (name: string) => ReplicaState<string>;
+	readonly getApplied: (name: string) => readonly string[];
+	readonly getLeader: () => string | undefined;
+	readonly getFreshness: (name: string) => ReturnType<typeof getConfigurationFreshness>;
+	readonly getOutcome: (id: RequestId) => TestOutcome | undefined;
+	readonly getStoreId: (name: string) => StoreId | undefined;
+	readonly countBytes: (name: string) => {readonly sent: number; readonly received: number};
+	readonly run: (durationMs: number) => void;
+	readonly propose: (name: string, command: string) => RequestId;
+	readonly read: (name: string) => RequestId;
+	readonly changeVoters: (name: string, change: VoterChange) => RequestId;
+	readonly transferLeadership: (name: string, to?: string) => void;
+	/** Cuts one direction; `heal` without names mends everything. */
+	readonly cut: (from: string, to: string) => void;
+	readonly isolate: (names: readonly string[]) => void;
+	readonly heal: () => void;
+	readonly crash: (name: string) => void;
+	readonly restart: (name: string) => void;
+	readonly wipe: (name: string) => void;
+	readonly failDisk: (name: string) => void;
+};
+
+const pick = (random: RandomSource, {least, most}: {readonly least: number; readonly most: number}) =>
+	least + (random() * (most - least));
+
+/**
+ * @param options - The nodes and what may go wrong by itself.
+ * @returns The network, with every node started and blank.
+ */
+export function createTestNetwork(options: TestNetworkOptions): TestNetwork {
+	const random = createSeededRandom(options.seed);
+	const limits = {...defaultReplicaLimits, ...options.limits};
+	const delayMs = options.delayMs ?? {least: 1, most: 10};
+	const syncMs = options.syncMs ?? {least: 1, most: 5};
+	let nowMs = 0;
+	let nextOrder = 0;
+	let nextRequest = 0;
+	let scheduled: ScheduledCall[] = [];
+	const cuts = new Set<string>();
+	const leaders = new Map<number, string>();
+	const committed = new Map<number, string>();
+	const commitTimes: number[] = [];
+	const outcomes = new Map<RequestId, TestOutcome>();
+	const readStarts = new Map<RequestId, number>();
+	const bytes = new Map<string, {sent: number; received: number}>();
+	const replicaNodes = options.nodes.map(({name, dataCentre, kind}) => ({
+		node: toBrand<NodeId>(name), dataCentre: toBrand<DataCentreId>(dataCentre), isInitialVoter: kind === 'voter',
+	}));
+
+	const schedule = (delay: number, run: () => void) => {
+		scheduled.push({atMs: nowMs + delay, order: nextOrder, run});
+		nextOrder += 1;
+	};
+
+	const createCfg = ({name, kind}: TestNode, life: number): ReplicaConfig => ({
+		self: toBrand<NodeId>(name),
+		...(kind !== 'diskless' && {storeId: toBrand<StoreId>(`${name}-disk-${life}`)}),
+		nodes: replicaNodes,
+		limits,
+		random,
+	});
+
+	const nodes = new Map<string, RunningNode>();
+	const get = (name: string): RunningNode => {
+		const node = nodes.get(name);
+		if (node === undefined) {
+			throw new Error(`No node ${name}`);
+		}
+
+		return node;
+	};
+
+	const getLocalMs = (name: string) => {
+		const clockRate = options.nodes.find(node => node.name === name)?.clockRate ?? 1;
+		return 1_000_000 + (nowMs * clockRate);
+	};
+
+	const fail = (finding: string): never => {
+		throw new Error(`At ${nowMs} ms: ${finding}`);
+	};
+
+	const checkEntry = (name: string, entry: LogEntry<string>) => {
+		const text = JSON.stringify(entry);
+		const known = committed.get(entry.index);
+		if (known === undefined) {
+			committed.set(entry.index, text);
+			commitTimes[entry.index] = nowMs;
+		} else if (known !== text) {
+			fail(`${name} applied ${text} where ${known} was committed`);
+		}
+	};
+
+	const send = (from: string, to: string, message: ReplicaMessage<string>) => {
+		const size = JSON.stringify(message).length;
+		bytes.set(from, {sent: (bytes.get(from)?.sent ?? 0) + size, received: bytes.get(from)?.received ?? 0});
+		bytes.set(to, {sent: bytes.get(to)?.sent ?? 0, received: (bytes.get(to)?.received ?? 0) + size});
+		const copies = random() < (options.repeatChance ?? 0) ? 2 : 1;
+		for (let copy = 0; copy < copies; copy += 1) {
+			if (random() < (options.lossChance ?? 0)) {
+				continue;
+			}
+
+			schedule(pick(random, delayMs), () => {
+				if (!cuts.has(`${from}>${to}`) && get(to).isUp) {
+					handle(to, {
+						type: 'peer/received', from: toBrand<NodeId>(from), message, nowMs: getLocalMs(to),
+					});
+				}
+			});
+		}
+	};
+
+	const write = (name: string, effect: PersistEffect<string>) => {
+		const {life} = get(name);
+		const {type: _, sequence, ...content} = effect;
+		schedule(pick(random, syncMs), () => {
+			const node = get(name);
+			if (!node.isUp || node.life !== life) {
+				return;
+			}
+
+			if (node.hasFailedDisk) {
+				handle(name, {type: 'replica/persistFailed', nowMs: getLocalMs(name)});
+				return;
+			}
+
+			// Writes are synced in order, however long each one takes.
+			const queue = pendingWrites.get(name) ?? [];
+			const count = queue.findIndex(other => other.sequence === sequence) + 1;
+			for (const other of queue.slice(0, count)) {
+				node.disk = applyPersist(node.disk, other.content);
+			}
+
+			pendingWrites.set(name, queue.slice(count));
+			handle(name, {type: 'replica/persisted', sequence, nowMs: getLocalMs(name)});
+		});
+		pendingWrites.set(name, [...(pendingWrites.get(name) ?? []), {sequence, content}]);
+	};
+
+	const pendingWrites = new Map<string, Array<{sequence: number; content: Omit<PersistEffect<string>, 'type' | 'sequence'>}>>();
+
+	const carryOut = (name: string, effect: ReplicaEffect<string>) => {
+		const node = get(name);
+		switch (effect.type) {
+			case 'peer/send': {
+				send(name, effect.to, effect.message);
+				break;
+			}
+
+			case 'replica/persist': {
+				write(name, effect);
+				break;
+			}
+
+			case 'replica/apply': {
+				for (const entry of effect.entries) {
+					checkEntry(name, entry);
+					if (entry.index !== node.applied.length + 1) {
+						fail(`${name} applied ${entry.index} after ${node.applied.length}`);
+					}
+
+					node.applied.push(entry.payload.type === 'command' ? entry.payload.command : '');
+				}
+
+				break;
+			}
+
+			case 'replica/takeSnapshot': {
+				const data = JSON.stringify(node.applied);
+				schedule(0, () => {
+					handle(name, {
+						type: 'replica/snapshotTaken', index: effect.index, data, nowMs: getLocalMs(name),
+					});
+				});
+				break;
+			}
+
+			case 'replica/installSnapshot': {
+				// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- written above
+				node.applied = JSON.parse(effect.data) as string[];
+				break;
+			}
+
+			case 'replica/proposalDone': {
+				if (!committed.has(effect.index)) {
+					fail(`${name} acknowledged ${effect.requestId} at ${effect.index}, which isn't committed`);
+				}
+
+				outcomes.set(effect.requestId, {type: 'done', index: effect.index});
+				break;
+			}
+
+			case 'replica/proposalFailed': {
+				outcomes.set(effect.requestId, {type: 'failed', failure: JSON.stringify(effect.failure)});
+				break;
+			}
+
+			case 'replica/readReady': {
+				if (node.applied.length < (readStarts.get(effect.requestId) ?? 0)) {
+					fail(`${name} read at ${node.applied.length}, behind what was committed before`);
+				}
+
+				outcomes.set(effect.requestId, {type: 'read', index: effect.index, applied: [...node.applied]});
+				break;
+			}
+
+			case 'replica/roleChanged': {
+				const known = leaders.get(effect.term);
+				if (effect.role === 'leader' && known !== undefined && known !== name) {
+					fail(`${name} and ${known} lead term ${effect.term}`);
+				}
+
+				if (effect.role === 'leader') {
+					leaders.set(effect.term, name);
+				}
+			}
+		}
+	};
+
+	const checkFreshness = (name: string, node: RunningNode) => {
+		if (getConfigurationFreshness(node.state, {nowMs: getLocalMs(name), leaseMs: limits.configurationLeaseMs}) !== 'fresh') {
+			return;
+		}
+
+		const missedAtMs = commitTimes[node.applied.length + 1];
+		if (missedAtMs !== undefined && nowMs - missedAtMs > stalenessBoundMs) {
+			fail(`${name} is fresh without entry ${node.applied.length + 1}, committed at ${missedAtMs} ms`);
+		}
+	};
+
+	const handle = (name: string, event: ReplicaEvent<string>) => {
+		const node = get(name);
+		if (!node.isUp) {
+			return;
+		}
+
+		const before = options.alterState?.(node.state, event) ?? node.state;
+		const {state, effects} = reduceReplica(before, event, node.cfg);
+		node.state = state;
+		for (const effect of effects) {
+			carryOut(name, effect);
+		}
+	};
+
+	const tick = (name: string, life: number) => {
+		const node = nodes.get(name);
+		if (node?.life !== life || !node.isUp) {
+			return;
+		}
+
+		handle(name, {type: 'replica/tick', nowMs: getLocalMs(name)});
+		checkFreshness(name, node);
+		schedule(tickMs, () => {
+			tick(name, life);
+		});
+	};
+
+	const start = (name: string, {life, disk}: {readonly life: number; readonly disk: PersistReplay<string>}) => {
+		const description = options.nodes.find(node => node.name === name) ?? fail(`No node ${name}`);
+		const diskLife = disk === blankDisk ? life : diskLives.get(name) ?? life;
+		diskLives.set(name, diskLife);
+		const cfg = createCfg(description, diskLife);
+		const recovered = description.kind === 'diskless' ? undefined : getRecoveredReplica(disk);
+		const {state, effects} = createReplica({cfg, nowMs: getLocalMs(name)}, recovered);
+		nodes.set(name, {
+			cfg, state, disk, life, applied: [], isUp: true, hasFailedDisk: false,
+		});
+		pendingWrites.set(name, []);
+		for (const effect of effects) {
+			carryOut(name, effect);
+		}
+
+		schedule(random() * tickMs, () => {
+			tick(name, life);
+		});
+	};
+
+	const blankDisk = createPersistReplay<string>();
+	const diskLives = new Map<string, number>();
+	for (const {name} of options.nodes) {
+		start(name, {life: 1, disk: blankDisk});
+	}
+
+	const createRequest = (name: string) => {
+		nextRequest += 1;
+		return toBrand<RequestId>(`${name}/${nextRequest}`);
+	};
+
+	return {
+		getNowMs: () => nowMs,
+		getState: name => get(name).state,
+		getApplied: name => get(name).applied.filter(command => command !== ''),
+		getLeader: () => [...nodes].filter(([, node]) => node.isUp && node.state.role === 'leader')
+			.toSorted(([, left], [, right]) => right.state.term - left.state.term)[0]?.[0],
+		getFreshness: name => getConfigurationFreshness(get(name).state, {nowMs: getLocalMs(name), leaseMs: limits.configurationLeaseMs}),
+		getOutcome: id => outcomes.get(id),
+		getStoreId: name => get(name).cfg.storeId,
+		countBytes: name => bytes.get(name) ?? {sent: 0, received: 0},
+		run(durationMs) {
+			const untilMs = nowMs + durationMs;
+			for (;;) {
+				const due = scheduled.filter(({atMs}) => atMs <= untilMs)
+					.toSorted((left, right) => left.atMs - right.atMs || left.order - right.order)[0];
+				if (due === undefined) {
+					break;
+				}
+
+				scheduled = scheduled.filter(call => call !== due);
+				nowMs = Math.max(nowMs, due.atMs);
+				due.run();
+			}
+
+			nowMs = untilMs;
+		},
+		propose(name, command) {
+			const requestId = createRequest(name);
+			handle(name, {
+				type: 'replica/propose', requestId, command, nowMs: getLocalMs(name),
+			});
+			return requestId;
+		},
+		read(name) {
+			const requestId = createRequest(name);
+			readStarts.set(requestId, Math.max(0, ...committed.keys()));
+			handle(name, {type: 'replica/read', requestId, nowMs: getLocalMs(name)});
+			return requestId;
+		},
+		changeVoters(name, change) {
+			const requestId = createRequest(name);
+			handle(name, {
+				type: 'replica/changeVoters', requestId, change, nowMs: getLocalMs(name),
+			});
+			return requestId;
+		},
+		transferLeadership(name, to) {
+			handle(name, {
+				type: 'replica/transferLeadership', ...(to !== undefined && {to: toBrand<NodeId>(to)}), nowMs: getLocalMs(name),
+			});
+		},
+		cut(from, to) {
+			cuts.add(`${from}>${to}`);
+		},
+		isolate(names) {
+			for (const inside of names) {
+				for (const {name: outside} of options.nodes.filter(({name}) => !names.includes(name))) {
+					cuts.add(`${inside}>${outside}`);
+					cuts.add(`${outside}>${inside}`);
+				}
+			}
+		},
+		heal() {
+			cuts.clear();
+		},
+		crash(name) {
+			get(name).isUp = false;
+		},
+		restart(name) {
+			const node = get(name);
+			start(name, {life: node.life + 1, disk: node.disk});
+		},
+		wipe(name) {
+			start(name, {life: get(name).life + 1, disk: blankDisk});
+		},
+		failDisk(name) {
+			get(name).hasFailedDisk = true;
+		},
+	};
+}
--- /dev/null
+++ b/packages/core/src/replica/upstream.ts
@@ -0,0 +1,97 @@
+import {rankMembers, type NodeId} from '@samphiremill/common';
+import {isVotingReplica} from './quorum.js';
+import {
+	createSend, createStep, type ReplicaContext, type ReplicaStep,
+} from './replica-step.js';
+import type {ReplicaConfig, ReplicaState} from './types.js';
+
+/**
+ * Lists whom a node may be fed by, best first: the voters of its data centre, then the other nodes
+ * of its data centre that come before it, then the voters elsewhere. The order within a data centre
+ * is total, so nodes never feed each other in a circle, and the first node there is its relay.
+ *
+ * @param state - The replica.
+ * @param cfg - Its set-up.
+ * @returns The candidates; none for a voter.
+ */
+export function getUpstreamCandidates<Command>(state: ReplicaState<Command>, cfg: ReplicaConfig): readonly NodeId[] {
+	const own = cfg.nodes.find(({node}) => node === cfg.self);
+	if (own === undefined || isVotingReplica(state, cfg)) {
+		return [];
+	}
+
+	const voters = state.voters.length > 0
+		? state.voters.map(({node}) => node)
+		: cfg.nodes.filter(({isInitialVoter}) => isInitialVoter).map(({node}) => node);
+	const local = cfg.nodes.filter(({dataCentre}) => dataCentre === own.dataCentre).map(({node}) => node).toSorted();
+	const isNamedVoter = voters.includes(cfg.self);
+	// A voter that lost its vote may feed the others here, so it follows only voters before it.
+	const localVoters = local.filter(node => voters.includes(node) && (!isNamedVoter || node < cfg.self));
+	const localBefore = local.filter(node => !voters.includes(node) && !isNamedVoter && node < cfg.self);
+	const remoteVoters = voters.filter(node => !local.includes(node));
+	return [...localVoters, ...localBefore, ...rankMembers(own.dataCentre, remoteVoters)];
+}
+
+/**
+ * @param state - The replica.
+ * @param cfg - Its set-up.
+ * @returns Who feeds this node at this moment; nobody feeds a voter.
+ */
+export function getUpstream<Command>(state: ReplicaState<Command>, cfg: ReplicaConfig): NodeId | undefined {
+	const candidates = getUpstreamCandidates(state, cfg);
+	return candidates[state.feed.upstreamRank % Math.max(1, candidates.length)];
+}
+
+/**
+ * Notes that a feeding node was heard. One that ranks better than the present one takes over.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @param from - Who was heard.
+ * @returns The state.
+ */
+export function noteUpstreamHeard<Command>(
+	state: ReplicaState<Command>,
+	{cfg, nowMs}: ReplicaContext,
+	from: NodeId,
+): ReplicaState<Command> {
+	const candidates = getUpstreamCandidates(state, cfg);
+	const rank = candidates.indexOf(from);
+	const current = state.feed.upstreamRank % Math.max(1, candidates.length);
+	return rank === -1 || rank > current
+		? state
+		: {...state, feed: {...state.feed, upstreamRank: rank, upstreamHeardMs: nowMs}};
+}
+
+/**
+ * Moves on to the next candidate when the present one has been silent, and knocks at better ones
+ * from time to time.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @returns The next step.
+ */
+export function tickUpstream<Command>(state: ReplicaState<Command>, {cfg, nowMs}: ReplicaContext): ReplicaStep<Command> {
+	const candidates = getUpstreamCandidates(state, cfg);
+	const {feed} = state;
+	if (candidates.length === 0) {
+		return createStep(state);
+	}
+
+	const isSilent = nowMs - feed.upstreamHeardMs > cfg.limits.upstreamTimeoutMs;
+	const upstreamRank = (feed.upstreamRank + (isSilent ? 1 : 0)) % candidates.length;
+	const isRetryDue = nowMs >= feed.upstreamRetryAtMs;
+	const next = {
+		...state,
+		feed: {
+			...feed,
+			upstreamRank,
+			upstreamHeardMs: isSilent ? nowMs : feed.upstreamHeardMs,
+			upstreamRetryAtMs: isRetryDue ? nowMs + cfg.limits.upstreamRetryMs : feed.upstreamRetryAtMs,
+		},
+	};
+	const better = isRetryDue ? candidates.slice(0, upstreamRank) : [];
+	return createStep(next, better.map(to => createSend<Command>(to, {
+		type: 'replica/pull', lastIndex: state.commitIndex,
+	})));
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -23,6 +23,20 @@
 				},
 			],
 			'unicorn/catch-error-name': ['error', {name: 'err'}],
+			'new-cap': [
+				'error',
+				{capIsNewExceptions: ['ImmutableMap', 'ImmutableList', 'ImmutableSet', 'ImmutableOrderedMap', 'OrderedMap', 'OrderedSet', 'List']},
+			],
+		},
+	},
+	{
+		files: ['**/*.ts'],
+		rules: {
+			// `assertNever` closes each switch, so that foreign data at run time is reported too.
+			'@typescript-eslint/switch-exhaustiveness-check': [
+				'error',
+				{allowDefaultCaseForExhaustiveSwitch: true, requireDefaultForNonUnion: true},
+			],
 		},
 	},
 	{
