Add the durable store and the host that carries out a replica's effects

A voter must keep what it acknowledged through crashes, and must not acknowledge what its disk does not hold.

On a planned stop: transferLeadership, finish, stop, store.close.

--- /dev/null
+++ b/packages/daemon/src/replica-host.test.ts
@@ -0,0 +1,92 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {
+	createSeededRandom, createVirtualTimerService, toBrand, type DataCentreId, type NodeId,
+} from '@samphiremill/common';
+import {defaultReplicaLimits} from '@samphiremill/core';
+import {afterEach, expect, test} from 'vitest';
+import {createReplicaHost, type ReplicaHost} from './replica-host.js';
+import {openReplicaStore, type ReplicaStore} from './store/index.js';
+
+const self = toBrand<NodeId>('a1');
+const folders: string[] = [];
+
+afterEach(async () => {
+	await Promise.all(folders.splice(0).map(async folder => rm(folder, {recursive: true})));
+});
+
+const createFolder = async () => {
+	const folder = await mkdtemp(path.join(tmpdir(), 'replica-host-'));
+	folders.push(folder);
+	return folder;
+};
+
+const openStore = async (folder: string): Promise<ReplicaStore<string>> => {
+	const opened = await openReplicaStore<string>({folder});
+	if (!opened.ok) {
+		throw new Error(JSON.stringify(opened.err));
+	}
+
+	return opened.value;
+};
+
+const startHost = (store: ReplicaStore<string>, snapshotEveryEntries = 1000) => {
+	const timers = createVirtualTimerService(1000);
+	let applied: string[] = [];
+	const host: ReplicaHost<string, number> = createReplicaHost<string, number>({
+		cfg: {
+			self,
+			nodes: [{node: self, dataCentre: toBrand<DataCentreId>('a'), isInitialVoter: true}],
+			limits: {...defaultReplicaLimits, snapshotEveryEntries, trailingEntries: 5},
+			random: createSeededRandom(1),
+		},
+		store,
+		timers,
+		processId: 'p1',
+		send() {
+			throw new Error('A sole voter has nobody to send to');
+		},
+		applyCommand: command => applied.push(command),
+		createSnapshot: () => JSON.stringify(applied),
+		installSnapshot(data) {
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- written above
+			applied = JSON.parse(data) as string[];
+		},
+	});
+	return {host, timers, getApplied: () => applied};
+};
+
+// Disk writes take real time while the clock is virtual, so ticks alternate with the event loop.
+const settleDisk = async (timers: {advance: (durationMs: number) => void}, isSettled: () => boolean) => {
+	while (!isSettled()) {
+		timers.advance(50);
+		// eslint-disable-next-line no-await-in-loop -- waits for the disk
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+};
+
+test('a sole voter answers with the outcome of its own apply, and finds everything after a restart', async () => {
+	const folder = await createFolder();
+	const store = await openStore(folder);
+	const {host, timers, getApplied} = startHost(store, 10);
+	await settleDisk(timers, () => host.hasLeaderLease());
+	const commands = Array.from({length: 25}, (_, index) => `c${index}`);
+	const results = await Promise.all(commands.map(async command => host.propose(command)));
+	expect(results.map(result => result.ok && result.value.outcome)).toEqual(commands.map((_, index) => index + 1));
+	expect(host.getFreshness()).toBe('fresh');
+	const read = await host.read();
+	expect(read.ok).toBe(true);
+	host.stop();
+	await store.close();
+
+	const reopened = await openStore(folder);
+	expect(reopened.storeId).toBe(store.storeId);
+	const again = startHost(reopened, 10);
+	await settleDisk(again.timers, () => again.host.hasLeaderLease());
+	expect(again.getApplied()).toEqual(getApplied());
+	again.host.stop();
+	await reopened.close();
+});
--- /dev/null
+++ b/packages/daemon/src/replica-host.ts
@@ -0,0 +1,266 @@
+/**
+ * Carries out the effects of one replica: messages, disk, time, and the promises of its callers.
+ */
+import {
+	createFailure, createSuccess, toBrand, type NodeId, type Result, type TimerService,
+} from '@samphiremill/common';
+import {
+	createReplica,
+	getConfigurationFreshness,
+	hasLeaderLease,
+	reduceReplica,
+	type ConfigurationFreshness,
+	type LogEntry,
+	type PersistEffect,
+	type ReplicaConfig,
+	type ReplicaEffect,
+	type ReplicaEvent,
+	type ReplicaFailure,
+	type ReplicaMessage,
+	type ReplicaRole,
+	type ReplicaState,
+	type RequestId,
+	type VoterChange,
+} from '@samphiremill/core';
+import type {ReplicaStore, StoreError} from './store/index.js';
+
+const tickPeriodMs = 50;
+
+/** What a replica's host needs. Callbacks run synchronously and must not throw. */
+export type ReplicaHostOptions<Command, Outcome> = {
+	/** The replica's set-up; the store brings its own identity. */
+	readonly cfg: Omit<ReplicaConfig, 'storeId'>;
+	/** Absent on a node without a disk, which then observes. */
+	readonly store?: ReplicaStore<Command>;
+	readonly timers: TimerService;
+	/** Differs in every process, so that request ids never come twice. */
+	readonly processId: string;
+	/** Sends a message, best effort. */
+	readonly send: (to: NodeId, message: ReplicaMessage<Command>) => void;
+	/** Applies one committed command, on every node in the same order. */
+	readonly applyCommand: (command: Command, index: number) => Outcome;
+	/** Serialises the applied state. */
+	readonly createSnapshot: () => string;
+	/** Replaces the applied state by one that `createSnapshot` made on some node. */
+	readonly installSnapshot: (data: string) => void;
+	readonly onRoleChanged?: (change: {
+		readonly role: ReplicaRole;
+		readonly term: number;
+		readonly leader: NodeId | undefined;
+	}) => void;
+	/** From here on the node neither votes nor acknowledges. */
+	readonly onStoreFailed?: (err: StoreError) => void;
+};
+
+/** A proposal that is committed and applied on this node. */
+export type AppliedProposal<Outcome> = {
+	readonly index: number;
+	/** What `applyCommand` returned here; absent where a snapshot covered the entry. */
+	readonly outcome: Outcome | undefined;
+};
+
+/** A running replica. */
+export type ReplicaHost<Command, Outcome> = {
+	/** Takes a message whose type starts with `replica/`. */
+	readonly receive: (from: NodeId, message: ReplicaMessage<Command>) => void;
+	/** Resolves once the command is committed and applied here; works on every node. */
+	readonly propose: (command: Command) => Promise<Result<AppliedProposal<Outcome>, ReplicaFailure>>;
+	/** Resolves once all that was committed before the call is applied here. */
+	readonly read: () => Promise<Result<{readonly index: number}, ReplicaFailure>>;
+	/** Resolves once the voter set is changed. */
+	readonly changeVoters: (change: VoterChange) => Promise<Result<{readonly index: number}, ReplicaFailure>>;
+	/** Hands leadership over before a planned stop; does nothing where this node does not lead. */
+	readonly transferLeadership: (to?: NodeId) => void;
+	readonly getFreshness: () => ConfigurationFreshness;
+	/** Whether this node leads and no other can; only then may it plan. */
+	readonly hasLeaderLease: () => boolean;
+	readonly getState: () => ReplicaState<Command>;
+	/** Ends the ticks. Open promises fail as `unknown`. The store stays the caller's to close. */
+	readonly stop: () => void;
+};
+
+type Settled = {readonly index: number};
+type Settle = (result: Result<Settled, ReplicaFailure>) => void;
+
+/**
+ * Starts a replica.
+ *
+ * @param options - What it needs.
+ * @returns The running replica. A recovered snapshot is installed before this returns.
+ */
+export function createReplicaHost<Command, Outcome>(options: ReplicaHostOptions<Command, Outcome>): ReplicaHost<Command, Outcome> {
+	const {store, timers, send} = options;
+	const cfg: ReplicaConfig = {...options.cfg, ...(store !== undefined && {storeId: store.storeId})};
+	const pending = new Map<RequestId, Settle>();
+	const outcomes = new Map<RequestId, Outcome>();
+	const events: Array<ReplicaEvent<Command>> = [];
+	let isHandling = false;
+	let isStopped = false;
+	let nextRequest = 1;
+
+	const persist = async ({type: _, sequence, ...write}: PersistEffect<Command>) => {
+		const result = await store?.write(write);
+		if (result === undefined || isStopped) {
+			return;
+		}
+
+		if (result.ok) {
+			dispatch({type: 'replica/persisted', sequence, nowMs: timers.getNow()});
+			return;
+		}
+
+		if (!state.persistence.hasFailed) {
+			options.onStoreFailed?.(result.err);
+			dispatch({type: 'replica/persistFailed', nowMs: timers.getNow()});
+		}
+	};
+
+	const apply = (entries: ReadonlyArray<LogEntry<Command>>) => {
+		for (const {index, payload} of entries) {
+			if (payload.type === 'command') {
+				const outcome = options.applyCommand(payload.command, index);
+				if (pending.has(payload.requestId)) {
+					outcomes.set(payload.requestId, outcome);
+				}
+			}
+		}
+	};
+
+	const settle = (requestId: RequestId, result: Result<Settled, ReplicaFailure>) => {
+		const resolve = pending.get(requestId);
+		pending.delete(requestId);
+		resolve?.(result);
+	};
+
+	const carryOut = (effect: ReplicaEffect<Command>) => {
+		switch (effect.type) {
+			case 'peer/send': {
+				send(effect.to, effect.message);
+				break;
+			}
+
+			case 'replica/persist': {
+				void persist(effect);
+				break;
+			}
+
+			case 'replica/apply': {
+				apply(effect.entries);
+				break;
+			}
+
+			case 'replica/takeSnapshot': {
+				dispatch({
+					type: 'replica/snapshotTaken', index: effect.index, data: options.createSnapshot(), nowMs: timers.getNow(),
+				});
+				break;
+			}
+
+			case 'replica/installSnapshot': {
+				options.installSnapshot(effect.data);
+				break;
+			}
+
+			case 'replica/proposalDone':
+			case 'replica/readReady': {
+				settle(effect.requestId, createSuccess({index: effect.index}));
+				break;
+			}
+
+			case 'replica/proposalFailed': {
+				settle(effect.requestId, createFailure(effect.failure));
+				break;
+			}
+
+			case 'replica/roleChanged': {
+				options.onRoleChanged?.(effect);
+				break;
+			}
+		}
+	};
+
+	// Effects may bring further events; those wait, so that effects keep their order.
+	const dispatch = (event: ReplicaEvent<Command>) => {
+		events.push(event);
+		if (isHandling) {
+			return;
+		}
+
+		isHandling = true;
+		for (let next = events.shift(); next !== undefined; next = events.shift()) {
+			const step = reduceReplica(state, next, cfg);
+			state = step.state;
+			for (const effect of step.effects) {
+				carryOut(effect);
+			}
+		}
+
+		isHandling = false;
+	};
+
+	const request = async (createEvent: (requestId: RequestId) => ReplicaEvent<Command>) => {
+		const requestId = toBrand<RequestId>(`${cfg.self}/${options.processId}/${nextRequest}`);
+		nextRequest += 1;
+		const result = await new Promise<Result<Settled, ReplicaFailure>>(resolve => {
+			if (isStopped) {
+				resolve(createFailure({type: 'notProposed', reason: 'noLeader'}));
+				return;
+			}
+
+			pending.set(requestId, resolve);
+			dispatch(createEvent(requestId));
+		});
+		const outcome = outcomes.get(requestId);
+		outcomes.delete(requestId);
+		return {result, outcome};
+	};
+
+	const first = createReplica<Command>({cfg, nowMs: timers.getNow()}, store?.recovered);
+	let {state} = first;
+	for (const effect of first.effects) {
+		carryOut(effect);
+	}
+
+	const cancelTick = timers.scheduleEvery(tickPeriodMs, () => {
+		dispatch({type: 'replica/tick', nowMs: timers.getNow()});
+	});
+
+	return {
+		receive(from, message) {
+			if (!isStopped) {
+				dispatch({
+					type: 'peer/received', from, message, nowMs: timers.getNow(),
+				});
+			}
+		},
+		async propose(command) {
+			const {result, outcome} = await request(requestId => ({
+				type: 'replica/propose', requestId, command, nowMs: timers.getNow(),
+			}));
+			return result.ok ? createSuccess({index: result.value.index, outcome}) : result;
+		},
+		async read() {
+			const {result} = await request(requestId => ({type: 'replica/read', requestId, nowMs: timers.getNow()}));
+			return result;
+		},
+		async changeVoters(change) {
+			const {result} = await request(requestId => ({
+				type: 'replica/changeVoters', requestId, change, nowMs: timers.getNow(),
+			}));
+			return result;
+		},
+		transferLeadership(to) {
+			dispatch({type: 'replica/transferLeadership', ...(to !== undefined && {to}), nowMs: timers.getNow()});
+		},
+		getFreshness: () => getConfigurationFreshness(state, {nowMs: timers.getNow(), leaseMs: cfg.limits.configurationLeaseMs}),
+		hasLeaderLease: () => hasLeaderLease(state, {cfg, nowMs: timers.getNow()}),
+		getState: () => state,
+		stop() {
+			isStopped = true;
+			cancelTick();
+			for (const requestId of pending.keys()) {
+				settle(requestId, createFailure({type: 'unknown'}));
+			}
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/store/folder-lock.ts
@@ -0,0 +1,135 @@
+/**
+ * Keeps two daemons off one data folder. The lock is a hard link, which the system creates for one
+ * process only. It names its holder by process id, start time, process namespace and boot, so that a
+ * lock left by a crash is told apart from a live one. Whoever takes over a stale lock holds a second
+ * lock meanwhile; if it dies in that moment, later starts are refused until an operator removes it.
+ */
+import {
+	link, readFile, readlink, rm, writeFile,
+} from 'node:fs/promises';
+import path from 'node:path';
+import process from 'node:process';
+import {
+	createFailure, createSuccess, type Result,
+} from '@samphiremill/common';
+import {getErrorCode} from './store-errors.js';
+import type {StoreError} from './types.js';
+
+type LockHolder = {
+	readonly pid: number;
+	readonly startTime: string;
+	readonly processNamespace: string;
+	readonly bootId: string;
+};
+
+const readOrEmpty = async (read: Promise<string>) => {
+	try {
+		const text = await read;
+		return text.trim();
+	} catch {
+		return '';
+	}
+};
+
+// The command name, in parentheses, may itself hold spaces; the start time is the 20th field after it.
+const getStartTime = async (pid: number) => {
+	const stat = await readOrEmpty(readFile(`/proc/${pid}/stat`, 'utf8'));
+	return stat.slice(stat.lastIndexOf(')') + 2).split(' ')[19] ?? '';
+};
+
+const getOwnHolder = async (): Promise<LockHolder> => ({
+	pid: process.pid,
+	startTime: await getStartTime(process.pid),
+	processNamespace: await readOrEmpty(readlink('/proc/self/ns/pid')),
+	bootId: await readOrEmpty(readFile('/proc/sys/kernel/random/boot_id', 'utf8')),
+});
+
+const isRunning = (pid: number) => {
+	try {
+		process.kill(pid, 0);
+		return true;
+	} catch (err) {
+		return getErrorCode(err) !== 'ESRCH';
+	}
+};
+
+const isStale = async (holder: LockHolder, own: LockHolder) => {
+	if (holder.bootId !== own.bootId) {
+		return true;
+	}
+
+	if (holder.processNamespace !== own.processNamespace) {
+		return false;
+	}
+
+	return !isRunning(holder.pid) || await getStartTime(holder.pid) !== holder.startTime;
+};
+
+const readHolder = async (file: string): Promise<LockHolder | undefined> => {
+	const text = await readOrEmpty(readFile(file, 'utf8'));
+	try {
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- written below, by this module only
+		return JSON.parse(text) as LockHolder;
+	} catch {
+		return undefined;
+	}
+};
+
+const linkOnce = async (from: string, to: string) => {
+	try {
+		await link(from, to);
+		return true;
+	} catch (err) {
+		if (getErrorCode(err) === 'EEXIST') {
+			return false;
+		}
+
+		throw err;
+	}
+};
+
+const takeOver = async ({ticket, lock, own}: {
+	readonly ticket: string;
+	readonly lock: string;
+	readonly own: LockHolder;
+}) => {
+	const guard = `${lock}.takeover`;
+	if (!await linkOnce(ticket, guard)) {
+		return false;
+	}
+
+	// Read again: another start may have taken the stale lock over since.
+	const holder = await readHolder(lock);
+	if (holder !== undefined && await isStale(holder, own)) {
+		await rm(lock);
+	}
+
+	const isTaken = await linkOnce(ticket, lock);
+	await rm(guard);
+	return isTaken;
+};
+
+/** Gives a data folder free again. */
+export type ReleaseLock = () => Promise<void>;
+
+/**
+ * Locks a data folder for this process.
+ *
+ * @param folder - The data folder, which must exist and lie on a disk of this machine.
+ * @returns How to release it, or `store/locked` with its holder.
+ */
+export async function lockFolder(folder: string): Promise<Result<ReleaseLock, StoreError>> {
+	const lock = path.join(folder, 'lock');
+	const ticket = path.join(folder, `lock.${process.pid}.${Date.now()}`);
+	const own = await getOwnHolder();
+	await writeFile(ticket, JSON.stringify(own));
+	try {
+		const isTaken = await linkOnce(ticket, lock) || await takeOver({ticket, lock, own});
+		const holder = isTaken ? undefined : await readHolder(lock);
+		return isTaken
+			? createSuccess(async () => rm(lock, {force: true}))
+			: createFailure({type: 'store/locked', file: lock, holder: holder === undefined ? 'unknown' : `process ${holder.pid}`});
+	} finally {
+		await rm(ticket, {force: true});
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/store/open-replica-store.ts
@@ -0,0 +1,208 @@
+import {randomUUID} from 'node:crypto';
+import path from 'node:path';
+import {
+	createFailure, createSuccess, toBrand, type Result,
+} from '@samphiremill/common';
+import {
+	createPersistReplay, getRecoveredReplica, type PersistReplay, type StoreId,
+} from '@samphiremill/core';
+import {lockFolder} from './folder-lock.js';
+import {decodeRecord, encodeRecord} from './record-codec.js';
+import {createReplicaWriter} from './replica-writer.js';
+import {
+	createCheckpoint, getSegmentName, getSnapshotName, readSegment, readSnapshot, type ReadSegment,
+} from './segment.js';
+import {tryFileOperation} from './store-errors.js';
+import {storeFileSystem} from './store-file-system.js';
+import type {ReplicaStore, StoreError, StoreFileSystem} from './types.js';
+import {writeWholeFile} from './write-whole-file.js';
+
+const identityName = 'identity.json';
+
+/** How a store is opened. */
+export type OpenReplicaStoreOptions = {
+	/** The node's data folder. It is created where it is missing. */
+	readonly folder: string;
+	readonly fileSystem?: StoreFileSystem;
+};
+
+type Folder = {
+	readonly folder: string;
+	readonly fileSystem: StoreFileSystem;
+};
+
+type Content<Command> = {
+	readonly segmentName: string;
+	readonly replay: PersistReplay<Command>;
+	readonly nextSequence: number;
+};
+
+const createDamage = (file: string, reason: string) => createFailure<StoreError>({
+	type: 'store/damaged', file, offset: 0, reason,
+});
+
+// The first segment is synced before the identity appears, so an identity without a segment means
+// that files were removed, and a folder without an identity never acknowledged anything.
+const initialiseFolder = async <Command>({folder, fileSystem}: Folder): Promise<Content<Command>> => {
+	for (const name of await fileSystem.listFiles(folder)) {
+		if (name.startsWith('segment-') || name.startsWith('snapshot-')) {
+			await fileSystem.remove(path.join(folder, name)); // eslint-disable-line no-await-in-loop -- a few files, once
+		}
+	}
+
+	const replay = createPersistReplay<Command>();
+	const segmentName = getSegmentName(1);
+	await writeWholeFile({
+		folder, fileSystem, name: segmentName, data: encodeRecord(createCheckpoint(replay, 1)),
+	});
+	await writeWholeFile({
+		folder, fileSystem, name: identityName, data: encodeRecord({storeId: randomUUID(), format: 1}),
+	});
+	return {segmentName, replay, nextSequence: 2};
+};
+
+const readStoreId = async ({folder, fileSystem}: Folder): Promise<Result<StoreId, StoreError>> => {
+	const file = path.join(folder, identityName);
+	const decoded = decodeRecord(await fileSystem.readFile(file), 0);
+	const value: unknown = decoded.type === 'record' ? decoded.value : undefined;
+	return typeof value === 'object' && value !== null && 'storeId' in value
+		? createSuccess(toBrand<StoreId>(String(value.storeId)))
+		: createDamage(file, 'the identity is not whole');
+};
+
+type FoundSegment<Command> = {
+	readonly name: string;
+	readonly segment: ReadSegment<Command>;
+	readonly length: number;
+};
+
+const readNewestSegment = async <Command>(
+	{folder, fileSystem}: Folder,
+	names: readonly string[],
+): Promise<Result<FoundSegment<Command>, StoreError>> => {
+	const segments = names.filter(name => name.startsWith('segment-') && name.endsWith('.log')).toSorted();
+	const name = segments.at(-1);
+	if (name === undefined) {
+		return createDamage(path.join(folder, getSegmentName(1)), 'no segment is left');
+	}
+
+	const file = path.join(folder, name);
+	const bytes = await fileSystem.readFile(file);
+	const read = readSegment<Command>(file, bytes);
+	if (!read.ok) {
+		return read;
+	}
+
+	return read.value.hasCheckpoint
+		? createSuccess({name, segment: read.value, length: bytes.length})
+		: createDamage(file, 'the checkpoint that opens the segment is not whole');
+};
+
+const addSnapshot = async <Command>(
+	{folder, fileSystem}: Folder,
+	{replay, snapshotIndex}: ReadSegment<Command>,
+): Promise<Result<PersistReplay<Command>, StoreError>> => {
+	if (snapshotIndex === 0) {
+		return createSuccess(replay);
+	}
+
+	const file = path.join(folder, getSnapshotName(snapshotIndex));
+	const bytes = await tryFileOperation({file, operation: 'read'}, async () => fileSystem.readFile(file));
+	if (!bytes.ok) {
+		return createDamage(file, 'the snapshot that the log builds on is missing');
+	}
+
+	const read = readSnapshot(file, bytes.value);
+	return read.ok ? createSuccess({...replay, snapshot: read.value}) : read;
+};
+
+// What a crash left behind during compaction: older segments, older snapshots, unfinished files.
+const removeLeftovers = async ({folder, fileSystem}: Folder, names: readonly string[], kept: readonly string[]) => {
+	const leftovers = names.filter(name => ['segment-', 'snapshot-', 'identity'].some(prefix => name.startsWith(prefix)) && !kept.includes(name));
+	await Promise.all(leftovers.map(async name => fileSystem.remove(path.join(folder, name))));
+};
+
+const recoverFolder = async <Command>(place: Folder): Promise<Result<Content<Command>, StoreError>> => {
+	const {folder, fileSystem} = place;
+	const names = await fileSystem.listFiles(folder);
+	if (!names.includes(identityName)) {
+		return createSuccess(await initialiseFolder<Command>(place));
+	}
+
+	const found = await readNewestSegment<Command>(place, names);
+	if (!found.ok) {
+		return found;
+	}
+
+	const {name, segment, length} = found.value;
+	const replay = await addSnapshot(place, segment);
+	if (!replay.ok) {
+		return replay;
+	}
+
+	if (segment.validLength < length) {
+		await fileSystem.truncate(path.join(folder, name), segment.validLength);
+	}
+
+	await removeLeftovers(place, names, [identityName, name, getSnapshotName(segment.snapshotIndex)]);
+	return createSuccess({segmentName: name, replay: replay.value, nextSequence: segment.nextSequence});
+};
+
+const openLockedStore = async <Command>(place: Folder): Promise<Result<ReplicaStore<Command>, StoreError>> => {
+	const content = await recoverFolder<Command>(place);
+	if (!content.ok) {
+		return content;
+	}
+
+	const storeId = await readStoreId(place);
+	if (!storeId.ok) {
+		return storeId;
+	}
+
+	const writer = await createReplicaWriter({...place, ...content.value});
+	return createSuccess({
+		storeId: storeId.value,
+		recovered: getRecoveredReplica(content.value.replay),
+		write: writer.write,
+		close: writer.close,
+	});
+};
+
+/**
+ * Opens a node's data folder, or makes a blank one with a new identity.
+ *
+ * @param options - The folder, and the file operations for tests.
+ * @returns The store, or why it can't be opened. A damaged folder is left as it is.
+ */
+export async function openReplicaStore<Command>(options: OpenReplicaStoreOptions): Promise<Result<ReplicaStore<Command>, StoreError>> {
+	const {folder, fileSystem = storeFileSystem} = options;
+	const place = {folder, fileSystem};
+	const locked = await tryFileOperation({file: folder, operation: 'lock'}, async () => {
+		await fileSystem.createFolder(folder);
+		return lockFolder(folder);
+	});
+	if (!locked.ok) {
+		return locked;
+	}
+
+	const lock = locked.value;
+	if (!lock.ok) {
+		return lock;
+	}
+
+	const opened = await tryFileOperation({file: folder, operation: 'open'}, async () => openLockedStore<Command>(place));
+	const result = opened.ok ? opened.value : opened;
+	if (!result.ok) {
+		await lock.value();
+		return result;
+	}
+
+	const store = result.value;
+	return createSuccess({
+		...store,
+		async close() {
+			await store.close();
+			await lock.value();
+		},
+	});
+}
--- /dev/null
+++ b/packages/daemon/src/store/record-codec.ts
@@ -0,0 +1,112 @@
+import crc32 from 'crc-32';
+
+const headerBytes = 8;
+const sectorBytes = 512;
+
+const getChecksum = (payload: Uint8Array) => crc32.buf(payload) >>> 0; // eslint-disable-line no-bitwise -- the library gives a signed integer
+
+/**
+ * Frames a value: its length, its CRC-32 and its JSON.
+ *
+ * @param value - Any JSON value.
+ * @returns The bytes of the record.
+ */
+export function encodeRecord(value: unknown): Uint8Array {
+	const payload = new TextEncoder().encode(JSON.stringify(value));
+	const record = new Uint8Array(headerBytes + payload.length);
+	const header = new DataView(record.buffer);
+	header.setUint32(0, payload.length, true);
+	header.setUint32(4, getChecksum(payload), true);
+	record.set(payload, headerBytes);
+	return record;
+}
+
+/** What stands at one offset of a file. */
+export type DecodedRecord
+	= | {readonly type: 'record'; readonly value: unknown; readonly nextOffset: number}
+		| {readonly type: 'end'}
+	/** A write that was cut short before it was synced. */
+		| {readonly type: 'torn'}
+		| {readonly type: 'damaged'; readonly reason: string};
+
+const hasZeroSector = (payload: Uint8Array, fileOffset: number) => {
+	const firstSector = (Math.ceil(fileOffset / sectorBytes) * sectorBytes) - fileOffset;
+	for (let start = firstSector; start < payload.length; start += sectorBytes) {
+		if (payload.subarray(start, start + sectorBytes).every(byte => byte === 0)) {
+			return true;
+		}
+	}
+
+	return payload.subarray(0, firstSector).every(byte => byte === 0);
+};
+
+// Each record is synced before the next one is written. So a bad record with others behind it was
+// synced and has been damaged since. At the end of the file, missing bytes and sectors that still
+// read as zeros show a write that never finished; a whole record that differs was damaged.
+const judgeBadRecord = (bytes: Uint8Array, {offset, length}: {readonly offset: number; readonly length: number}): DecodedRecord => {
+	const end = offset + headerBytes + length;
+	const payload = bytes.subarray(offset + headerBytes, end);
+	if (end < bytes.length) {
+		return bytes.subarray(offset).every(byte => byte === 0)
+			? {type: 'torn'}
+			: {type: 'damaged', reason: 'checksum differs in a record that others follow'};
+	}
+
+	return hasZeroSector(payload, offset + headerBytes)
+		? {type: 'torn'}
+		: {type: 'damaged', reason: 'checksum differs in the last record, which is whole'};
+};
+
+const readHeader = (bytes: Uint8Array, offset: number) => {
+	const header = new DataView(bytes.buffer, bytes.byteOffset + offset, headerBytes);
+	return {length: header.getUint32(0, true), checksum: header.getUint32(4, true)};
+};
+
+/**
+ * Reads the record at an offset.
+ *
+ * @param bytes - The whole file.
+ * @param offset - Where the record starts.
+ * @returns The record, the end of the file, a torn tail, or damage.
+ */
+export function decodeRecord(bytes: Uint8Array, offset: number): DecodedRecord {
+	if (offset === bytes.length) {
+		return {type: 'end'};
+	}
+
+	if (offset + headerBytes > bytes.length) {
+		return {type: 'torn'};
+	}
+
+	const header = readHeader(bytes, offset);
+	const {length} = header;
+	const end = offset + headerBytes + length;
+	if (end > bytes.length) {
+		return isFollowedByRecord(bytes, offset)
+			? {type: 'damaged', reason: 'length differs in a record that others follow'}
+			: {type: 'torn'};
+	}
+
+	const payload = bytes.subarray(offset + headerBytes, end);
+	if (length === 0 || getChecksum(payload) !== header.checksum) {
+		return judgeBadRecord(bytes, {offset, length});
+	}
+
+	return {type: 'record', value: JSON.parse(new TextDecoder().decode(payload)), nextOffset: end};
+}
+
+const openingBrace = 0x7B;
+
+// A damaged length hides where the next record starts, so every later offset is tried.
+const isFollowedByRecord = (bytes: Uint8Array, badOffset: number) => {
+	for (let offset = badOffset + headerBytes; offset + headerBytes < bytes.length; offset += 1) {
+		const {length, checksum} = readHeader(bytes, offset);
+		const end = offset + headerBytes + length;
+		const isPlausible = end <= bytes.length && bytes[offset + headerBytes] === openingBrace;
+		if (isPlausible && getChecksum(bytes.subarray(offset + headerBytes, end)) === checksum) {
+			return true;
+		}
+	}
+
+	return false;
+};
--- /dev/null
+++ b/packages/daemon/src/store/write-whole-file.ts
@@ -0,0 +1,30 @@
+import path from 'node:path';
+import type {StoreFileSystem} from './types.js';
+
+/**
+ * Writes a file so that after a crash it is there as a whole or not at all: written beside, synced,
+ * renamed, folder synced.
+ *
+ * @param options - The file's folder, name and content.
+ * @throws What the file operations throw.
+ */
+export async function writeWholeFile({folder, fileSystem, name, data}: {
+	readonly folder: string;
+	readonly fileSystem: StoreFileSystem;
+	readonly name: string;
+	readonly data: Uint8Array;
+}): Promise<void> {
+	const file = path.join(folder, name);
+	const unfinished = `${file}.tmp`;
+	await fileSystem.remove(unfinished);
+	const handle = await fileSystem.openToAppend(unfinished);
+	try {
+		await handle.appendAll(data);
+		await handle.syncData();
+	} finally {
+		await handle.close();
+	}
+
+	await fileSystem.rename(unfinished, file);
+	await fileSystem.syncFolder(folder);
+}
