--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,5 +10,6 @@
 export type * from './membership/index.js';
 export * from './peer-link/index.js';
 export * from './placement/index.js';
+export * from './replica/index.js';
 export * from './shares/index.js';
 export type * from './step.js';
