--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,5 +4,6 @@
  * @packageDocumentation
  */
 export type * from './membership/index.js';
+export * from './minions/index.js';
 export * from './peer-link/index.js';
 export type * from './step.js';
--- /dev/null
+++ b/packages/core/src/membership/view.ts
@@ -0,0 +1,90 @@
+/**
+ * What the other parts read: every entry host, and every worker, as this node believes them to be.
+ */
+import type {DataCentreId, MonotonicMs, NodeId} from '@samphiremill/common';
+import {listWorkers} from '../minions/selectors.js';
+import type {MinionsState} from '../minions/types.js';
+import {listLocalMembers, type NodesState} from './nodes.js';
+import {listFreshDataCentres, type RemoteSummary, type SummariesState} from './summaries.js';
+import type {
+	FleetView, FleetWorker, MemberStatus, MembershipConfig, MembershipView, NodeAddress,
+} from './types.js';
+
+type Context = {
+	readonly cfg: MembershipConfig;
+	readonly nowMs: MonotonicMs;
+};
+
+function getRemoteMember({node, dataCentre}: NodeAddress, remote: RemoteSummary | undefined, {isFresh, nowMs}: {readonly isFresh: boolean; readonly nowMs: MonotonicMs}): MemberStatus {
+	const summary = remote?.nodes.get(node);
+	return {
+		node,
+		dataCentre,
+		incarnation: summary?.incarnation ?? 0,
+		health: isFresh && summary !== undefined ? summary.health : 'suspect',
+		sinceMs: nowMs,
+	};
+}
+
+function keepSince(member: MemberStatus, previous: ReadonlyMap<NodeId, MemberStatus>): MemberStatus {
+	const old = previous.get(member.node);
+	return old?.health === member.health && old.incarnation === member.incarnation ? {...member, sinceMs: old.sinceMs} : member;
+}
+
+/**
+ * @param state - The entry hosts of the own data centre, and the summaries of the others.
+ * @param options - The addresses, the time, and the view before.
+ * @returns Every entry host of the settings, in order of id, with how long each belief has held.
+ */
+export function createMembershipView(
+	{nodes, summaries}: {readonly nodes: NodesState; readonly summaries: SummariesState},
+	{cfg, nowMs, previous}: Context & {readonly previous: MembershipView | undefined},
+): MembershipView {
+	const fresh = listFreshDataCentres(summaries, {cfg, nowMs});
+	const known = new Map((previous?.members ?? []).map(member => [member.node, member]));
+	const remote = cfg.addresses
+		.filter(({dataCentre}) => dataCentre !== cfg.self.dataCentre)
+		.map(address => getRemoteMember(address, summaries.remote.get(address.dataCentre), {isFresh: fresh.includes(address.dataCentre), nowMs}));
+	return {
+		members: [...listLocalMembers(nodes, cfg), ...remote]
+			.map(member => keepSince(member, known))
+			.toSorted((left, right) => left.node < right.node ? -1 : 1),
+		freshDataCentres: [cfg.self.dataCentre, ...fresh].toSorted(),
+	};
+}
+
+/**
+ * @param left - One view.
+ * @param right - Another view.
+ * @returns Whether they hold the same beliefs.
+ */
+export function isSameView(left: MembershipView, right: MembershipView): boolean {
+	return left.members.length === right.members.length
+		&& left.members.every((member, index) => {
+			const other = right.members[index];
+			return other?.node === member.node && other.health === member.health && other.incarnation === member.incarnation;
+		})
+		&& left.freshDataCentres.join(' ') === right.freshDataCentres.join(' ');
+}
+
+function listRemoteWorkers(dataCentre: DataCentreId, remote: RemoteSummary, isFresh: boolean): readonly FleetWorker[] {
+	return [...remote.workers.values()].map(({worker, pool, condition}) => ({
+		worker, pool, dataCentre, condition: isFresh ? condition : 'unknown', lastSeenAtMs: remote.heardAtMs,
+	}));
+}
+
+/**
+ * Lists the fleet for planners. A worker of a data centre without fresh news is unknown.
+ *
+ * @param state - The directory of the own data centre, and the summaries of the others.
+ * @param context - The timings and the time.
+ * @returns Every worker that this node has heard of, in order of id.
+ */
+export function getFleetView(state: {readonly minions: MinionsState; readonly summaries: SummariesState}, {cfg, nowMs}: Context): FleetView {
+	const fresh = listFreshDataCentres(state.summaries, {cfg, nowMs});
+	const remote = [...state.summaries.remote]
+		.flatMap(([dataCentre, summary]) => listRemoteWorkers(dataCentre, summary, fresh.includes(dataCentre)));
+	return {
+		workers: [...listWorkers(state.minions), ...remote].toSorted((left, right) => left.worker < right.worker ? -1 : 1),
+	};
+}
