Read and write two schema versions, and restore control state from any document

Change: samphiremill/v1 and samphiremill/v2 documents go through the internal form. A v1 document is merged with the records when its command is applied, not when it is accepted, so that a v2 change in between is not undone; a v1 team stands for a team, a share and a limit. serializeControlState and restoreControlState carry the whole state, the answers for resends too; what cannot be taken over is left out and reported with its place.

--- a/packages/core/src/control/apply-control-command.test.ts
+++ b/packages/core/src/control/apply-control-command.test.ts
@@ -1,4 +1,3 @@
-import process from 'node:process';
 import {
 	toBrand, type ChangeId, type PoolId, type TeamId, type WallClockMs, type WorkerId,
 } from '@samphiremill/common';
@@ -10,13 +9,10 @@
 	findKeyBySecretHash, getHistory, getPoolOf, getTeamLimit, getTeamWeight, getVersionedRecord, listPools,
 } from './selectors.js';
 import {
-	createDelete, createExampleState, createPut, exampleRecords, exampleWorker,
+	createDelete, createExampleState, createPut, exampleRecords, exampleWorker, propertyParameters,
 } from './test-records.js';
 import type {ControlRecord, ControlState, OperatorCommand} from './types.js';
 
-const seed = Number(process.env.SAMPHIREMILL_SEED ?? 3);
-const numberRuns = Number(process.env.SAMPHIREMILL_RUNS ?? 300);
-
 function createPool(maximumUnavailableHosts: number, id = 'counters'): ControlRecord {
 	return {
 		kind: 'pool', id: toBrand(id), maximumUnavailableHosts, isSpare: false,
@@ -144,5 +140,5 @@
 			expect(step.answer).toEqual(step.answer.type === 'changeIdReused' ? {type: 'changeIdReused'} : first);
 			state = step.state;
 		}
-	}), {seed, numRuns: numberRuns});
+	}), propertyParameters);
 });
--- a/packages/core/src/control/apply-control-command.ts
+++ b/packages/core/src/control/apply-control-command.ts
@@ -2,12 +2,13 @@
 import {toCanonicalJson} from './canonical-json.js';
 import {appliedChangeCount} from './constants.js';
 import {controlParts, type PartCommand} from './parts.js';
+import {planV1Delete, planV1Put, toV1Finding} from './schema/documents.js';
 import type {
 	ControlCommand, ControlState, ControlStep, OperatorCommand, RecordWrite, SetViewCommand,
 } from './types.js';
 import {writeRecords} from './write-records.js';
 
-function toWrites(command: OperatorCommand): readonly RecordWrite[] {
+function toWrites(state: ControlState, command: OperatorCommand): readonly RecordWrite[] {
 	switch (command.type) {
 		case 'control/putRecord': {
 			const {record, expectedRevision} = command;
@@ -25,14 +26,23 @@
 			return command.writes;
 		}
 
+		case 'control/putV1Document': {
+			return planV1Put({state, ...command});
+		}
+
+		case 'control/deleteV1Document': {
+			return planV1Delete({state, ...command});
+		}
+
 		default: {
 			return assertNever(command);
 		}
 	}
 }
 
-function getFingerprint(command: OperatorCommand, writes: readonly RecordWrite[]): string {
-	const text = toCanonicalJson({actor: command.actor, writes});
+function getFingerprint(command: OperatorCommand): string {
+	const {acceptedAtMs, ...content} = command;
+	const text = toCanonicalJson(content);
 	return `${text.length}-${hashText(text)}`;
 }
 
@@ -48,16 +58,22 @@
 	return {answer, state: {...state, changes: isFull ? changes.delete(oldest) : changes}};
 }
 
+function placeInV1({state, answer}: ControlStep): ControlStep {
+	return answer.type === 'invalid'
+		? {state, answer: {...answer, findings: answer.findings.map(finding => toV1Finding(finding))}}
+		: {state, answer};
+}
+
 function applyOperatorCommand(state: ControlState, command: OperatorCommand): ControlStep {
-	const writes = toWrites(command);
-	const fingerprint = getFingerprint(command, writes);
+	const fingerprint = getFingerprint(command);
 	const earlier = state.changes.get(command.changeId);
 	if (earlier !== undefined) {
 		return {state, answer: earlier.fingerprint === fingerprint ? earlier.answer : {type: 'changeIdReused'}};
 	}
 
-	const step = writeRecords({state, writes, origin: command});
-	return rememberAnswer({step, command, fingerprint});
+	const step = writeRecords({state, writes: toWrites(state, command), origin: command});
+	const isV1 = command.type === 'control/putV1Document';
+	return rememberAnswer({step: isV1 ? placeInV1(step) : step, command, fingerprint});
 }
 
 function setView(state: ControlState, command: SetViewCommand): ControlStep {
@@ -94,7 +110,9 @@
 	switch (command.type) {
 		case 'control/putRecord':
 		case 'control/deleteRecord':
-		case 'control/writeRecords': {
+		case 'control/writeRecords':
+		case 'control/putV1Document':
+		case 'control/deleteV1Document': {
 			return applyOperatorCommand(state, command);
 		}
 
--- /dev/null
+++ b/packages/core/src/control/snapshot/restore-control-state.ts
@@ -0,0 +1,173 @@
+import {joinPath, type Finding} from '@samphiremill/common';
+import {Map as ImmutableMap, OrderedMap} from 'immutable';
+import type * as z from 'zod/mini';
+import {
+	appliedChangeCount, deletedRecordCount, historyEntriesPerRecord, recordKinds, retiredWorkerCount,
+} from '../constants.js';
+import {createControlState} from '../create-control-state.js';
+import {adoptWorker} from '../ownership.js';
+import {parseDocument} from '../parse-document.js';
+import {controlParts} from '../parts.js';
+import {findRecordFindings} from '../references.js';
+import {compareText, getRecordKey, getVersionedRecord} from '../selectors.js';
+import type {ControlState, HostOwnership, VersionedRecord} from '../types.js';
+import {
+	storedChange, storedDeletion, storedHistory, storedOwnership, storedVersionedRecord, storedView,
+} from './snapshot-schema.js';
+
+/** A valid state, and what of the document could not be taken over. */
+export type RestoredControlState = {
+	readonly state: ControlState;
+	readonly findings: readonly Finding[];
+};
+
+type Fields = Readonly<Record<string, unknown>>;
+
+type Placed<Item> = {readonly item: Item; readonly path: string};
+
+type Restoration = {
+	readonly fields: Fields;
+	readonly findings: Finding[];
+};
+
+function isFields(value: unknown): value is Fields {
+	return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function readItems<Item>({restoration, field, schema}: {
+	readonly restoration: Restoration;
+	readonly field: string;
+	readonly schema: z.ZodMiniType<Item>;
+}): ReadonlyArray<Placed<Item>> {
+	const {fields, findings} = restoration;
+	const items = fields[field] ?? [];
+	const path = joinPath('', field);
+	if (!Array.isArray(items)) {
+		findings.push({path, message: 'must be a list; nothing of it was taken over'});
+		return [];
+	}
+
+	return items.flatMap((document: unknown, index): ReadonlyArray<Placed<Item>> => {
+		const place = joinPath(path, index);
+		const parsed = parseDocument({schema, document});
+		if (parsed.ok) {
+			return [{item: parsed.value, path: place}];
+		}
+
+		findings.push(...parsed.err.map(finding => ({...finding, path: `${place}${finding.path}`})));
+		return [];
+	});
+}
+
+function putVersioned(state: ControlState, versioned: VersionedRecord): ControlState {
+	const {kind, id} = versioned.record;
+	const records = (state.records.get(kind) ?? ImmutableMap<string, VersionedRecord>()).set(id, versioned);
+	return {...state, records: state.records.set(kind, records)};
+}
+
+function restoreRecords(state: ControlState, restoration: Restoration): ControlState {
+	const items = readItems({restoration, field: 'records', schema: storedVersionedRecord});
+	// A record is taken over after those that it names, whatever the order in the document.
+	const ordered = items.toSorted((left, right) =>
+		recordKinds.indexOf(left.item.record.kind) - recordKinds.indexOf(right.item.record.kind)
+		|| compareText(left.item.record.id, right.item.record.id));
+	let next = state;
+	for (const {item, path} of ordered) {
+		const candidate = putVersioned(next, item);
+		const findings = findRecordFindings(candidate, item.record);
+		if (findings.length === 0) {
+			next = candidate;
+		}
+
+		restoration.findings.push(...findings.map(finding => ({...finding, path: `${path}/record${finding.path}`})));
+	}
+
+	return next;
+}
+
+function restoreHistory(state: ControlState, restoration: Restoration): ControlState {
+	const items = readItems({restoration, field: 'history', schema: storedHistory});
+	const deletions = readItems({restoration, field: 'deleted', schema: storedDeletion})
+		.map(({item}) => item)
+		.filter(item => getVersionedRecord(state, item) === undefined)
+		.slice(-deletedRecordCount);
+	const history = items.map(({item}): [string, typeof item.entries] =>
+		[getRecordKey(item), item.entries.slice(-historyEntriesPerRecord)]);
+	return {
+		...state,
+		history: ImmutableMap(history),
+		deleted: OrderedMap(deletions.map(item => [getRecordKey(item), item.revision])),
+	};
+}
+
+function indexSecrets(state: ControlState): ControlState {
+	const keys = [...(state.records.get('key')?.values() ?? [])].map(({record}) => record);
+	const entries = keys.flatMap(record => record.kind === 'key' ? [[record.secretHash, record.id] as const] : []);
+	return {...state, keyBySecretHash: ImmutableMap(entries)};
+}
+
+function hasPools(state: ControlState, {phase}: HostOwnership): boolean {
+	const pools = phase.type === 'releasing' ? [phase.pool, phase.to] : [phase.pool];
+	return pools.every(id => getVersionedRecord(state, {kind: 'pool', id}) !== undefined);
+}
+
+function restoreOwnership(state: ControlState, restoration: Restoration): ControlState {
+	const owners = readItems({restoration, field: 'ownership', schema: storedOwnership});
+	const retired = readItems({restoration, field: 'retiredOwnership', schema: storedOwnership});
+	const {highestRetiredEpoch} = restoration.fields;
+	const isEpoch = Number.isSafeInteger(highestRetiredEpoch) && Number(highestRetiredEpoch) >= 0;
+	const kept = owners.filter(({item}) => hasPools(state, item)
+		&& getVersionedRecord(state, {kind: 'worker', id: item.worker}) !== undefined);
+	const dropped = owners.filter(owner => !kept.includes(owner));
+	restoration.findings.push(...dropped.map(({path}) => ({path, message: 'names a worker or pool that does not exist'})));
+	const epochs = [isEpoch ? Number(highestRetiredEpoch) : 0, ...dropped.map(({item}) => item.epoch)];
+	let next: ControlState = {
+		...state,
+		ownership: ImmutableMap(kept.map(({item}) => [item.worker, item])),
+		retiredOwnership: OrderedMap(retired.slice(-retiredWorkerCount).map(({item}) => [item.worker, item])),
+		highestRetiredEpoch: Math.max(...epochs),
+	};
+	for (const {record} of next.records.get('worker')?.values() ?? []) {
+		next = record.kind === 'worker' ? adoptWorker(next, record) : next;
+	}
+
+	return next;
+}
+
+function restoreParts(state: ControlState, {fields}: Restoration): ControlState {
+	const documents = isFields(fields.parts) ? fields.parts : {};
+	let next = state;
+	for (const part of controlParts) {
+		const document = documents[part.name];
+		next = document === undefined ? next : {...next, ...part.restoreState(document)};
+	}
+
+	return next;
+}
+
+/**
+ * Takes any old, damaged or foreign document to a valid state. What cannot be taken over is left out
+ * and reported; a record whose references are missing is left out too.
+ *
+ * @param document - Any value, usually what `serializeControlState` wrote.
+ * @returns The state, and every finding with its place. Never throws.
+ */
+export function restoreControlState(document: unknown): RestoredControlState {
+	if (!isFields(document)) {
+		return {state: createControlState(), findings: [{path: '', message: 'must be an object'}]};
+	}
+
+	const restoration: Restoration = {fields: document, findings: []};
+	let state = restoreRecords(createControlState(), restoration);
+	state = restoreHistory(state, restoration);
+	state = indexSecrets(state);
+	state = restoreOwnership(state, restoration);
+	const changes = readItems({restoration, field: 'changes', schema: storedChange}).slice(-appliedChangeCount);
+	const views = readItems({restoration, field: 'views', schema: storedView});
+	state = {
+		...state,
+		changes: OrderedMap(changes.map(({item: {changeId, ...change}}) => [changeId, change])),
+		views: ImmutableMap(views.map(({item}) => [item.dataCentre, item])),
+	};
+	return {state: restoreParts(state, restoration), findings: restoration.findings};
+}
--- a/packages/core/src/control/test-records.ts
+++ b/packages/core/src/control/test-records.ts
@@ -1,4 +1,5 @@
 /** Records and commands that the tests of this part share. */
+import process from 'node:process';
 import {toBrand, type ChangeId, type WallClockMs} from '@samphiremill/common';
 import {applyControlCommand} from './apply-control-command.js';
 import {createControlState} from './create-control-state.js';
@@ -6,6 +7,12 @@
 	ControlRecord, ControlState, DeleteRecordCommand, PutRecordCommand, RecordKind, WorkerRecord,
 } from './types.js';
 
+/** The seed of the properties, and how many cases each tries. */
+export const propertyParameters = {
+	seed: Number(process.env.SAMPHIREMILL_SEED ?? 3),
+	numRuns: Number(process.env.SAMPHIREMILL_RUNS ?? 300),
+} as const;
+
 /** A worker of the pool `counters`. */
 export const exampleWorker: WorkerRecord = {
 	kind: 'worker', id: toBrand('w-1'), dataCentre: toBrand('recife'), rack: toBrand('r-1'), cores: 32, memoryMb: 131_072, accelerators: 1, homePool: toBrand('counters'),
--- a/packages/core/src/control/types.ts
+++ b/packages/core/src/control/types.ts
@@ -18,6 +18,7 @@
 } from '@samphiremill/common';
 import type {Map as ImmutableMap, OrderedMap} from 'immutable';
 import type {PartCommand, PartStates} from './parts.js';
+import type {V1Document, V1Kind} from './schema/v1-schema.js';
 
 /** Hosts that serve the same queues, and how many of them may be unavailable at once. */
 export type PoolRecord = {
@@ -173,7 +174,9 @@
 /** One write among those of a command. */
 export type RecordWrite
 	= | {readonly type: 'put'; readonly record: ControlRecord; readonly expectedRevision?: number}
-		| {readonly type: 'delete'; readonly kind: RecordKind; readonly id: string; readonly expectedRevision?: number};
+		| {readonly type: 'delete'; readonly kind: RecordKind; readonly id: string; readonly expectedRevision?: number}
+	/** Changes nothing, but the revision must be the expected one. */
+		| {readonly type: 'expect'; readonly kind: RecordKind; readonly id: string; readonly expectedRevision?: number};
 
 /** Several writes that are all accepted or all refused. */
 export type WriteRecordsCommand = {
@@ -184,8 +187,38 @@
 	readonly writes: readonly RecordWrite[];
 };
 
+/**
+ * An operator's write in the older schema version. It is merged with the records when it is applied,
+ * so that no change between its reading and its application is undone.
+ */
+export type PutV1DocumentCommand = {
+	readonly type: 'control/putV1Document';
+	readonly changeId: ChangeId;
+	readonly actor: string;
+	readonly acceptedAtMs: WallClockMs;
+	readonly document: V1Document;
+	/** The revisions that the writer saw, one for each record that the document stands for. */
+	readonly expectedRevisions?: readonly number[];
+};
+
+/** An operator's removal of all records that a document of the older schema version stands for. */
+export type DeleteV1DocumentCommand = {
+	readonly type: 'control/deleteV1Document';
+	readonly changeId: ChangeId;
+	readonly actor: string;
+	readonly acceptedAtMs: WallClockMs;
+	readonly kind: V1Kind;
+	readonly id: string;
+	readonly expectedRevisions?: readonly number[];
+};
+
 /** The commands that operators send. Each carries a change id, so that resends are safe. */
-export type OperatorCommand = PutRecordCommand | DeleteRecordCommand | WriteRecordsCommand;
+export type OperatorCommand
+	= | PutRecordCommand
+		| DeleteRecordCommand
+		| WriteRecordsCommand
+		| PutV1DocumentCommand
+		| DeleteV1DocumentCommand;
 
 /** Every command of the control state machine, those of its parts included. */
 export type ControlCommand = OperatorCommand | SetViewCommand | PartCommand;
--- a/packages/core/src/control/write-records.ts
+++ b/packages/core/src/control/write-records.ts
@@ -2,7 +2,7 @@
  * Applies the writes of one operator's change: all of them, or none.
  */
 import {
-	toBrand, type ChangeId, type Finding, type KeyId, type WallClockMs, type WorkerId,
+	assertNever, toBrand, type ChangeId, type Finding, type KeyId, type WallClockMs, type WorkerId,
 } from '@samphiremill/common';
 import {Map as ImmutableMap} from 'immutable';
 import {toCanonicalJson} from './canonical-json.js';
@@ -45,7 +45,8 @@
 }
 
 function getLastRevision(state: ControlState, address: RecordAddress): number {
-	return getHistory(state, address).at(-1)?.revision ?? 0;
+	const current = getVersionedRecord(state, address)?.revision ?? 0;
+	return Math.max(current, getHistory(state, address).at(-1)?.revision ?? 0);
 }
 
 function addHistory({state, address, entry}: {
@@ -154,15 +155,52 @@
 	readonly write: RecordWrite;
 	readonly origin: Origin;
 }): WriteStep {
-	return write.type === 'put'
-		? putRecord({state, record: write.record, origin})
-		: deleteRecord({state, address: write, origin});
+	switch (write.type) {
+		case 'put': {
+			return putRecord({state, record: write.record, origin});
+		}
+
+		case 'delete': {
+			return deleteRecord({state, address: write, origin});
+		}
+
+		case 'expect': {
+			const {kind, id} = write;
+			const revision = getVersionedRecord(state, write)?.revision ?? 0;
+			return {
+				state,
+				change: {
+					kind, id, revision, outcome: 'unchanged',
+				},
+			};
+		}
+
+		default: {
+			return assertNever(write);
+		}
+	}
 }
 
 function findFindings(state: ControlState, writes: readonly RecordWrite[]): readonly Finding[] {
-	return writes.flatMap(write => write.type === 'put'
-		? findRecordFindings(state, write.record)
-		: findReferrers(state, write));
+	return writes.flatMap(write => {
+		switch (write.type) {
+			case 'put': {
+				return findRecordFindings(state, write.record);
+			}
+
+			case 'delete': {
+				return findReferrers(state, write);
+			}
+
+			case 'expect': {
+				return [];
+			}
+
+			default: {
+				return assertNever(write);
+			}
+		}
+	});
 }
 
 /**
