Order waves and moves by commands that are merged when they are applied

Cause: an order that the accepting host turned into a whole record would differ on a resend, and a wave that paused itself waits for a renewed record.

Change: control/setWaveDesired and control/setHomePool read the record when they are applied; an order to a wave always gives its record a new revision.

--- a/packages/core/src/control/apply-control-command.test.ts
+++ b/packages/core/src/control/apply-control-command.test.ts
@@ -1,5 +1,5 @@
 import {
-	toBrand, type ChangeId, type PoolId, type TeamId, type WallClockMs, type WorkerId,
+	toBrand, type ChangeId, type PoolId, type TeamId, type WallClockMs, type WaveId, type WorkerId,
 } from '@samphiremill/common';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
@@ -93,6 +93,28 @@
 	expect(state.ownership.get(worker)).toEqual({worker, epoch: 2, phase: {type: 'member', pool: 'counters'}});
 });
 
+test('an order to a wave renews its record, and a resend of it changes nothing more', () => {
+	const order = {
+		type: 'control/setWaveDesired', changeId: toBrand<ChangeId>('go'), actor: 'ana', acceptedAtMs: toBrand<WallClockMs>(5), wave: toBrand<WaveId>('autumn'), desired: 'aborted',
+	} as const;
+	const first = applyControlCommand(createExampleState(), order);
+	expect(first.answer).toMatchObject({type: 'accepted', changes: [{revision: 2, outcome: 'updated'}]});
+	expect(applyControlCommand(first.state, order)).toEqual({state: first.state, answer: first.answer});
+	const lost = applyControlCommand(first.state, {...order, changeId: toBrand<ChangeId>('x'), wave: toBrand<WaveId>('none')});
+	expect(lost.answer).toEqual({type: 'notFound', kind: 'wave', id: 'none'});
+});
+
+test('a worker\'s new home is a known pool and leaves its present owner to a move', () => {
+	const order = {
+		type: 'control/setHomePool', changeId: toBrand<ChangeId>('go'), actor: 'ana', acceptedAtMs: toBrand<WallClockMs>(5), worker: exampleWorker.id,
+	} as const;
+	const moved = applyControlCommand(createExampleState(), {...order, pool: toBrand<PoolId>('ledgers')});
+	expect(moved.answer.type).toBe('accepted');
+	expect(getPoolOf(moved.state, exampleWorker.id)).toBe('counters');
+	const refused = applyControlCommand(createExampleState(), {...order, pool: toBrand<PoolId>('nowhere')});
+	expect(refused.answer).toEqual({type: 'invalid', findings: [{path: '/homePool', message: 'there is no pool nowhere'}]});
+});
+
 test('shares and limits have defaults', () => {
 	const state = createExampleState();
 	expect([getTeamWeight(state, toBrand('olinda')), getTeamLimit(state, toBrand('olinda'))]).toEqual([3, 40]);
--- a/packages/core/src/control/apply-control-command.ts
+++ b/packages/core/src/control/apply-control-command.ts
@@ -3,8 +3,9 @@
 import {appliedChangeCount} from './constants.js';
 import {controlParts, type PartCommand} from './parts.js';
 import {planV1Delete, planV1Put, toV1Finding} from './schema/documents.js';
+import {getVersionedRecord, type RecordOf} from './selectors.js';
 import type {
-	ControlCommand, ControlState, ControlStep, OperatorCommand, RecordWrite, SetViewCommand,
+	ControlCommand, ControlRecord, ControlState, ControlStep, OperatorCommand, RecordWrite, SetViewCommand,
 } from './types.js';
 import {writeRecords} from './write-records.js';
 
@@ -34,12 +35,41 @@
 			return planV1Delete({state, ...command});
 		}
 
+		case 'control/setWaveDesired': {
+			const {wave: id, desired} = command;
+			return planEdit({
+				state, kind: 'wave', id, edit: record => ({...record, desired}),
+			});
+		}
+
+		case 'control/setHomePool': {
+			const {worker: id, pool: homePool} = command;
+			return planEdit({
+				state, kind: 'worker', id, edit: record => ({...record, homePool}),
+			});
+		}
+
 		default: {
 			return assertNever(command);
 		}
 	}
 }
 
+/** A write of a record that is to differ from the present one in some fields only. */
+function planEdit<Kind extends 'wave' | 'worker'>({state, kind, id, edit}: {
+	readonly state: ControlState;
+	readonly kind: Kind;
+	readonly id: string;
+	readonly edit: (record: RecordOf<Kind>) => ControlRecord;
+}): readonly RecordWrite[] {
+	const current = getVersionedRecord(state, {kind, id});
+	return current === undefined
+		? [{
+			type: 'expect', kind, id, isRequired: true,
+		}]
+		: [{type: 'put', record: edit(current.record), isRenewal: true}];
+}
+
 function getFingerprint(command: OperatorCommand): string {
 	const {acceptedAtMs, ...content} = command;
 	const text = toCanonicalJson(content);
@@ -112,7 +142,9 @@
 		case 'control/deleteRecord':
 		case 'control/writeRecords':
 		case 'control/putV1Document':
-		case 'control/deleteV1Document': {
+		case 'control/deleteV1Document':
+		case 'control/setWaveDesired':
+		case 'control/setHomePool': {
 			return applyOperatorCommand(state, command);
 		}
 
--- a/packages/core/src/control/types.ts
+++ b/packages/core/src/control/types.ts
@@ -173,10 +173,23 @@
 
 /** One write among those of a command. */
 export type RecordWrite
-	= | {readonly type: 'put'; readonly record: ControlRecord; readonly expectedRevision?: number}
-		| {readonly type: 'delete'; readonly kind: RecordKind; readonly id: string; readonly expectedRevision?: number}
+	= | {
+		readonly type: 'put';
+		readonly record: ControlRecord;
+		readonly expectedRevision?: number;
+		/** Counts as a change even if the record stays as it is. */
+		readonly isRenewal?: true;
+	}
+	| {readonly type: 'delete'; readonly kind: RecordKind; readonly id: string; readonly expectedRevision?: number}
 	/** Changes nothing, but the revision must be the expected one. */
-		| {readonly type: 'expect'; readonly kind: RecordKind; readonly id: string; readonly expectedRevision?: number};
+	| {
+		readonly type: 'expect';
+		readonly kind: RecordKind;
+		readonly id: string;
+		readonly expectedRevision?: number;
+		/** The record must exist. */
+		readonly isRequired?: true;
+	};
 
 /** Several writes that are all accepted or all refused. */
 export type WriteRecordsCommand = {
@@ -212,13 +225,35 @@
 	readonly expectedRevisions?: readonly number[];
 };
 
+/** An operator's order to a wave. It renews the record, since a wave that paused itself waits for that. */
+export type SetWaveDesiredCommand = {
+	readonly type: 'control/setWaveDesired';
+	readonly changeId: ChangeId;
+	readonly actor: string;
+	readonly acceptedAtMs: WallClockMs;
+	readonly wave: WaveId;
+	readonly desired: WaveRecord['desired'];
+};
+
+/** An operator's order to move a worker to another pool for good. */
+export type SetHomePoolCommand = {
+	readonly type: 'control/setHomePool';
+	readonly changeId: ChangeId;
+	readonly actor: string;
+	readonly acceptedAtMs: WallClockMs;
+	readonly worker: WorkerId;
+	readonly pool: PoolId;
+};
+
 /** The commands that operators send. Each carries a change id, so that resends are safe. */
 export type OperatorCommand
 	= | PutRecordCommand
 		| DeleteRecordCommand
 		| WriteRecordsCommand
 		| PutV1DocumentCommand
-		| DeleteV1DocumentCommand;
+		| DeleteV1DocumentCommand
+		| SetWaveDesiredCommand
+		| SetHomePoolCommand;
 
 /** Every command of the control state machine, those of its parts included. */
 export type ControlCommand = OperatorCommand | SetViewCommand | PartCommand;
--- a/packages/core/src/control/write-records.ts
+++ b/packages/core/src/control/write-records.ts
@@ -28,6 +28,10 @@
 	return write.type === 'put' ? write.record : write;
 }
 
+function needsRecord(write: RecordWrite): boolean {
+	return write.type === 'delete' || (write.type === 'expect' && write.isRequired === true);
+}
+
 function findConflicts(state: ControlState, writes: readonly RecordWrite[]): readonly RecordConflict[] {
 	const conflicts: RecordConflict[] = [];
 	for (const write of writes) {
@@ -77,14 +81,14 @@
 
 type WriteStep = {readonly state: ControlState; readonly change: RecordChange};
 
-function putRecord({state, record, origin}: {
+function putRecord({state, write: {record, isRenewal}, origin}: {
 	readonly state: ControlState;
-	readonly record: ControlRecord;
+	readonly write: Extract<RecordWrite, {type: 'put'}>;
 	readonly origin: Origin;
 }): WriteStep {
 	const {kind, id} = record;
 	const previous = getVersionedRecord(state, record);
-	if (previous !== undefined && toCanonicalJson(previous.record) === toCanonicalJson(record)) {
+	if (isRenewal !== true && previous !== undefined && toCanonicalJson(previous.record) === toCanonicalJson(record)) {
 		const {revision} = previous;
 		return {
 			state,
@@ -157,7 +161,7 @@
 }): WriteStep {
 	switch (write.type) {
 		case 'put': {
-			return putRecord({state, record: write.record, origin});
+			return putRecord({state, write, origin});
 		}
 
 		case 'delete': {
@@ -222,7 +226,7 @@
 		return {state, answer: {type: 'conflict', conflicts}};
 	}
 
-	const missing = writes.find(write => write.type === 'delete' && getVersionedRecord(state, write) === undefined);
+	const missing = writes.find(write => needsRecord(write) && getVersionedRecord(state, getAddress(write)) === undefined);
 	if (missing !== undefined) {
 		const {kind, id} = getAddress(missing);
 		return {state, answer: {type: 'notFound', kind, id}};
