--- a/packages/core/src/control/apply-control-command.ts
+++ b/packages/core/src/control/apply-control-command.ts
@@ -2,12 +2,14 @@
 import {toCanonicalJson} from './canonical-json.js';
 import {appliedChangeCount} from './constants.js';
 import {controlParts, type PartCommand} from './parts.js';
+import {planV1Delete, planV1Put, toV1Finding} from './schema/documents.js';
+import {getVersionedRecord, type RecordOf} from './selectors.js';
 import type {
-	ControlCommand, ControlState, ControlStep, OperatorCommand, RecordWrite, SetViewCommand,
+	ControlCommand, ControlRecord, ControlState, ControlStep, OperatorCommand, RecordWrite, SetViewCommand,
 } from './types.js';
 import {writeRecords} from './write-records.js';
 
-function toWrites(command: OperatorCommand): readonly RecordWrite[] {
+function toWrites(state: ControlState, command: OperatorCommand): readonly RecordWrite[] {
 	switch (command.type) {
 		case 'control/putRecord': {
 			const {record, expectedRevision} = command;
@@ -25,14 +27,52 @@
 			return command.writes;
 		}
 
+		case 'control/putV1Document': {
+			return planV1Put({state, ...command});
+		}
+
+		case 'control/deleteV1Document': {
+			return planV1Delete({state, ...command});
+		}
+
+		case 'control/setWaveDesired': {
+			const {wave: id, desired} = command;
+			return planEdit({
+				state, kind: 'wave', id, edit: record => ({...record, desired}),
+			});
+		}
+
+		case 'control/setHomePool': {
+			const {worker: id, pool: homePool} = command;
+			return planEdit({
+				state, kind: 'worker', id, edit: record => ({...record, homePool}),
+			});
+		}
+
 		default: {
 			return assertNever(command);
 		}
 	}
 }
 
-function getFingerprint(command: OperatorCommand, writes: readonly RecordWrite[]): string {
-	const text = toCanonicalJson({actor: command.actor, writes});
+/** A write of a record that is to differ from the present one in some fields only. */
+function planEdit<Kind extends 'wave' | 'worker'>({state, kind, id, edit}: {
+	readonly state: ControlState;
+	readonly kind: Kind;
+	readonly id: string;
+	readonly edit: (record: RecordOf<Kind>) => ControlRecord;
+}): readonly RecordWrite[] {
+	const current = getVersionedRecord(state, {kind, id});
+	return current === undefined
+		? [{
+			type: 'expect', kind, id, isRequired: true,
+		}]
+		: [{type: 'put', record: edit(current.record), isRenewal: true}];
+}
+
+function getFingerprint(command: OperatorCommand): string {
+	const {acceptedAtMs, ...content} = command;
+	const text = toCanonicalJson(content);
 	return `${text.length}-${hashText(text)}`;
 }
 
@@ -48,16 +88,22 @@
 	return {answer, state: {...state, changes: isFull ? changes.delete(oldest) : changes}};
 }
 
+function placeInV1({state, answer}: ControlStep): ControlStep {
+	return answer.type === 'invalid'
+		? {state, answer: {...answer, findings: answer.findings.map(finding => toV1Finding(finding))}}
+		: {state, answer};
+}
+
 function applyOperatorCommand(state: ControlState, command: OperatorCommand): ControlStep {
-	const writes = toWrites(command);
-	const fingerprint = getFingerprint(command, writes);
+	const fingerprint = getFingerprint(command);
 	const earlier = state.changes.get(command.changeId);
 	if (earlier !== undefined) {
 		return {state, answer: earlier.fingerprint === fingerprint ? earlier.answer : {type: 'changeIdReused'}};
 	}
 
-	const step = writeRecords({state, writes, origin: command});
-	return rememberAnswer({step, command, fingerprint});
+	const step = writeRecords({state, writes: toWrites(state, command), origin: command});
+	const isV1 = command.type === 'control/putV1Document';
+	return rememberAnswer({step: isV1 ? placeInV1(step) : step, command, fingerprint});
 }
 
 function setView(state: ControlState, command: SetViewCommand): ControlStep {
@@ -94,7 +140,11 @@
 	switch (command.type) {
 		case 'control/putRecord':
 		case 'control/deleteRecord':
-		case 'control/writeRecords': {
+		case 'control/writeRecords':
+		case 'control/putV1Document':
+		case 'control/deleteV1Document':
+		case 'control/setWaveDesired':
+		case 'control/setHomePool': {
 			return applyOperatorCommand(state, command);
 		}
 
--- a/packages/core/src/control/write-records.ts
+++ b/packages/core/src/control/write-records.ts
@@ -2,7 +2,7 @@
  * Applies the writes of one operator's change: all of them, or none.
  */
 import {
-	toBrand, type ChangeId, type Finding, type KeyId, type WallClockMs, type WorkerId,
+	assertNever, toBrand, type ChangeId, type Finding, type KeyId, type WallClockMs, type WorkerId,
 } from '@samphiremill/common';
 import {Map as ImmutableMap} from 'immutable';
 import {toCanonicalJson} from './canonical-json.js';
@@ -28,6 +28,10 @@
 	return write.type === 'put' ? write.record : write;
 }
 
+function needsRecord(write: RecordWrite): boolean {
+	return write.type === 'delete' || (write.type === 'expect' && write.isRequired === true);
+}
+
 function findConflicts(state: ControlState, writes: readonly RecordWrite[]): readonly RecordConflict[] {
 	const conflicts: RecordConflict[] = [];
 	for (const write of writes) {
@@ -45,7 +49,8 @@
 }
 
 function getLastRevision(state: ControlState, address: RecordAddress): number {
-	return getHistory(state, address).at(-1)?.revision ?? 0;
+	const current = getVersionedRecord(state, address)?.revision ?? 0;
+	return Math.max(current, getHistory(state, address).at(-1)?.revision ?? 0);
 }
 
 function addHistory({state, address, entry}: {
@@ -76,14 +81,14 @@
 
 type WriteStep = {readonly state: ControlState; readonly change: RecordChange};
 
-function putRecord({state, record, origin}: {
+function putRecord({state, write: {record, isRenewal}, origin}: {
 	readonly state: ControlState;
-	readonly record: ControlRecord;
+	readonly write: Extract<RecordWrite, {type: 'put'}>;
 	readonly origin: Origin;
 }): WriteStep {
 	const {kind, id} = record;
 	const previous = getVersionedRecord(state, record);
-	if (previous !== undefined && toCanonicalJson(previous.record) === toCanonicalJson(record)) {
+	if (isRenewal !== true && previous !== undefined && toCanonicalJson(previous.record) === toCanonicalJson(record)) {
 		const {revision} = previous;
 		return {
 			state,
@@ -154,15 +159,52 @@
 	readonly write: RecordWrite;
 	readonly origin: Origin;
 }): WriteStep {
-	return write.type === 'put'
-		? putRecord({state, record: write.record, origin})
-		: deleteRecord({state, address: write, origin});
+	switch (write.type) {
+		case 'put': {
+			return putRecord({state, write, origin});
+		}
+
+		case 'delete': {
+			return deleteRecord({state, address: write, origin});
+		}
+
+		case 'expect': {
+			const {kind, id} = write;
+			const revision = getVersionedRecord(state, write)?.revision ?? 0;
+			return {
+				state,
+				change: {
+					kind, id, revision, outcome: 'unchanged',
+				},
+			};
+		}
+
+		default: {
+			return assertNever(write);
+		}
+	}
 }
 
 function findFindings(state: ControlState, writes: readonly RecordWrite[]): readonly Finding[] {
-	return writes.flatMap(write => write.type === 'put'
-		? findRecordFindings(state, write.record)
-		: findReferrers(state, write));
+	return writes.flatMap(write => {
+		switch (write.type) {
+			case 'put': {
+				return findRecordFindings(state, write.record);
+			}
+
+			case 'delete': {
+				return findReferrers(state, write);
+			}
+
+			case 'expect': {
+				return [];
+			}
+
+			default: {
+				return assertNever(write);
+			}
+		}
+	});
 }
 
 /**
@@ -184,7 +226,7 @@
 		return {state, answer: {type: 'conflict', conflicts}};
 	}
 
-	const missing = writes.find(write => write.type === 'delete' && getVersionedRecord(state, write) === undefined);
+	const missing = writes.find(write => needsRecord(write) && getVersionedRecord(state, getAddress(write)) === undefined);
 	if (missing !== undefined) {
 		const {kind, id} = getAddress(missing);
 		return {state, answer: {type: 'notFound', kind, id}};
