Plan and apply maintenance waves under the pools' availability budgets

Cause: hosts have to be maintained without any pool losing more hosts than its budget allows, whatever fails meanwhile and whichever entry host leads.

Change: a wave and its hosts are XState machines. applyWaveCommand checks every condition again when a command is applied: the pool's budget over hosts that are down, unknown, aside, failed or moving, the wave's and the fleet's bounds, and that the observations are those that the planner saw. planWaveStep tries each command on a draft of the state, so a plan never holds a command that its predecessors forbid. A drain is recalled when failures use up the budget before the reboot.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,1 +1,1 @@
-export const version = '0.1.0';
+export * from './waves/index.js';
--- /dev/null
+++ b/packages/core/src/waves/host-machine.ts
@@ -0,0 +1,102 @@
+/**
+ * The life of one host within one wave.
+ */
+import {setup, transition} from 'xstate';
+import type {
+	AdvanceHostCommand, FailHostCommand, GrantDrainCommand, HostPhase, RemoveHostCommand,
+} from './types.js';
+
+/** What moves a host from phase to phase. */
+export type HostEvent = {
+	readonly type:
+		| 'granted'
+		| 'revoked'
+		| 'drainBegun'
+		| 'recalled'
+		| 'drained'
+		| 'rebootAccepted'
+		| 'returned'
+		| 'failed'
+		| 'removed';
+};
+
+/** The commands that move one host on. */
+export type HostCommand = GrantDrainCommand | AdvanceHostCommand | FailHostCommand | RemoveHostCommand;
+
+const exampleEvent: HostEvent = {type: 'granted'};
+
+const hostMachine = setup({types: {events: exampleEvent}}).createMachine({
+	id: 'waveHost',
+	initial: 'pending',
+	states: {
+		pending: {on: {granted: 'granted', removed: 'removed'}},
+		granted: {on: {drainBegun: 'draining', revoked: 'pending', removed: 'removed'}},
+		draining: {on: {drained: 'rebooting', recalled: 'pending', removed: 'removed'}},
+		rebooting: {
+			on: {
+				rebootAccepted: 'rebooting', returned: 'returned', failed: 'failed', removed: 'removed',
+			},
+		},
+		// A host that relapses soon after its return has failed after all.
+		returned: {on: {failed: 'failed'}},
+		failed: {on: {returned: 'returned', removed: 'removed'}},
+		removed: {},
+	},
+});
+
+/**
+ * @param input - The host's phase, and what happened to it.
+ * @returns The next phase, or `undefined` where the event does not fit the phase.
+ */
+export function getNextHostPhase({phase, event}: {phase: HostPhase; event: HostEvent}): HostPhase | undefined {
+	const snapshot = hostMachine.resolveState({value: phase, context: {}});
+	if (!snapshot.can(event)) {
+		return undefined;
+	}
+
+	return transition(hostMachine, snapshot, event)[0].value;
+}
+
+/**
+ * @param type - The type of a command over one host.
+ * @returns The event that the command is to the host.
+ */
+export function getHostEvent(type: HostCommand['type']): HostEvent {
+	switch (type) {
+		case 'waves/grantDrain': {
+			return {type: 'granted'};
+		}
+
+		case 'waves/revokeGrant': {
+			return {type: 'revoked'};
+		}
+
+		case 'waves/hostDraining': {
+			return {type: 'drainBegun'};
+		}
+
+		case 'waves/recallDrain': {
+			return {type: 'recalled'};
+		}
+
+		case 'waves/hostDrained': {
+			return {type: 'drained'};
+		}
+
+		case 'waves/hostRebooting': {
+			return {type: 'rebootAccepted'};
+		}
+
+		case 'waves/hostReturned': {
+			return {type: 'returned'};
+		}
+
+		case 'waves/hostFailed': {
+			return {type: 'failed'};
+		}
+
+		case 'waves/hostRemoved': {
+			return {type: 'removed'};
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/waves/index.ts
@@ -0,0 +1,12 @@
+export type * from './types.js';
+export * from './apply-wave-command.js';
+export * from './availability.js';
+export * from './constants.js';
+export * from './decide-task-drain.js';
+export * from './estimate-wave.js';
+export * from './find-wave-obstacles.js';
+export * from './order-hosts.js';
+export {getRebootId} from './plan-host-steps.js';
+export * from './plan-wave-step.js';
+export * from './restore-waves-state.js';
+export {createWavesState, findWave} from './waves-state.js';
