--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,3 +14,4 @@
 export * from './replica/index.js';
 export * from './shares/index.js';
 export type * from './step.js';
+export * from './waves/index.js';
