Serve a job end to end: HTTP, reducer, replicated log, minions

Cause: the parts were reached only by their own tests. Change: one node reducer joins membership, claims, jobs and the committed records; the daemon carries out its effects over HTTP, disk and peer links; a stand-in minion and npm start show a reservation, a resend, a refused key and an open queue. Seen in npm start: the open queue's job is placed and answered; keyed jobs with an idempotency key are refused as not run, since a single host has no second copy of a claim yet.

--- a/packages/core/src/jobs/types.ts
+++ b/packages/core/src/jobs/types.ts
@@ -31,6 +31,8 @@
 	readonly pool: PoolId;
 	readonly team: TeamId;
 	readonly idempotencyKey?: IdempotencyKey;
+	/** The caller states that it never sent this key before. */
+	readonly isFirstSend?: boolean;
 	/** SHA-256 of the body in hexadecimal, compared when a key comes again. */
 	readonly bodyHash: string;
 	/** An idempotent job may be dispatched again after an attempt was lost. */
--- a/packages/core/src/membership/reduce-membership.ts
+++ b/packages/core/src/membership/reduce-membership.ts
@@ -4,7 +4,7 @@
  */
 import type {MonotonicMs, NodeId} from '@samphiremill/common';
 import {createMinionsState, reduceMinions} from '../minions/reduce-minions.js';
-import {listWorkers} from '../minions/selectors.js';
+import {listFleetWorkers} from '../minions/selectors.js';
 import type {
 	MinionsConfig, MinionsEffect, MinionsEvent, MinionsMessage, MinionsState,
 } from '../minions/types.js';
@@ -97,7 +97,7 @@
 	const nodes = tickNodes(state.nodes, cfg.membership, nowMs);
 	const minions = reduceMinions(state.minions, {type: 'minions/tick', nowMs}, cfg.minions);
 	const summaries = tickSummaries(state.summaries, {
-		nodes: nodes.state, workers: listWorkers(minions.state), cfg: cfg.membership, nowMs,
+		nodes: nodes.state, workers: listFleetWorkers(minions.state), cfg: cfg.membership, nowMs,
 	});
 	const next = {
 		...state, nodes: nodes.state, minions: minions.state, summaries: summaries.state,
--- a/packages/core/src/membership/view.ts
+++ b/packages/core/src/membership/view.ts
@@ -2,7 +2,7 @@
  * What the other parts read: every entry host, and every worker, as this node believes them to be.
  */
 import type {DataCentreId, MonotonicMs, NodeId} from '@samphiremill/common';
-import {listWorkers} from '../minions/selectors.js';
+import {listFleetWorkers} from '../minions/selectors.js';
 import type {MinionsState} from '../minions/types.js';
 import {listLocalMembers, type NodesState} from './nodes.js';
 import {listFreshDataCentres, type RemoteSummary, type SummariesState} from './summaries.js';
@@ -85,6 +85,6 @@
 	const remote = [...state.summaries.remote]
 		.flatMap(([dataCentre, summary]) => listRemoteWorkers(dataCentre, summary, fresh.includes(dataCentre)));
 	return {
-		workers: [...listWorkers(state.minions), ...remote].toSorted((left, right) => left.worker < right.worker ? -1 : 1),
+		workers: [...listFleetWorkers(state.minions), ...remote].toSorted((left, right) => left.worker < right.worker ? -1 : 1),
 	};
 }
--- a/packages/core/src/minions/selectors.ts
+++ b/packages/core/src/minions/selectors.ts
@@ -25,7 +25,7 @@
  * @param state - The directory.
  * @returns Each worker with the best condition of its minions, in order of id.
  */
-export function listWorkers(state: MinionsState): readonly FleetWorker[] {
+export function listFleetWorkers(state: MinionsState): readonly FleetWorker[] {
 	const workers = new Map<WorkerId, FleetWorker>();
 	for (const {worker, pool, dataCentre, condition, renewedAtMs} of state.entries.values()) {
 		const known = workers.get(worker);
--- /dev/null
+++ b/packages/core/src/node/reduce-node.ts
@@ -0,0 +1,154 @@
+import type {DataCentreId, MonotonicMs, NodeId} from '@samphiremill/common';
+import {createClaimsState, reduceClaims, type ClaimsEvent} from '../claims/index.js';
+import {createControlState} from '../control/index.js';
+import {createJobsState, reduceJobs, type JobsEvent} from '../jobs/index.js';
+import {createMembershipState, reduceMembership, type MembershipEvent} from '../membership/index.js';
+import {getJobsPolicy, listPlaceableMinions} from './placeable-minions.js';
+import {isInternalEffect, routeEffect} from './route-effects.js';
+import {listTeamAllowances} from './team-limits.js';
+import type {
+	NodeConfig, NodeEffect, NodeEvent, NodeState, NodeStep, PartEffect,
+} from './types.js';
+
+type PartStep = {readonly state: NodeState; readonly effects: readonly PartEffect[]};
+
+/**
+ * @param options - Who this entry host is, its configuration and the time.
+ * @returns An entry host that knows no records, no minions and no jobs.
+ */
+export function createNodeState({self, dataCentre, cfg, nowMs}: {
+	readonly self: NodeId;
+	readonly dataCentre: DataCentreId;
+	readonly cfg: NodeConfig;
+	readonly nowMs: MonotonicMs;
+}): NodeState {
+	return {
+		self,
+		dataCentre,
+		control: createControlState(),
+		isConfigurationFresh: false,
+		membership: createMembershipState(cfg.membership, nowMs),
+		claims: createClaimsState(self, dataCentre),
+		jobs: createJobsState(),
+	};
+}
+
+const applyToClaims = (state: NodeState, event: ClaimsEvent, cfg: NodeConfig): PartStep => {
+	const {state: claims, effects} = reduceClaims(state.claims, event, cfg.claims);
+	return {state: {...state, claims}, effects};
+};
+
+const applyToJobs = (state: NodeState, event: JobsEvent, cfg: NodeConfig): PartStep => {
+	const {state: jobs, effects} = reduceJobs(state.jobs, event, cfg.jobs);
+	return {state: {...state, jobs}, effects};
+};
+
+const applyToMembership = (state: NodeState, event: MembershipEvent, cfg: NodeConfig): PartStep => {
+	const {state: membership, effects} = reduceMembership(state.membership, event, cfg.membership);
+	return {state: {...state, membership}, effects};
+};
+
+const isClaimsEvent = (event: {readonly type: string}): event is ClaimsEvent => event.type.startsWith('claims/');
+const isJobsEvent = (event: {readonly type: string}): event is JobsEvent => event.type.startsWith('jobs/');
+
+const receive = (state: NodeState, event: Extract<NodeEvent, {readonly type: 'peer/received'}>, cfg: NodeConfig): PartStep => {
+	const {message, ...envelope} = event;
+	return isClaimsMessage(message)
+		? applyToClaims(state, {...envelope, message}, cfg)
+		: applyToMembership(state, {...envelope, message}, cfg);
+};
+
+type ReceivedMessage = Extract<NodeEvent, {readonly type: 'peer/received'}>['message'];
+type ReceivedClaimsMessage = Extract<ClaimsEvent, {readonly type: 'peer/received'}>['message'];
+
+const isClaimsMessage = (message: ReceivedMessage): message is ReceivedClaimsMessage => message.type.startsWith('claims/');
+
+/** What changed records mean to the parts, in the order in which the parts depend on each other. */
+const listControlEvents = (state: NodeState, former: NodeState, {isRestart, nowMs}: {
+	readonly isRestart: boolean;
+	readonly nowMs: MonotonicMs;
+}): NodeEvent[] => {
+	const changedViews = [...state.control.views.values()].filter(view => former.control.views.get(view.dataCentre) !== view);
+	return [
+		...changedViews.map((view): NodeEvent => ({
+			type: 'claims/viewChanged', view, isRestart, nowMs,
+		})),
+		{type: 'jobs/policyChanged', policy: getJobsPolicy(state), nowMs},
+		{type: 'jobs/minionsChanged', minions: listPlaceableMinions(state), nowMs},
+		...listTeamAllowances(state).map((allowance): NodeEvent => ({type: 'jobs/limitHeld', ...allowance, nowMs})),
+	];
+};
+
+const listTickEvents = (nowMs: MonotonicMs): NodeEvent[] => [
+	{type: 'membership/tick', nowMs},
+	{type: 'claims/tick', nowMs},
+	{type: 'jobs/tick', nowMs},
+];
+
+type Expanded = PartStep & {readonly events: readonly NodeEvent[]};
+
+const applyEvent = (state: NodeState, event: NodeEvent, cfg: NodeConfig): Expanded => {
+	if (event.type === 'node/controlChanged') {
+		const next = {...state, control: event.control};
+		return {state: next, effects: [], events: listControlEvents(next, state, event)};
+	}
+
+	if (event.type === 'node/freshnessChanged') {
+		const {isFresh, nowMs} = event;
+		return {
+			state: {...state, isConfigurationFresh: isFresh},
+			effects: [],
+			events: [{type: 'claims/freshnessChanged', isFresh, nowMs}],
+		};
+	}
+
+	if (event.type === 'node/tick') {
+		return {state, effects: [], events: listTickEvents(event.nowMs)};
+	}
+
+	if (event.type === 'peer/received') {
+		return {...receive(state, event, cfg), events: []};
+	}
+
+	if (isClaimsEvent(event)) {
+		return {...applyToClaims(state, event, cfg), events: []};
+	}
+
+	return isJobsEvent(event)
+		? {...applyToJobs(state, event, cfg), events: []}
+		: {...applyToMembership(state, event, cfg), events: []};
+};
+
+/**
+ * Carries one entry host on by one event, and by all that the event leads to inside it.
+ *
+ * @param state - The entry host so far.
+ * @param event - What happened.
+ * @param cfg - What varies between deployments.
+ * @returns The next state, and the effects for the shell in the order in which they came about.
+ */
+export function reduceNode(state: NodeState, event: NodeEvent, cfg: NodeConfig): NodeStep {
+	let current = state;
+	const effects: NodeEffect[] = [];
+	const waiting: NodeEvent[] = [event];
+	for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
+		const former = current;
+		const step = applyEvent(current, next, cfg);
+		current = step.state;
+		waiting.push(...step.events);
+		for (const effect of step.effects) {
+			if (!isInternalEffect(effect)) {
+				effects.push(effect);
+				continue;
+			}
+
+			const routed = routeEffect({
+				effect, state: current, former, nowMs: next.nowMs,
+			});
+			waiting.push(...routed.events);
+			effects.push(...routed.effects);
+		}
+	}
+
+	return {state: current, effects};
+}
--- /dev/null
+++ b/packages/daemon/src/http/routes.ts
@@ -0,0 +1,31 @@
+import type {Runtime} from '../runtime/types.js';
+import {createCancelJobRoute} from './callers/cancel-job.js';
+import {createSubmitJobRoute} from './callers/submit-job.js';
+import {createAnnounceMinionRoute} from './minions/announce-minion.js';
+import {createLeaveRoute} from './minions/leave.js';
+import {createReportUsageRoute} from './minions/report-usage.js';
+import {createHealthRoute} from './observability/get-health.js';
+import {createMetricsRoute} from './observability/get-metrics.js';
+import {createReadyRoute} from './observability/get-ready.js';
+import type {HttpRoute} from './types.js';
+
+type CreateRoute = (runtime: Runtime) => HttpRoute;
+
+const creators: readonly CreateRoute[] = [
+	createSubmitJobRoute,
+	createCancelJobRoute,
+	createAnnounceMinionRoute,
+	createLeaveRoute,
+	createReportUsageRoute,
+	createHealthRoute,
+	createReadyRoute,
+	createMetricsRoute,
+];
+
+/**
+ * @param runtime - The running entry host.
+ * @returns Every route of the HTTP interface.
+ */
+export function listRoutes(runtime: Runtime): readonly HttpRoute[] {
+	return creators.map(createRoute => createRoute(runtime));
+}
--- /dev/null
+++ b/packages/daemon/src/runtime/constants.ts
@@ -0,0 +1,10 @@
+/** How often the reducer is told the time, in milliseconds. */
+export const nodeTickPeriodMs = 50;
+/** How often a leader plans, in milliseconds. */
+export const planPeriodMs = 250;
+/** How often an entry host looks for a change of its configuration lease, in milliseconds. */
+export const freshnessPeriodMs = 50;
+/** How long a planned stop lets members of the data centre learn of it before it closes, in milliseconds. */
+export const leaveNoticeMs = 200;
+/** The most work a caller may leave waiting for an answer, in milliseconds. */
+export const maximumDeadlineMs = 3_600_000;
--- /dev/null
+++ b/packages/daemon/src/runtime/control-host.ts
@@ -0,0 +1,103 @@
+/**
+ * The records of this node: applies what the replicated log commits.
+ */
+import type {
+	NodeId, RandomSource, Result, TimerService,
+} from '@samphiremill/common';
+import {
+	applyControlCommand,
+	createControlState,
+	defaultReplicaLimits,
+	restoreControlState,
+	serializeControlState,
+	type ControlAnswer,
+	type ControlCommand,
+	type ControlState,
+	type NodeAddress,
+	type ReplicaMessage,
+} from '@samphiremill/core';
+import {createReplicaHost, type ReplicaHost} from '../replica-host.js';
+import type {ReplicaStore, StoreError} from '../store/index.js';
+import type {DecisionLog} from './types.js';
+
+/** The replicated log with the records that it came to. */
+export type ControlHost = {
+	readonly replica: ReplicaHost<ControlCommand, ControlAnswer>;
+	readonly getControl: () => ControlState;
+};
+
+const installSnapshot = (data: string, log: DecisionLog): ControlState => {
+	const {state, findings} = restoreControlState(JSON.parse(data));
+	for (const {path, message} of findings) {
+		log.warn(`snapshot ${path}: ${message}`, {path});
+	}
+
+	return state;
+};
+
+/**
+ * Starts the replicated log and the records.
+ *
+ * @param options - Who takes part, the store where there is one, how to send, and whom to tell.
+ * @returns The running log.
+ */
+export function startControlHost({self, addresses, store, timers, random, processId, log, send, onChanged, onStoreFailed}: {
+	readonly self: NodeId;
+	readonly addresses: readonly NodeAddress[];
+	readonly store: ReplicaStore<ControlCommand> | undefined;
+	readonly timers: TimerService;
+	readonly random: RandomSource;
+	readonly processId: string;
+	readonly log: DecisionLog;
+	readonly send: (to: NodeId, message: ReplicaMessage<ControlCommand>) => void;
+	/** Called once for all entries that were applied together. */
+	readonly onChanged: () => void;
+	readonly onStoreFailed: (err: StoreError) => void;
+}): ControlHost {
+	let control = createControlState();
+	let isChangeAnnounced = false;
+
+	const announceChange = () => {
+		if (isChangeAnnounced) {
+			return;
+		}
+
+		isChangeAnnounced = true;
+		queueMicrotask(() => {
+			isChangeAnnounced = false;
+			onChanged();
+		});
+	};
+
+	const replica = createReplicaHost<ControlCommand, ControlAnswer>({
+		cfg: {
+			self,
+			nodes: addresses.map(({node, dataCentre, isVoter}) => ({node, dataCentre, isInitialVoter: isVoter})),
+			limits: defaultReplicaLimits,
+			random,
+		},
+		...(store === undefined ? {} : {store}),
+		timers,
+		processId,
+		send,
+		applyCommand(command) {
+			const step = applyControlCommand(control, command);
+			control = step.state;
+			announceChange();
+			return step.answer;
+		},
+		createSnapshot: () => JSON.stringify(serializeControlState(control)),
+		installSnapshot(data) {
+			control = installSnapshot(data, log);
+			announceChange();
+		},
+		onRoleChanged({role, term, leader}) {
+			log.info(`the replicated log is in term ${term}`, {role, term, leader});
+		},
+		onStoreFailed,
+	});
+	return {replica, getControl: () => control};
+}
+
+/** The outcome of a proposal. */
+export type ControlProposal = Result<{readonly index: number; readonly answer: ControlAnswer | undefined}, unknown>;
--- /dev/null
+++ b/packages/daemon/src/runtime/leader-duties.ts
@@ -0,0 +1,65 @@
+/**
+ * What only a leader with a fresh quorum does: it plans, and proposes what it planned.
+ */
+import type {MonotonicMs, TimerService} from '@samphiremill/common';
+import {
+	planViews, type ControlCommand, type ControlState, type NodeState,
+} from '@samphiremill/core';
+import {planPeriodMs} from './constants.js';
+import type {DecisionLog, ProposalResult} from './types.js';
+
+type Plan = (input: {
+	readonly control: ControlState;
+	readonly node: NodeState;
+	readonly nowMs: MonotonicMs;
+}) => readonly ControlCommand[];
+
+const planners: readonly Plan[] = [
+	({control, node, nowMs}) => planViews(control.views.values(), node.membership.view, nowMs),
+];
+
+/**
+ * Starts the leader's periodic planning. While this node does not lead, nothing is planned.
+ *
+ * @param options - What the planners read, and how commands are proposed.
+ * @returns Ends the planning.
+ */
+export function startLeaderDuties({timers, hasLeaderLease, getControl, getNode, propose, seedCommands, log}: {
+	readonly timers: TimerService;
+	readonly hasLeaderLease: () => boolean;
+	readonly getControl: () => ControlState;
+	readonly getNode: () => NodeState;
+	readonly propose: (command: ControlCommand) => Promise<ProposalResult>;
+	readonly seedCommands: readonly ControlCommand[];
+	readonly log: DecisionLog;
+}): () => void {
+	let isPlanning = false;
+
+	const proposeAll = async (commands: readonly ControlCommand[]) => {
+		for (const command of commands) {
+			// eslint-disable-next-line no-await-in-loop -- later commands may depend on earlier ones
+			const result = await propose(command);
+			log.debug(`planned ${command.type}`, {command, ok: result.ok});
+		}
+	};
+
+	const run = async () => {
+		const control = getControl();
+		const isEmpty = control.records.size === 0 && control.changes.size === 0;
+		await proposeAll(isEmpty ? seedCommands : []);
+		const input = {control: getControl(), node: getNode(), nowMs: timers.getNow()};
+		await proposeAll(planners.flatMap(plan => plan(input)));
+	};
+
+	const cancel = timers.scheduleEvery(planPeriodMs, () => {
+		if (isPlanning || !hasLeaderLease()) {
+			return;
+		}
+
+		isPlanning = true;
+		void run().finally(() => {
+			isPlanning = false;
+		});
+	});
+	return cancel;
+}
--- /dev/null
+++ b/packages/daemon/src/runtime/log-decision.ts
@@ -0,0 +1,43 @@
+import {assertNever} from '@samphiremill/common';
+import type {JobsDecision} from '@samphiremill/core';
+import type {DecisionLog} from './types.js';
+
+/**
+ * Writes the line of one routing or placement decision.
+ *
+ * @param log - Where to.
+ * @param decision - What was decided and why.
+ */
+export function logDecision(log: DecisionLog, decision: JobsDecision): void {
+	switch (decision.kind) {
+		case 'placed': {
+			log.info(`job ${decision.job} is placed on worker ${decision.worker}`, decision);
+			return;
+		}
+
+		case 'refused': {
+			log.info(`job ${decision.job} is refused: ${decision.reason}`, decision);
+			return;
+		}
+
+		case 'retried': {
+			log.info(`job ${decision.job} is tried again in ${decision.delayMs} ms`, decision);
+			return;
+		}
+
+		case 'workerEjected': {
+			log.warn(`worker ${decision.worker} gets no work after ${decision.failuresCounted} failures`, decision);
+			return;
+		}
+
+		case 'workerProbed':
+		case 'workerRestored': {
+			log.info(`worker ${decision.worker} is ${decision.kind === 'workerProbed' ? 'probed' : 'restored'}`, decision);
+			return;
+		}
+
+		default: {
+			assertNever(decision);
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -0,0 +1,343 @@
+/**
+ * Starts one entry host: the reducer, and around it disk, peer links, minions, timers and HTTP.
+ */
+import {randomUUID} from 'node:crypto';
+import {
+	assertNever, createFailure, createSuccess, toBrand, type JobId, type RandomSource, type Result, type TimerService, type WallClockMs,
+} from '@samphiremill/common';
+import {
+	createDefaultJobsCfg,
+	createNodeState,
+	defaultMembershipTimings,
+	minionForgetAfterMs,
+	minionLeaseMs,
+	minionRenewalPeriodMs,
+	type ControlCommand,
+	type NodeAddress,
+	type NodeConfig,
+	type NodeMessage,
+	type ReplicaMessage,
+} from '@samphiremill/core';
+import {createMinionClient} from '../dispatch/index.js';
+import {createBodyBudget} from '../http/read-body.js';
+import {listRoutes} from '../http/routes.js';
+import {startHttpServer} from '../http/server.js';
+import {createPeerTransport} from '../peers/index.js';
+import type {Settings} from '../settings/index.js';
+import {openReplicaStore, type ReplicaStore, type StoreError} from '../store/index.js';
+import {freshnessPeriodMs, leaveNoticeMs, nodeTickPeriodMs} from './constants.js';
+import {startControlHost} from './control-host.js';
+import {createJobRegistry, type JobRegistry} from './job-registry.js';
+import {startLeaderDuties} from './leader-duties.js';
+import {logDecision} from './log-decision.js';
+import {createMetrics} from './metrics.js';
+import {createNodeEngine, type ShellEffect} from './node-engine.js';
+import type {DecisionLog, Metrics, Runtime} from './types.js';
+
+/** What a daemon is started with, besides its settings. */
+export type StartDaemonOptions = {
+	readonly settings: Settings;
+	readonly timers: TimerService;
+	readonly random: RandomSource;
+	readonly log: DecisionLog;
+	readonly getWallClock: () => WallClockMs;
+	/** Proposed by the leader of an empty log. */
+	readonly seedCommands: readonly ControlCommand[];
+};
+
+/** A running daemon. */
+export type Daemon = {
+	readonly httpHost: string;
+	readonly httpPort: number;
+	readonly runtime: Runtime;
+	/** Stops accepting, lets what is in flight finish, hands over and leaves. */
+	readonly stop: () => Promise<void>;
+};
+
+const getSelfAddress = ({node, dataCentre, region, listen, isVoter}: Settings): NodeAddress => ({
+	node, dataCentre, region, host: listen.peers.host, peerPort: listen.peers.port, isVoter,
+});
+
+const createNodeConfig = ({settings, self, incarnation, random}: {
+	readonly settings: Settings;
+	readonly self: NodeAddress;
+	readonly incarnation: number;
+	readonly random: RandomSource;
+}): NodeConfig => ({
+	membership: {
+		membership: {
+			self, incarnation, addresses: [self, ...settings.peers], timings: defaultMembershipTimings,
+		},
+		minions: {
+			self: settings.node, leaseMs: minionLeaseMs, renewalPeriodMs: minionRenewalPeriodMs, forgetAfterMs: minionForgetAfterMs,
+		},
+	},
+	claims: {hasStore: false},
+	jobs: createDefaultJobsCfg(random),
+});
+
+const openStore = async (folder: string | undefined): Promise<Result<ReplicaStore<ControlCommand> | undefined, StoreError>> =>
+	folder === undefined ? createSuccess(undefined) : openReplicaStore<ControlCommand>({folder});
+
+const createEffectHandler = ({log, getRegistry}: {
+	readonly log: DecisionLog;
+	readonly getRegistry: () => JobRegistry;
+}) => (effect: ShellEffect): void => {
+	switch (effect.type) {
+		case 'jobs/dispatch': {
+			getRegistry().dispatchAttempt(effect);
+			return;
+		}
+
+		case 'jobs/cancelAttempt': {
+			getRegistry().cancelAttempt(effect);
+			return;
+		}
+
+		case 'node/replay': {
+			getRegistry().keepReplay(effect);
+			return;
+		}
+
+		case 'jobs/finish': {
+			getRegistry().finish(effect);
+			return;
+		}
+
+		case 'jobs/decision': {
+			logDecision(log, effect.decision);
+			return;
+		}
+
+		case 'claims/persist':
+		case 'minions/probe':
+		case 'jobs/demandChanged':
+		case 'jobs/slotUseChanged':
+		case 'jobs/limitUseChanged': {
+			return;
+		}
+
+		default: {
+			assertNever(effect);
+		}
+	}
+};
+
+const isReplicaMessage = (message: unknown): message is ReplicaMessage<ControlCommand> =>
+	typeof message === 'object' && message !== null && 'type' in message && typeof message.type === 'string' && message.type.startsWith('replica/');
+
+const isNodeMessage = (message: unknown): message is NodeMessage =>
+	typeof message === 'object' && message !== null && 'type' in message && typeof message.type === 'string' && /^(?:claims|membership|minions)\//v.test(message.type);
+
+const countMetrics = (metrics: Metrics) => ({
+	onClientError() {
+		metrics.count('malformedRequests');
+	},
+});
+
+/**
+ * Starts a daemon.
+ *
+ * @param options - Settings, time, chance, log and the records of an empty log.
+ * @returns The running daemon, or why its data folder cannot be used.
+ * @throws The system's error when an address cannot be bound.
+ */
+export async function startDaemon(options: StartDaemonOptions): Promise<Result<Daemon, StoreError>> {
+	const {settings, timers, random, log, getWallClock, seedCommands} = options;
+	const opened = await openStore(settings.dataFolder);
+	if (!opened.ok) {
+		return createFailure(opened.err);
+	}
+
+	const store = opened.value;
+	const incarnation = getWallClock();
+	const processId = randomUUID();
+	const self = getSelfAddress(settings);
+	const addresses = [self, ...settings.peers];
+	const cfg = createNodeConfig({
+		settings, self, incarnation, random,
+	});
+	const metrics = createMetrics();
+	const bodyBudget = createBodyBudget(settings.limits.bodyBudgetBytes);
+	const client = createMinionClient({timers});
+	let isStopping = false;
+	let isConfirmed = false;
+	let nextJob = 1;
+
+	const transport = createPeerTransport({
+		self,
+		incarnation,
+		peers: settings.peers,
+		secret: settings.clusterSecret,
+		timers,
+		random,
+		onMessage(from, message) {
+			if (isReplicaMessage(message)) {
+				controlHost.replica.receive(from, message);
+			} else if (isNodeMessage(message)) {
+				engine.dispatch({
+					type: 'peer/received', from, message, nowMs: timers.getNow(),
+				});
+			} else {
+				metrics.count('malformedPeerMessages');
+			}
+		},
+		onLinkChanged({peer, isUp}) {
+			engine.dispatch({
+				type: 'membership/linkChanged', peer, isUp, nowMs: timers.getNow(),
+			});
+		},
+	});
+
+	const engine = createNodeEngine({
+		self: settings.node,
+		initial: createNodeState({
+			self: settings.node, dataCentre: settings.dataCentre, cfg, nowMs: timers.getNow(),
+		}),
+		cfg,
+		timers,
+		send({to, message}) {
+			transport.send(to, message);
+		},
+		carryOut: createEffectHandler({log, getRegistry: () => registry}),
+	});
+
+	const registry = createJobRegistry({
+		client, timers, bodyBudget, metrics, getState: engine.getState, dispatch: engine.dispatch,
+	});
+
+	const announceControl = (isRestart: boolean) => {
+		engine.dispatch({
+			type: 'node/controlChanged', control: controlHost.getControl(), isRestart, nowMs: timers.getNow(),
+		});
+	};
+
+	const controlHost = startControlHost({
+		self: settings.node,
+		addresses,
+		store,
+		timers,
+		random,
+		processId,
+		log,
+		send: transport.send,
+		onChanged() {
+			// What was committed before this start is taken over at once, after the first confirmed read.
+			if (isConfirmed) {
+				announceControl(false);
+			}
+		},
+		onStoreFailed(err) {
+			log.error(`the data folder failed: ${err.type}`, {...err});
+		},
+	});
+
+	const confirmRecords = async (): Promise<void> => {
+		const result = await controlHost.replica.read();
+		if (result.ok) {
+			isConfirmed = true;
+			announceControl(true);
+			return;
+		}
+
+		// Without a quorum the read fails after its own time limit, so this does not spin.
+		if (!isStopping) {
+			await confirmRecords();
+		}
+	};
+
+	let wasFresh = false;
+	const checkFreshness = () => {
+		const isFresh = controlHost.replica.getFreshness() === 'fresh';
+		if (isFresh !== wasFresh) {
+			wasFresh = isFresh;
+			engine.dispatch({type: 'node/freshnessChanged', isFresh, nowMs: timers.getNow()});
+			log.info(`the records are ${isFresh ? 'confirmed' : 'stale'}`, {isFresh});
+		}
+	};
+
+	const runtime: Runtime = {
+		settings,
+		timers,
+		bodyBudget,
+		getWallClock,
+		createJobId() {
+			const id = `${settings.node}.${processId.slice(0, 8)}.${nextJob}`;
+			nextJob += 1;
+			return toBrand<JobId>(id);
+		},
+		getControl: controlHost.getControl,
+		getState: engine.getState,
+		getFreshness: controlHost.replica.getFreshness,
+		isStopping: () => isStopping,
+		dispatch: engine.dispatch,
+		submit(job) {
+			metrics.count('jobsSubmitted');
+			registry.add(job);
+			engine.dispatch({type: 'jobs/submitted', spec: job.spec, nowMs: timers.getNow()});
+		},
+		async propose(command) {
+			const result = await controlHost.replica.propose(command);
+			return result.ok ? createSuccess({index: result.value.index, answer: result.value.outcome}) : result;
+		},
+		log,
+		metrics,
+	};
+
+	await transport.start();
+	const cancelTimers = [
+		timers.scheduleEvery(nodeTickPeriodMs, () => {
+			engine.dispatch({type: 'node/tick', nowMs: timers.getNow()});
+		}),
+		timers.scheduleEvery(freshnessPeriodMs, checkFreshness),
+		startLeaderDuties({
+			timers,
+			hasLeaderLease: controlHost.replica.hasLeaderLease,
+			getControl: controlHost.getControl,
+			getNode: engine.getState,
+			propose: runtime.propose,
+			seedCommands,
+			log,
+		}),
+	];
+	void confirmRecords();
+	const server = await startHttpServer({
+		...settings.listen.http,
+		maximumConnections: settings.limits.maximumConnections,
+		routes: listRoutes(runtime),
+		...countMetrics(metrics),
+		onUnexpectedError(err) {
+			metrics.count('unexpectedErrors');
+			log.error('a request failed unexpectedly', {err: err instanceof Error ? err.stack : String(err)});
+		},
+	});
+	log.info(`listening on ${server.host}:${server.port}`, {node: settings.node, dataCentre: settings.dataCentre});
+
+	const stop = async () => {
+		if (isStopping) {
+			return;
+		}
+
+		isStopping = true;
+		log.info('stopping: no new work, open requests finish', {openJobs: registry.getOpenJobCount()});
+		engine.dispatch({type: 'jobs/stopping', nowMs: timers.getNow()});
+		controlHost.replica.transferLeadership();
+		await server.close();
+		engine.dispatch({type: 'membership/leave', nowMs: timers.getNow()});
+		await new Promise<void>(resolve => {
+			timers.scheduleOnce(leaveNoticeMs, resolve);
+		});
+		for (const cancel of cancelTimers) {
+			cancel();
+		}
+
+		controlHost.replica.stop();
+		await client.close();
+		await transport.close();
+		await store?.close();
+	};
+
+	return createSuccess({
+		httpHost: server.host, httpPort: server.port, runtime, stop,
+	});
+}
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -19,7 +19,7 @@
 	target: 'node20',
 	format: 'esm',
 	banner: {
-		js: '#!/usr/bin/env node\nimport {createRequire as __createRequire} from \'node:module\';const require=__createRequire(import.meta.url);',
+		js: 'import {createRequire as __createRequire} from \'node:module\';const require=__createRequire(import.meta.url);',
 	},
 	logLevel: 'warning',
 })));
