Sync claims to disk where one host stands alone, and write plain JSON log lines

Cause: a single entry host has no second host for a claim's copy, so keyed jobs with an idempotency key were refused. What was running when the process died is restored as lost.

--- a/packages/core/src/claims/index.ts
+++ b/packages/core/src/claims/index.ts
@@ -6,4 +6,5 @@
 export * from './constants.js';
 export {createClaimName, findOwnership, type ClaimOwnership} from './ownership.js';
 export {createClaimsState, reduceClaims} from './reduce-claims.js';
+export {restoreClaimRecord} from './restore-claim-record.js';
 export type * from './types.js';
--- a/packages/core/src/claims/reduce-claims.ts
+++ b/packages/core/src/claims/reduce-claims.ts
@@ -174,7 +174,7 @@
 
 		case 'claims/restored': {
 			const {records, nowMs} = event;
-			return {state: keepAll({state, records, nowMs}), effects: []};
+			return markNodeLost({state: keepAll({state, records, nowMs}), node: state.self, nowMs});
 		}
 
 		case 'claims/tick': {
--- /dev/null
+++ b/packages/core/src/claims/restore-claim-record.ts
@@ -0,0 +1,40 @@
+import * as z from 'zod/mini';
+import type {ClaimRecord} from './types.js';
+
+const ran = z.enum(['no', 'maybe', 'yes']);
+const outcomeSchema = z.discriminatedUnion('type', [
+	z.object({type: z.literal('answered'), minion: z.string(), status: z.int()}),
+	z.object({
+		type: z.literal('refused'), reason: z.string(), ran, retryAfterMs: z.exactOptional(z.number()),
+	}),
+]);
+const recordSchema = z.object({
+	name: z.string(),
+	bodyHash: z.string(),
+	job: z.string(),
+	claimer: z.string(),
+	stage: z.discriminatedUnion('type', [
+		z.object({type: z.literal('claimed')}),
+		z.object({type: z.literal('started'), minion: z.string(), attempt: z.int()}),
+		z.object({
+			type: z.literal('finished'),
+			outcome: outcomeSchema,
+			answer: z.exactOptional(z.object({contentType: z.string(), bodyBase64: z.string()})),
+		}),
+		z.object({type: z.literal('lost')}),
+	]),
+	version: z.int(),
+	changedAtMs: z.number(),
+});
+
+/**
+ * Takes any old or foreign data to a claim.
+ *
+ * @param document - Any value, usually read from disk.
+ * @returns The claim, or `undefined` where the value is not one.
+ */
+export function restoreClaimRecord(document: unknown): ClaimRecord | undefined {
+	const parsed = recordSchema.safeParse(document);
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- the schema has checked all but the brands
+	return parsed.success ? parsed.data as unknown as ClaimRecord : undefined;
+}
--- a/packages/core/src/claims/types.ts
+++ b/packages/core/src/claims/types.ts
@@ -223,6 +223,7 @@
 	/** An entry host was declared dead, or restarted and forgot its jobs. */
 		| {readonly type: 'claims/nodeLost'; readonly node: NodeId; readonly nowMs: MonotonicMs}
 		| {readonly type: 'claims/persisted'; readonly name: ClaimName; readonly version: number; readonly nowMs: MonotonicMs}
+		/** This process has read back what it had on disk; what it was running then is lost. */
 		| {readonly type: 'claims/restored'; readonly records: readonly ClaimRecord[]; readonly nowMs: MonotonicMs}
 		| {readonly type: 'claims/tick'; readonly nowMs: MonotonicMs}
 		| {readonly type: 'peer/received'; readonly from: NodeId; readonly message: ClaimsMessage; readonly nowMs: MonotonicMs};
--- a/packages/daemon/src/runtime/log.ts
+++ b/packages/daemon/src/runtime/log.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {Logger} from 'tslog';
 import type {LogSettings} from '../settings/index.js';
 import type {DecisionLog, LogFields} from './types.js';
@@ -6,6 +7,14 @@
 	trace: 1, debug: 2, info: 3, warn: 4, error: 5,
 };
 
+type LevelName = keyof DecisionLog;
+
+const writeJsonLine = (level: LevelName, node: string, fields: LogFields) => {
+	process.stdout.write(`${JSON.stringify({
+		time: new Date().toISOString(), level, node, ...fields,
+	})}\n`);
+};
+
 /**
  * Creates the log. Each line has a message that names the thing and the bound, and its fields.
  *
@@ -15,23 +24,28 @@
 export function createLog({settings, node}: {readonly settings: LogSettings; readonly node: string}): DecisionLog {
 	const logger = new Logger<LogFields>({
 		name: node,
-		type: settings.format,
+		type: settings.format === 'json' ? 'hidden' : 'pretty',
 		minLevel: levelIds[settings.level],
 		hideLogPositionForProduction: true,
 		maskValuesOfKeys: ['authorization', 'secret', 'token'],
 	});
+
+	const createWriter = (level: LevelName) => (message: string, fields: LogFields) => {
+		if (levelIds[level] < levelIds[settings.level]) {
+			return;
+		}
+
+		const line = logger[level]({message, ...fields});
+		if (settings.format === 'json' && line !== undefined) {
+			const {_meta, ...masked} = line;
+			writeJsonLine(level, node, masked);
+		}
+	};
+
 	return {
-		debug(message, fields) {
-			logger.debug({message, ...fields});
-		},
-		info(message, fields) {
-			logger.info({message, ...fields});
-		},
-		warn(message, fields) {
-			logger.warn({message, ...fields});
-		},
-		error(message, fields) {
-			logger.error({message, ...fields});
-		},
+		debug: createWriter('debug'),
+		info: createWriter('info'),
+		warn: createWriter('warn'),
+		error: createWriter('error'),
 	};
 }
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -12,19 +12,23 @@
 	minionForgetAfterMs,
 	minionLeaseMs,
 	minionRenewalPeriodMs,
+	type ClaimRecord,
 	type ControlCommand,
 	type NodeAddress,
 	type NodeConfig,
 	type NodeMessage,
 	type ReplicaMessage,
 } from '@samphiremill/core';
+import {openClaimsJournal, type ClaimsJournal} from '../claims-journal/claims-journal.js';
 import {createMinionClient} from '../dispatch/index.js';
 import {createBodyBudget} from '../http/read-body.js';
 import {listRoutes} from '../http/routes.js';
 import {startHttpServer} from '../http/server.js';
 import {createPeerTransport} from '../peers/index.js';
 import type {Settings} from '../settings/index.js';
-import {openReplicaStore, type ReplicaStore, type StoreError} from '../store/index.js';
+import {
+	openReplicaStore, storeFileSystem, type ReplicaStore, type StoreError,
+} from '../store/index.js';
 import {freshnessPeriodMs, leaveNoticeMs, nodeTickPeriodMs} from './constants.js';
 import {startControlHost} from './control-host.js';
 import {createJobRegistry, type JobRegistry} from './job-registry.js';
@@ -72,16 +76,38 @@
 			self: settings.node, leaseMs: minionLeaseMs, renewalPeriodMs: minionRenewalPeriodMs, forgetAfterMs: minionForgetAfterMs,
 		},
 	},
-	claims: {hasStore: false},
+	claims: {hasStore: settings.dataFolder !== undefined},
 	jobs: createDefaultJobsCfg(random),
 });
 
-const openStore = async (folder: string | undefined): Promise<Result<ReplicaStore<ControlCommand> | undefined, StoreError>> =>
-	folder === undefined ? createSuccess(undefined) : openReplicaStore<ControlCommand>({folder});
+type Disk = {
+	readonly store: ReplicaStore<ControlCommand>;
+	readonly journal: ClaimsJournal;
+};
+
+const openDisk = async (folder: string | undefined, listLiveRecords: () => readonly ClaimRecord[]): Promise<Result<Disk | undefined, StoreError>> => {
+	if (folder === undefined) {
+		return createSuccess(undefined);
+	}
+
+	const store = await openReplicaStore<ControlCommand>({folder});
+	if (!store.ok) {
+		return store;
+	}
 
-const createEffectHandler = ({log, getRegistry}: {
+	const journal = await openClaimsJournal({folder, fileSystem: storeFileSystem, listLiveRecords});
+	if (!journal.ok) {
+		await store.value.close();
+		return journal;
+	}
+
+	return createSuccess({store: store.value, journal: journal.value});
+};
+
+const createEffectHandler = ({log, getRegistry, persistClaim}: {
 	readonly log: DecisionLog;
 	readonly getRegistry: () => JobRegistry;
+	readonly persistClaim: (record: ClaimRecord) => void;
 }) => (effect: ShellEffect): void => {
 	switch (effect.type) {
 		case 'jobs/dispatch': {
@@ -109,7 +135,11 @@
 			return;
 		}
 
-		case 'claims/persist':
+		case 'claims/persist': {
+			persistClaim(effect.record);
+			return;
+		}
+
 		case 'minions/probe':
 		case 'jobs/demandChanged':
 		case 'jobs/slotUseChanged':
@@ -144,12 +174,12 @@
  */
 export async function startDaemon(options: StartDaemonOptions): Promise<Result<Daemon, StoreError>> {
 	const {settings, timers, random, log, getWallClock, seedCommands} = options;
-	const opened = await openStore(settings.dataFolder);
+	const opened = await openDisk(settings.dataFolder, () => [...engine.getState().claims.records.values()]);
 	if (!opened.ok) {
 		return createFailure(opened.err);
 	}
 
-	const store = opened.value;
+	const disk = opened.value;
 	const incarnation = getWallClock();
 	const processId = randomUUID();
 	const self = getSelfAddress(settings);
@@ -189,6 +219,19 @@
 		},
 	});
 
+	const persistClaim = (record: ClaimRecord) => {
+		void disk?.journal.write(record).then(result => {
+			if (!result.ok) {
+				log.error('a claim could not be synced, its job will not start', {...result.err});
+				return;
+			}
+
+			engine.dispatch({
+				type: 'claims/persisted', name: record.name, version: record.version, nowMs: timers.getNow(),
+			});
+		});
+	};
+
 	const engine = createNodeEngine({
 		self: settings.node,
 		initial: createNodeState({
@@ -199,9 +242,11 @@
 		send({to, message}) {
 			transport.send(to, message);
 		},
-		carryOut: createEffectHandler({log, getRegistry: () => registry}),
+		carryOut: createEffectHandler({log, getRegistry: () => registry, persistClaim}),
 	});
 
+	engine.dispatch({type: 'claims/restored', records: disk?.journal.recovered ?? [], nowMs: timers.getNow()});
+
 	const registry = createJobRegistry({
 		client, timers, bodyBudget, metrics, getState: engine.getState, dispatch: engine.dispatch,
 	});
@@ -215,7 +260,7 @@
 	const controlHost = startControlHost({
 		self: settings.node,
 		addresses,
-		store,
+		store: disk?.store,
 		timers,
 		random,
 		processId,
@@ -334,7 +379,8 @@
 		controlHost.replica.stop();
 		await client.close();
 		await transport.close();
-		await store?.close();
+		await disk?.journal.close();
+		await disk?.store.close();
 	};
 
 	return createSuccess({
