Answer the operators' interface

Cause: operators drive the fleet through versioned records from any entry host.

Change: packages/daemon/src/operators holds one file for each action, registered in routes.ts: records in both schema versions with entity tags and change ids, keys, orders to waves, workers, moves, status, shares and explanations. Every refusal is a problem document that says whether the change was made. A key's secret is derived from the cluster secret, the operator and the change id, so that a resend to any host shows the secret that was stored. Tokens are compared as hashes in constant time.

--- a/packages/core/src/control/schema/documents.ts
+++ b/packages/core/src/control/schema/documents.ts
@@ -42,7 +42,11 @@
 
 const v1Kinds: ReadonlySet<string> = new Set<V1Kind>(['pool', 'team', 'key', 'queue', 'worker', 'wave']);
 
-function isV1Kind(kind: RecordKind): kind is V1Kind {
+/**
+ * @param kind - A kind of records.
+ * @returns Whether the older schema version has documents of that kind.
+ */
+export function isV1Kind(kind: RecordKind): kind is V1Kind {
 	return v1Kinds.has(kind);
 }
 
--- a/packages/core/src/control/schema/index.ts
+++ b/packages/core/src/control/schema/index.ts
@@ -2,3 +2,4 @@
 export {apiVersion1, type V1Document, type V1Kind} from './v1-schema.js';
 export {apiVersion2} from './v2-schema.js';
 export * from './documents.js';
+export * as recordFields from './fields.js';
--- /dev/null
+++ b/packages/daemon/src/operators/actions/get-shares.ts
@@ -0,0 +1,18 @@
+import {defaultShareWindowMs} from '../constants.js';
+import {createDocumentResponse, createInvalidResponse} from '../respond.js';
+import type {OperatorRoute} from '../types.js';
+
+/** Tells what each team was due, was granted, used and was refused over a window. */
+export const getSharesRoute: OperatorRoute = {
+	method: 'GET',
+	path: '/v1/shares',
+	role: 'read',
+	handle({query}, context) {
+		const windowMs = Number(query.get('windowMs') ?? defaultShareWindowMs);
+		if (!Number.isSafeInteger(windowMs) || windowMs < 1) {
+			return createInvalidResponse([{path: '/query/windowMs', message: 'must be a whole number of milliseconds'}]);
+		}
+
+		return createDocumentResponse({windowMs, items: context.getShares({windowMs})});
+	},
+};
--- /dev/null
+++ b/packages/daemon/src/operators/actions/list-moves.ts
@@ -0,0 +1,15 @@
+import {createDocumentResponse} from '../respond.js';
+import type {OperatorRoute} from '../types.js';
+import {describeWorkers} from './list-workers.js';
+
+/** Lists the workers that are on their way to another pool or not in their home pool. */
+export const listMovesRoute: OperatorRoute = {
+	method: 'GET',
+	path: '/v1/moves',
+	role: 'read',
+	handle(_req, context) {
+		const items = describeWorkers(context)
+			.filter(({movingTo, pool, homePool}) => movingTo !== undefined || pool !== homePool);
+		return createDocumentResponse({items});
+	},
+};
--- /dev/null
+++ b/packages/daemon/src/operators/actions/list-records.ts
@@ -0,0 +1,31 @@
+import {listVersionedRecords, showDocument} from '@samphiremill/core';
+import {findRecordKind, readApiVersion} from '../read-request.js';
+import {createDocumentResponse, createInvalidResponse, createNotFoundResponse} from '../respond.js';
+import type {OperatorRoute} from '../types.js';
+
+/** Reads all records of one kind, in order of id, in either schema version. */
+export const listRecordsRoute: OperatorRoute = {
+	method: 'GET',
+	path: '/v1/records/{kind}',
+	role: 'read',
+	handle(req, context) {
+		const apiVersion = readApiVersion(req);
+		if (!apiVersion.ok) {
+			return createInvalidResponse(apiVersion.err);
+		}
+
+		const kind = findRecordKind(req.params.kind);
+		if (kind === undefined) {
+			return createNotFoundResponse(`kind ${req.params.kind ?? ''}`);
+		}
+
+		const state = context.getControlState();
+		const items = listVersionedRecords(state, kind).flatMap(({record}) => {
+			const shown = showDocument({
+				state, apiVersion: apiVersion.value, kind, id: record.id,
+			});
+			return shown === undefined ? [] : [shown.document];
+		});
+		return createDocumentResponse({items});
+	},
+};
--- /dev/null
+++ b/packages/daemon/src/operators/actions/list-workers.ts
@@ -0,0 +1,46 @@
+import {listWorkers, type ControlState, type WorkerRecord} from '@samphiremill/core';
+import {createDocumentResponse} from '../respond.js';
+import type {OperatorContext, OperatorRoute, WorkerReport} from '../types.js';
+
+function describeWorker({record, state, condition}: {
+	readonly record: WorkerRecord;
+	readonly state: ControlState;
+	readonly condition: WorkerReport['condition'];
+}): WorkerReport {
+	const phase = state.ownership.get(record.id)?.phase;
+	return {
+		worker: record.id,
+		dataCentre: record.dataCentre,
+		rack: record.rack,
+		homePool: record.homePool,
+		...(phase !== undefined && {pool: phase.pool}),
+		...(phase?.type === 'releasing' && {movingTo: phase.to}),
+		condition,
+	};
+}
+
+/**
+ * @param ctx - The daemon.
+ * @returns Every worker of the records, in order of id, as this entry host knows it.
+ */
+export function describeWorkers(context: OperatorContext): readonly WorkerReport[] {
+	const state = context.getControlState();
+	const conditions = new Map(context.getFleet().workers.map(({worker, condition}) => [worker, condition]));
+	return listWorkers(state).map(record => describeWorker({
+		record, state, condition: conditions.get(record.id) ?? 'unknown',
+	}));
+}
+
+/** Lists workers, all or those of one `pool` or `dataCentre`. */
+export const listWorkersRoute: OperatorRoute = {
+	method: 'GET',
+	path: '/v1/workers',
+	role: 'read',
+	handle({query}, context) {
+		const pool = query.get('pool') ?? undefined;
+		const dataCentre = query.get('dataCentre') ?? undefined;
+		const items = describeWorkers(context).filter(worker =>
+			(pool === undefined || worker.pool === pool) && (dataCentre === undefined || worker.dataCentre === dataCentre));
+		return createDocumentResponse({items});
+	},
+};
--- /dev/null
+++ b/packages/daemon/src/operators/actions/withdraw-key.ts
@@ -0,0 +1,21 @@
+import {readOrigin} from '../read-request.js';
+import {createInvalidResponse, createProposalResponse} from '../respond.js';
+import type {OperatorRoute} from '../types.js';
+
+/** Withdraws a key. */
+export const withdrawKeyRoute: OperatorRoute = {
+	method: 'DELETE',
+	path: '/v1/keys/{id}',
+	role: 'write',
+	async handle(req, context) {
+		const origin = readOrigin(req, context);
+		if (!origin.ok) {
+			return createInvalidResponse(origin.err);
+		}
+
+		const {id = ''} = req.params;
+		return createProposalResponse(await context.propose({
+			type: 'control/deleteRecord', ...origin.value, kind: 'key', id,
+		}));
+	},
+};
--- /dev/null
+++ b/packages/daemon/src/operators/handle-operator-request.ts
@@ -0,0 +1,31 @@
+import {authorizeOperator} from './authorize-operator.js';
+import {appliedIndexHeader, freshHeader} from './constants.js';
+import type {
+	ApiRequest, ApiResponse, OperatorContext, OperatorRoute,
+} from './types.js';
+
+/**
+ * Answers one request of an operator.
+ *
+ * @param args.route - The route that the request's method and path fit.
+ * @param args.req - The request, read whole.
+ * @param args.ctx - The daemon.
+ * @returns The answer, with how current the answering entry host is.
+ */
+export async function handleOperatorRequest({route, req, ctx}: {
+	readonly route: OperatorRoute;
+	readonly req: ApiRequest;
+	readonly ctx: OperatorContext;
+}): Promise<ApiResponse> {
+	const operator = authorizeOperator({req, operators: ctx.operators, role: route.role});
+	if (!operator.ok) {
+		return operator.err;
+	}
+
+	const response = await route.handle({...req, operator: operator.value}, ctx);
+	const {appliedIndex, isFresh} = ctx.getStatus();
+	return {
+		...response,
+		headers: {...response.headers, [appliedIndexHeader]: String(appliedIndex), [freshHeader]: String(isFresh)},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/operators/read-request.ts
@@ -0,0 +1,94 @@
+/** Readers of what the operators' routes have in common. */
+import {
+	createFailure, createSuccess, toBrand, type ChangeId, type Finding, type Result,
+} from '@samphiremill/common';
+import {
+	apiVersion1, apiVersion2, recordKinds, type ApiVersion, type RecordKind,
+} from '@samphiremill/core';
+import {changeIdHeader, longestChangeIdCharacters} from './constants.js';
+import type {AuthorizedRequest, OperatorContext} from './types.js';
+
+const knownVersions: readonly ApiVersion[] = [apiVersion1, apiVersion2];
+
+const etagPattern = /^"(?<revisions>\d+(?:-\d+)*)"$/v;
+
+/** Who changes something, when and under which change id. */
+export type ChangeOrigin = {
+	readonly changeId: ChangeId;
+	readonly actor: string;
+	readonly acceptedAtMs: ReturnType<OperatorContext['getWallClockMs']>;
+};
+
+/**
+ * @param req - The request.
+ * @param ctx - The daemon.
+ * @returns The origin of the change; a request without a change id gets a new one, and no safe resend.
+ */
+export function readOrigin(req: AuthorizedRequest, context: OperatorContext): Result<ChangeOrigin, readonly Finding[]> {
+	const header = req.headers[changeIdHeader];
+	if (header !== undefined && (header === '' || header.length > longestChangeIdCharacters)) {
+		return createFailure([{
+			path: `/headers/${changeIdHeader}`, message: `must have 1 to ${longestChangeIdCharacters} characters`,
+		}]);
+	}
+
+	return createSuccess({
+		changeId: header === undefined ? context.createChangeId() : toBrand<ChangeId>(header),
+		actor: req.operator.name,
+		acceptedAtMs: context.getWallClockMs(),
+	});
+}
+
+/**
+ * Reads `If-Match` and `If-None-Match: *`.
+ *
+ * @param req - The request.
+ * @param count - How many records the document stands for.
+ * @returns The expected revisions, `undefined` for any, or a finding.
+ */
+export function readExpectedRevisions(
+	req: AuthorizedRequest,
+	count: number,
+): Result<readonly number[] | undefined, readonly Finding[]> {
+	if (req.headers['if-none-match'] === '*') {
+		return createSuccess(Array.from({length: count}, () => 0));
+	}
+
+	const header = req.headers['if-match'];
+	if (header === undefined) {
+		return createSuccess(undefined);
+	}
+
+	const revisions = etagPattern.exec(header)?.groups?.revisions?.split('-').map(Number);
+	return revisions?.length === count
+		? createSuccess(revisions)
+		: createFailure([{path: '/headers/if-match', message: 'must be an entity tag that a read gave'}]);
+}
+
+/**
+ * @param text - A path segment.
+ * @returns The kind of records, or `undefined`.
+ */
+export function findRecordKind(text: string | undefined): RecordKind | undefined {
+	return recordKinds.find(kind => kind === text);
+}
+
+/**
+ * Reads which schema version to answer in: `apiVersion` in the query, or `Accept` with
+ * `application/vnd.samphiremill.v1+json`. The current one where neither is given.
+ *
+ * @param req - The request.
+ * @returns The schema version, or a finding.
+ */
+export function readApiVersion(req: AuthorizedRequest): Result<ApiVersion, readonly Finding[]> {
+	const query = req.query.get('apiVersion') ?? undefined;
+	if (query === undefined) {
+		const isV1 = req.headers.accept?.includes('application/vnd.samphiremill.v1+json') ?? false;
+		return createSuccess(isV1 ? apiVersion1 : apiVersion2);
+	}
+
+	const version = knownVersions.find(known => known === query);
+	return version === undefined
+		? createFailure([{path: '/query/apiVersion', message: `must be ${apiVersion1} or ${apiVersion2}`}])
+		: createSuccess(version);
+}
--- /dev/null
+++ b/packages/daemon/src/operators/routes.ts
@@ -0,0 +1,34 @@
+import {deleteRecordRoute} from './actions/delete-record.js';
+import {explainJobRoute, explainWorkerRoute} from './actions/explain.js';
+import {getHistoryRoute} from './actions/get-history.js';
+import {getRecordRoute} from './actions/get-record.js';
+import {getSharesRoute} from './actions/get-shares.js';
+import {getStatusRoute} from './actions/get-status.js';
+import {grantKeyRoute} from './actions/grant-key.js';
+import {listMovesRoute} from './actions/list-moves.js';
+import {listRecordsRoute} from './actions/list-records.js';
+import {listWorkersRoute} from './actions/list-workers.js';
+import {moveWorkerRoute} from './actions/move-worker.js';
+import {orderWaveRoute} from './actions/order-wave.js';
+import {putRecordRoute} from './actions/put-record.js';
+import {withdrawKeyRoute} from './actions/withdraw-key.js';
+import type {OperatorRoute} from './types.js';
+
+/** Every route of the operators' interface. */
+export const operatorRoutes: readonly OperatorRoute[] = [
+	listRecordsRoute,
+	getRecordRoute,
+	getHistoryRoute,
+	putRecordRoute,
+	deleteRecordRoute,
+	grantKeyRoute,
+	withdrawKeyRoute,
+	orderWaveRoute,
+	listWorkersRoute,
+	moveWorkerRoute,
+	listMovesRoute,
+	getStatusRoute,
+	getSharesRoute,
+	explainJobRoute,
+	explainWorkerRoute,
+];
--- /dev/null
+++ b/packages/daemon/src/operators/test-operator-context.ts
@@ -0,0 +1,145 @@
+/** A daemon without a network, for tests of the operators' routes and of the command line. */
+import {
+	toBrand, type ChangeId, type DataCentreId, type NodeId, type WallClockMs,
+} from '@samphiremill/common';
+import {
+	applyControlCommand, createControlState, type ControlState, type OperatorCommand,
+} from '@samphiremill/core';
+import {hashSecret} from './authorize-operator.js';
+import {createSecretDeriver} from './derive-secret.js';
+import {handleOperatorRequest} from './handle-operator-request.js';
+import {operatorRoutes} from './routes.js';
+import type {
+	ApiRequest, ApiResponse, OperatorContext, OperatorRoute, ProposalOutcome,
+} from './types.js';
+
+/** The token of the operator `ana`, who may write. */
+export const writeToken = 'token-of-ana';
+/** The token of the operator `rui`, who may only read. */
+export const readToken = 'token-of-rui';
+
+/** A daemon in memory, whose next proposals may be lost. */
+export type TestDaemon = {
+	readonly ctx: OperatorContext;
+	/** Outcomes that replace those of the next proposals; `unknown` applies the command all the same. */
+	readonly nextOutcomes: Array<'unavailable' | 'unknown'>;
+	readonly request: (input: TestRequest) => Promise<ApiResponse>;
+};
+
+/** One request as a test writes it. */
+export type TestRequest = Partial<Pick<ApiRequest, 'headers'>> & {
+	readonly method: string;
+	readonly target: string;
+	readonly body?: string;
+};
+
+function matchPath(path: string, pathname: string): Readonly<Record<string, string>> | undefined {
+	const [wanted, given] = [path.split('/'), pathname.split('/')];
+	const fits = wanted.length === given.length
+		&& wanted.every((segment, index) => segment.startsWith('{') || segment === given[index]);
+	return fits
+		? Object.fromEntries(wanted
+			.map((segment, index): [string, string] => [segment.slice(1, -1), decodeURIComponent(given[index] ?? '')])
+			.filter((_, index) => wanted[index]?.startsWith('{')))
+		: undefined;
+}
+
+function findRoute(method: string, pathname: string): {route: OperatorRoute; params: Readonly<Record<string, string>>} | undefined {
+	for (const route of operatorRoutes) {
+		const parameters = route.method === method ? matchPath(route.path, pathname) : undefined;
+		if (parameters !== undefined) {
+			return {route, params: parameters};
+		}
+	}
+
+	return undefined;
+}
+
+/**
+ * Creates a daemon that applies proposals at once.
+ *
+ * @returns The daemon.
+ */
+export function createTestDaemon(): TestDaemon {
+	let state: ControlState = createControlState();
+	let index = 0;
+	let changeCount = 0;
+	const nextOutcomes: Array<'unavailable' | 'unknown'> = [];
+	const [node, dataCentre] = [toBrand<NodeId>('node-1'), toBrand<DataCentreId>('recife')];
+
+	const apply = (command: OperatorCommand): ProposalOutcome => {
+		const step = applyControlCommand(state, command);
+		state = step.state;
+		index += 1;
+		return {type: 'committed', answer: step.answer, index};
+	};
+
+	const context: OperatorContext = {
+		operators: [
+			{name: 'ana', role: 'write', tokenHash: hashSecret(writeToken)},
+			{name: 'rui', role: 'read', tokenHash: hashSecret(readToken)},
+		],
+		getControlState: () => state,
+		async propose(command) {
+			const replaced = nextOutcomes.shift();
+			if (replaced === 'unavailable') {
+				return {type: 'unavailable'};
+			}
+
+			const outcome = apply(command);
+			return replaced === 'unknown' ? {type: 'unknown'} : outcome;
+		},
+		getStatus: () => ({
+			node,
+			dataCentre,
+			role: 'leader',
+			term: 3,
+			leader: node,
+			commitIndex: index,
+			appliedIndex: index,
+			isFresh: true,
+			hosts: [
+				{
+					node, dataCentre, health: 'alive', role: 'leader', appliedIndex: index,
+				},
+				{
+					node: toBrand<NodeId>('node-2'), dataCentre, health: 'suspect', role: 'follower', appliedIndex: Math.max(0, index - 1),
+				},
+			],
+		}),
+		getFleet: () => ({workers: []}),
+		getShares: () => [{
+			team: toBrand('olinda'), weight: 3, limit: 40, dueSlots: 30, grantedSlots: 30, usedSlots: 28.5, refusedJobs: 2,
+		}],
+		explain: subject => subject.type === 'job' && subject.job === 'j-1'
+			? {
+				decisions: [{
+					atMs: toBrand<WallClockMs>(1000), decision: 'placed', reason: 'leastLoaded', details: {minion: 'm-1', alternatives: 7},
+				}],
+			}
+			: undefined,
+		getWallClockMs: () => toBrand<WallClockMs>(1_000_000),
+		createChangeId() {
+			changeCount += 1;
+			return toBrand<ChangeId>(`generated-${changeCount}`);
+		},
+		deriveSecret: createSecretDeriver('a cluster secret for tests only'),
+	};
+
+	return {
+		ctx: context,
+		nextOutcomes,
+		async request({method, target, headers = {}, body = ''}) {
+			const url = new URL(target, 'http://127.0.0.1');
+			const found = findRoute(method, url.pathname);
+			if (found === undefined) {
+				return {status: 404, headers: {}, document: {title: 'no such route'}};
+			}
+
+			const req = {
+				params: found.params, query: url.searchParams, headers, body,
+			};
+			return handleOperatorRequest({route: found.route, req, ctx: context});
+		},
+	};
+}
