Keep the state of maintenance waves in the control state machine

Cause: the commands of a wave are committed in the same log as the records that they read.

Lists of owners are sorted once per set of owners. listWorkers becomes listWorkerRecords, since the directory of minions exports the shorter name too and the build failed.

--- a/packages/core/src/control/apply-control-command.ts
+++ b/packages/core/src/control/apply-control-command.ts
@@ -2,6 +2,7 @@
 import {toCanonicalJson} from './canonical-json.js';
 import {appliedChangeCount} from './constants.js';
 import {controlParts, type PartCommand} from './parts.js';
+import {rejectUnknownCommand} from './parts/reject-unknown-command.js';
 import {planV1Delete, planV1Put, toV1Finding} from './schema/documents.js';
 import {getVersionedRecord, type RecordOf} from './selectors.js';
 import type {
@@ -119,12 +120,9 @@
 }
 
 function applyPartCommand(state: ControlState, command: PartCommand): ControlStep {
-	const {type} = command as {readonly type: string};
-	const part = controlParts.find(({name}) => type.startsWith(`${String(name)}/`));
-	// A replica that is older than the leader may meet commands that it does not know.
-	return part === undefined
-		? {state, answer: {type: 'rejected', reason: 'unknownCommand', message: `no part takes ${type}`}}
-		: part.applyCommand({state, command});
+	const {type} = command;
+	const part = controlParts.find(({name}) => type.startsWith(`${name}/`));
+	return part === undefined ? rejectUnknownCommand(state, command) : part.applyCommand({state, command});
 }
 
 /**
@@ -137,23 +135,9 @@
  *   seen before gets its first answer.
  */
 export function applyControlCommand(state: ControlState, command: ControlCommand): ControlStep {
-	switch (command.type) {
-		case 'control/putRecord':
-		case 'control/deleteRecord':
-		case 'control/writeRecords':
-		case 'control/putV1Document':
-		case 'control/deleteV1Document':
-		case 'control/setWaveDesired':
-		case 'control/setHomePool': {
-			return applyOperatorCommand(state, command);
-		}
-
-		case 'control/setView': {
-			return setView(state, command);
-		}
-
-		default: {
-			return applyPartCommand(state, command);
-		}
+	if ('changeId' in command) {
+		return applyOperatorCommand(state, command);
 	}
+
+	return command.type === 'control/setView' ? setView(state, command) : applyPartCommand(state, command);
 }
--- a/packages/core/src/control/selectors.ts
+++ b/packages/core/src/control/selectors.ts
@@ -5,6 +5,7 @@
 	DataCentreId, KeyId, PoolId, QueueId, TeamId, WorkerId,
 } from '@samphiremill/common';
 import {Map as ImmutableMap} from 'immutable';
+import type {FleetRecords} from '../waves/types.js';
 import {defaultTeamWeight} from './constants.js';
 import type {
 	ControlRecord, ControlState, DataCentreView, HistoryEntry, HostOwnership, KeyRecord, LimitRecord, PoolRecord,
@@ -20,6 +21,7 @@
 type RecordAddress<Kind extends RecordKind = RecordKind> = {readonly kind: Kind; readonly id: string};
 
 const noRecords: ImmutableMap<string, VersionedRecord> = ImmutableMap();
+const sortedOwnership = new WeakMap<ControlState['ownership'], readonly HostOwnership[]>();
 const sortedRecords = new WeakMap<ImmutableMap<string, VersionedRecord>, readonly VersionedRecord[]>();
 
 function isOfKind<Kind extends RecordKind>(versioned: VersionedRecord, kind: Kind): versioned is VersionedRecordOf<Kind> {
@@ -111,7 +113,7 @@
 }
 
 /** @returns All workers in order of id. */
-export function listWorkers(state: ControlState): readonly WorkerRecord[] {
+export function listWorkerRecords(state: ControlState): readonly WorkerRecord[] {
 	return listRecords(state, 'worker');
 }
 
@@ -121,8 +123,24 @@
 }
 
 /** @returns The owners of all hosts, in order of worker. */
-export function listOwnership(state: ControlState): readonly HostOwnership[] {
-	return [...state.ownership.values()].toSorted((left, right) => compareText(left.worker, right.worker));
+export function listOwnership({ownership}: ControlState): readonly HostOwnership[] {
+	const sorted = sortedOwnership.get(ownership)
+		?? [...ownership.values()].toSorted((left, right) => compareText(left.worker, right.worker));
+	sortedOwnership.set(ownership, sorted);
+	return sorted;
+}
+
+/**
+ * @param state - The control state.
+ * @returns What waves and moves read of the records.
+ */
+export function getFleetRecords(state: ControlState): FleetRecords {
+	return {
+		pools: listPools(state),
+		waves: listVersionedRecords(state, 'wave'),
+		workers: listWorkerRecords(state),
+		ownership: listOwnership(state),
+	};
 }
 
 /**
--- a/packages/core/src/control/snapshot/restore-control-state.ts
+++ b/packages/core/src/control/snapshot/restore-control-state.ts
@@ -134,12 +134,18 @@
 	return next;
 }
 
-function restoreParts(state: ControlState, {fields}: Restoration): ControlState {
+function restoreParts(state: ControlState, {fields, findings}: Restoration): ControlState {
 	const documents = isFields(fields.parts) ? fields.parts : {};
 	let next = state;
 	for (const part of controlParts) {
 		const document = documents[part.name];
-		next = document === undefined ? next : {...next, ...part.restoreState(document)};
+		if (document === undefined) {
+			continue;
+		}
+
+		const restored = part.restoreState(document);
+		findings.push(...restored.findings.map(finding => ({...finding, path: `/parts/${part.name}${finding.path}`})));
+		next = {...next, ...restored.states};
 	}
 
 	return next;
--- a/packages/daemon/src/operators/actions/list-workers.ts
+++ b/packages/daemon/src/operators/actions/list-workers.ts
@@ -1,4 +1,4 @@
-import {listWorkers, type ControlState, type WorkerRecord} from '@samphiremill/core';
+import {listWorkerRecords, type ControlState, type WorkerRecord} from '@samphiremill/core';
 import {createDocumentResponse} from '../respond.js';
 import type {OperatorContext, OperatorRoute, WorkerReport} from '../types.js';
 
@@ -26,7 +26,7 @@
 export function describeWorkers(context: OperatorContext): readonly WorkerReport[] {
 	const state = context.getControlState();
 	const conditions = new Map(context.getFleet().workers.map(({worker, condition}) => [worker, condition]));
-	return listWorkers(state).map(record => describeWorker({
+	return listWorkerRecords(state).map(record => describeWorker({
 		record, state, condition: conditions.get(record.id) ?? 'unknown',
 	}));
 }
