Put the operators' interface on the HTTP surface, with a wave's progress

Cause: handlers were reachable from tests only, and a document that was read did not carry the entity tag of a v1 team, which stands for three records.

Change: createOperatorHttpRoutes gives the router its routes; GET /v1/waves/{id}/progress estimates a wave; metadata carries the entity tag in place of one revision, so that a document from a list can be written back safely too.

Conclusion: the tests of the control part and of the operators' interface pass.

--- a/packages/core/src/control/schema/documents.ts
+++ b/packages/core/src/control/schema/documents.ts
@@ -17,8 +17,8 @@
 
 /** When and by whom a document was last changed. */
 export type DocumentMetadata = {
-	/** The latest revision among the records that the document stands for. */
-	readonly revision: number;
+	/** The revisions of the records that the document stands for, joined by hyphens. */
+	readonly etag: string;
 	readonly changedAtMs: number;
 	readonly changedBy: string;
 };
@@ -73,10 +73,14 @@
 	return Object.fromEntries(present.map(record => [record.kind, record]));
 }
 
-function getMetadata(versioned: readonly VersionedRecord[]): DocumentMetadata {
+function formatRevisions(revisions: readonly number[]): string {
+	return revisions.join('-');
+}
+
+function getMetadata(versioned: readonly VersionedRecord[], revisions: readonly number[]): DocumentMetadata {
 	const latest = versioned.toSorted((left, right) => right.changedAtMs - left.changedAtMs)[0];
 	return {
-		revision: Math.max(...versioned.map(({revision}) => revision)),
+		etag: formatRevisions(revisions),
 		changedAtMs: latest?.changedAtMs ?? 0,
 		changedBy: latest?.changedBy ?? '',
 	};
@@ -94,12 +98,10 @@
 	const versioned = listVersioned({state, kind, id});
 	const present = versioned.filter(item => item !== undefined);
 	const document = showV1Document(toV1Records(versioned.map(item => item?.record)));
+	const revisions = versioned.map(item => item?.revision ?? 0);
 	return document === undefined
 		? undefined
-		: {
-			document: {...document, metadata: getMetadata(present)},
-			revisions: versioned.map(item => item?.revision ?? 0),
-		};
+		: {document: {...document, metadata: getMetadata(present, revisions)}, revisions};
 }
 
 /**
@@ -124,7 +126,7 @@
 	return versioned === undefined
 		? undefined
 		: {
-			document: {apiVersion, ...versioned.record, metadata: getMetadata([versioned])},
+			document: {apiVersion, ...versioned.record, metadata: getMetadata([versioned], [versioned.revision])},
 			revisions: [versioned.revision],
 		};
 }
--- a/packages/daemon/src/operators/index.ts
+++ b/packages/daemon/src/operators/index.ts
@@ -5,3 +5,4 @@
 export {handleOperatorRequest} from './handle-operator-request.js';
 export {hashSecret} from './authorize-operator.js';
 export {createSecretDeriver} from './derive-secret.js';
+export {createOperatorHttpRoutes, type OperatorHttpConfig} from './create-operator-http-routes.js';
--- a/packages/daemon/src/operators/operators.test.ts
+++ b/packages/daemon/src/operators/operators.test.ts
@@ -103,6 +103,7 @@
 			},
 		},
 		{call: 'POST /v1/waves/autumn/start'},
+		{call: 'GET /v1/waves/autumn/progress'},
 		{call: 'POST /v1/waves/autumn/stop'},
 		{call: 'POST /v1/waves/winter/start'},
 		{call: 'POST /v1/workers/w-1/move', body: {pool: 'ledgers'}},
--- a/packages/daemon/src/operators/routes.ts
+++ b/packages/daemon/src/operators/routes.ts
@@ -4,6 +4,7 @@
 import {getRecordRoute} from './actions/get-record.js';
 import {getSharesRoute} from './actions/get-shares.js';
 import {getStatusRoute} from './actions/get-status.js';
+import {getWaveProgressRoute} from './actions/get-wave-progress.js';
 import {grantKeyRoute} from './actions/grant-key.js';
 import {listMovesRoute} from './actions/list-moves.js';
 import {listRecordsRoute} from './actions/list-records.js';
@@ -24,6 +25,7 @@
 	grantKeyRoute,
 	withdrawKeyRoute,
 	orderWaveRoute,
+	getWaveProgressRoute,
 	listWorkersRoute,
 	moveWorkerRoute,
 	listMovesRoute,
