--- /dev/null
+++ b/packages/core/src/claims/claims.test.ts
@@ -0,0 +1,240 @@
+import process from 'node:process';
+import {assertNever} from '@samphiremill/common';
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {createClaimsCluster, type ClaimsCluster} from './test-claims-cluster.js';
+
+const countDispatches = (cluster: ClaimsCluster): number[] => {
+	const counts = new Map<string, number>();
+	for (const {name} of cluster.getReport().dispatches) {
+		counts.set(name, (counts.get(name) ?? 0) + 1);
+	}
+
+	return [...counts.values()];
+};
+
+const getAnswers = (cluster: ClaimsCluster, job: string): string[] =>
+	cluster.getReport().answers.filter(answer => answer.job === job).map(({type}) => type);
+
+test('a resend to another entry host gets the first outcome, another body is a conflict', () => {
+	const cluster = createClaimsCluster({
+		nodeCount: 3, seed: 1, lossRate: 0, duplicateRate: 0,
+	});
+	const first = cluster.submit({node: 0, key: 'deposit-1', body: 'a'});
+	cluster.advance(200);
+	const early = cluster.submit({node: 1, key: 'deposit-1', body: 'a'});
+	cluster.advance(2000);
+	const late = cluster.submit({node: 2, key: 'deposit-1', body: 'a'});
+	const other = cluster.submit({node: 2, key: 'deposit-1', body: 'b'});
+	cluster.advance(1000);
+	expect(countDispatches(cluster)).toEqual([1]);
+	expect({
+		first: getAnswers(cluster, first),
+		early: getAnswers(cluster, early),
+		late: getAnswers(cluster, late),
+		other: getAnswers(cluster, other),
+	}).toMatchInlineSnapshot(`
+		{
+		  "early": [
+		    "inProgress",
+		    "replay",
+		  ],
+		  "first": [
+		    "granted",
+		  ],
+		  "late": [
+		    "replay",
+		  ],
+		  "other": [
+		    "conflict",
+		  ],
+		}
+	`);
+});
+
+test('a resend after the running entry host crashed is told that the job may have run', () => {
+	const cluster = createClaimsCluster({
+		nodeCount: 3, seed: 2, lossRate: 0, duplicateRate: 0,
+	});
+	cluster.submit({node: 0, key: 'deposit-2', body: 'a'});
+	cluster.advance(450);
+	expect(countDispatches(cluster)).toEqual([1]);
+	cluster.crash(0);
+	cluster.commitView();
+	cluster.advance(3500);
+	const resend = cluster.submit({node: 1, key: 'deposit-2', body: 'a'});
+	cluster.advance(1000);
+	expect(countDispatches(cluster)).toEqual([1]);
+	expect(getAnswers(cluster, resend)).toContain('unknown');
+});
+
+type Operation
+	= | {readonly type: 'submitEverywhere'; readonly key: number}
+		| {readonly type: 'advance'; readonly durationMs: number}
+		| {readonly type: 'cut'; readonly nodes: readonly number[]}
+		| {readonly type: 'heal'}
+		| {readonly type: 'crash'; readonly nodes: readonly number[]}
+		| {readonly type: 'restart'}
+		| {readonly type: 'commitView'};
+
+const nodeCount = 5;
+const oneOrTwo = fc.uniqueArray(fc.integer({min: 0, max: nodeCount - 1}), {minLength: 1, maxLength: 2});
+const operation: fc.Arbitrary<Operation> = fc.oneof(
+	{weight: 5, arbitrary: fc.record({type: fc.constant('submitEverywhere' as const), key: fc.integer({min: 0, max: 2})})},
+	{weight: 4, arbitrary: fc.record({type: fc.constant('advance' as const), durationMs: fc.constantFrom(100, 500, 1200, 3500)})},
+	{weight: 2, arbitrary: fc.record({type: fc.constant('cut' as const), nodes: oneOrTwo})},
+	{weight: 1, arbitrary: fc.constant({type: 'heal' as const})},
+	{weight: 2, arbitrary: fc.record({type: fc.constant('crash' as const), nodes: oneOrTwo})},
+	{weight: 2, arbitrary: fc.constant({type: 'restart' as const})},
+	{weight: 4, arbitrary: fc.constant({type: 'commitView' as const})},
+);
+const everyNode = Array.from({length: nodeCount}, (_, index) => index);
+
+const perform = (cluster: ClaimsCluster, step: Operation): void => {
+	switch (step.type) {
+		case 'submitEverywhere': {
+			for (const index of everyNode) {
+				cluster.submit({node: index, key: `key-${step.key}`, body: 'a'});
+			}
+
+			return;
+		}
+
+		case 'advance': {
+			cluster.advance(step.durationMs);
+			return;
+		}
+
+		case 'cut': {
+			for (const index of step.nodes) {
+				cluster.setCutOff(index, true);
+			}
+
+			return;
+		}
+
+		case 'heal': {
+			for (const index of everyNode) {
+				cluster.setCutOff(index, false);
+			}
+
+			return;
+		}
+
+		case 'crash': {
+			for (const index of step.nodes) {
+				cluster.crash(index);
+			}
+
+			return;
+		}
+
+		case 'restart': {
+			for (const index of everyNode) {
+				cluster.restart(index);
+			}
+
+			return;
+		}
+
+		case 'commitView': {
+			cluster.commitView();
+			return;
+		}
+
+		default: {
+			assertNever(step);
+		}
+	}
+};
+
+const runs = Number(process.env.SAMPHIREMILL_RUNS ?? 300);
+const seed = Number(process.env.SAMPHIREMILL_SEED ?? 20_261_204);
+
+test('no key is dispatched twice, whatever is lost, cut off, restarted or appointed', () => {
+	fc.assert(fc.property(
+		fc.integer({min: 1, max: 1_000_000}),
+		fc.array(operation, {minLength: 5, maxLength: 40}),
+		(chance, operations) => {
+			const cluster = createClaimsCluster({
+				nodeCount, seed: chance, lossRate: 0.15, duplicateRate: 0.2,
+			});
+			for (const step of operations) {
+				perform(cluster, step);
+			}
+
+			cluster.advance(1000);
+			expect(Math.max(0, ...countDispatches(cluster))).toBeLessThanOrEqual(1);
+		},
+	), {numRuns: runs, seed});
+}, 300_000);
+
+test('a cut-off owner whose lease still runs and its successors do not both serve a key', () => {
+	const cluster = createClaimsCluster({
+		nodeCount, seed: 3, lossRate: 0, duplicateRate: 0,
+	});
+	perform(cluster, {type: 'cut', nodes: [0]});
+	cluster.commitView();
+	cluster.advance(1000);
+	perform(cluster, {type: 'cut', nodes: [1]});
+	for (const key of Array.from({length: 20}, (_, index) => index)) {
+		perform(cluster, {type: 'submitEverywhere', key});
+	}
+
+	cluster.advance(500);
+	cluster.commitView();
+	cluster.advance(9000);
+	expect(Math.max(...countDispatches(cluster))).toBe(1);
+	expect(countDispatches(cluster).length).toBeGreaterThan(10);
+});
+
+test('a second loss during the hand-over after a first one leaves no key to run again', () => {
+	const cluster = createClaimsCluster({
+		nodeCount, seed: 4, lossRate: 0, duplicateRate: 0,
+	});
+	for (const key of Array.from({length: 20}, (_, index) => index)) {
+		cluster.submit({node: key, key: `key-${key}`, body: 'a'});
+	}
+
+	cluster.advance(1500);
+	expect(countDispatches(cluster)).toHaveLength(20);
+	perform(cluster, {type: 'crash', nodes: [0]});
+	cluster.commitView();
+	cluster.advance(50);
+	perform(cluster, {type: 'crash', nodes: [1]});
+	cluster.advance(50);
+	cluster.commitView();
+	cluster.advance(4000);
+	for (const key of Array.from({length: 20}, (_, index) => index)) {
+		perform(cluster, {type: 'submitEverywhere', key});
+	}
+
+	cluster.advance(3000);
+	expect(Math.max(...countDispatches(cluster))).toBe(1);
+});
+
+test('once all is healed, every new key is granted', () => {
+	fc.assert(fc.property(
+		fc.integer({min: 1, max: 1_000_000}),
+		fc.array(operation, {minLength: 5, maxLength: 25}),
+		(chance, operations) => {
+			const cluster = createClaimsCluster({
+				nodeCount, seed: chance, lossRate: 0.1, duplicateRate: 0.1,
+			});
+			for (const step of operations) {
+				perform(cluster, step);
+			}
+
+			perform(cluster, {type: 'heal'});
+			perform(cluster, {type: 'restart'});
+
+			cluster.commitView();
+			cluster.advance(8000);
+			const jobs = Array.from({length: 6}, (_, index) => cluster.submit({node: index, key: `fresh-${index}`, body: 'a'}));
+			cluster.advance(4000);
+			for (const job of jobs) {
+				expect(['granted', 'unknown']).toContain(getAnswers(cluster, job)[0]);
+			}
+		},
+	), {numRuns: Math.ceil(runs / 3), seed});
+}, 300_000);
--- a/packages/core/src/control/types.ts
+++ b/packages/core/src/control/types.ts
@@ -5,6 +5,7 @@
 import type {
 	ChangeId,
 	DataCentreId,
+	Finding,
 	KeyId,
 	NodeId,
 	PoolId,
@@ -15,6 +16,9 @@
 	WaveId,
 	WorkerId,
 } from '@samphiremill/common';
+import type {Map as ImmutableMap, OrderedMap} from 'immutable';
+import type {PartCommand, PartStates} from './parts.js';
+import type {V1Document, V1Kind} from './schema/v1-schema.js';
 
 /** Hosts that serve the same queues, and how many of them may be unavailable at once. */
 export type PoolRecord = {
@@ -166,3 +170,161 @@
 	readonly expectedEpoch: number;
 	readonly members: readonly NodeId[];
 };
+
+/** One write among those of a command. */
+export type RecordWrite
+	= | {
+		readonly type: 'put';
+		readonly record: ControlRecord;
+		readonly expectedRevision?: number;
+		/** Counts as a change even if the record stays as it is. */
+		readonly isRenewal?: true;
+	}
+	| {readonly type: 'delete'; readonly kind: RecordKind; readonly id: string; readonly expectedRevision?: number}
+	/** Changes nothing, but the revision must be the expected one. */
+	| {
+		readonly type: 'expect';
+		readonly kind: RecordKind;
+		readonly id: string;
+		readonly expectedRevision?: number;
+		/** The record must exist. */
+		readonly isRequired?: true;
+	};
+
+/** Several writes that are all accepted or all refused. */
+export type WriteRecordsCommand = {
+	readonly type: 'control/writeRecords';
+	readonly changeId: ChangeId;
+	readonly actor: string;
+	readonly acceptedAtMs: WallClockMs;
+	readonly writes: readonly RecordWrite[];
+};
+
+/**
+ * An operator's write in the older schema version. It is merged with the records when it is applied,
+ * so that no change between its reading and its application is undone.
+ */
+export type PutV1DocumentCommand = {
+	readonly type: 'control/putV1Document';
+	readonly changeId: ChangeId;
+	readonly actor: string;
+	readonly acceptedAtMs: WallClockMs;
+	readonly document: V1Document;
+	/** The revisions that the writer saw, one for each record that the document stands for. */
+	readonly expectedRevisions?: readonly number[];
+};
+
+/** An operator's removal of all records that a document of the older schema version stands for. */
+export type DeleteV1DocumentCommand = {
+	readonly type: 'control/deleteV1Document';
+	readonly changeId: ChangeId;
+	readonly actor: string;
+	readonly acceptedAtMs: WallClockMs;
+	readonly kind: V1Kind;
+	readonly id: string;
+	readonly expectedRevisions?: readonly number[];
+};
+
+/** An operator's order to a wave. It renews the record, since a wave that paused itself waits for that. */
+export type SetWaveDesiredCommand = {
+	readonly type: 'control/setWaveDesired';
+	readonly changeId: ChangeId;
+	readonly actor: string;
+	readonly acceptedAtMs: WallClockMs;
+	readonly wave: WaveId;
+	readonly desired: WaveRecord['desired'];
+};
+
+/** An operator's order to move a worker to another pool for good. */
+export type SetHomePoolCommand = {
+	readonly type: 'control/setHomePool';
+	readonly changeId: ChangeId;
+	readonly actor: string;
+	readonly acceptedAtMs: WallClockMs;
+	readonly worker: WorkerId;
+	readonly pool: PoolId;
+};
+
+/** The commands that operators send. Each carries a change id, so that resends are safe. */
+export type OperatorCommand
+	= | PutRecordCommand
+		| DeleteRecordCommand
+		| WriteRecordsCommand
+		| PutV1DocumentCommand
+		| DeleteV1DocumentCommand
+		| SetWaveDesiredCommand
+		| SetHomePoolCommand;
+
+/** Every command of the control state machine, those of its parts included. */
+export type ControlCommand = OperatorCommand | SetViewCommand | PartCommand;
+
+/** What became of one record. */
+export type RecordChange = {
+	readonly kind: RecordKind;
+	readonly id: string;
+	/** The revision after the change; of a deleted record, the revision of its deletion. */
+	readonly revision: number;
+	readonly outcome: 'created' | 'updated' | 'unchanged' | 'deleted';
+};
+
+/** A record whose revision is not the one that the writer saw. */
+export type RecordConflict = {
+	readonly kind: RecordKind;
+	readonly id: string;
+	readonly expectedRevision: number;
+	/** The record that won; absent where there is none. */
+	readonly current?: VersionedRecord;
+};
+
+/** What a command came to. */
+export type ControlAnswer
+	= | {readonly type: 'accepted'; readonly changes: readonly RecordChange[]}
+		| {readonly type: 'conflict'; readonly conflicts: readonly RecordConflict[]}
+		| {readonly type: 'invalid'; readonly findings: readonly Finding[]}
+		| {readonly type: 'notFound'; readonly kind: RecordKind; readonly id: string}
+	/** The change id was used before, for another change. */
+		| {readonly type: 'changeIdReused'}
+	/** A planner's command took effect. */
+		| {readonly type: 'applied'}
+	/** A planner's command no longer fits the state. */
+		| {readonly type: 'rejected'; readonly reason: string; readonly message: string};
+
+/** One change of one record. A deletion has no record. */
+export type HistoryEntry = {
+	readonly revision: number;
+	readonly changedAtMs: WallClockMs;
+	readonly changedBy: string;
+	readonly changeId: ChangeId;
+	readonly record?: ControlRecord;
+};
+
+/** The first answer to a change id, kept for resends. */
+export type AppliedChange = {
+	/** Tells a resend of the same change from another change under the same id. */
+	readonly fingerprint: string;
+	readonly answer: ControlAnswer;
+};
+
+/** Everything that the committed commands have come to. Never mutated. */
+export type ControlState = PartStates & {
+	readonly records: ImmutableMap<RecordKind, ImmutableMap<string, VersionedRecord>>;
+	/** The latest changes of each record, oldest first, by `kind/id`. */
+	readonly history: ImmutableMap<string, readonly HistoryEntry[]>;
+	/** Deleted records whose history is kept, by `kind/id`, the longest deleted first. */
+	readonly deleted: OrderedMap<string, number>;
+	/** The answers of the latest changes, oldest first. */
+	readonly changes: OrderedMap<ChangeId, AppliedChange>;
+	readonly keyBySecretHash: ImmutableMap<string, KeyId>;
+	readonly ownership: ImmutableMap<WorkerId, HostOwnership>;
+	/** The last owners of deleted workers, the longest deleted first. */
+	readonly retiredOwnership: OrderedMap<WorkerId, HostOwnership>;
+	/** No ownership that was dropped from `retiredOwnership` had a higher epoch. */
+	readonly highestRetiredEpoch: number;
+	readonly views: ImmutableMap<DataCentreId, DataCentreView>;
+};
+
+/** The next state and what the command came to. */
+export type ControlStep = {
+	readonly state: ControlState;
+	readonly answer: ControlAnswer;
+};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,1 +1,17 @@
+/**
+ * The coordination parts of samphiremill, each usable alone.
+ *
+ * @packageDocumentation
+ */
+export * from './claims/index.js';
+export * from './control/index.js';
+export type * from './escrow/types.js';
+export * from './jobs/index.js';
+export type * from './membership/index.js';
+export * from './minions/index.js';
+export * from './peer-link/index.js';
+export * from './placement/index.js';
+export * from './replica/index.js';
+export * from './shares/index.js';
+export type * from './step.js';
 export * from './waves/index.js';
