Keep waiting jobs from missing a free slot, checked in any order of events

Cause: a property over random orders of events (late, repeated, crossed, of stale attempts; minions that leave, restart, move pools or vanish) found three ways in which a job waited beside a free slot: a slot freed on a minion that had moved to another pool, a worker restored through one pool while its minions serve another, and a team's limit freed by a start record that failed.

Change: a freed slot is offered to the pool that the minion is in now, a freed limit to all pools of its team, a restored worker to all pools of its minions. The property checks after every event: one outcome a job, "no" only where no byte can have left, at most one run of a non-idempotent job, a start record before its dispatch, charges that cover what really runs, slots, connections and limits, and no work left beside room.

--- a/packages/core/src/jobs/apply-policy.ts
+++ b/packages/core/src/jobs/apply-policy.ts
@@ -160,7 +160,7 @@
 ): JobsStep {
 	const ended = listReservations(state, options)
 		.filter(({isDispatched}) => isDispatched);
-	return runSteps(state, ended.map(reference => (before: JobsState) => freeAttempt(before, reference, context)));
+	return runSteps(state, ended.map(jobAttempt => (before: JobsState) => freeAttempt(before, jobAttempt, context)));
 }
 
 /**
--- a/packages/core/src/jobs/apply-tick.ts
+++ b/packages/core/src/jobs/apply-tick.ts
@@ -9,7 +9,7 @@
 import {defaultRetryAfterMs} from './constants.js';
 import {estimateWaitMs} from './estimates.js';
 import {resetTimer, runSteps} from './job-table.js';
-import {putWorkerHealth} from './minions.js';
+import {listWorkerPools, putWorkerHealth} from './minions.js';
 import {placeWaitingJobs} from './place-jobs.js';
 import {
 	canRunMore, getPoolTeam, getTeam, getWaitingCount,
@@ -99,9 +99,7 @@
 			decision: {kind: 'workerProbed', worker, failuresCounted: health.failuresInRow},
 		}],
 	}));
-	const pools = new Set(due.flatMap(([worker]) => [...state.minions.values()]
-		.filter(({info}) => info.worker === worker)
-		.map(({info}) => info.pool)));
+	const pools = new Set(due.flatMap(([worker]) => listWorkerPools(state, worker)));
 	return runSteps(state, [
 		...steps,
 		...[...pools].map(pool => (before: JobsState) => placeWaitingJobs(before, pool, context)),
--- a/packages/core/src/jobs/attempts.ts
+++ b/packages/core/src/jobs/attempts.ts
@@ -10,7 +10,7 @@
 import {
 	finishJob, putJob, refuseJob, runSteps,
 } from './job-table.js';
-import {getWorkerHealth, putWorkerHealth} from './minions.js';
+import {getWorkerHealth, listWorkerPools, putWorkerHealth} from './minions.js';
 import {dispatchJob, placeWaitingJobs} from './place-jobs.js';
 import {
 	dropConnection, getReservationKey, removeReservation,
@@ -20,7 +20,7 @@
 	Context, JobsState, JobsStep, JobState, Reservation,
 } from './state.js';
 import type {
-	AttemptFailureKind, JobAttempt as JobAttempterence, JobsEffect, JobsEvent, RefusalReason,
+	AttemptFailureKind, JobAttempt, JobsEffect, JobsEvent, RefusalReason,
 } from './types.js';
 
 type PlacedJob = Extract<JobState, {readonly worker: unknown}>;
@@ -29,20 +29,20 @@
 /** The first status of the class of server errors. */
 const firstServerErrorStatus = 500;
 
-function findPlacedJob(state: JobsState, {job, attempt}: JobAttempterence): PlacedJob | undefined {
+function findPlacedJob(state: JobsState, {job, attempt}: JobAttempt): PlacedJob | undefined {
 	const found = state.jobs.get(job);
 	const isPlaced = found !== undefined && 'worker' in found;
 	return isPlaced && found.attempt === attempt ? found : undefined;
 }
 
 /** A reserved job has sent nothing, so that no word of its sending can be true. */
-function findSentJob(state: JobsState, reference: JobAttempterence): PlacedJob | undefined {
-	const job = findPlacedJob(state, reference);
+function findSentJob(state: JobsState, jobAttempt: JobAttempt): PlacedJob | undefined {
+	const job = findPlacedJob(state, jobAttempt);
 	return job?.type === 'reserved' ? undefined : job;
 }
 
-function findDispatchedReservation(state: JobsState, reference: JobAttempterence): Reservation | undefined {
-	const reservation = state.reservations.get(getReservationKey(reference));
+function findDispatchedReservation(state: JobsState, jobAttempt: JobAttempt): Reservation | undefined {
+	const reservation = state.reservations.get(getReservationKey(jobAttempt));
 	return reservation?.isDispatched === true ? reservation : undefined;
 }
 
@@ -61,53 +61,45 @@
  * Gives back what an attempt holds and lets the next job of the pool have it.
  *
  * @param state - The jobs before.
- * @param ref - The attempt.
+ * @param jobAttempt - The attempt.
  * @param context - The time, bounds and chance.
  * @returns The step; none where the attempt holds nothing any more.
  */
-export function freeAttempt(state: JobsState, reference: JobAttempterence, context: Context): JobsStep {
-	const reservation = state.reservations.get(getReservationKey(reference));
+export function freeAttempt(state: JobsState, jobAttempt: JobAttempt, context: Context): JobsStep {
+	const reservation = state.reservations.get(getReservationKey(jobAttempt));
 	if (reservation === undefined) {
 		return {state, effects: []};
 	}
 
-	const {pool, team} = reservation;
 	return runSteps(state, [
-		before => removeReservation(before, reference, context.nowMs),
-		before => placeWaitingJobs(before, pool, context),
-		before => placeFreedLimit(before, {pool, team}, context),
+		before => removeReservation(before, jobAttempt, context.nowMs),
+		before => placeFreed(before, reservation, context),
 	]);
 }
 
+/** The slot serves the pool that its minion is in by now; room below a limit serves any pool. */
+function placeFreed(state: JobsState, {minion, team}: Reservation, context: Context): JobsStep {
+	const pool = state.minions.get(minion)?.info.pool;
+	const teamState = state.teams.get(team);
+	const limitPools = teamState?.isLimited === true ? teamState.pools : [];
+	const pools = new Set([...pool === undefined ? [] : [pool], ...limitPools]);
+	return runSteps(state, [...pools].map(other => (before: JobsState) => placeWaitingJobs(before, other, context)));
+}
+
 /**
  * Gives back what an attempt holds, on the word of its minion. While the shell may still be sending
  * the job, such a word is about something else and is passed over.
  *
  * @param state - The jobs before.
- * @param ref - The attempt.
+ * @param jobAttempt - The attempt.
  * @param context - The time, bounds and chance.
  * @returns The step.
  */
-export function applySlotFreed(state: JobsState, reference: JobAttempterence, context: Context): JobsStep {
-	const type = findPlacedJob(state, reference)?.type;
+export function applySlotFreed(state: JobsState, jobAttempt: JobAttempt, context: Context): JobsStep {
+	const type = findPlacedJob(state, jobAttempt)?.type;
 	return type === 'reserved' || type === 'dispatched'
 		? {state, effects: []}
-		: freeAttempt(state, reference, context);
-}
-
-/** Room below a team's limit may let its jobs in other pools start. */
-function placeFreedLimit(
-	state: JobsState,
-	{pool, team}: Pick<Reservation, 'pool' | 'team'>,
-	context: Context,
-): JobsStep {
-	const teamState = state.teams.get(team);
-	if (!teamState?.isLimited) {
-		return {state, effects: []};
-	}
-
-	const others = teamState.pools.delete(pool).toArray();
-	return runSteps(state, others.map(other => (before: JobsState) => placeWaitingJobs(before, other, context)));
+		: freeAttempt(state, jobAttempt, context);
 }
 
 /**
@@ -134,11 +126,10 @@
 	}
 
 	return runSteps(state, [
-		before => removeReservation(before, event, context.nowMs),
 		before => event.ok
 			? requeueJob(before, job, context)
 			: refuseJob(before, {job, reason: 'ownerUnreachable', retryAfterMs: defaultRetryAfterMs}),
-		before => placeWaitingJobs(before, job.spec.pool, context),
+		before => freeAttempt(before, event, context),
 	]);
 }
 
@@ -227,7 +218,16 @@
 		})
 		: recordWorkerSuccess(health);
 	const after = putWorkerHealth(state, worker, next);
-	return {state: after, effects: listHealthDecision(state, after, reservation)};
+	const decided = {state: after, effects: listHealthDecision(state, after, reservation)};
+	if (next.type === health.type || next.type === 'ejected') {
+		return decided;
+	}
+
+	return runSteps(state, [
+		() => decided,
+		...listWorkerPools(after, worker)
+			.map(pool => (before: JobsState) => placeWaitingJobs(before, pool, context)),
+	]);
 }
 
 /**
@@ -262,10 +262,20 @@
 	return !bytesSent || kind === 'busy' || kind === 'stopped';
 }
 
-function endAttempt(state: JobsState, event: EventOf<'jobs/attemptFailed'>, context: Context): JobsStep {
+function placeOnFreeConnection(state: JobsState, {minion}: Reservation, context: Context): JobsStep {
+	const pool = state.minions.get(minion)?.info.pool;
+	return pool === undefined ? {state, effects: []} : placeWaitingJobs(state, pool, context);
+}
+
+function endAttempt(state: JobsState, options: {
+	readonly event: EventOf<'jobs/attemptFailed'>;
+	readonly reservation: Reservation;
+	readonly context: Context;
+}): JobsStep {
+	const {event, reservation, context} = options;
 	return hasCertainlyEnded(event)
 		? freeAttempt(state, event, context)
-		: {state: dropConnection(state, event), effects: []};
+		: placeOnFreeConnection(dropConnection(state, event), reservation, context);
 }
 
 function findGivingUpReason(job: JobState, {cfg}: Context): RefusalReason | undefined {
@@ -364,7 +374,7 @@
 			: retryOrRefuse(before, {job, event, context}),
 		before => reservation === undefined
 			? {state: before, effects: []}
-			: endAttempt(before, event, context),
+			: endAttempt(before, {event, reservation, context}),
 	]);
 }
 
@@ -393,12 +403,12 @@
 		return refused;
 	}
 
-	const reference = {job: job.spec.job, attempt: job.attempt};
+	const jobAttempt = {job: job.spec.job, attempt: job.attempt};
 	if (job.type === 'reserved') {
-		const freed = freeAttempt(refused.state, reference, context);
+		const freed = freeAttempt(refused.state, jobAttempt, context);
 		return {state: freed.state, effects: [...refused.effects, ...freed.effects]};
 	}
 
-	const cancel = {type: 'jobs/cancelAttempt' as const, ...reference, minion: job.minion};
+	const cancel = {type: 'jobs/cancelAttempt' as const, ...jobAttempt, minion: job.minion};
 	return {state: refused.state, effects: [...refused.effects, cancel]};
 }
--- a/packages/core/src/jobs/estimates.ts
+++ b/packages/core/src/jobs/estimates.ts
@@ -14,17 +14,17 @@
 
 const emptyProfile: RunProfile = {runTimeMs: emptySketch, cores: emptySketch, memoryMb: emptySketch};
 
-type ProfileOwnererence = {
+type ProfileOwner = {
 	readonly queue: QueueId;
 	readonly team: TeamId;
 };
 
-function getProfileKey({queue, team}: ProfileOwnererence): string {
+function getProfileKey({queue, team}: ProfileOwner): string {
 	return `${queue}/${team}`;
 }
 
-function getProfile(state: JobsState, reference: ProfileOwnererence): RunProfile {
-	return state.profiles.get(getProfileKey(reference), emptyProfile);
+function getProfile(state: JobsState, owner: ProfileOwner): RunProfile {
+	return state.profiles.get(getProfileKey(owner), emptyProfile);
 }
 
 function getTrusted(sketch: QuantileSketch, quantile: number): number | undefined {
@@ -33,14 +33,14 @@
 
 /**
  * @param state - The jobs before.
- * @param ref - The queue and the team.
+ * @param owner - The queue and the team.
  * @param runTimeMs - How long an answered job ran.
  * @returns The jobs after.
  */
-export function learnRunTime(state: JobsState, reference: ProfileOwnererence, runTimeMs: number): JobsState {
-	const profile = getProfile(state, reference);
+export function learnRunTime(state: JobsState, owner: ProfileOwner, runTimeMs: number): JobsState {
+	const profile = getProfile(state, owner);
 	const changed = {...profile, runTimeMs: addSample(profile.runTimeMs, runTimeMs)};
-	return {...state, profiles: state.profiles.set(getProfileKey(reference), changed)};
+	return {...state, profiles: state.profiles.set(getProfileKey(owner), changed)};
 }
 
 function learnUsage(state: JobsState, usage: TaskUsage): JobsState {
--- a/packages/core/src/jobs/minions.ts
+++ b/packages/core/src/jobs/minions.ts
@@ -151,3 +151,13 @@
 
 	return [...sizes.values()];
 }
+
+/**
+ * @param state - The jobs.
+ * @param worker - The worker.
+ * @returns The pools that its minions serve.
+ */
+export function listWorkerPools(state: JobsState, worker: WorkerId): readonly PoolId[] {
+	const own = [...state.minions.values()].filter(({info}) => info.worker === worker);
+	return [...new Set(own.map(({info}) => info.pool))];
+}
--- a/packages/core/src/jobs/pool-teams.ts
+++ b/packages/core/src/jobs/pool-teams.ts
@@ -66,7 +66,7 @@
 
 /**
  * @param state - The jobs.
- * @param ref - The pool and the team.
+ * @param place - The pool and the team.
  * @returns The team's work in the pool, empty where it has none.
  */
 export function getPoolTeam(state: JobsState, {pool, team}: TeamInPool): PoolTeam {
@@ -143,35 +143,35 @@
 		: poolTeam;
 }
 
-function markDemandChanged(state: JobsState, reference: TeamInPool): JobsState {
-	const key = `${reference.pool}/${reference.team}`;
+function markDemandChanged(state: JobsState, place: TeamInPool): JobsState {
+	const key = `${place.pool}/${place.team}`;
 	return state.changedDemands.has(key)
 		? state
-		: {...state, changedDemands: state.changedDemands.set(key, reference)};
+		: {...state, changedDemands: state.changedDemands.set(key, place)};
 }
 
 /**
  * Changes a team's work in a pool and puts the team where it now belongs in the order.
  *
  * @param state - The jobs before.
- * @param ref - The pool and the team.
+ * @param place - The pool and the team.
  * @param change - Gives the new value; without it only the order is brought up to date.
  * @returns The jobs after.
  */
 export function updatePoolTeam(
 	state: JobsState,
-	reference: TeamInPool,
+	place: TeamInPool,
 	change: (poolTeam: PoolTeam) => PoolTeam = poolTeam => poolTeam,
 ): JobsState {
-	const pool = getPool(state, reference.pool);
-	const before = pool.teams.get(reference.team, emptyPoolTeam);
+	const pool = getPool(state, place.pool);
+	const before = pool.teams.get(place.team, emptyPoolTeam);
 	const changed = change(raiseToFloor(pool, before));
-	const rank = createRank({team: reference.team, teamState: getTeam(state, reference.team), poolTeam: changed});
+	const rank = createRank({team: place.team, teamState: getTeam(state, place.team), poolTeam: changed});
 	const isMoved = !isSameRank(before.rank, rank);
 	const ordered = isMoved ? replaceRank(pool, before.rank, rank) : pool;
 	const poolTeam = isMoved ? putRank(changed, rank) : changed;
-	const pools = state.pools.set(reference.pool, {...ordered, teams: ordered.teams.set(reference.team, poolTeam)});
-	return markDemandChanged({...state, pools}, reference);
+	const pools = state.pools.set(place.pool, {...ordered, teams: ordered.teams.set(place.team, poolTeam)});
+	return markDemandChanged({...state, pools}, place);
 }
 
 /**
--- a/packages/core/src/jobs/reservations.ts
+++ b/packages/core/src/jobs/reservations.ts
@@ -6,13 +6,13 @@
 import type {
 	JobsState, JobsStep, MinionState, PoolTeam, Reservation,
 } from './state.js';
-import type {JobAttempt as JobAttempterence, JobsEffect} from './types.js';
+import type {JobAttempt, JobsEffect} from './types.js';
 
 /**
- * @param ref - The attempt.
+ * @param jobAttempt - The attempt.
  * @returns The key of its reservation.
  */
-export function getReservationKey({job, attempt}: JobAttempterence): string {
+export function getReservationKey({job, attempt}: JobAttempt): string {
 	return `${job}#${attempt}`;
 }
 
@@ -87,12 +87,12 @@
  * Gives back all that an attempt took. Doing so again changes nothing.
  *
  * @param state - The jobs before.
- * @param ref - The attempt.
+ * @param jobAttempt - The attempt.
  * @param nowMs - The time in milliseconds.
  * @returns The step.
  */
-export function removeReservation(state: JobsState, reference: JobAttempterence, nowMs: number): JobsStep {
-	const key = getReservationKey(reference);
+export function removeReservation(state: JobsState, jobAttempt: JobAttempt, nowMs: number): JobsStep {
+	const key = getReservationKey(jobAttempt);
 	const reservation = state.reservations.get(key);
 	if (reservation === undefined) {
 		return {state, effects: []};
@@ -112,11 +112,11 @@
 
 /**
  * @param state - The jobs before.
- * @param ref - An attempt that is given to the shell now.
+ * @param jobAttempt - An attempt that is given to the shell now.
  * @returns The jobs after.
  */
-export function markDispatched(state: JobsState, reference: JobAttempterence): JobsState {
-	const key = getReservationKey(reference);
+export function markDispatched(state: JobsState, jobAttempt: JobAttempt): JobsState {
+	const key = getReservationKey(jobAttempt);
 	const reservation = state.reservations.get(key);
 	if (reservation === undefined || reservation.isDispatched) {
 		return state;
@@ -132,11 +132,11 @@
 
 /**
  * @param state - The jobs before.
- * @param ref - An attempt whose connection is gone while its slot may still be taken.
+ * @param jobAttempt - An attempt whose connection is gone while its slot may still be taken.
  * @returns The jobs after.
  */
-export function dropConnection(state: JobsState, reference: JobAttempterence): JobsState {
-	const key = getReservationKey(reference);
+export function dropConnection(state: JobsState, jobAttempt: JobAttempt): JobsState {
+	const key = getReservationKey(jobAttempt);
 	const reservation = state.reservations.get(key);
 	if (!reservation?.hasConnection) {
 		return state;
--- a/packages/core/src/jobs/state.ts
+++ b/packages/core/src/jobs/state.ts
@@ -12,7 +12,7 @@
 import type {JobQueue, Ticket} from './job-queue.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {
-	JobAttempt as JobAttempterence, JobsCfg, JobsEffect, JobSpec, PlaceableMinion,
+	JobAttempt, JobsCfg, JobsEffect, JobSpec, PlaceableMinion,
 } from './types.js';
 
 /** What outlives an attempt of a job. */
@@ -53,7 +53,7 @@
 );
 
 /** What an attempt takes until the minion says that it is gone or its lease has ended. */
-export type Reservation = JobAttempterence & {
+export type Reservation = JobAttempt & {
 	readonly minion: MinionId;
 	readonly incarnation: number;
 	readonly worker: WorkerId;
--- /dev/null
+++ b/packages/core/src/jobs/test-world.ts
@@ -0,0 +1,407 @@
+/**
+ * A small fake of the shell, the claims and the minions, which keeps the truth that the jobs' state
+ * is checked against. It gives word of what happens late, repeated and in any order.
+ */
+import {
+	createMinion, createSpec, createTestNode, toJob, toKey, toMinion, toMs, toPool, toTeam, toWorker,
+	type TimelessEvent,
+} from './test-fleet.js';
+import type {
+	JobAttempt, JobOutcome, JobsEffect, JobSpec, PlaceableMinion,
+} from './types.js';
+
+/** One random step of a walk. */
+export type WorldAction = {
+	readonly kind:
+		| 'submit' | 'claim' | 'record' | 'send' | 'answer' | 'breakAnswer' | 'fail' | 'stop' | 'end' | 'deliver'
+		| 'cancel' | 'advance' | 'minion' | 'limit' | 'lease' | 'elsewhere';
+	/** Picks what the step is about. */
+	readonly pick: number;
+	readonly flag: boolean;
+};
+
+type RealAttempt = JobAttempt & {
+	readonly minion: string;
+	readonly incarnation: number;
+	/** A byte has left. */
+	readonly isSent: boolean;
+	/** The shell is done with it. */
+	readonly isClosed: boolean;
+	/** Nothing of it is left on the minion, and nothing will come. */
+	readonly hasEnded: boolean;
+};
+
+const teams = ['parish', 'treasury', 'open'].map(name => toTeam(name));
+const pools = ['counters', 'desks'].map(name => toPool(name));
+const initialMinions = ['a', 'b', 'c'].map((name, index) => createMinion({
+	minion: toMinion(name),
+	worker: toWorker(name === 'c' ? 'b' : name),
+	pool: pools[index === 2 ? 1 : 0] ?? toPool('counters'),
+	heldSlots: 2,
+	connections: 3,
+}));
+
+function getEvery<Item>(items: readonly Item[], pick: number): Item | undefined {
+	return items[pick % Math.max(1, items.length)];
+}
+
+/** @returns A world in which nothing has happened yet. */
+export function createWorld() {
+	const node = createTestNode({maximumRetryTokens: 3, health: {ejectionFailures: 3, ejectionBaseMs: 500, ejectionMaximumMs: 4000}});
+	const submitted: JobSpec[] = [];
+	const finished: Array<{readonly spec: JobSpec; readonly outcome: JobOutcome}> = [];
+	const attempts = new Map<string, RealAttempt>();
+	const words: TimelessEvent[] = [];
+	const asked: JobSpec[] = [];
+	const records: JobAttempt[] = [];
+	const recorded = new Set<string>();
+	const violations: string[] = [];
+	let deliveredCount = 0;
+	let minions: readonly PlaceableMinion[] = initialMinions;
+	let placedCount = 0;
+
+	const note = (isBroken: boolean, message: string) => {
+		if (isBroken) {
+			violations.push(message);
+		}
+	};
+
+	const getKey = ({job, attempt}: JobAttempt) => `${job}#${attempt}`;
+	const listOf = (job: string) => [...attempts.values()].filter(attempt => attempt.job === job);
+
+	const checkFinish = (spec: JobSpec, outcome: JobOutcome) => {
+		note(finished.some(other => other.spec.job === spec.job), `${spec.job} finished twice`);
+		const couldSend = listOf(spec.job).some(({isSent, isClosed}) => isSent || !isClosed);
+		const saysNo = outcome.type === 'refused' && outcome.ran === 'no';
+		note(saysNo && couldSend, `${spec.job} is said not to have run`);
+	};
+
+	const checkDispatch = (effect: JobsEffect & {readonly type: 'jobs/dispatch'}) => {
+		const spec = submitted.find(({job}) => job === effect.job);
+		note(finished.some(other => other.spec.job === effect.job), `${effect.job} dispatched after its end`);
+		note(attempts.has(getKey(effect)), `${getKey(effect)} dispatched twice`);
+		const isGuarded = spec?.isIdempotent === false;
+		const isOnWay = listOf(effect.job).some(({isSent, isClosed}) => isSent || !isClosed);
+		note(isGuarded && isOnWay, `${effect.job} may run twice`);
+		const isKeyed = spec?.idempotencyKey !== undefined;
+		note(isGuarded && isKeyed && !recorded.has(getKey(effect)), `${getKey(effect)} has no start record`);
+	};
+
+	const checkPlaced = (effects: readonly JobsEffect[]) => {
+		const state = node.getState();
+		for (const effect of effects) {
+			if (effect.type === 'jobs/decision' && effect.decision.kind === 'placed') {
+				placedCount += 1;
+				const {minion, team} = effect.decision;
+				const known = state.minions.get(minion);
+				note(!known?.info.isAcceptingWork, `${minion} takes no work`);
+				note((known?.usedSlots ?? 0) > (known?.info.heldSlots ?? 0), `${minion} has too many jobs`);
+				note((known?.usedConnections ?? 0) > (known?.info.connections ?? 0), `${minion} has too many connections`);
+				const teamState = state.teams.get(team);
+				note(teamState?.isLimited === true && teamState.running > teamState.heldLimit, `${team} is over its limit`);
+			}
+		}
+	};
+
+	const take = (effect: JobsEffect) => {
+		if (effect.type === 'jobs/claim') {
+			asked.push(effect.spec);
+		}
+
+		if (effect.type === 'jobs/recordStart') {
+			records.push({job: effect.job, attempt: effect.attempt});
+		}
+
+		if (effect.type === 'jobs/dispatch') {
+			checkDispatch(effect);
+			const {job, attempt, minion, incarnation} = effect;
+			attempts.set(getKey(effect), {
+				job, attempt, minion, incarnation, isSent: false, isClosed: false, hasEnded: false,
+			});
+		}
+
+		if (effect.type === 'jobs/finish') {
+			checkFinish(effect.spec, effect.outcome);
+			finished.push({spec: effect.spec, outcome: effect.outcome});
+		}
+	};
+
+	const send = (event: TimelessEvent) => {
+		const effects = node.send(event);
+		checkPlaced(effects);
+		for (const effect of effects) {
+			take(effect);
+		}
+	};
+
+	const change = (attempt: RealAttempt, changes: Partial<RealAttempt>, ...news: readonly TimelessEvent[]) => {
+		attempts.set(getKey(attempt), {...attempt, ...changes});
+		words.push(...news);
+	};
+
+	const deliver = (event: TimelessEvent) => {
+		if (event.type === 'jobs/startRecorded' && event.ok) {
+			recorded.add(getKey(event));
+		}
+
+		send(event);
+	};
+
+	const pickAttempt = (pick: number, isWanted: (attempt: RealAttempt) => boolean) => getEvery([...attempts.values()].filter(attempt => isWanted(attempt)), pick);
+
+	/** All tasks of one incarnation are gone, and nothing can reach it any more. */
+	const endTasks = (minion: string, incarnation: number) => {
+		for (const attempt of attempts.values()) {
+			if (attempt.minion === minion && attempt.incarnation === incarnation && !attempt.hasEnded) {
+				const id = {job: attempt.job, attempt: attempt.attempt};
+				const isCut = !attempt.isSent && !attempt.isClosed;
+				const failed = {
+					type: 'jobs/attemptFailed' as const, ...id, bytesSent: false, kind: 'connectRefused' as const,
+				};
+				change(attempt, {hasEnded: true, isClosed: attempt.isClosed || isCut}, ...(isCut ? [failed] : []));
+			}
+		}
+	};
+
+	const changeMinion = (pick: number, flag: boolean) => {
+		const chosen = getEvery(initialMinions, pick);
+		const known = minions.find(({minion}) => minion === chosen?.minion);
+		if (chosen === undefined) {
+			return;
+		}
+
+		const others = minions.filter(({minion}) => minion !== chosen.minion);
+		const variants: readonly PlaceableMinion[] = known === undefined
+			? [{...chosen, incarnation: flag ? 9 + pick : chosen.incarnation}]
+			: [
+				{...known, isAcceptingWork: !known.isAcceptingWork},
+				{...known, heldSlots: (known.heldSlots + 1 + (pick % 3)) % 4},
+				{...known, pool: getEvery(pools, pick) ?? known.pool},
+				{...known, incarnation: known.incarnation + 1},
+			];
+		const next = flag && known !== undefined && pick % 5 === 0 ? undefined : getEvery(variants, Math.floor(pick / 3));
+		minions = next === undefined ? others : [...others, next];
+		send({type: 'jobs/minionsChanged', minions});
+		if (known !== undefined && next !== undefined && next.incarnation > known.incarnation) {
+			endTasks(known.minion, known.incarnation);
+		}
+	};
+
+	const submit = (pick: number, flag: boolean) => {
+		const number = submitted.length;
+		const spec = createSpec({
+			job: toJob(`job-${number}`),
+			team: getEvery(teams, pick) ?? toTeam('parish'),
+			pool: getEvery(pools, Math.floor(pick / 3)) ?? toPool('counters'),
+			urgency: pick % 4 === 0 ? 'urgent' : 'ordinary',
+			isIdempotent: flag,
+			submittedAtMs: toMs(node.getNowMs()),
+			deadlineAtMs: toMs(node.getNowMs() + 500 + ((pick % 7) * 400)),
+			...(pick % 2 === 0 ? {idempotencyKey: toKey(`key-${number}`)} : {}),
+		});
+		submitted.push(spec);
+		send({type: 'jobs/submitted', spec});
+	};
+
+	const answerClaim = (pick: number) => {
+		const spec = getEvery(asked, pick);
+		const answers = [
+			{type: 'granted' as const},
+			{type: 'granted' as const},
+			{type: 'granted' as const},
+			{type: 'unknown' as const},
+			{type: 'conflict' as const},
+			{type: 'inProgress' as const},
+			{type: 'replay' as const, outcome: {type: 'answered' as const, minion: toMinion('a'), status: 200}},
+		];
+		const answer = getEvery(answers, Math.floor(pick / 7));
+		if (spec !== undefined && answer !== undefined) {
+			words.push({type: 'jobs/claimAnswered', job: spec.job, answer});
+		}
+	};
+
+	const answer = (attempt: RealAttempt) => {
+		const id = {job: attempt.job, attempt: attempt.attempt};
+		change(
+			attempt,
+			{isSent: true, isClosed: true, hasEnded: true},
+			{type: 'jobs/answerStarted', ...id, status: 200},
+			{type: 'jobs/answered', ...id, status: 200},
+		);
+	};
+
+	const fail = (attempt: RealAttempt, flag: boolean) => {
+		change(attempt, {isClosed: true, hasEnded: attempt.hasEnded || !attempt.isSent}, {
+			type: 'jobs/attemptFailed',
+			job: attempt.job,
+			attempt: attempt.attempt,
+			bytesSent: attempt.isSent,
+			kind: attempt.isSent ? (flag ? 'reset' : 'timeout') : (flag ? 'connectRefused' : 'connectTimeout'),
+		});
+	};
+
+	const actOnAttempt = ({kind, pick, flag}: WorldAction) => {
+		const isOpen = ({isClosed}: RealAttempt) => !isClosed;
+		const isRunning = ({isClosed, isSent}: RealAttempt) => isSent && !isClosed;
+		const attempt = pickAttempt(pick, kind === 'fail' || kind === 'send' ? isOpen : isRunning);
+		if (attempt === undefined) {
+			return;
+		}
+
+		const id = {job: attempt.job, attempt: attempt.attempt};
+		if (kind === 'send') {
+			change(attempt, {isSent: true}, {type: 'jobs/firstByteSent', ...id});
+		}
+
+		if (kind === 'answer') {
+			answer(attempt);
+		}
+
+		if (kind === 'breakAnswer') {
+			words.push({type: 'jobs/answerStarted', ...id, status: 200});
+		}
+
+		if (kind === 'fail' || kind === 'breakAnswer') {
+			fail(attempt, flag);
+		}
+
+		if (kind === 'stop') {
+			change(attempt, {isClosed: true, hasEnded: true}, {
+				type: 'jobs/attemptFailed', ...id, bytesSent: true, kind: flag ? 'stopped' : 'busy',
+			});
+		}
+	};
+
+	const endTask = (pick: number) => {
+		const attempt = pickAttempt(pick, ({isSent, hasEnded}) => isSent && !hasEnded);
+		if (attempt !== undefined) {
+			change(attempt, {hasEnded: true}, {type: 'jobs/slotFreed', job: attempt.job, attempt: attempt.attempt});
+		}
+	};
+
+	const recordStart = (pick: number, flag: boolean) => {
+		const record = getEvery(records, pick);
+		if (record !== undefined) {
+			words.push({type: 'jobs/startRecorded', ...record, ok: flag || pick % 3 > 0});
+		}
+	};
+
+	const deliverWord = (pick: number, flag: boolean) => {
+		const word = flag ? words[deliveredCount] : getEvery(words, pick);
+		deliveredCount += Number(flag && word !== undefined);
+		if (word !== undefined) {
+			deliver(word);
+		}
+	};
+
+	const endLeases = (pick: number) => {
+		const chosen = getEvery(initialMinions, pick)?.minion;
+		if (chosen === undefined || minions.some(({minion}) => minion === chosen)) {
+			return;
+		}
+
+		const gone = [...attempts.values()].filter(({minion}) => minion === chosen);
+		for (const incarnation of new Set(gone.map(attempt => attempt.incarnation))) {
+			endTasks(chosen, incarnation);
+			send({type: 'jobs/leaseEnded', minion: chosen, incarnation});
+		}
+	};
+
+	const tellRunningElsewhere = (pick: number) => {
+		const pool = getEvery(pools, pick) ?? toPool('counters');
+		const running = teams.map((team, index) => ({pool, team, running: (pick + index) % 5}));
+		send({type: 'jobs/runningElsewhere', running});
+	};
+
+	const advance = (pick: number) => {
+		node.advance(pick % 300);
+		send({type: 'jobs/tick'});
+	};
+
+	const handlers: Readonly<Record<WorldAction['kind'], (action: WorldAction) => void>> = {
+		submit({pick, flag}) {
+			submit(pick, flag);
+		},
+		claim({pick}) {
+			answerClaim(pick);
+		},
+		record({pick, flag}) {
+			recordStart(pick, flag);
+		},
+		send: actOnAttempt,
+		answer: actOnAttempt,
+		breakAnswer: actOnAttempt,
+		fail: actOnAttempt,
+		stop: actOnAttempt,
+		end({pick}) {
+			endTask(pick);
+		},
+		deliver({pick, flag}) {
+			deliverWord(pick, flag);
+		},
+		cancel({pick}) {
+			send({type: 'jobs/cancelRequested', job: getEvery(submitted, pick)?.job ?? toJob('unknown')});
+		},
+		advance({pick}) {
+			advance(pick);
+		},
+		minion({pick, flag}) {
+			changeMinion(pick, flag);
+		},
+		limit({pick}) {
+			send({type: 'jobs/limitHeld', team: toTeam('parish'), amount: pick % 4});
+		},
+		lease({pick}) {
+			endLeases(pick);
+		},
+		elsewhere({pick}) {
+			tellRunningElsewhere(pick);
+		},
+	};
+
+	const act = (action: WorldAction) => {
+		handlers[action.kind](action);
+	};
+
+	/** Lets everything come to its end: all words arrive, all tasks end, all time runs out. */
+	const drain = () => {
+		for (let round = 0; round < 40; round += 1) {
+			for (const attempt of attempts.values()) {
+				if (!attempt.isClosed) {
+					answer(attempt);
+				} else if (!attempt.hasEnded) {
+					change(attempt, {hasEnded: true}, {type: 'jobs/slotFreed', job: attempt.job, attempt: attempt.attempt});
+				}
+			}
+
+			while (deliveredCount < words.length) {
+				const word = words[deliveredCount];
+				deliveredCount += 1;
+				if (word !== undefined) {
+					deliver(word);
+				}
+			}
+
+			node.advance(500);
+			send({type: 'jobs/tick'});
+		}
+	};
+
+	send({type: 'jobs/policyChanged', policy: {queues: [], teams: [{team: toTeam('parish'), weight: 2, isLimited: true}]}});
+	send({type: 'jobs/limitHeld', team: toTeam('parish'), amount: 2});
+	send({type: 'jobs/minionsChanged', minions});
+
+	return {
+		act,
+		drain,
+		getState: node.getState,
+		listAttempts: () => [...attempts.values()],
+		listSubmitted: (): readonly JobSpec[] => submitted,
+		listFinished: () => finished,
+		listViolations: (): readonly string[] => violations,
+		getPlacedCount: () => placedCount,
+	};
+}
+
+/** The fake world of a walk. */
+export type World = ReturnType<typeof createWorld>;
