--- a/packages/core/src/jobs/apply-tick.ts
+++ b/packages/core/src/jobs/apply-tick.ts
@@ -15,6 +15,7 @@
 	canRunMore, getPoolTeam, getTeam, getWaitingCount,
 } from './pool-teams.js';
 import {getReservationKey} from './reservations.js';
+import {sampleShares} from './share-report.js';
 import type {
 	Context, JobsState, JobsStep, JobState,
 } from './state.js';
@@ -135,5 +136,6 @@
 		before => applyTimers(before, context),
 		before => startDueProbes(before, context),
 		reportDemands,
+		before => ({state: sampleShares(before, context.nowMs), effects: []}),
 	]);
 }
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -40,3 +40,7 @@
 
 /** A time in milliseconds that no timer reaches. */
 export const neverMs = Number.MAX_SAFE_INTEGER;
+/** How far back the shares report reaches, in milliseconds. */
+export const shareWindowMs = 300_000;
+/** How often the shares are sampled, in milliseconds. */
+export const shareSampleMs = 1000;
--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -8,4 +8,5 @@
 export {createJobsState} from './state.js';
 export {createDefaultJobsCfg} from './constants.js';
 export {createRefusal, getRan, getRanBeforeClaim} from './outcome.js';
+export {getShareReport} from './share-report.js';
 export {reduceJobs} from './reduce-jobs.js';
--- a/packages/core/src/jobs/state.ts
+++ b/packages/core/src/jobs/state.ts
@@ -8,7 +8,10 @@
 import {createSortedSet, type SortedSet} from '../collections/sorted-set.js';
 import type {Step} from '../step.js';
 import type {QuantileSketch, WorkerHealth} from '../placement/index.js';
-import type {TeamOrder, TeamRank} from '../shares/index.js';
+import {
+	createShareWindow, type ShareWindow, type TeamOrder, type TeamRank,
+} from '../shares/index.js';
+import {shareWindowMs} from './constants.js';
 import type {JobQueue, Ticket} from './job-queue.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {
@@ -153,6 +156,8 @@
 	readonly timers: SortedSet<JobTimer>;
 	/** Pools and teams whose demand changed since it was last made known. */
 	readonly changedDemands: ImmutableMap<string, {readonly pool: PoolId; readonly team: TeamId}>;
+	/** What teams were due and had, for the shares report. */
+	readonly shareWindow: ShareWindow;
 	readonly isStopping: boolean;
 };
 
@@ -182,6 +187,7 @@
 		profiles: ImmutableMap(),
 		timers: createSortedSet(compareTimers),
 		changedDemands: ImmutableMap(),
+		shareWindow: createShareWindow(shareWindowMs),
 		isStopping: false,
 	};
 }
--- a/packages/core/src/jobs/test-world.ts
+++ b/packages/core/src/jobs/test-world.ts
@@ -38,7 +38,7 @@
 	worker: toWorker(name === 'c' ? 'b' : name),
 	pool: pools[index === 2 ? 1 : 0] ?? toPool('counters'),
 	heldSlots: 2,
-	connections: 3,
+	connections: 2,
 }));
 
 function getEvery<Item>(items: readonly Item[], pick: number): Item | undefined {
--- a/packages/core/src/shares/index.ts
+++ b/packages/core/src/shares/index.ts
@@ -3,6 +3,16 @@
  */
 export type * from './types.js';
 export {computeDominantShares, computeShares, getDominantPart} from './compute-shares.js';
+export {
+	createShareWindow,
+	mergeShareReports,
+	recordShares,
+	reportShares,
+	type PoolShareSample,
+	type ShareReportLine,
+	type ShareWindow,
+	type TeamShareSample,
+} from './share-window.js';
 export {
 	addTeam, createTeamOrder, pickTeam, removeTeam, type TeamOrder, type TeamPick, type TeamRank,
 } from './team-order.js';
