--- a/packages/core/src/jobs/apply-tick.ts
+++ b/packages/core/src/jobs/apply-tick.ts
@@ -9,12 +9,13 @@
 import {defaultRetryAfterMs} from './constants.js';
 import {estimateWaitMs} from './estimates.js';
 import {resetTimer, runSteps} from './job-table.js';
-import {putWorkerHealth} from './minions.js';
+import {listWorkerPools, putWorkerHealth} from './minions.js';
 import {placeWaitingJobs} from './place-jobs.js';
 import {
 	canRunMore, getPoolTeam, getTeam, getWaitingCount,
 } from './pool-teams.js';
 import {getReservationKey} from './reservations.js';
+import {sampleShares} from './share-report.js';
 import type {
 	Context, JobsState, JobsStep, JobState,
 } from './state.js';
@@ -99,9 +100,7 @@
 			decision: {kind: 'workerProbed', worker, failuresCounted: health.failuresInRow},
 		}],
 	}));
-	const pools = new Set(due.flatMap(([worker]) => [...state.minions.values()]
-		.filter(({info}) => info.worker === worker)
-		.map(({info}) => info.pool)));
+	const pools = new Set(due.flatMap(([worker]) => listWorkerPools(state, worker)));
 	return runSteps(state, [
 		...steps,
 		...[...pools].map(pool => (before: JobsState) => placeWaitingJobs(before, pool, context)),
@@ -137,5 +136,6 @@
 		before => applyTimers(before, context),
 		before => startDueProbes(before, context),
 		reportDemands,
+		before => ({state: sampleShares(before, context.nowMs), effects: []}),
 	]);
 }
--- a/packages/core/src/jobs/state.ts
+++ b/packages/core/src/jobs/state.ts
@@ -8,11 +8,14 @@
 import {createSortedSet, type SortedSet} from '../collections/sorted-set.js';
 import type {Step} from '../step.js';
 import type {QuantileSketch, WorkerHealth} from '../placement/index.js';
-import type {TeamOrder, TeamRank} from '../shares/index.js';
+import {
+	createShareWindow, type ShareWindow, type TeamOrder, type TeamRank,
+} from '../shares/index.js';
+import {shareWindowMs} from './constants.js';
 import type {JobQueue, Ticket} from './job-queue.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {
-	JobAttempt as JobAttempterence, JobsCfg, JobsEffect, JobSpec, PlaceableMinion,
+	JobAttempt, JobsCfg, JobsEffect, JobSpec, PlaceableMinion,
 } from './types.js';
 
 /** What outlives an attempt of a job. */
@@ -53,7 +56,7 @@
 );
 
 /** What an attempt takes until the minion says that it is gone or its lease has ended. */
-export type Reservation = JobAttempterence & {
+export type Reservation = JobAttempt & {
 	readonly minion: MinionId;
 	readonly incarnation: number;
 	readonly worker: WorkerId;
@@ -153,6 +156,8 @@
 	readonly timers: SortedSet<JobTimer>;
 	/** Pools and teams whose demand changed since it was last made known. */
 	readonly changedDemands: ImmutableMap<string, {readonly pool: PoolId; readonly team: TeamId}>;
+	/** What teams were due and had, for the shares report. */
+	readonly shareWindow: ShareWindow;
 	readonly isStopping: boolean;
 };
 
@@ -182,6 +187,7 @@
 		profiles: ImmutableMap(),
 		timers: createSortedSet(compareTimers),
 		changedDemands: ImmutableMap(),
+		shareWindow: createShareWindow(shareWindowMs),
 		isStopping: false,
 	};
 }
