--- a/packages/daemon/src/http/routes.ts
+++ b/packages/daemon/src/http/routes.ts
@@ -1,4 +1,6 @@
+import {createOperatorHttpRoutes, type OperatorContext} from '../operators/index.js';
 import type {Runtime} from '../runtime/types.js';
+import {maximumDocumentBytes} from './constants.js';
 import {createCancelJobRoute} from './callers/cancel-job.js';
 import {createSubmitJobRoute} from './callers/submit-job.js';
 import {createAnnounceMinionRoute} from './minions/announce-minion.js';
@@ -24,8 +26,12 @@
 
 /**
  * @param runtime - The running entry host.
+ * @param ctx - What the operators' routes need of it.
  * @returns Every route of the HTTP interface.
  */
-export function listRoutes(runtime: Runtime): readonly HttpRoute[] {
-	return creators.map(createRoute => createRoute(runtime));
+export function listRoutes(runtime: Runtime, context: OperatorContext): readonly HttpRoute[] {
+	return [
+		...creators.map(createRoute => createRoute(runtime)),
+		...createOperatorHttpRoutes({ctx: context, budget: runtime.bodyBudget, maximumBodyBytes: maximumDocumentBytes}),
+	];
 }
--- a/packages/daemon/src/operators/actions/get-shares.ts
+++ b/packages/daemon/src/operators/actions/get-shares.ts
@@ -7,12 +7,12 @@
 	method: 'GET',
 	path: '/v1/shares',
 	role: 'read',
-	handle({query}, context) {
+	async handle({query}, context) {
 		const windowMs = Number(query.get('windowMs') ?? defaultShareWindowMs);
 		if (!Number.isSafeInteger(windowMs) || windowMs < 1) {
 			return createInvalidResponse([{path: '/query/windowMs', message: 'must be a whole number of milliseconds'}]);
 		}
 
-		return createDocumentResponse({windowMs, items: context.getShares({windowMs})});
+		return createDocumentResponse({windowMs, items: await context.askShares({windowMs})});
 	},
 };
--- a/packages/daemon/src/operators/actions/get-status.ts
+++ b/packages/daemon/src/operators/actions/get-status.ts
@@ -9,8 +9,8 @@
 	method: 'GET',
 	path: '/v1/status',
 	role: 'read',
-	handle({query}, context) {
-		const status = context.getStatus();
+	async handle({query}, context) {
+		const status = await context.askFleetStatus();
 		const index = Number(query.get('index') ?? status.commitIndex);
 		if (!Number.isSafeInteger(index) || index < 0) {
 			return createInvalidResponse([{path: '/query/index', message: 'must be a log index'}]);
--- a/packages/daemon/src/operators/test-operator-context.ts
+++ b/packages/daemon/src/operators/test-operator-context.ts
@@ -10,7 +10,7 @@
 import {handleOperatorRequest} from './handle-operator-request.js';
 import {operatorRoutes} from './routes.js';
 import type {
-	ApiRequest, ApiResponse, OperatorContext, OperatorRoute, ProposalOutcome,
+	ApiRequest, ApiResponse, FleetStatus, OperatorContext, OperatorRoute, ProposalOutcome,
 } from './types.js';
 
 /** The token of the operator `ana`, who may write. */
@@ -67,6 +67,25 @@
 	const nextOutcomes: Array<'unavailable' | 'unknown'> = [];
 	const [node, dataCentre] = [toBrand<NodeId>('node-1'), toBrand<DataCentreId>('recife')];
 
+	const getStatus = (): FleetStatus => ({
+		node,
+		dataCentre,
+		role: 'leader',
+		term: 3,
+		leader: node,
+		commitIndex: index,
+		appliedIndex: index,
+		isFresh: true,
+		hosts: [
+			{
+				node, dataCentre, health: 'alive', role: 'leader', appliedIndex: index,
+			},
+			{
+				node: toBrand<NodeId>('node-2'), dataCentre, health: 'suspect', role: 'follower', appliedIndex: Math.max(0, index - 1),
+			},
+		],
+	});
+
 	const apply = (command: OperatorCommand): ProposalOutcome => {
 		const step = applyControlCommand(state, command);
 		state = step.state;
@@ -89,26 +108,10 @@
 			const outcome = apply(command);
 			return replaced === 'unknown' ? {type: 'unknown'} : outcome;
 		},
-		getStatus: () => ({
-			node,
-			dataCentre,
-			role: 'leader',
-			term: 3,
-			leader: node,
-			commitIndex: index,
-			appliedIndex: index,
-			isFresh: true,
-			hosts: [
-				{
-					node, dataCentre, health: 'alive', role: 'leader', appliedIndex: index,
-				},
-				{
-					node: toBrand<NodeId>('node-2'), dataCentre, health: 'suspect', role: 'follower', appliedIndex: Math.max(0, index - 1),
-				},
-			],
-		}),
+		getStatus,
+		askFleetStatus: async () => getStatus(),
 		getFleet: () => ({workers: []}),
-		getShares: () => [{
+		askShares: async () => [{
 			team: toBrand('olinda'), weight: 3, limit: 40, dueSlots: 30, grantedSlots: 30, usedSlots: 28.5, refusedJobs: 2,
 		}],
 		explain: subject => subject.type === 'job' && subject.job === 'j-1'
--- a/packages/daemon/src/operators/types.ts
+++ b/packages/daemon/src/operators/types.ts
@@ -95,9 +95,13 @@
 	readonly operators: readonly OperatorAccess[];
 	readonly getControlState: () => ControlState;
 	readonly propose: (command: OperatorCommand) => Promise<ProposalOutcome>;
+	/** What the answering host knows by itself. */
 	readonly getStatus: () => FleetStatus;
+	/** The same, with what the other entry hosts say of themselves when they are asked. */
+	readonly askFleetStatus: () => Promise<FleetStatus>;
 	readonly getFleet: () => FleetView;
-	readonly getShares: (input: {readonly windowMs: number}) => readonly TeamShareReport[];
+	/** Summed over the entry hosts that answer. */
+	readonly askShares: (input: {readonly windowMs: number}) => Promise<readonly TeamShareReport[]>;
 	readonly explain: (subject: ExplainSubject) => Explanation | undefined;
 	readonly getWallClockMs: () => WallClockMs;
 	readonly createChangeId: () => ChangeId;
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -14,6 +14,7 @@
 	minionRenewalPeriodMs,
 	type ClaimRecord,
 	type ControlCommand,
+	type JobsDecision,
 	type NodeAddress,
 	type NodeConfig,
 	type NodeMessage,
@@ -32,9 +33,12 @@
 import {freshnessPeriodMs, leaveNoticeMs, nodeTickPeriodMs} from './constants.js';
 import {startControlHost} from './control-host.js';
 import {createJobRegistry, type JobRegistry} from './job-registry.js';
+import {createDecisionHistory} from './decision-history.js';
 import {startLeaderDuties} from './leader-duties.js';
 import {logDecision} from './log-decision.js';
 import {createMetrics} from './metrics.js';
+import {createOperatorContext, createReportSource} from './operator-context.js';
+import {answerReportRequest} from './peer-reports.js';
 import {createNodeEngine, type ShellEffect} from './node-engine.js';
 import type {DecisionLog, Metrics, Runtime} from './types.js';
 
@@ -104,8 +108,8 @@
 	return createSuccess({store: store.value, journal: journal.value});
 };
 
-const createEffectHandler = ({log, getRegistry, persistClaim}: {
-	readonly log: DecisionLog;
+const createEffectHandler = ({getRegistry, persistClaim, recordDecision}: {
+	readonly recordDecision: (decision: JobsDecision) => void;
 	readonly getRegistry: () => JobRegistry;
 	readonly persistClaim: (record: ClaimRecord) => void;
 }) => (effect: ShellEffect): void => {
@@ -131,7 +135,7 @@
 		}
 
 		case 'jobs/decision': {
-			logDecision(log, effect.decision);
+			recordDecision(effect.decision);
 			return;
 		}
 
@@ -190,6 +194,7 @@
 	const metrics = createMetrics();
 	const bodyBudget = createBodyBudget(settings.limits.bodyBudgetBytes);
 	const client = createMinionClient({timers});
+	const history = createDecisionHistory();
 	let isStopping = false;
 	let isConfirmed = false;
 	let nextJob = 1;
@@ -212,6 +217,7 @@
 				metrics.count('malformedPeerMessages');
 			}
 		},
+		onRequest: async req => answerReportRequest(reports, req),
 		onLinkChanged({peer, isUp}) {
 			engine.dispatch({
 				type: 'membership/linkChanged', peer, isUp, nowMs: timers.getNow(),
@@ -219,6 +225,11 @@
 		},
 	});
 
+	const recordDecision = (decision: JobsDecision) => {
+		history.add(decision, getWallClock());
+		logDecision(log, decision);
+	};
+
 	const persistClaim = (record: ClaimRecord) => {
 		void disk?.journal.write(record).then(result => {
 			if (!result.ok) {
@@ -242,7 +253,7 @@
 		send({to, message}) {
 			transport.send(to, message);
 		},
-		carryOut: createEffectHandler({log, getRegistry: () => registry, persistClaim}),
+		carryOut: createEffectHandler({getRegistry: () => registry, persistClaim, recordDecision}),
 	});
 
 	engine.dispatch({type: 'claims/restored', records: disk?.journal.recovered ?? [], nowMs: timers.getNow()});
@@ -325,9 +336,14 @@
 			const result = await controlHost.replica.propose(command);
 			return result.ok ? createSuccess({index: result.value.index, answer: result.value.outcome}) : result;
 		},
+		membershipConfig: cfg.membership.membership,
 		log,
 		metrics,
 	};
+	const source = {
+		runtime, transport, history, getReplica: controlHost.replica.getState, hasLeaderLease: controlHost.replica.hasLeaderLease,
+	};
+	const reports = createReportSource(source);
 
 	await transport.start();
 	const cancelTimers = [
@@ -349,7 +365,7 @@
 	const server = await startHttpServer({
 		...settings.listen.http,
 		maximumConnections: settings.limits.maximumConnections,
-		routes: listRoutes(runtime),
+		routes: listRoutes(runtime, createOperatorContext(source)),
 		...countMetrics(metrics),
 		onUnexpectedError(err) {
 			metrics.count('unexpectedErrors');
--- a/packages/daemon/src/runtime/types.ts
+++ b/packages/daemon/src/runtime/types.ts
@@ -5,7 +5,7 @@
 	JobId, QueueId, Result, TimerService, WallClockMs,
 } from '@samphiremill/common';
 import type {
-	ControlAnswer, ControlCommand, ControlState, JobOutcome, JobSpec, NodeEvent, NodeState, ReplicaFailure, StoredAnswer,
+	ControlAnswer, ControlCommand, ControlState, JobOutcome, JobSpec, MembershipConfig, NodeEvent, NodeState, ReplicaFailure, StoredAnswer,
 } from '@samphiremill/core';
 import type {BodyBudget} from '../http/read-body.js';
 import type {Settings} from '../settings/index.js';
@@ -48,6 +48,7 @@
 	readonly dispatch: (event: NodeEvent) => void;
 	readonly submit: (job: SubmittedJob) => void;
 	readonly propose: (command: ControlCommand) => Promise<ProposalResult>;
+	readonly membershipConfig: MembershipConfig;
 	readonly log: DecisionLog;
 	readonly metrics: Metrics;
 };
