Show whole callers' sessions over HTTP, and end a planned stop without waiting for idle connections

Cause: a stop waited for kept-alive connections that went idle after the server closed, up to the keep-alive time. Change: idle connections are swept while the server closes.

--- a/packages/daemon/src/http/constants.ts
+++ b/packages/daemon/src/http/constants.ts
@@ -12,5 +12,5 @@
 export const maximumHeadersCount = 100;
 /** The most bytes of a JSON document in a minion's or operator's request. */
 export const maximumDocumentBytes = 262_144;
-/** How long a planned stop waits for open connections to finish, in milliseconds. */
-export const drainTimeoutMs = 60_000;
+/** How often a server that closes looks for connections that went idle, in milliseconds. */
+export const idleSweepPeriodMs = 50;
--- a/packages/daemon/src/http/server.ts
+++ b/packages/daemon/src/http/server.ts
@@ -4,6 +4,7 @@
 import {
 	connectionsCheckingIntervalMs,
 	headersTimeoutMs,
+	idleSweepPeriodMs,
 	keepAliveTimeoutMs,
 	maximumHeaderBytes,
 	maximumHeadersCount,
@@ -65,8 +66,13 @@
 	});
 });
 
+// A kept-alive connection that was busy when the server closed goes idle later, and is closed then.
 const closeServer = async (server: Server): Promise<void> => new Promise(resolve => {
+	const sweep = setInterval(() => {
+		server.closeIdleConnections();
+	}, idleSweepPeriodMs);
 	server.close(() => {
+		clearInterval(sweep);
 		resolve();
 	});
 	server.closeIdleConnections();
--- a/packages/daemon/src/runtime/decision-history.ts
+++ b/packages/daemon/src/runtime/decision-history.ts
@@ -46,3 +46,4 @@
 		},
 	};
 }
+
--- /dev/null
+++ b/packages/daemon/src/sessions/test-world.ts
@@ -0,0 +1,237 @@
+/**
+ * Daemons on loopback, driven as callers, minions and operators drive them, with a transcript.
+ */
+import {createHash} from 'node:crypto';
+import {mkdtemp, rm} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
+import {createSeededRandom, toBrand, type WallClockMs} from '@samphiremill/common';
+import {type ControlCommand, type ControlRecord} from '@samphiremill/core';
+import {request} from 'undici';
+import {createRealTimerService} from '../runtime/real-timer-service.js';
+import {startDaemon, type Daemon} from '../runtime/start-daemon.js';
+import {restoreSettings} from '../settings/index.js';
+import {startTestMinion, type TestMinion} from './test-minion.js';
+
+const waitTimeoutMs = 20_000;
+const pollMs = 20;
+const operatorToken = 'operator-token-for-tests';
+/** The secret of the key of the team `sertao`. */
+export const sertaoSecret = 'sertao-secret';
+/** The secret of the key of the team `costa`. */
+export const costaSecret = 'costa-secret';
+
+const hash = (text: string): string => createHash('sha256').update(text).digest('hex');
+
+/** One answer, as far as a transcript shows it. */
+export type Answer = {
+	readonly status: number;
+	readonly body: string;
+	readonly isReplayed: boolean;
+	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+};
+
+/** One request, as a test writes it. */
+export type TestCall = {
+	readonly method?: 'GET' | 'PUT' | 'POST' | 'DELETE';
+	readonly path: string;
+	readonly headers?: Readonly<Record<string, string>>;
+	readonly body?: string;
+};
+
+/** A daemon of the world. */
+export type WorldNode = {
+	readonly daemon: Daemon;
+	readonly origin: string;
+	readonly call: (call: TestCall) => Promise<Answer>;
+	readonly submit: (job: {
+		readonly queue: string;
+		readonly body: string;
+		readonly secret?: string;
+		readonly key?: string;
+		readonly headers?: Readonly<Record<string, string>>;
+	}) => Promise<Answer>;
+	readonly operate: (call: TestCall) => Promise<Answer>;
+};
+
+/** One daemon, a few minions, and what they need to be closed again. */
+export type World = {
+	readonly node: WorldNode;
+	readonly logLines: () => readonly string[];
+	readonly addMinion: (options: {readonly minion: string; readonly worker: string; readonly slots?: number; readonly incarnation?: number}) => Promise<TestMinion>;
+	readonly close: () => Promise<void>;
+};
+
+/**
+ * Waits until something holds. Fails only after a time that no healthy run comes near.
+ *
+ * @param holds - What to wait for.
+ * @param what - The name of it, for the error.
+ */
+export async function waitUntil(holds: () => boolean | Promise<boolean>, what: string): Promise<void> {
+	const giveUpAtMs = Date.now() + waitTimeoutMs;
+	// eslint-disable-next-line no-await-in-loop -- polls
+	while (!(await holds())) {
+		if (Date.now() > giveUpAtMs) {
+			throw new Error(`${what} did not happen within ${waitTimeoutMs} ms`);
+		}
+
+		await delay(pollMs); // eslint-disable-line no-await-in-loop -- polls
+	}
+}
+
+const worker = (number: number): ControlRecord => ({
+	kind: 'worker', id: toBrand(`worker-${number}`), dataCentre: toBrand('recife'), rack: toBrand(`rack-${number}`), cores: 32, memoryMb: 131_072, accelerators: 0, homePool: toBrand('counter'),
+});
+
+/** The records of the world. */
+export const worldRecords: readonly ControlRecord[] = [
+	{
+		kind: 'pool', id: toBrand('counter'), maximumUnavailableHosts: 1, isSpare: false,
+	},
+	{kind: 'team', id: toBrand('sertao'), displayName: 'Sertão'},
+	{kind: 'team', id: toBrand('costa'), displayName: 'Costa'},
+	{
+		kind: 'key', id: toBrand('sertao-1'), team: toBrand('sertao'), secretHash: hash(sertaoSecret),
+	},
+	{
+		kind: 'key', id: toBrand('costa-1'), team: toBrand('costa'), secretHash: hash(costaSecret),
+	},
+	{kind: 'limit', id: toBrand('costa'), maximumRunningJobs: 2},
+	{
+		kind: 'queue', id: toBrand('reservations'), pool: toBrand('counter'), access: 'keyed', maximumBodyBytes: 1024, defaultDeadlineMs: 15_000,
+	},
+	{
+		kind: 'queue', id: toBrand('questions'), pool: toBrand('counter'), access: 'open', maximumBodyBytes: 1024, defaultDeadlineMs: 15_000,
+	},
+	worker(1),
+	worker(2),
+];
+
+/**
+ * @param records - Records for an empty log.
+ * @returns The commands that write them.
+ */
+export function createSeedCommands(records: readonly ControlRecord[]): readonly ControlCommand[] {
+	return records.map((record, index) => ({
+		type: 'control/putRecord', changeId: toBrand(`seed-${index}`), actor: 'seed', acceptedAtMs: toBrand<WallClockMs>(1), record,
+	}));
+}
+
+const call = async (origin: string, {method = 'GET', path: target, headers = {}, body}: TestCall): Promise<Answer> => {
+	const answer = await request(`${origin}${target}`, {
+		method, headers, ...(body === undefined ? {} : {body}),
+	});
+	return {
+		status: answer.statusCode,
+		body: await answer.body.text(),
+		isReplayed: answer.headers['samphiremill-replayed'] === 'true',
+		headers: answer.headers,
+	};
+};
+
+/**
+ * @param daemon - A running daemon.
+ * @returns The daemon with what drives it.
+ */
+export function createWorldNode(daemon: Daemon): WorldNode {
+	const origin = `http://${daemon.httpHost}:${daemon.httpPort}`;
+	return {
+		daemon,
+		origin,
+		call: async options => call(origin, options),
+		submit: async ({queue, body, secret, key, headers = {}}) => call(origin, {
+			method: 'POST',
+			path: `/v1/queues/${queue}/jobs`,
+			body,
+			headers: {
+				...headers,
+				...(secret === undefined ? {} : {authorization: `Bearer ${secret}`}),
+				...(key === undefined ? {} : {'idempotency-key': key}),
+			},
+		}),
+		operate: async options => call(origin, {
+			...options, headers: {...options.headers, authorization: `Bearer ${operatorToken}`},
+		}),
+	};
+}
+
+/**
+ * Starts one daemon with a data folder.
+ *
+ * @param options - An existing folder to start from, absent for a new one.
+ * @returns The world, once the daemon is ready.
+ */
+export async function startWorld(options: {readonly folder?: string} = {}): Promise<World> {
+	const folder = options.folder ?? await mkdtemp(path.join(os.tmpdir(), 'samphiremill-test-'));
+	const settings = restoreSettings({
+		apiVersion: 'samphiremill/settings/v1',
+		node: 'entry-1',
+		dataCentre: 'recife',
+		region: 'nordeste',
+		listen: {http: {host: '127.0.0.1', port: 0}, peers: {host: '127.0.0.1', port: 0}},
+		voters: ['entry-1'],
+		dataFolder: folder,
+		clusterSecret: 'a-secret-of-the-cluster-under-test-only',
+		operators: [{name: 'ana', role: 'write', tokenHash: hash(operatorToken)}],
+	});
+	if (!settings.ok) {
+		throw new TypeError(JSON.stringify(settings.err));
+	}
+
+	let lines: readonly string[] = [];
+	const record = (message: string) => {
+		lines = [...lines, message];
+	};
+
+	const started = await startDaemon({
+		settings: settings.value,
+		timers: createRealTimerService(),
+		random: createSeededRandom(7),
+		log: {
+			debug: () => undefined,
+			info: record,
+			warn: record,
+			error: record,
+		},
+		getWallClock: () => toBrand<WallClockMs>(Date.now()),
+		seedCommands: createSeedCommands(worldRecords),
+	});
+	if (!started.ok) {
+		throw new TypeError(JSON.stringify(started.err));
+	}
+
+	const node = createWorldNode(started.value);
+	await waitUntil(async () => {
+		const {status} = await node.call({path: '/v1/ready'});
+		const control = started.value.runtime.getControl();
+		return status === 200 && control.views.size === 1 && started.value.runtime.getState().claims.views.size === 1;
+	}, 'readiness of entry-1');
+	const minions: TestMinion[] = [];
+
+	return {
+		node,
+		logLines: () => lines,
+		async addMinion({minion, worker: workerId, slots = 8, incarnation = 1}) {
+			const started = await startTestMinion();
+			minions.push(started);
+			await node.call({
+				method: 'PUT',
+				path: `/v1/minions/${minion}`,
+				headers: {'content-type': 'application/json'},
+				body: JSON.stringify({
+					incarnation, worker: workerId, pool: 'counter', dataCentre: 'recife', host: '127.0.0.1', port: started.port, slots, connections: 64,
+				}),
+			});
+			return started;
+		},
+		async close() {
+			await started.value.stop();
+			await Promise.all(minions.map(async minion => minion.close()));
+			if (options.folder === undefined) {
+				await rm(folder, {recursive: true});
+			}
+		},
+	};
+}
