Prove the replicated log and the store under faults, and mend what that found

Cause: the checks of the test network had not been shown to fail, and the model found faults.

Found and mended: - A voter that was removed while it was cut off never learnt of it: it asked for pre-votes for good, and nodes that it fed stayed behind. A voter without a leader now pulls committed entries from the other voters, and a node confirms to others only what it can also feed to them. - Starts in the same millisecond shared one lock ticket; two could open one folder. The ticket's name is now unique. - A record whose checksum differs at a sector's start was taken for a torn tail, and a changed length in the last record cut it silently. Both now refuse to start. - A folder with a log but without its identity was emptied; now it refuses to start. - Following a heartbeat ran the role machine for each message.

--- /dev/null
+++ b/packages/core/src/replica/commit.test.ts
@@ -0,0 +1,102 @@
+import {toBrand, type DataCentreId, type NodeId} from '@samphiremill/common';
+import {expect, test} from 'vitest';
+import {defaultReplicaLimits} from './constants.js';
+import {createReplica} from './create-replica.js';
+import type {ReplicaMessage} from './messages.js';
+import {reduceReplica} from './reduce-replica.js';
+import type {
+	LogEntry, ReplicaConfig, ReplicaEffect, RequestId, StoreId,
+} from './types.js';
+
+const names = ['a1', 'b1', 'c1'];
+const voters = names.map(name => ({node: toBrand<NodeId>(name), storeId: toBrand<StoreId>(`${name}-disk`)}));
+const cfg: ReplicaConfig = {
+	self: toBrand<NodeId>('a1'),
+	storeId: toBrand<StoreId>('a1-disk'),
+	nodes: voters.map(({node}) => ({node, dataCentre: toBrand<DataCentreId>('a'), isInitialVoter: true})),
+	limits: defaultReplicaLimits,
+	random: () => 0,
+};
+
+const entries: ReadonlyArray<LogEntry<string>> = [
+	{index: 1, term: 1, payload: {type: 'voters', voters}},
+	{index: 2, term: 2, payload: {type: 'command', requestId: toBrand<RequestId>('r'), command: 'older'}},
+];
+
+const startLeader = () => {
+	const hardState = {term: 3, clusterId: toBrand<StoreId>('a1-disk')};
+	let {state} = createReplica<string>({cfg, nowMs: 0}, {hardState, entries});
+	let effects: ReadonlyArray<ReplicaEffect<string>> = [];
+	const step = (event: Parameters<typeof reduceReplica<string>>[1]) => {
+		({state, effects} = reduceReplica(state, event, cfg));
+	};
+
+	const receive = (from: string, message: ReplicaMessage<string>) => {
+		step({
+			type: 'peer/received', from: toBrand<NodeId>(from), message, nowMs: 1010,
+		});
+	};
+
+	step({type: 'replica/tick', nowMs: 1010});
+	receive('b1', {
+		type: 'replica/vote', term: 4, isPreVote: true, isGranted: true, storeId: toBrand<StoreId>('b1-disk'),
+	});
+	step({type: 'replica/persisted', sequence: 1, nowMs: 1010});
+	receive('b1', {
+		type: 'replica/vote', term: 4, isPreVote: false, isGranted: true, storeId: toBrand<StoreId>('b1-disk'),
+	});
+	const acknowledge = (from: string, storeId: string, matchIndex: number) => {
+		receive(from, {
+			type: 'replica/appended', term: 4, round: 1, storeId: toBrand<StoreId>(storeId), isAccepted: true, matchIndex, receivedIndex: matchIndex,
+		});
+	};
+
+	return {
+		step, acknowledge, getState: () => state, getEffects: () => effects,
+	};
+};
+
+test('an entry of an older term commits only together with one of the leader\'s own', () => {
+	const {step, acknowledge, getState} = startLeader();
+	expect(getState().role).toBe('leader');
+	step({type: 'replica/persisted', sequence: 2, nowMs: 1010});
+	acknowledge('b1', 'b1-disk', 2);
+	acknowledge('c1', 'c1-disk', 2);
+	expect(getState().commitIndex).toBe(0);
+	acknowledge('b1', 'b1-disk', 3);
+	expect(getState().commitIndex).toBe(3);
+});
+
+test('neither an unsynced entry of the leader nor another data folder\'s answer counts for a quorum', () => {
+	const {step, acknowledge, getState} = startLeader();
+	acknowledge('b1', 'another-disk', 3);
+	acknowledge('c1', 'c1-disk', 3);
+	expect(getState().commitIndex).toBe(0);
+	step({type: 'replica/persisted', sequence: 2, nowMs: 1010});
+	expect(getState().commitIndex).toBe(3);
+});
+
+test('a failed disk ends leadership and every acknowledgement', () => {
+	const {step, acknowledge, getState, getEffects} = startLeader();
+	step({type: 'replica/persistFailed', nowMs: 1010});
+	expect(getState().role).toBe('observer');
+	acknowledge('b1', 'b1-disk', 3);
+	acknowledge('c1', 'c1-disk', 3);
+	expect(getState().commitIndex).toBe(0);
+	step({
+		type: 'peer/received',
+		from: toBrand<NodeId>('b1'),
+		message: {
+			type: 'replica/append',
+			clusterId: toBrand<StoreId>('a1-disk'),
+			term: 5,
+			round: 1,
+			previousIndex: 3,
+			previousTerm: 4,
+			entries: [{index: 4, term: 5, payload: {type: 'noop'}}],
+			commitIndex: 2,
+		},
+		nowMs: 1010,
+	});
+	expect(getEffects().flatMap(effect => effect.type === 'peer/send' ? [effect.message] : [])).toMatchObject([{type: 'replica/appended', matchIndex: 2}]);
+});
--- a/packages/core/src/replica/confirmation.ts
+++ b/packages/core/src/replica/confirmation.ts
@@ -5,7 +5,7 @@
  */
 import type {NodeId} from '@samphiremill/common';
 import {Map as ImmutableMap} from 'immutable';
-import {maximumOpenPolls, maximumUnappliedConfirmations} from './constants.js';
+import {maximumOpenPolls} from './constants.js';
 import {getLastIndex} from './log.js';
 import type {ConfirmedMessage, PollAnswerMessage, PollMessage} from './messages.js';
 import {
@@ -51,48 +51,40 @@
 }
 
 /**
- * Makes those confirmations effective whose index is applied by now.
+ * Makes those polls effective whose index is applied by now, for this node and for those that asked
+ * it. A node confirms to others only what it can also feed to them.
  *
  * @param state - The state.
- * @returns The state.
+ * @returns The next step.
  */
-export function settleConfirmations<Command>(state: ReplicaState<Command>): ReplicaState<Command> {
-	const {confirmation, commitIndex} = state;
-	if (confirmation.unapplied.length === 0) {
-		return state;
+export function settleConfirmations<Command>(state: ReplicaState<Command>): ReplicaStep<Command> {
+	const {confirmation, commitIndex, leader} = state;
+	const isEffective = ({index}: ConfirmationPoll) => index !== undefined && index <= commitIndex;
+	const effective = confirmation.polls.filter(poll => isEffective(poll));
+	if (effective.length === 0) {
+		return createStep(state);
 	}
 
-	const effective = confirmation.unapplied.filter(({index}) => index <= commitIndex).map(({sentAtMs}) => sentAtMs);
-	const confirmedAtMs = Math.max(...effective, confirmation.confirmedAtMs ?? Number.NEGATIVE_INFINITY);
-	return effective.length === 0
-		? state
-		: {
-			...state,
-			confirmation: {
-				...confirmation,
-				confirmedAtMs,
-				unapplied: confirmation.unapplied.filter(({index}) => index > commitIndex),
-			},
-		};
+	const confirmedAtMs = Math.max(
+		...effective.map(({sentAtMs}) => sentAtMs),
+		confirmation.confirmedAtMs ?? Number.NEGATIVE_INFINITY,
+	);
+	const polls = confirmation.polls.filter(poll => !isEffective(poll));
+	const answers = effective.flatMap(({askers, index}) => [...askers].map(([to, token]) => createSend<Command>(to, {
+		type: 'replica/confirmed', token, index: index ?? 0, leader,
+	})));
+	return createStep({...state, confirmation: {...confirmation, polls, confirmedAtMs}}, answers);
 }
 
+// A later answer can let the poll do with less of the log.
 const confirmPoll = <Command>(
 	state: ReplicaState<Command>,
 	poll: ConfirmationPoll,
 	index: number,
 ): ReplicaStep<Command> => {
-	const {confirmation} = state;
-	// A later answer matters only if it lets the poll do with less of the log.
-	if (poll.index !== undefined && poll.index <= index) {
-		return createStep(state);
-	}
-
-	const polls = confirmation.polls.map(other => other.round === poll.round ? {...poll, index} : other);
-	const unapplied = [...confirmation.unapplied, {sentAtMs: poll.sentAtMs, index}].slice(-maximumUnappliedConfirmations);
-	const answers = [...poll.askers].map(([to, token]) => createSend<Command>(to, {
-		type: 'replica/confirmed', token, index, leader: state.leader,
-	}));
-	return createStep(settleConfirmations({...state, confirmation: {...confirmation, polls, unapplied}}), answers);
+	const confirmed = {...poll, index: Math.min(poll.index ?? index, index)};
+	const polls = state.confirmation.polls.map(other => other.round === poll.round ? confirmed : other);
+	return settleConfirmations({...state, confirmation: {...state.confirmation, polls}});
 };
 
 const countAnswer = <Command>(
@@ -126,17 +118,20 @@
 			waitingAskers: ImmutableMap(),
 		},
 	};
-	if (isVotingReplica(next, cfg)) {
-		return chainSteps(
-			createStep(next, getOtherVoters(next, cfg).map(to => createSend<Command>(to, {type: 'replica/poll', round}))),
-			polled => countAnswer(polled, poll, {from: cfg.self, lastIndex: getLastIndex(polled.log)}),
-		);
-	}
-
+	const isVoter = isVotingReplica(next, cfg);
 	const upstream = getUpstream(next, cfg);
-	return createStep(next, upstream === undefined
+	const polls = isVoter ? getOtherVoters(next, cfg).map(to => createSend<Command>(to, {type: 'replica/poll', round})) : [];
+	const pulls = upstream === undefined
 		? []
-		: [createSend(upstream, {type: 'replica/pull', token: round, lastIndex: next.commitIndex})]);
+		: [createSend<Command>(upstream, {
+			type: 'replica/pull', lastIndex: next.commitIndex, ...(!isVoter && {token: round}),
+		})];
+	return chainSteps(
+		createStep(next, [...polls, ...pulls]),
+		polled => isVoter
+			? countAnswer(polled, poll, {from: cfg.self, lastIndex: getLastIndex(polled.log)})
+			: createStep(polled),
+	);
 };
 
 /**
--- a/packages/core/src/replica/constants.ts
+++ b/packages/core/src/replica/constants.ts
@@ -28,10 +28,7 @@
 export const snapshotStallMs = 2000;
 
 /** How many polls for a confirmation may be open at once. */
-export const maximumOpenPolls = 4;
-
-/** How many confirmations may wait for their index to be applied. */
-export const maximumUnappliedConfirmations = 8;
+export const maximumOpenPolls = 8;
 
 /** How long a fed node stays subscribed after its last pull. */
 export const subscriptionMs = 3000;
--- a/packages/core/src/replica/create-replica.ts
+++ b/packages/core/src/replica/create-replica.ts
@@ -69,7 +69,6 @@
 			lastPollMs: Number.NEGATIVE_INFINITY,
 			polls: [],
 			waitingAskers: ImmutableMap(),
-			unapplied: [],
 			confirmedAtMs: undefined,
 		},
 		formation: {nextQueryMs: nowMs, blankStores: ImmutableMap()},
--- a/packages/core/src/replica/feed.ts
+++ b/packages/core/src/replica/feed.ts
@@ -8,6 +8,7 @@
 import {
 	chainSteps, createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
+import {enterTerm} from './roles.js';
 import type {ReplicaState} from './types.js';
 import {getUpstream, noteUpstreamHeard} from './upstream.js';
 
@@ -108,11 +109,14 @@
 	{from, message}: {readonly from: NodeId; readonly message: FeedMessage<Command>},
 ): ReplicaStep<Command> {
 	const isForeign = state.clusterId !== undefined && state.clusterId !== message.clusterId;
-	if (isForeign || state.role !== 'observer') {
+	const isLed = state.role !== 'observer' && state.leader !== undefined;
+	if (isForeign || isLed) {
 		return createStep(state);
 	}
 
-	const heard = noteUpstreamHeard({...state, clusterId: message.clusterId, leader: message.leader ?? state.leader}, context, from);
+	// A voter believes only a leader's own messages, since what it may vote for depends on them.
+	const leader = state.role === 'observer' ? message.leader ?? state.leader : state.leader;
+	const heard = noteUpstreamHeard({...state, clusterId: message.clusterId, leader}, context, from);
 	if (getUpstream(heard, context.cfg) !== from) {
 		return createStep(heard);
 	}
@@ -122,7 +126,8 @@
 	}
 
 	return chainSteps(
-		acceptEntries(heard, context, message.entries),
+		enterTerm(heard, context, message.entries.at(-1)?.term ?? 0),
+		next => acceptEntries(next, context, message.entries),
 		next => commitUpTo(next, message.previousIndex + message.entries.length),
 		next => pullMore(next, from, message.commitIndex),
 	);
--- a/packages/core/src/replica/following.ts
+++ b/packages/core/src/replica/following.ts
@@ -123,7 +123,7 @@
 	context: ReplicaContext,
 	leader: NodeId,
 ): ReplicaState<Command> => ({
-	...moveRole(state, {type: 'leaderHeard'}),
+	...(state.role === 'preCandidate' || state.role === 'candidate' ? moveRole(state, {type: 'leaderHeard'}) : state),
 	leader,
 	leaderHeardMs: context.nowMs,
 	electionDeadlineMs: getElectionDeadline(context),
--- a/packages/core/src/replica/reduce-replica.ts
+++ b/packages/core/src/replica/reduce-replica.ts
@@ -219,7 +219,7 @@
 		step,
 		next => finishProposals(next, getAppliedRequests(step.effects)),
 		next => finishReads(next),
-		next => createStep(settleConfirmations(next)),
+		next => settleConfirmations(next),
 		next => pushFeed(next, context),
 		next => requestSnapshot(next, context),
 	);
--- /dev/null
+++ b/packages/core/src/replica/replica.model.test.ts
@@ -0,0 +1,192 @@
+import process from 'node:process';
+import {setImmediate} from 'node:timers/promises';
+import fc from 'fast-check';
+import {toBrand, type NodeId} from '@samphiremill/common';
+import {expect, test} from 'vitest';
+import {createTestNetwork, type TestNetwork, type TestNode} from './test-network.js';
+
+const seed = Number(process.env.SAMPHIREMILL_SEED ?? 4);
+const numberRuns = Number(process.env.SAMPHIREMILL_RUNS ?? 25);
+
+const clockRates = [0.95, 1.1, 1, 0.9, 1.05];
+const nodes: readonly TestNode[] = [
+	...['v1', 'v2', 'v3', 'v4', 'v5'].map((name, index): TestNode => ({
+		name, dataCentre: `dc${index % 3}`, kind: 'voter', clockRate: clockRates[index] ?? 1,
+	})),
+	{name: 's1', dataCentre: 'dc2', kind: 'spareDisk'},
+	{name: 'o1', dataCentre: 'dc0', kind: 'diskless'},
+	{
+		name: 'o2', dataCentre: 'dc3', kind: 'diskless', clockRate: 0.9,
+	},
+	{
+		name: 'o3', dataCentre: 'dc3', kind: 'diskless', clockRate: 1.1,
+	},
+];
+const names = nodes.map(({name}) => name);
+const voterNames = names.filter(name => name.startsWith('v'));
+
+type Action
+	= | {readonly type: 'propose' | 'read' | 'crash' | 'restart' | 'failDisk' | 'transfer'; readonly node: string}
+		| {readonly type: 'cut'; readonly from: string; readonly to: string}
+		| {readonly type: 'isolate' | 'powerLoss'; readonly nodes: readonly string[]}
+		| {readonly type: 'heal'}
+		| {readonly type: 'wipe' | 'readmit' | 'remove'; readonly node: string}
+		| {readonly type: 'run'; readonly durationMs: number};
+
+const anyNode = fc.constantFrom(...names);
+const anyVoter = fc.constantFrom(...voterNames);
+const anyAction: fc.Arbitrary<Action> = fc.oneof(
+	{weight: 8, arbitrary: fc.record({type: fc.constant('propose' as const), node: anyNode})},
+	{weight: 3, arbitrary: fc.record({type: fc.constant('read' as const), node: anyNode})},
+	{weight: 3, arbitrary: fc.record({type: fc.constantFrom('crash' as const, 'restart' as const), node: anyNode})},
+	{weight: 1, arbitrary: fc.record({type: fc.constantFrom('failDisk' as const, 'transfer' as const), node: anyVoter})},
+	{weight: 3, arbitrary: fc.record({type: fc.constant('cut' as const), from: anyNode, to: anyNode})},
+	{weight: 2, arbitrary: fc.record({type: fc.constant('isolate' as const), nodes: fc.uniqueArray(anyNode, {minLength: 1, maxLength: 4})})},
+	{weight: 2, arbitrary: fc.record({type: fc.constant('powerLoss' as const), nodes: fc.uniqueArray(anyVoter, {minLength: 3, maxLength: 5})})},
+	{weight: 2, arbitrary: fc.constant({type: 'heal' as const})},
+	{weight: 1, arbitrary: fc.record({type: fc.constantFrom('wipe' as const, 'readmit' as const, 'remove' as const), node: anyVoter})},
+	{weight: 10, arbitrary: fc.record({type: fc.constant('run' as const), durationMs: fc.constantFrom(7, 60, 300, 900, 2500)})},
+);
+
+// One emptied disk at a time: losing more copies than the quorum bears is beyond any log.
+const createRunner = (network: TestNetwork) => {
+	let wiped: string | undefined;
+	let count = 0;
+	let isVoterRemoved = false;
+	const up = new Set(names);
+	const propose = (node: string) => {
+		count += 1;
+		return network.propose(node, `c${count}`);
+	};
+
+	const readmit = (node: string, from: string) => {
+		const storeId = network.getStoreId(node);
+		if (storeId !== undefined && up.has(from)) {
+			network.changeVoters(from, {type: 'add', voter: {node: toBrand<NodeId>(node), storeId}});
+		}
+	};
+
+	const restart = (node: string) => {
+		up.add(node);
+		network.restart(node);
+	};
+
+	const crash = (node: string) => {
+		up.delete(node);
+		network.crash(node);
+	};
+
+	// Once a voter was removed, the copies that count are fewer than this model reckons with.
+	const isDiskLossAllowed = () => wiped === undefined && !isVoterRemoved && network.getState('o1').commitIndex > 1;
+
+	const handlers: {readonly [Type in Action['type']]: (action: Action & {readonly type: Type}) => void} = {
+		propose({node}) {
+			propose(node);
+		},
+		read({node}) {
+			network.read(node);
+		},
+		crash({node}) {
+			crash(node);
+		},
+		restart({node}) {
+			restart(node);
+		},
+		failDisk({node}) {
+			network.failDisk(node);
+		},
+		transfer({node}) {
+			network.transferLeadership(network.getLeader() ?? node, node);
+		},
+		cut({from, to}) {
+			network.cut(from, to);
+		},
+		isolate({nodes: inside}) {
+			network.isolate(inside);
+		},
+		powerLoss({nodes: struck}) {
+			for (const node of struck) {
+				crash(node);
+			}
+
+			for (const node of struck) {
+				restart(node);
+			}
+		},
+		heal() {
+			network.heal();
+		},
+		wipe({node}) {
+			if (isDiskLossAllowed()) {
+				wiped = node;
+				up.add(node);
+				network.wipe(node);
+			}
+		},
+		readmit({node}) {
+			readmit(wiped ?? node, network.getLeader() ?? node);
+		},
+		remove({node}) {
+			if (wiped === undefined && !isVoterRemoved) {
+				isVoterRemoved = true;
+				network.changeVoters(network.getLeader() ?? node, {type: 'remove', node: toBrand<NodeId>(node)});
+			}
+		},
+		run({durationMs}) {
+			network.run(durationMs);
+		},
+	};
+
+	const act = (action: Action) => {
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- each handler takes the actions of its own type
+		(handlers[action.type] as (action: Action) => void)(action);
+	};
+
+	const recover = () => {
+		network.heal();
+		network.calm();
+		for (const name of names) {
+			network.restart(name);
+			up.add(name);
+		}
+
+		network.run(8000);
+		const id = propose('o3');
+		network.run(4000);
+		return id;
+	};
+
+	return {act, recover};
+};
+
+test('under losses, cuts, crashes, emptied disks and uneven clocks the log keeps its promises and recovers', async () => {
+	await fc.assert(fc.asyncProperty(
+		fc.array(anyAction, {minLength: 10, maxLength: 40}),
+		fc.nat(1_000_000),
+		async (actions, networkSeed) => {
+			// Long runs must let the test runner's own messages through.
+			await setImmediate();
+			const network = createTestNetwork({
+				nodes,
+				seed: networkSeed,
+				limits: {
+					snapshotEveryEntries: 8, trailingEntries: 3, maximumBatchEntries: 2, maximumChunkLength: 16, learnerTimeoutMs: 3000,
+				},
+				delayMs: {least: 1, most: 120},
+				syncMs: {least: 0, most: 150},
+				lossChance: 0.05,
+				repeatChance: 0.05,
+			});
+			network.run(3000);
+			const {act, recover} = createRunner(network);
+			for (const action of actions) {
+				act(action);
+			}
+
+			const id = recover();
+			expect(network.getOutcome(id)?.type).toBe('done');
+			expect(new Set(names.map(name => network.getApplied(name).join(','))).size).toBe(1);
+			expect(names.map(name => network.getFreshness(name))).toEqual(names.map(() => 'fresh'));
+		},
+	), {seed, numRuns: numberRuns});
+});
--- a/packages/core/src/replica/test-network.ts
+++ b/packages/core/src/replica/test-network.ts
@@ -56,7 +56,7 @@
 	hasFailedDisk: boolean;
 };
 
-type ScheduledCall = {readonly atMs: number; readonly order: number; readonly run: () => void};
+type ScheduledCall = {readonly atMs: number; readonly run: () => void};
 
 const tickMs = 50;
 const stalenessBoundMs = 3000;
@@ -80,6 +80,8 @@
 	readonly cut: (from: string, to: string) => void;
 	readonly isolate: (names: readonly string[]) => void;
 	readonly heal: () => void;
+	/** From now on no message is lost or repeated by chance. */
+	readonly calm: () => void;
 	readonly crash: (name: string) => void;
 	readonly restart: (name: string) => void;
 	readonly wipe: (name: string) => void;
@@ -98,10 +100,10 @@
 	const limits = {...defaultReplicaLimits, ...options.limits};
 	const delayMs = options.delayMs ?? {least: 1, most: 10};
 	const syncMs = options.syncMs ?? {least: 1, most: 5};
+	let {lossChance = 0, repeatChance = 0} = options;
 	let nowMs = 0;
-	let nextOrder = 0;
 	let nextRequest = 0;
-	let scheduled: ScheduledCall[] = [];
+	const scheduled: ScheduledCall[] = [];
 	const cuts = new Set<string>();
 	const leaders = new Map<number, string>();
 	const committed = new Map<number, string>();
@@ -114,8 +116,16 @@
 	}));
 
 	const schedule = (delay: number, run: () => void) => {
-		scheduled.push({atMs: nowMs + delay, order: nextOrder, run});
-		nextOrder += 1;
+		const atMs = nowMs + delay;
+		let low = 0;
+		for (let high = scheduled.length; low < high;) {
+			const middle = Math.floor((low + high) / 2);
+			const isLater = (scheduled[middle]?.atMs ?? 0) > atMs;
+			low = isLater ? low : middle + 1;
+			high = isLater ? middle : high;
+		}
+
+		scheduled.splice(low, 0, {atMs, run});
 	};
 
 	const createCfg = ({name, kind}: TestNode, life: number): ReplicaConfig => ({
@@ -160,9 +170,9 @@
 		const size = JSON.stringify(message).length;
 		bytes.set(from, {sent: (bytes.get(from)?.sent ?? 0) + size, received: bytes.get(from)?.received ?? 0});
 		bytes.set(to, {sent: bytes.get(to)?.sent ?? 0, received: (bytes.get(to)?.received ?? 0) + size});
-		const copies = random() < (options.repeatChance ?? 0) ? 2 : 1;
+		const copies = random() < repeatChance ? 2 : 1;
 		for (let copy = 0; copy < copies; copy += 1) {
-			if (random() < (options.lossChance ?? 0)) {
+			if (random() < lossChance) {
 				continue;
 			}
 
@@ -364,14 +374,8 @@
 		countBytes: name => bytes.get(name) ?? {sent: 0, received: 0},
 		run(durationMs) {
 			const untilMs = nowMs + durationMs;
-			for (;;) {
-				const due = scheduled.filter(({atMs}) => atMs <= untilMs)
-					.toSorted((left, right) => left.atMs - right.atMs || left.order - right.order)[0];
-				if (due === undefined) {
-					break;
-				}
-
-				scheduled = scheduled.filter(call => call !== due);
+			for (let [due] = scheduled; due !== undefined && due.atMs <= untilMs; [due] = scheduled) {
+				scheduled.shift();
 				nowMs = Math.max(nowMs, due.atMs);
 				due.run();
 			}
@@ -414,6 +418,10 @@
 				}
 			}
 		},
+		calm() {
+			lossChance = 0;
+			repeatChance = 0;
+		},
 		heal() {
 			cuts.clear();
 		},
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -260,10 +260,9 @@
 	readonly nextRound: number;
 	readonly nextPollMs: number;
 	readonly lastPollMs: number;
+	/** Polls whose index isn't known or isn't applied yet. */
 	readonly polls: readonly ConfirmationPoll[];
 	readonly waitingAskers: ImmutableMap<NodeId, number>;
-	/** Confirmations of an index that isn't applied yet. */
-	readonly unapplied: ReadonlyArray<{readonly sentAtMs: number; readonly index: number}>;
 	/** Send time of the newest effective confirmation; absent before the first. */
 	readonly confirmedAtMs: number | undefined;
 };
--- a/packages/core/src/replica/upstream.ts
+++ b/packages/core/src/replica/upstream.ts
@@ -12,11 +12,13 @@
  *
  * @param state - The replica.
  * @param cfg - Its set-up.
- * @returns The candidates; none for a voter.
+ * @returns The candidates; none for a voter that hears a leader. One that does not may have been
+ * removed, or may lag behind; it learns that from any other voter.
  */
 export function getUpstreamCandidates<Command>(state: ReplicaState<Command>, cfg: ReplicaConfig): readonly NodeId[] {
 	const own = cfg.nodes.find(({node}) => node === cfg.self);
-	if (own === undefined || isVotingReplica(state, cfg)) {
+	const isVoting = isVotingReplica(state, cfg);
+	if (own === undefined || (isVoting && state.leader !== undefined)) {
 		return [];
 	}
 
@@ -24,6 +26,10 @@
 		? state.voters.map(({node}) => node)
 		: cfg.nodes.filter(({isInitialVoter}) => isInitialVoter).map(({node}) => node);
 	const local = cfg.nodes.filter(({dataCentre}) => dataCentre === own.dataCentre).map(({node}) => node).toSorted();
+	if (isVoting) {
+		return rankMembers(cfg.self, voters.filter(node => node !== cfg.self));
+	}
+
 	const isNamedVoter = voters.includes(cfg.self);
 	// A voter that lost its vote may feed the others here, so it follows only voters before it.
 	const localVoters = local.filter(node => voters.includes(node) && (!isNamedVoter || node < cfg.self));
@@ -35,7 +41,7 @@
 /**
  * @param state - The replica.
  * @param cfg - Its set-up.
- * @returns Who feeds this node at this moment; nobody feeds a voter.
+ * @returns Who feeds this node at this moment.
  */
 export function getUpstream<Command>(state: ReplicaState<Command>, cfg: ReplicaConfig): NodeId | undefined {
 	const candidates = getUpstreamCandidates(state, cfg);
--- a/packages/daemon/src/store/folder-lock.ts
+++ b/packages/daemon/src/store/folder-lock.ts
@@ -4,6 +4,7 @@
  * lock left by a crash is told apart from a live one. Whoever takes over a stale lock holds a second
  * lock meanwhile; if it dies in that moment, later starts are refused until an operator removes it.
  */
+import {randomUUID} from 'node:crypto';
 import {
 	link, readFile, readlink, rm, writeFile,
 } from 'node:fs/promises';
@@ -120,7 +121,7 @@
  */
 export async function lockFolder(folder: string): Promise<Result<ReleaseLock, StoreError>> {
 	const lock = path.join(folder, 'lock');
-	const ticket = path.join(folder, `lock.${process.pid}.${Date.now()}`);
+	const ticket = path.join(folder, `lock.${randomUUID()}`);
 	const own = await getOwnHolder();
 	await writeFile(ticket, JSON.stringify(own));
 	try {
--- a/packages/daemon/src/store/open-replica-store.ts
+++ b/packages/daemon/src/store/open-replica-store.ts
@@ -41,13 +41,19 @@
 	type: 'store/damaged', file, offset: 0, reason,
 });
 
+const isContentFile = (name: string) => ['segment-', 'snapshot-'].some(prefix => name.startsWith(prefix)) && !name.endsWith('.tmp');
+
 // The first segment is synced before the identity appears, so an identity without a segment means
 // that files were removed, and a folder without an identity never acknowledged anything.
-const initialiseFolder = async <Command>({folder, fileSystem}: Folder): Promise<Content<Command>> => {
-	for (const name of await fileSystem.listFiles(folder)) {
-		if (name.startsWith('segment-') || name.startsWith('snapshot-')) {
-			await fileSystem.remove(path.join(folder, name)); // eslint-disable-line no-await-in-loop -- a few files, once
-		}
+const initialiseFolder = async <Command>(
+	{folder, fileSystem}: Folder,
+	names: readonly string[],
+): Promise<Result<Content<Command>, StoreError>> => {
+	const used = names.find(name => isContentFile(name) && name !== getSegmentName(1));
+	const file = path.join(folder, getSegmentName(1));
+	const first = names.includes(getSegmentName(1)) ? readSegment(file, await fileSystem.readFile(file)) : undefined;
+	if (used !== undefined || (first !== undefined && (!first.ok || first.value.nextSequence > 2))) {
+		return createDamage(path.join(folder, identityName), 'the folder holds a log but no identity');
 	}
 
 	const replay = createPersistReplay<Command>();
@@ -58,7 +64,7 @@
 	await writeWholeFile({
 		folder, fileSystem, name: identityName, data: encodeRecord({storeId: randomUUID(), format: 1}),
 	});
-	return {segmentName, replay, nextSequence: 2};
+	return createSuccess({segmentName, replay, nextSequence: 2});
 };
 
 const readStoreId = async ({folder, fileSystem}: Folder): Promise<Result<StoreId, StoreError>> => {
@@ -126,7 +132,7 @@
 	const {folder, fileSystem} = place;
 	const names = await fileSystem.listFiles(folder);
 	if (!names.includes(identityName)) {
-		return createSuccess(await initialiseFolder<Command>(place));
+		return initialiseFolder<Command>(place, names);
 	}
 
 	const found = await readNewestSegment<Command>(place, names);
--- a/packages/daemon/src/store/record-codec.ts
+++ b/packages/daemon/src/store/record-codec.ts
@@ -29,15 +29,16 @@
 		| {readonly type: 'torn'}
 		| {readonly type: 'damaged'; readonly reason: string};
 
+// Sectors that a crash kept from the disk read as zeros, which JSON never holds.
 const hasZeroSector = (payload: Uint8Array, fileOffset: number) => {
-	const firstSector = (Math.ceil(fileOffset / sectorBytes) * sectorBytes) - fileOffset;
-	for (let start = firstSector; start < payload.length; start += sectorBytes) {
-		if (payload.subarray(start, start + sectorBytes).every(byte => byte === 0)) {
+	const firstBoundary = sectorBytes - (fileOffset % sectorBytes);
+	for (let start = 0, end = firstBoundary; start < payload.length; start = end, end += sectorBytes) {
+		if (payload.subarray(start, end).every(byte => byte === 0)) {
 			return true;
 		}
 	}
 
-	return payload.subarray(0, firstSector).every(byte => byte === 0);
+	return false;
 };
 
 // Each record is synced before the next one is written. So a bad record with others behind it was
@@ -82,8 +83,9 @@
 	const {length} = header;
 	const end = offset + headerBytes + length;
 	if (end > bytes.length) {
-		return isFollowedByRecord(bytes, offset)
-			? {type: 'damaged', reason: 'length differs in a record that others follow'}
+		const isWhole = getChecksum(bytes.subarray(offset + headerBytes)) === header.checksum;
+		return isWhole || isFollowedByRecord(bytes, offset)
+			? {type: 'damaged', reason: 'the length of a whole record differs'}
 			: {type: 'torn'};
 	}
 
--- /dev/null
+++ b/packages/daemon/src/store/store.test.ts
@@ -0,0 +1,205 @@
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import fc from 'fast-check';
+import {toBrand} from '@samphiremill/common';
+import type {
+	LogEntry, PersistedWrite, RequestId, StoreId,
+} from '@samphiremill/core';
+import {
+	afterEach, beforeEach, expect, test,
+} from 'vitest';
+import {openReplicaStore} from './open-replica-store.js';
+import {createTestFileSystem, type TestFileSystem} from './test-file-system.js';
+import type {ReplicaStore, StoreError} from './types.js';
+
+let folder = '';
+
+beforeEach(async () => {
+	folder = await mkdtemp(path.join(tmpdir(), 'replica-store-'));
+});
+
+afterEach(async () => {
+	await rm(folder, {recursive: true});
+});
+
+const createEntry = (index: number): LogEntry<string> => ({
+	index, term: 1, payload: {type: 'command', requestId: toBrand<RequestId>(`r${index}`), command: `c${index}`},
+});
+
+const createWrite = (index: number): PersistedWrite<string> => ({hardState: {term: 1}, entries: [createEntry(index)]});
+
+const createSnapshotWrite = (index: number): PersistedWrite<string> => ({
+	hardState: {term: 1},
+	entries: [],
+	snapshot: {
+		index, term: 1, voters: [], clusterId: toBrand<StoreId>('cluster'), data: `state at ${index}`,
+	},
+	firstIndex: index,
+});
+
+const open = async (fileSystem?: TestFileSystem) =>
+	openReplicaStore<string>({folder, ...(fileSystem !== undefined && {fileSystem})});
+
+const openOrThrow = async (fileSystem?: TestFileSystem): Promise<ReplicaStore<string>> => {
+	const opened = await open(fileSystem);
+	if (!opened.ok) {
+		throw new Error(JSON.stringify(opened.err));
+	}
+
+	return opened.value;
+};
+
+const getLastRecovered = ({recovered}: ReplicaStore<string>) =>
+	recovered.entries.at(-1)?.index ?? recovered.snapshot?.index ?? 0;
+
+// Eleven writes one after the other, with a snapshot after the fourth and the eighth.
+const writeSession = async (store: ReplicaStore<string>) => {
+	let acknowledged = 0;
+	for (let index = 1; index <= 11; index += 1) {
+		const writes = index % 4 === 0 ? [createWrite(index), createSnapshotWrite(index)] : [createWrite(index)];
+		// eslint-disable-next-line no-await-in-loop -- each write is to be a record of its own
+		const results = await Promise.all(writes.map(async write => store.write(write)));
+		acknowledged = results[0]?.ok === true ? index : acknowledged;
+	}
+
+	return acknowledged;
+};
+
+test('a crash at any operation loses nothing that was acknowledged', async () => {
+	const counted = createTestFileSystem();
+	const whole = await openOrThrow(counted);
+	expect(await writeSession(whole)).toBe(11);
+	await whole.close();
+	const total = counted.countOperations();
+	for (let operation = 1; operation <= total; operation += 1) {
+		for (const keptShare of [0, 0.6, 1]) {
+			const fileSystem = createTestFileSystem();
+			fileSystem.failFrom(operation, Object.assign(new Error('crash'), {code: 'CRASH'}));
+			/* eslint-disable no-await-in-loop -- one crash after the other */
+			const opened = await open(fileSystem);
+			const acknowledged = opened.ok ? await writeSession(opened.value) : 0;
+			if (opened.ok) {
+				await opened.value.close();
+			}
+
+			fileSystem.crash(keptShare);
+			const store = await openOrThrow(fileSystem);
+			/* eslint-enable no-await-in-loop */
+			expect(getLastRecovered(store), `operation ${operation}`).toBeGreaterThanOrEqual(acknowledged);
+			expect(store.recovered.entries.map(({index}) => index).every((index, place, all) => place === 0 || index === (all[place - 1] ?? 0) + 1)).toBe(true);
+			await store.close(); // eslint-disable-line no-await-in-loop -- one crash after the other
+		}
+	}
+});
+
+const createFilled = async () => {
+	const fileSystem = createTestFileSystem();
+	const store = await openOrThrow(fileSystem);
+	await writeSession(store);
+	await store.close();
+	const segment = fileSystem.listNames().find(name => name.startsWith('segment-')) ?? '';
+	return {fileSystem, segment, bytes: fileSystem.getFile(segment) ?? new Uint8Array()};
+};
+
+const getDamage = (err: StoreError) => err.type === 'store/damaged' ? path.basename(err.file) : err.type;
+
+test('a tail cut short is dropped, and the next write follows what was whole', async () => {
+	const {fileSystem, segment, bytes} = await createFilled();
+	fileSystem.setFile(segment, bytes.slice(0, -3));
+	const store = await openOrThrow(fileSystem);
+	expect(getLastRecovered(store)).toBe(10);
+	expect(await store.write(createWrite(11))).toEqual({ok: true, value: undefined});
+	await store.close();
+	const again = await openOrThrow(fileSystem);
+	expect(getLastRecovered(again)).toBe(11);
+	await again.close();
+});
+
+test('a tail of unwritten sectors is dropped', async () => {
+	const {fileSystem, segment, bytes} = await createFilled();
+	fileSystem.setFile(segment, Uint8Array.from([...bytes, ...new Uint8Array(1024)]));
+	const store = await openOrThrow(fileSystem);
+	expect(getLastRecovered(store)).toBe(11);
+	await store.close();
+});
+
+test('any changed byte refuses to start and names the file', async () => {
+	const {fileSystem, segment, bytes} = await createFilled();
+	const snapshot = fileSystem.listNames().find(name => name.startsWith('snapshot-')) ?? '';
+	await fc.assert(fc.asyncProperty(
+		fc.constantFrom(segment, snapshot, 'identity.json'),
+		fc.nat(),
+		fc.integer({min: 1, max: 255}),
+		async (name, place, change) => {
+			const original = fileSystem.getFile(name) ?? new Uint8Array();
+			const offset = place % original.length;
+			fileSystem.setFile(name, original.map((byte, index) => index === offset ? (byte + change) % 256 : byte));
+			const opened = await open(fileSystem);
+			fileSystem.setFile(name, original);
+			expect(opened.ok ? 'opened' : getDamage(opened.err)).toBe(name);
+		},
+	), {seed: 5, numRuns: 300});
+	expect(fileSystem.getFile(segment)).toEqual(bytes);
+});
+
+test('a damaged middle is named with its offset', async () => {
+	const {fileSystem, segment, bytes} = await createFilled();
+	fileSystem.setFile(segment, bytes.map((byte, index) => index === bytes.length - 200 ? byte + 1 : byte));
+	const opened = await open(fileSystem);
+	expect(opened.ok ? undefined : {...opened.err, file: path.basename('file' in opened.err ? opened.err.file : '')}).toMatchInlineSnapshot(`
+		{
+		  "file": "segment-000000000011.log",
+		  "offset": 347,
+		  "reason": "checksum differs in a record that others follow",
+		  "type": "store/damaged",
+		}
+	`);
+});
+
+test.each(['segment-', 'snapshot-', 'identity'])('a folder whose %s file is gone refuses to start', async prefix => {
+	const {fileSystem} = await createFilled();
+	const name = fileSystem.listNames().find(other => other.startsWith(prefix)) ?? '';
+	await fileSystem.remove(name);
+	const opened = await open(fileSystem);
+	expect(opened.ok ? 'opened' : opened.err.type).toBe('store/damaged');
+});
+
+test.each(['appendAll', 'syncData'] as const)('after a failed %s nothing is acknowledged any more', async operation => {
+	const fileSystem = createTestFileSystem();
+	const store = await openOrThrow(fileSystem);
+	expect(await store.write(createWrite(1))).toEqual({ok: true, value: undefined});
+	const next = fileSystem.countOperations() + (operation === 'appendAll' ? 1 : 2);
+	fileSystem.failFrom(next, Object.assign(new Error('no space left'), {code: 'ENOSPC'}));
+	const results = await Promise.all([2, 3].map(async index => store.write(createWrite(index))));
+	fileSystem.crash(1);
+	const late = await store.write(createWrite(4));
+	expect([...results, late].map(result => result.ok ? 'acknowledged' : result.err)).toEqual(Array.from({length: 3}, () => ({
+		type: 'store/io', file: path.join(folder, 'segment-000000000001.log'), operation: 'append', code: 'ENOSPC',
+	})));
+	await store.close();
+});
+
+test('an emptied folder gets another identity', async () => {
+	const first = await openOrThrow(createTestFileSystem());
+	await first.close();
+	const second = await openOrThrow(createTestFileSystem());
+	await second.close();
+	expect(second.storeId).not.toBe(first.storeId);
+});
+
+test('a folder in use is refused, and a lock left by a dead process is taken over by one start only', async () => {
+	const fileSystem = createTestFileSystem();
+	const store = await openOrThrow(fileSystem);
+	const refused = await open(fileSystem);
+	expect(refused.ok ? 'opened' : refused.err).toMatchObject({type: 'store/locked', holder: `process ${process.pid}`});
+	await store.close();
+	await writeFile(path.join(folder, 'lock'), JSON.stringify({
+		pid: process.pid, startTime: '1', processNamespace: '', bootId: 'an earlier boot',
+	}));
+	const starts = await Promise.all(Array.from({length: 8}, async () => open(fileSystem)));
+	const opened = starts.filter(start => start.ok);
+	expect(opened.length).toBe(1);
+	await Promise.all(opened.map(async start => start.value.close()));
+});
