Add the operators' command-line tool

Cause: operators need one tool for records, keys, waves, workers, moves and reports, whichever entry host answers, and a resend must never make a change twice.

Change: packages/cli, one file for each command, registered in program.ts. Endpoints are tried in turn until one gives a final answer; all resends of a change carry one change id; exit codes tell apart 'nothing changed' and 'may have changed'. apply checks all files before it sends anything, writes referred-to kinds first and waits on request until the change is in force on every entry host.

--- /dev/null
+++ b/packages/cli/src/cli.test.ts
@@ -0,0 +1,225 @@
+import {expect, test} from 'vitest';
+import {runSession, type ScriptedAnswer, type Session} from './test-io.js';
+
+const pool = {
+	apiVersion: 'samphiremill/v2', kind: 'pool', id: 'counters', maximumUnavailableHosts: 2, isSpare: false,
+};
+const queue = {
+	apiVersion: 'samphiremill/v2', kind: 'queue', id: 'cloths', pool: 'counters',
+};
+const metadata = {etag: '3', changedAtMs: 0, changedBy: 'ana'};
+
+function accept(kind: string, id: string, index = 7): ScriptedAnswer {
+	return {
+		status: 200, document: {
+			changes: [{
+				kind, id, revision: 4, outcome: 'updated',
+			}], index,
+		},
+	};
+}
+
+function refuse(status: number, reason: string, more: Readonly<Record<string, unknown>> = {}): ScriptedAnswer {
+	return {status, document: {title: `refused: ${reason}`, reason, ...more}};
+}
+
+const putPool = 'PUT /v1/records/pool/counters';
+const noLeader = refuse(503, 'noLeader');
+
+const sessions: Readonly<Record<string, Session>> = {
+	'get one record as a table': {
+		args: ['get', 'pool', 'counters'],
+		answers: {'GET /v1/records/pool/counters?apiVersion=samphiremill/v2': [{status: 200, document: {...pool, metadata}}]},
+	},
+	'get a list as JSON in the older schema version': {
+		args: ['--api-version', 'v1', '--output', 'json', 'get', 'team'],
+		answers: {'GET /v1/records/team?apiVersion=samphiremill/v1': [{status: 200, document: {items: []}}]},
+	},
+	'get what is not there': {
+		args: ['get', 'pool', 'nowhere'],
+		answers: {'GET /v1/records/pool/nowhere?apiVersion=samphiremill/v2': [refuse(404, 'notFound')]},
+	},
+	'apply writes pools before queues, under the revisions that were read': {
+		args: ['apply', '-f', 'queue', '-', '--wait'],
+		files: {queue, '-': {items: [{...pool, metadata}]}},
+		answers: {
+			[putPool]: [accept('pool', 'counters', 6)],
+			'PUT /v1/records/queue/cloths': [accept('queue', 'cloths')],
+			'GET /v1/status?index=7': [
+				{status: 200, document: {inForce: {hosts: 1, ofHosts: 3}}},
+				{status: 200, document: {inForce: {hosts: 1, ofHosts: 3}}},
+				{status: 200, document: {inForce: {hosts: 3, ofHosts: 3}}},
+			],
+		},
+	},
+	'apply stops at a conflict and tells what is left': {
+		args: ['apply', '-f', 'all'],
+		files: {all: [queue, pool]},
+		answers: {[putPool]: [refuse(412, 'conflict', {conflicts: [{kind: 'pool', id: 'counters', current: {revision: 5}}]})]},
+	},
+	'apply checks every file before it sends anything': {
+		args: ['apply', '-f', 'bad', 'broken'],
+		files: {bad: [pool, {...queue, pool: 7, colour: 'grey'}], broken: '{'},
+	},
+	'a wait that takes too long': {
+		args: ['apply', '-f', 'pool', '--wait', '--wait-timeout', '1'],
+		files: {pool},
+		answers: {
+			[putPool]: [accept('pool', 'counters')],
+			'GET /v1/status?index=7': [{status: 200, document: {inForce: {hosts: 2, ofHosts: 3}}}],
+		},
+	},
+	'an endpoint that is down is passed over': {
+		args: ['--endpoint', 'http://127.0.0.1:1', '--endpoint', 'http://127.0.0.1:2', 'delete', 'pool', 'counters', '--revision', '3'],
+		answers: {
+			'DELETE /v1/records/pool/counters?apiVersion=samphiremill/v2': [{failure: 'unsent'}, noLeader, accept('pool', 'counters')],
+		},
+	},
+	'a lost answer is resent under the same change id': {
+		args: ['keys', 'withdraw', 'olinda-1', '--change-id', 'mine'],
+		answers: {'DELETE /v1/keys/olinda-1': [{failure: 'sent'}, refuse(504, 'answerLost'), accept('key', 'olinda-1')]},
+	},
+	'an answer that stays lost tells the change id': {
+		args: ['--timeout', '1', 'move', 'w-1', '--to', 'ledgers'],
+		answers: {'POST /v1/workers/w-1/move': [{failure: 'sent'}, {failure: 'unsent'}]},
+	},
+	'no leader anywhere changes nothing': {
+		args: ['--timeout', '1', 'wave', 'pause', 'autumn'],
+		env: Object.fromEntries([['SAMPHIREMILL_ENDPOINTS', 'http://127.0.0.1:1,http://127.0.0.1:2'], ['SAMPHIREMILL_TOKEN', 'token']]),
+		answers: {'POST /v1/waves/autumn/pause': [noLeader]},
+	},
+	'a granted key shows its secret': {
+		args: ['keys', 'grant', 'olinda-1', '--team', 'olinda'],
+		answers: {
+			'POST /v1/keys': [{
+				status: 201, document: {
+					id: 'olinda-1', team: 'olinda', secret: 'smk_x', index: 3,
+				},
+			}],
+		},
+	},
+	'a wave is watched until it ends': {
+		args: ['wave', 'progress', 'autumn', '--watch'],
+		answers: {
+			'GET /v1/waves/autumn/progress': [
+				{
+					status: 200,
+					document: {
+						wave: 'autumn', phase: 'paused', pause: {type: 'correlatedFailure', workers: ['w-1', 'w-2']}, hosts: {returned: 1, total: 4, failed: 2}, findings: [],
+					},
+				},
+				{status: 200, document: {wave: 'autumn', phase: 'completed', hosts: {returned: 4, total: 4, failed: 0}}},
+			],
+		},
+	},
+	'shares over a window': {
+		args: ['shares', '--window', '10'],
+		answers: {
+			'GET /v1/shares?windowMs=10000': [{
+				status: 200,
+				document: {
+					items: [
+						{
+							team: 'natal', weight: 1, dueSlots: 10, grantedSlots: 10, usedSlots: 9.96, refusedJobs: 0,
+						},
+						{
+							team: 'olinda', weight: 3, limit: 40, dueSlots: 30, grantedSlots: 30, usedSlots: 28.5, refusedJobs: 12,
+						},
+					],
+				},
+			}],
+		},
+	},
+	'status of the entry hosts': {
+		args: ['status'],
+		answers: {
+			'GET /v1/status': [{
+				status: 200,
+				document: {
+					node: 'node-1', term: 3, leader: 'node-2', commitIndex: 9, isFresh: false, inForce: {hosts: 1, ofHosts: 2}, hosts: [
+						{
+							node: 'node-1', dataCentre: 'recife', role: 'follower', health: 'alive', appliedIndex: 7,
+						},
+						{
+							node: 'node-2', dataCentre: 'recife', role: 'leader', health: 'alive', appliedIndex: 9,
+						},
+					],
+				},
+			}],
+		},
+	},
+	'workers on the move': {
+		args: ['workers', '--moving'],
+		answers: {
+			'GET /v1/moves': [{
+				status: 200, document: {
+					items: [{
+						worker: 'w-1', dataCentre: 'recife', rack: 'r-1', homePool: 'counters', pool: 'counters', movingTo: 'ledgers', condition: 'up',
+					}],
+				},
+			}],
+		},
+	},
+	'why a job went where it went': {
+		args: ['explain', 'job', 'j-1'],
+		answers: {
+			'GET /v1/explain/jobs/j-1': [{
+				status: 200, document: {
+					decisions: [{
+						atMs: 0, decision: 'placed', reason: 'leastLoaded', details: {minion: 'm-1', alternatives: 7},
+					}],
+				},
+			}],
+		},
+	},
+	'the history of a deleted record': {
+		args: ['history', 'key', 'olinda-1'],
+		answers: {
+			'GET /v1/records/key/olinda-1/history': [{
+				status: 200, document: {
+					entries: [
+						{
+							revision: 1, changedAtMs: 0, changedBy: 'ana', changeId: 'a', record: {
+								kind: 'key', id: 'olinda-1', team: 'olinda', secretHash: 'ab',
+							},
+						},
+						{
+							revision: 2, changedAtMs: 1000, changedBy: 'rui', changeId: 'b',
+						},
+					],
+				},
+			}],
+		},
+	},
+	'diff shows what apply would change': {
+		args: ['diff', '-f', 'all'],
+		files: {all: [{...pool, maximumUnavailableHosts: 3, metadata}, queue]},
+		answers: {
+			'GET /v1/records/pool/counters?apiVersion=samphiremill/v2': [{status: 200, document: {...pool, metadata: {}}}],
+			'GET /v1/records/queue/cloths?apiVersion=samphiremill/v2': [refuse(404, 'notFound')],
+		},
+	},
+	'a command that does not exist': {args: ['pause']},
+	'a token that may only read': {
+		args: ['wave', 'abort', 'autumn'],
+		answers: {'POST /v1/waves/autumn/abort': [refuse(403, 'forbidden')]},
+	},
+	'a file that is not there': {args: ['apply', '-f', 'none']},
+	completion: {args: ['completion', 'bash']},
+};
+
+test.for(Object.entries(sessions))('%s', async ([name, session]) => {
+	expect(await runSession(session)).toMatchSnapshot(name);
+});
+
+test('every resend of one change carries the same change id, and a new change another', async () => {
+	const {requests} = await runSession({
+		args: ['apply', '-f', 'pool', 'again'],
+		files: {pool, again: queue},
+		answers: {[putPool]: [{failure: 'sent'}, noLeader, accept('pool', 'counters')], 'PUT /v1/records/queue/cloths': [accept('queue', 'cloths')]},
+	});
+	const ids = requests.map(line => /"samphiremill-change-id":"(?<id>[^"]+)"/v.exec(line)?.groups?.id);
+	expect(ids).toEqual([
+		'change-1/pool/counters', 'change-1/pool/counters', 'change-1/pool/counters', 'change-1/queue/cloths',
+	]);
+});
--- /dev/null
+++ b/packages/cli/src/client/create-api-client.ts
@@ -0,0 +1,109 @@
+/**
+ * Requests to whichever endpoint answers. A change carries a change id, so that sending it again,
+ * to another endpoint too, never makes it twice.
+ */
+import {firstRetryDelayMs, maximumRetryDelayMs, requestTimeoutMs} from '../constants.js';
+import type {
+	ApiCall, ApiResult, CliIo, HttpOutcome, ProblemDocument,
+} from '../types.js';
+
+/** What the client needs. */
+export type ApiClientConfig = {
+	readonly io: CliIo;
+	readonly endpoints: readonly string[];
+	readonly token: string;
+	/** How long to go on trying. */
+	readonly timeoutMs: number;
+};
+
+const retriedStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
+
+function parseBody(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
+
+function isProblem(value: unknown): value is ProblemDocument {
+	return typeof value === 'object' && value !== null && 'title' in value && 'reason' in value;
+}
+
+function toResult({status, body}: Extract<HttpOutcome, {type: 'answered'}>): ApiResult {
+	const document = parseBody(body);
+	if (status < 300) {
+		return {type: 'done', document};
+	}
+
+	return {
+		type: 'refused',
+		status,
+		problem: isProblem(document) ? document : {title: `HTTP status ${status}`, reason: 'unexpectedAnswer'},
+	};
+}
+
+function isFinal(outcome: HttpOutcome): outcome is Extract<HttpOutcome, {type: 'answered'}> {
+	return outcome.type === 'answered' && !retriedStatuses.has(outcome.status);
+}
+
+function describe(endpoint: string, outcome: HttpOutcome): string {
+	return outcome.type === 'failed'
+		? `${endpoint}: ${outcome.message}`
+		: `${endpoint}: HTTP status ${outcome.status}`;
+}
+
+/** Whether the endpoint may have passed the request on. A 503 says that it has not. */
+function mayHaveRun(outcome: HttpOutcome): boolean {
+	return outcome.type === 'failed' ? outcome.isSent : outcome.status !== 503;
+}
+
+/**
+ * Creates the function that sends requests.
+ *
+ * @param cfg - The endpoints in order of preference, the token and the time to go on trying.
+ * @returns A function that tries endpoint after endpoint until one gives a final answer.
+ */
+export function createApiClient({
+	io, endpoints, token, timeoutMs,
+}: ApiClientConfig): (call: ApiCall) => Promise<ApiResult> {
+	const send = async (endpoint: string, {method, target, headers, document}: ApiCall) => io.request({
+		endpoint,
+		method,
+		target,
+		headers: {
+			authorization: `Bearer ${token}`,
+			...(document !== undefined && {'content-type': 'application/json'}),
+			...headers,
+		},
+		...(document !== undefined && {body: JSON.stringify(document)}),
+		timeoutMs: Math.min(requestTimeoutMs, timeoutMs),
+	});
+
+	return async call => {
+		const deadlineMs = io.getNowMs() + timeoutMs;
+		let isRunPossible = false;
+		let delayMs = firstRetryDelayMs;
+		for (;;) {
+			let message = 'no endpoint is known';
+			for (const endpoint of endpoints) {
+				// eslint-disable-next-line no-await-in-loop -- endpoints are tried one after another
+				const outcome = await send(endpoint, call);
+				if (isFinal(outcome)) {
+					return toResult(outcome);
+				}
+
+				isRunPossible ||= mayHaveRun(outcome);
+				message = describe(endpoint, outcome);
+			}
+
+			if (io.getNowMs() + delayMs >= deadlineMs) {
+				return {type: 'unreachable', ran: isRunPossible && call.method !== 'GET' ? 'maybe' : 'no', message};
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- a pause between rounds
+			await io.sleep(delayMs);
+			delayMs = Math.min(delayMs * 2, maximumRetryDelayMs);
+		}
+	};
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,8 @@
-export const version = '0.1.0';
+/**
+ * Samphiremill, the operators' command-line tool.
+ *
+ * @packageDocumentation
+ */
+export {runCli} from './program.js';
+export {exitCodes, type ExitCode} from './exit-codes.js';
+export type {CliIo, HttpCall, HttpOutcome} from './types.js';
--- /dev/null
+++ b/packages/cli/src/output/print.ts
@@ -0,0 +1,77 @@
+/** Writes results and refusals for people or for programs. */
+import {exitCodes, type ExitCode} from '../exit-codes.js';
+import type {ApiResult, CommandContext, ProblemDocument} from '../types.js';
+import {formatTable, type TableRow} from './format-table.js';
+
+/**
+ * Writes a result in the format that was asked for.
+ *
+ * @param context - The command's context.
+ * @param args.document - What `--output json` shows.
+ * @param args.rows - What `--output table` shows.
+ */
+export function printResult(
+	{io, options}: CommandContext,
+	{document, rows}: {readonly document: unknown; readonly rows: readonly TableRow[]},
+): void {
+	io.write(options.output === 'json' ? `${JSON.stringify(document, undefined, 2)}\n` : formatTable(rows));
+}
+
+function getRefusalCode(status: number): ExitCode {
+	switch (status) {
+		case 401:
+		case 403: {
+			return exitCodes.forbidden;
+		}
+
+		case 404: {
+			return exitCodes.notFound;
+		}
+
+		case 409:
+		case 412: {
+			return exitCodes.conflict;
+		}
+
+		case 400:
+		case 413:
+		case 422: {
+			return exitCodes.invalid;
+		}
+
+		default: {
+			return exitCodes.failed;
+		}
+	}
+}
+
+function formatProblem({title, detail, findings, conflicts}: ProblemDocument): string {
+	return [
+		title,
+		...(detail === undefined ? [] : [detail]),
+		...(findings ?? []).map(({path, message}) => `  ${path === '' ? '/' : path}: ${message}`),
+		...(conflicts ?? []).map(conflict => `  the record in force: ${JSON.stringify(conflict)}`),
+	].join('\n');
+}
+
+/**
+ * Writes why a request was not carried out.
+ *
+ * @param context - The command's context.
+ * @param result - The result of the request.
+ * @returns The exit code that tells it.
+ */
+export function printFailure({io}: CommandContext, result: Exclude<ApiResult, {type: 'done'}>): ExitCode {
+	if (result.type === 'refused') {
+		io.writeError(`${formatProblem(result.problem)}\n`);
+		return getRefusalCode(result.status);
+	}
+
+	if (result.ran === 'no') {
+		io.writeError(`no entry host could take the request (${result.message})\n`);
+		return exitCodes.unavailable;
+	}
+
+	io.writeError(`the answer was lost and the change may have been accepted (${result.message})\n`);
+	return exitCodes.unknown;
+}
--- a/packages/daemon/src/operators/actions/list-workers.ts
+++ b/packages/daemon/src/operators/actions/list-workers.ts
@@ -20,7 +20,7 @@
 }
 
 /**
- * @param ctx - The daemon.
+ * @param context - The daemon.
  * @returns Every worker of the records, in order of id, as this entry host knows it.
  */
 export function describeWorkers(context: OperatorContext): readonly WorkerReport[] {
--- a/packages/daemon/src/operators/read-request.ts
+++ b/packages/daemon/src/operators/read-request.ts
@@ -21,7 +21,7 @@
 
 /**
  * @param req - The request.
- * @param ctx - The daemon.
+ * @param context - The daemon.
  * @returns The origin of the change; a request without a change id gets a new one, and no safe resend.
  */
 export function readOrigin(req: AuthorizedRequest, context: OperatorContext): Result<ChangeOrigin, readonly Finding[]> {
