--- /dev/null
+++ b/packages/daemon/src/platform/index.ts
@@ -0,0 +1,2 @@
+export * from './client.js';
+export type * from './types.js';
