--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from './jobs/index.js';
 export * from './membership/index.js';
 export * from './minions/index.js';
+export * from './moves/index.js';
 export * from './node/index.js';
 export * from './peer-link/index.js';
 export * from './placement/index.js';
