Add escrow for slots and team limits inside a data centre

Several entry hosts must share a minion's slots and a team's limit without ever passing the bound. The home of each resource, by rendezvous hashing over the committed view, lends units under a lease; what a holder may still use stays charged until it reports, or its lease and the tasks started under it have run out. A home that takes over lends nothing new until all nodes have reported or earlier loans have ended.

--- /dev/null
+++ b/packages/core/src/escrow/constants.ts
@@ -0,0 +1,20 @@
+import type {EscrowTimings} from './types.js';
+
+/** Timings for data centres of a few entry hosts, a few milliseconds apart. */
+export const defaultEscrowTimings: EscrowTimings = {
+	reportPeriodMs: 500,
+	leaseMs: 3000,
+	taskLeaseMs: 30_000,
+	configurationLeaseMs: 3000,
+	isolationMs: 2 * 60 * 60 * 1000,
+	maximumClockRatio: 1.05,
+};
+
+/** How many unanswered grants a home keeps apart for one holder; older ones are merged. */
+export const maximumOutstandingGrants = 8;
+
+/** The shortest time between two reports to one home for want of rights. */
+export const minimumReportGapMs = 50;
+
+/** The shortest time between two requests to one holder to report. */
+export const minimumAskGapMs = 20;
--- /dev/null
+++ b/packages/core/src/escrow/home.ts
@@ -0,0 +1,415 @@
+/**
+ * The side of escrow that lends: the ledger of the node that is the home of some resources.
+ *
+ * Whatever a holder may still use is charged: what it reported, what later answers may have given
+ * it, and what it held when it fell silent, until its lease and the tasks started under it have run
+ * out. A home that took over from another one lends nothing new until every node of the data centre
+ * has reported to it, or what the earlier homes had lent has run out.
+ */
+import {toBrand, type MonotonicMs, type NodeId} from '@samphiremill/common';
+import {Map as createMap, type Map as ImmutableMap} from 'immutable';
+import {computeTargets, type Claimant, type Target} from './allocation.js';
+import {maximumOutstandingGrants} from './constants.js';
+import {getResourceKey, rankForResource} from './resources.js';
+import type {
+	EscrowConfig, EscrowMessage, EscrowResource, EscrowUsage, GrantItem, ReportItem,
+} from './types.js';
+
+type Report = EscrowMessage & {type: 'escrow/report'};
+
+type OutstandingGrant = {
+	readonly reportId: number;
+	readonly amounts: ImmutableMap<string, number>;
+};
+
+/** What one process of a node is charged for. */
+export type HolderLedger = {
+	readonly holder: NodeId;
+	readonly incarnation: number;
+	readonly epoch: number;
+	readonly reportId: number;
+	readonly heardAtMs: MonotonicMs;
+	/** When no job of an earlier process of the node can be running any more. */
+	readonly earlierTasksEndAtMs: MonotonicMs;
+	readonly isLeaving: boolean;
+	readonly items: ImmutableMap<string, ReportItem>;
+	/** Answers that the holder may or may not have taken up. */
+	readonly outstanding: readonly OutstandingGrant[];
+};
+
+/** A resource that this node is the home of. */
+export type LentResource = {
+	readonly resource: EscrowResource;
+	readonly bound: number;
+	/** Every loan of the resource is in the ledger. */
+	readonly isLedgerWhole: boolean;
+};
+
+/** The ledger of one home. */
+export type HomeState = {
+	readonly epoch: number;
+	readonly members: readonly NodeId[];
+	readonly epochStartedAtMs: MonotonicMs;
+	/** Since when the nodes that have not reported could not keep an earlier home in office. */
+	readonly majorityReportedAtMs: MonotonicMs | undefined;
+	readonly isSettled: boolean;
+	readonly isConfigurationFresh: boolean;
+	readonly configurationFreshAtMs: MonotonicMs;
+	readonly ledgers: ImmutableMap<NodeId, HolderLedger>;
+	/** Processes that were followed by a newer one of the same node. */
+	readonly earlierLedgers: readonly HolderLedger[];
+	readonly resources: ImmutableMap<string, LentResource>;
+	/** Nodes that gave everything back before they stopped. */
+	readonly leftNodes: readonly NodeId[];
+};
+
+type Context = {readonly cfg: EscrowConfig; readonly nowMs: MonotonicMs};
+
+/**
+ * @param nowMs - The time of the start.
+ * @returns The home of nothing, before any view is known.
+ */
+export function createHomeState(nowMs: MonotonicMs): HomeState {
+	return {
+		epoch: 0,
+		members: [],
+		epochStartedAtMs: nowMs,
+		majorityReportedAtMs: undefined,
+		isSettled: false,
+		isConfigurationFresh: false,
+		configurationFreshAtMs: toBrand<MonotonicMs>(Number.NEGATIVE_INFINITY),
+		ledgers: createMap(),
+		earlierLedgers: [],
+		resources: createMap(),
+		leftNodes: [],
+	};
+}
+
+function getMajority(count: number): number {
+	return Math.floor(count / 2) + 1;
+}
+
+function hasReported(state: HomeState, node: NodeId, nowMs: MonotonicMs): boolean {
+	const ledger = state.ledgers.get(node);
+	return ledger?.epoch === state.epoch && nowMs >= ledger.earlierTasksEndAtMs;
+}
+
+function hasWaited({cfg, nowMs}: Context, sinceMs: MonotonicMs, durationMs: number): boolean {
+	return nowMs - sinceMs >= durationMs * cfg.timings.maximumClockRatio;
+}
+
+function getLoanEndMs({timings}: EscrowConfig): number {
+	return timings.configurationLeaseMs + timings.leaseMs + timings.taskLeaseMs;
+}
+
+function isEarlierLendingOver(state: HomeState, context: Context): boolean {
+	const {majorityReportedAtMs, epochStartedAtMs} = state;
+	const endMs = getLoanEndMs(context.cfg);
+	if (majorityReportedAtMs !== undefined && hasWaited(context, majorityReportedAtMs, endMs)) {
+		return true;
+	}
+
+	return hasWaited(context, epochStartedAtMs, endMs + context.cfg.timings.isolationMs);
+}
+
+/** Finds out whether anything lent by earlier homes may still be in use unknown to this one. */
+function settle(state: HomeState, context: Context): HomeState {
+	if (state.isSettled) {
+		return state;
+	}
+
+	const {localNodes} = context.cfg;
+	const missing = localNodes.filter(node => !hasReported(state, node, context.nowMs) && !state.leftNodes.includes(node));
+	const isMajority = missing.length < getMajority(localNodes.length);
+	const majorityReportedAtMs = isMajority ? state.majorityReportedAtMs ?? context.nowMs : undefined;
+	const next = {...state, majorityReportedAtMs};
+	if (missing.length > 0 && !isEarlierLendingOver(next, context)) {
+		return next;
+	}
+
+	return {...next, isSettled: true, resources: next.resources.map(entry => ({...entry, isLedgerWhole: true}))};
+}
+
+/**
+ * Whether this node may lend under its epoch: it knows that no newer view is in force, or a
+ * majority of the data centre's nodes reports to it and so to no newer home.
+ *
+ * @param state - The home.
+ * @param context - The nodes of the data centre, the timings and the time.
+ * @returns Whether answers may be given.
+ */
+export function isInOffice(state: HomeState, {cfg, nowMs}: Context): boolean {
+	if (state.epoch === 0) {
+		return false;
+	}
+
+	if (state.isConfigurationFresh || cfg.localNodes.length === 1) {
+		return true;
+	}
+
+	const reporting = [...state.ledgers.values()].filter(ledger => isCurrent(state, ledger, {cfg, nowMs}));
+	return reporting.length >= getMajority(cfg.localNodes.length)
+		&& nowMs - state.configurationFreshAtMs < cfg.timings.isolationMs;
+}
+
+function isCurrent({epoch}: HomeState, ledger: HolderLedger, {cfg, nowMs}: Context): boolean {
+	return ledger.epoch === epoch && nowMs - ledger.heardAtMs < cfg.timings.leaseMs;
+}
+
+/**
+ * Begins a new epoch. Ledgers of resources that stay with this home go on; those of resources that
+ * come to it are not whole until the epoch is settled.
+ *
+ * @param state - The home.
+ * @param options - The committed view, this node's id and the time.
+ * @returns The home under the new view; unchanged where the view is not newer.
+ */
+export function beginEpoch(state: HomeState, {epoch, members, nowMs}: {
+	readonly epoch: number;
+	readonly members: readonly NodeId[];
+	readonly nowMs: MonotonicMs;
+}): HomeState {
+	if (epoch <= state.epoch) {
+		return state;
+	}
+
+	// An epoch in between, that this node did not see, may have had another home.
+	const resources = epoch === state.epoch + 1 ? state.resources : createMap<string, LentResource>();
+	return {
+		...state, epoch, members, resources, epochStartedAtMs: nowMs, majorityReportedAtMs: undefined, isSettled: false,
+	};
+}
+
+/**
+ * @param state - The home.
+ * @param resources - Every resource that this node is now the home of, with its bound.
+ * @returns The home; what it is new to it is lent only once the epoch is settled.
+ */
+export function setLentResources(state: HomeState, resources: ReadonlyArray<Omit<LentResource, 'isLedgerWhole'>>): HomeState {
+	return {
+		...state,
+		resources: createMap(resources.map((entry): [string, LentResource] => {
+			const key = getResourceKey(entry.resource);
+			return [key, {...entry, isLedgerWhole: state.isSettled || state.resources.get(key)?.isLedgerWhole === true}];
+		})),
+	};
+}
+
+function getCharge(ledger: HolderLedger, key: string): number {
+	const item = ledger.items.get(key);
+	return Math.max(item?.held ?? 0, item?.running ?? 0, ...ledger.outstanding.map(({amounts}) => amounts.get(key) ?? 0));
+}
+
+function listLedgers(state: HomeState): readonly HolderLedger[] {
+	return [...state.ledgers.values(), ...state.earlierLedgers];
+}
+
+/**
+ * @param state - The home.
+ * @param key - The resource's key.
+ * @returns How many units may be in use at any holder, as far as the ledger knows.
+ */
+export function getTotalCharge(state: HomeState, key: string): number {
+	let total = 0;
+	for (const ledger of listLedgers(state)) {
+		total += getCharge(ledger, key);
+	}
+
+	return total;
+}
+
+function isLoanOver(ledger: HolderLedger, context: Context): boolean {
+	const {leaseMs, taskLeaseMs} = context.cfg.timings;
+	return hasWaited(context, ledger.heardAtMs, leaseMs + taskLeaseMs);
+}
+
+/**
+ * Drops what has run out, and settles the epoch when it is time.
+ *
+ * @param state - The home.
+ * @param context - The timings and the time.
+ * @returns The home.
+ */
+export function tickHome(state: HomeState, context: Context): HomeState {
+	return settle({
+		...state,
+		ledgers: state.ledgers.filter(ledger => !isLoanOver(ledger, context)),
+		earlierLedgers: state.earlierLedgers.filter(ledger => !isLoanOver(ledger, context)),
+	}, context);
+}
+
+function createLedger(from: NodeId, report: Report, nowMs: MonotonicMs): HolderLedger {
+	return {
+		holder: from,
+		incarnation: report.incarnation,
+		epoch: report.epoch,
+		reportId: report.reportId,
+		heardAtMs: nowMs,
+		earlierTasksEndAtMs: toBrand<MonotonicMs>(nowMs + report.earlierTasksMs),
+		isLeaving: report.isLeaving,
+		items: createMap(report.items.map((item): [string, ReportItem] => [getResourceKey(item.resource), item])),
+		outstanding: [],
+	};
+}
+
+/**
+ * Enters a report into the ledger.
+ *
+ * @param state - The home.
+ * @param received - The report and its sender.
+ * @param context - The timings and the time.
+ * @returns The home, or undefined where the report is old, repeated or of another epoch.
+ */
+export function enterReport(state: HomeState, {from, report}: {readonly from: NodeId; readonly report: Report}, context: Context): HomeState | undefined {
+	const known = state.ledgers.get(from);
+	if (report.epoch !== state.epoch || (known !== undefined && known.incarnation > report.incarnation)) {
+		return undefined;
+	}
+
+	const ledger = createLedger(from, report, context.nowMs);
+	if (known === undefined || known.incarnation < report.incarnation) {
+		return settle({
+			...state,
+			ledgers: state.ledgers.set(from, ledger),
+			earlierLedgers: known === undefined ? state.earlierLedgers : [...state.earlierLedgers, known],
+			leftNodes: state.leftNodes.filter(node => node !== from),
+		}, context);
+	}
+
+	if (report.reportId <= known.reportId) {
+		return undefined;
+	}
+
+	const outstanding = known.outstanding.filter(({reportId}) => reportId > report.answeredReportId);
+	return settle({
+		...state,
+		ledgers: state.ledgers.set(from, {...ledger, earlierTasksEndAtMs: known.earlierTasksEndAtMs, outstanding}),
+	}, context);
+}
+
+function listClaimants(state: HomeState, key: string, context: Context): ReadonlyArray<Claimant<NodeId>> {
+	const resource = state.resources.get(key)?.resource;
+	const members = resource === undefined ? state.members : rankForResource(resource, state.members);
+	return members.flatMap(holder => {
+		const ledger = state.ledgers.get(holder);
+		return ledger !== undefined && !ledger.isLeaving && isCurrent(state, ledger, context)
+			? [{holder, wanted: ledger.items.get(key)?.wanted ?? 0, charged: getCharge(ledger, key)}]
+			: [];
+	});
+}
+
+function isNeedy({wanted, charged, amount}: Target<NodeId>): boolean {
+	return charged < amount && (wanted > charged || charged === 0);
+}
+
+/** What is not charged to anyone; negative after the bound was lowered. */
+function getFree(state: HomeState, key: string, {bound, isLedgerWhole}: LentResource): number {
+	const free = bound - getTotalCharge(state, key);
+	return isLedgerWhole ? free : Math.min(0, free);
+}
+
+function chooseAmount(state: HomeState, holder: NodeId, {key, lent, context}: {
+	readonly key: string;
+	readonly lent: LentResource;
+	readonly context: Context;
+}): number {
+	const targets = computeTargets(listClaimants(state, key, context), lent.bound);
+	const own = targets.find(target => target.holder === holder);
+	const held = state.ledgers.get(holder)?.items.get(key)?.held ?? 0;
+	if (own === undefined) {
+		return 0;
+	}
+
+	const free = getFree(state, key, lent);
+	if (own.amount > held) {
+		return Math.max(0, Math.min(own.amount, own.charged + free));
+	}
+
+	const isCalledBack = free < 0 || (free === 0 && targets.some(target => target.holder !== holder && isNeedy(target)));
+	return isCalledBack ? own.amount : held;
+}
+
+function mergeOutstanding(outstanding: readonly OutstandingGrant[]): readonly OutstandingGrant[] {
+	const [first, second, ...rest] = outstanding;
+	return outstanding.length <= maximumOutstandingGrants || first === undefined || second === undefined
+		? outstanding
+		: [{reportId: second.reportId, amounts: first.amounts.mergeWith((left, right) => Math.max(left, right), second.amounts)}, ...rest];
+}
+
+/**
+ * Answers a report that has been entered, and charges the holder for the answer at once.
+ *
+ * @param state - The home.
+ * @param holder - Whose report it is.
+ * @param context - The timings and the time.
+ * @returns The home, and what the holder may use of each resource.
+ */
+export function answerReport(state: HomeState, holder: NodeId, context: Context): {readonly state: HomeState; readonly items: readonly GrantItem[]} {
+	const ledger = state.ledgers.get(holder);
+	if (ledger === undefined) {
+		return {state, items: []};
+	}
+
+	const known = [...state.resources].map(([key, lent]): GrantItem => ({
+		resource: lent.resource, amount: chooseAmount(state, holder, {key, lent, context}),
+	}));
+	// A resource that this node has not heard of yet cannot be lent to anyone else meanwhile.
+	const unknown = [...ledger.items].filter(([key]) => !state.resources.has(key)).map(([, {resource, held}]) => ({resource, amount: held}));
+	const items = [...known, ...unknown].filter(({resource, amount}) => amount > 0 || ledger.items.has(getResourceKey(resource)));
+	const amounts = createMap(items.map(({resource, amount}): [string, number] => [getResourceKey(resource), amount]));
+	const outstanding = mergeOutstanding([...ledger.outstanding, {reportId: ledger.reportId, amounts}]);
+	return {state: {...state, ledgers: state.ledgers.set(holder, {...ledger, outstanding})}, items};
+}
+
+/**
+ * Finds who has to report soon: holders of what others need, and holders that can be given more.
+ *
+ * @param state - The home.
+ * @param context - The timings and the time.
+ * @returns The holders to ask, without those that answering would not change.
+ */
+export function listHoldersToAsk(state: HomeState, context: Context): readonly NodeId[] {
+	const asked = new Set<NodeId>();
+	for (const [key, lent] of state.resources) {
+		const targets = computeTargets(listClaimants(state, key, context), lent.bound);
+		const free = getFree(state, key, lent);
+		const hasNeedy = targets.some(target => isNeedy(target));
+		for (const target of targets) {
+			const isOver = target.charged > target.amount && (free < 0 || (free === 0 && hasNeedy));
+			if (isOver || (free > 0 && isNeedy(target))) {
+				asked.add(target.holder);
+			}
+		}
+	}
+
+	return [...asked];
+}
+
+/**
+ * Charges a silent holder only for what its minions say that it still runs.
+ *
+ * @param state - The home.
+ * @param options - The holder, and what it still runs.
+ * @param context - The timings and the time.
+ * @returns The home; unchanged while the holder may still start work.
+ */
+export function enterHolderUsage(state: HomeState, {holder, usage}: {
+	readonly holder: NodeId;
+	readonly usage: readonly EscrowUsage[];
+}, context: Context): HomeState {
+	const update = (ledger: HolderLedger): HolderLedger => {
+		if (ledger.holder !== holder || !hasWaited(context, ledger.heardAtMs, context.cfg.timings.leaseMs)) {
+			return ledger;
+		}
+
+		const items = usage.map(({resource, running}): [string, ReportItem] => [
+			getResourceKey(resource),
+			{
+				resource, held: 0, running, wanted: running,
+			},
+		]);
+		return {...ledger, items: ledger.items.merge(items), outstanding: ledger.outstanding.map(grant => ({...grant, amounts: grant.amounts.deleteAll(items.map(([key]) => key))}))};
+	};
+
+	return {...state, ledgers: state.ledgers.map(ledger => update(ledger)), earlierLedgers: state.earlierLedgers.map(ledger => update(ledger))};
+}
--- /dev/null
+++ b/packages/core/src/escrow/reduce-escrow.ts
@@ -0,0 +1,389 @@
+/**
+ * Joins both sides of escrow: each entry host holds rights, and is the home of those resources that
+ * rendezvous hashing over the committed view gives it. Messages to itself are handled at once.
+ */
+import type {
+	MinionId, MonotonicMs, NodeId, PoolId, TeamId,
+} from '@samphiremill/common';
+import {Map as createMap, type Map as ImmutableMap} from 'immutable';
+import type {KnownMinion} from '../membership/types.js';
+import type {Step} from '../step.js';
+import {minimumAskGapMs, minimumReportGapMs} from './constants.js';
+import {
+	createHolderState, dropEndedRights, getHeldAmount, setUsage, takeGrant, writeReport, type HolderState,
+} from './holder.js';
+import {
+	answerReport, beginEpoch, createHomeState, enterHolderUsage, enterReport, isInOffice, listHoldersToAsk,
+	setLentResources, tickHome, type HomeState,
+} from './home.js';
+import {getResourceKey, rankForResource} from './resources.js';
+import type {
+	EscrowConfig, EscrowDemand, EscrowEffect, EscrowEvent, EscrowMessage, EscrowResource, HeldRight, TeamBound,
+} from './types.js';
+
+/** A minion whose slots are lent. */
+export type SlotSource = {
+	readonly minion: MinionId;
+	readonly incarnation: number;
+	readonly pool: PoolId;
+	/** 0 once the minion is leaving. */
+	readonly slots: number;
+};
+
+/** What one entry host knows of rights. */
+export type EscrowState = {
+	readonly holder: HolderState;
+	readonly home: HomeState;
+	readonly minions: ImmutableMap<MinionId, SlotSource>;
+	readonly teamBounds: ImmutableMap<TeamId, TeamBound>;
+	readonly waitingByPool: ImmutableMap<PoolId, number>;
+	readonly waitingByTeam: ImmutableMap<TeamId, number>;
+	readonly isLeaving: boolean;
+	readonly reportedAtMs: ImmutableMap<NodeId, MonotonicMs>;
+	readonly askedAtMs: ImmutableMap<NodeId, MonotonicMs>;
+	/** What `escrow/held` last told, by resource. */
+	readonly told: ImmutableMap<string, HeldRight>;
+};
+
+type EscrowStep = Step<EscrowState, EscrowEffect>;
+type Context = {readonly cfg: EscrowConfig; readonly nowMs: MonotonicMs};
+
+/**
+ * @param nowMs - The time of the start.
+ * @returns The state of a node that holds nothing and knows no view.
+ */
+export function createEscrowState(nowMs: MonotonicMs): EscrowState {
+	return {
+		holder: createHolderState(),
+		home: createHomeState(nowMs),
+		minions: createMap(),
+		teamBounds: createMap(),
+		waitingByPool: createMap(),
+		waitingByTeam: createMap(),
+		isLeaving: false,
+		reportedAtMs: createMap(),
+		askedAtMs: createMap(),
+		told: createMap(),
+	};
+}
+
+function createSlot({minion, incarnation}: Pick<SlotSource, 'minion' | 'incarnation'>): EscrowResource {
+	return {type: 'slot', minion, incarnation};
+}
+
+function createTeamLimit(team: TeamId): EscrowResource {
+	return {type: 'teamLimit', team};
+}
+
+function listResources(state: EscrowState): ReadonlyArray<{readonly resource: EscrowResource; readonly bound: number}> {
+	return [
+		...[...state.minions.values()].map(source => ({resource: createSlot(source), bound: source.slots})),
+		...[...state.teamBounds.values()].map(({team, amount}) => ({resource: createTeamLimit(team), bound: amount})),
+	];
+}
+
+function getHome(state: EscrowState, resource: EscrowResource): NodeId | undefined {
+	return rankForResource(resource, state.home.members)[0];
+}
+
+/** Brings the home's resources in line with the directory, the bounds and the view. */
+function updateLentResources(state: EscrowState, {self}: EscrowConfig): EscrowState {
+	const own = listResources(state).filter(({resource}) => getHome(state, resource) === self);
+	return {...state, home: setLentResources(state.home, own)};
+}
+
+function getWaiting(state: EscrowState, resource: EscrowResource): number {
+	if (state.isLeaving) {
+		return 0;
+	}
+
+	if (resource.type === 'teamLimit') {
+		return state.waitingByTeam.get(resource.team) ?? 0;
+	}
+
+	const pool = state.minions.get(resource.minion)?.pool;
+	return pool === undefined ? 0 : state.waitingByPool.get(pool) ?? 0;
+}
+
+/** Every resource that this node knows, holds or uses. */
+function listReportable(state: EscrowState): readonly EscrowResource[] {
+	const resources = new Map<string, EscrowResource>();
+	for (const resource of [
+		...listResources(state).map(entry => entry.resource),
+		...[...state.holder.rights.values()].map(entry => entry.resource),
+		...[...state.holder.usage.values()].map(entry => entry.resource),
+	]) {
+		resources.set(getResourceKey(resource), resource);
+	}
+
+	return [...resources.values()];
+}
+
+function reportTo(state: EscrowState, home: NodeId, {cfg, nowMs}: Context): EscrowStep {
+	const written = writeReport(state.holder, {
+		home,
+		epoch: state.home.epoch,
+		resources: listReportable(state).filter(resource => getHome(state, resource) === home),
+		getWaiting: resource => getWaiting(state, resource),
+		isLeaving: state.isLeaving,
+		cfg,
+		nowMs,
+	});
+	const next = {...state, holder: written.state, reportedAtMs: state.reportedAtMs.set(home, nowMs)};
+	return sendMessage(next, {to: home, message: written.report}, {cfg, nowMs});
+}
+
+function sendMessage(state: EscrowState, {to, message}: {readonly to: NodeId; readonly message: EscrowMessage}, context: Context): EscrowStep {
+	return to === context.cfg.self
+		? receiveMessage(state, {from: to, message}, context)
+		: {state, effects: [{type: 'peer/send', to, message}]};
+}
+
+function chainSteps<Item>(start: EscrowStep, items: Iterable<Item>, perform: (state: EscrowState, item: Item) => EscrowStep): EscrowStep {
+	let step = start;
+	for (const item of items) {
+		const next = perform(step.state, item);
+		step = {state: next.state, effects: [...step.effects, ...next.effects]};
+	}
+
+	return step;
+}
+
+/** Asks holders to report, so that their next answer can call rights back or give more. */
+function askHolders(state: EscrowState, context: Context): EscrowStep {
+	if (!isInOffice(state.home, context)) {
+		return {state, effects: []};
+	}
+
+	const {epoch} = state.home;
+	const holders = listHoldersToAsk(state.home, context)
+		.filter(holder => context.nowMs - (state.askedAtMs.get(holder) ?? Number.NEGATIVE_INFINITY) >= minimumAskGapMs);
+	return chainSteps({state, effects: []}, holders, (current, to) => sendMessage(
+		{...current, askedAtMs: current.askedAtMs.set(to, context.nowMs)},
+		{to, message: {type: 'escrow/reportNow', epoch}},
+		context,
+	));
+}
+
+function receiveReport(state: EscrowState, {from, message}: {readonly from: NodeId; readonly message: EscrowMessage & {type: 'escrow/report'}}, context: Context): EscrowStep {
+	const entered = enterReport(state.home, {from, report: message}, context);
+	if (entered === undefined) {
+		return {state, effects: []};
+	}
+
+	if (!isInOffice(entered, context)) {
+		return {state: {...state, home: entered}, effects: []};
+	}
+
+	const {state: home, items} = answerReport(entered, from, context);
+	const answered = sendMessage({...state, home}, {
+		to: from,
+		message: {
+			type: 'escrow/grant', epoch: home.epoch, reportId: message.reportId, items,
+		},
+	}, context);
+	const asked = askHolders(answered.state, context);
+	return {state: asked.state, effects: [...answered.effects, ...asked.effects]};
+}
+
+function isCalledBack(before: HolderState, after: HolderState, nowMs: MonotonicMs): boolean {
+	return [...after.rights.keys()].some(key => getHeldAmount(after, key, nowMs) < getHeldAmount(before, key, nowMs));
+}
+
+function receiveGrant(state: EscrowState, {from, message}: {readonly from: NodeId; readonly message: EscrowMessage & {type: 'escrow/grant'}}, context: Context): EscrowStep {
+	const holder = takeGrant(state.holder, {
+		from, message, epoch: state.home.epoch, leaseMs: context.cfg.timings.leaseMs,
+	});
+	const next = {...state, holder};
+	// The home can lend on what it called back only once this node confirms that it has given it up.
+	return isCalledBack(state.holder, holder, context.nowMs) ? reportTo(next, from, context) : {state: next, effects: []};
+}
+
+function receiveMessage(state: EscrowState, {from, message}: {readonly from: NodeId; readonly message: EscrowMessage}, context: Context): EscrowStep {
+	switch (message.type) {
+		case 'escrow/report': {
+			return receiveReport(state, {from, message}, context);
+		}
+
+		case 'escrow/grant': {
+			return receiveGrant(state, {from, message}, context);
+		}
+
+		case 'escrow/reportNow': {
+			return message.epoch === state.home.epoch ? reportTo(state, from, context) : {state, effects: []};
+		}
+	}
+}
+
+function listHomes(state: EscrowState): readonly NodeId[] {
+	const homes = new Set(listReportable(state).flatMap(resource => getHome(state, resource) ?? []));
+	// Every home needs this node's report, an empty one too, to know what it does not hold.
+	return [...new Set([...homes, ...state.home.members])];
+}
+
+function reportToAll(state: EscrowState, context: Context): EscrowStep {
+	return chainSteps({state, effects: []}, listHomes(state), (current, home) => reportTo(current, home, context));
+}
+
+function wantsMore(state: EscrowState, home: NodeId, nowMs: MonotonicMs): boolean {
+	return listReportable(state).some(resource => {
+		const key = getResourceKey(resource);
+		const running = state.holder.usage.get(key)?.running ?? 0;
+		return running + getWaiting(state, resource) > getHeldAmount(state.holder, key, nowMs) && getHome(state, resource) === home;
+	});
+}
+
+function hasWaited(state: EscrowState, home: NodeId, {nowMs}: Context, durationMs: number): boolean {
+	return nowMs - (state.reportedAtMs.get(home) ?? Number.NEGATIVE_INFINITY) >= durationMs;
+}
+
+function reportWants(state: EscrowState, context: Context): EscrowStep {
+	const homes = listHomes(state).filter(home => hasWaited(state, home, context, minimumReportGapMs) && wantsMore(state, home, context.nowMs));
+	return chainSteps({state, effects: []}, homes, (current, home) => reportTo(current, home, context));
+}
+
+function handleTick(state: EscrowState, context: Context): EscrowStep {
+	const {nowMs} = context;
+	const ticked = {
+		...state, home: tickHome(state.home, context), holder: dropEndedRights(state.holder, nowMs),
+	};
+	const due = listHomes(ticked).filter(home => hasWaited(ticked, home, context, context.cfg.timings.reportPeriodMs));
+	const reported = chainSteps({state: ticked, effects: []}, due, (current, home) => reportTo(current, home, context));
+	const wanted = reportWants(reported.state, context);
+	const asked = askHolders(wanted.state, context);
+	return {state: asked.state, effects: [...reported.effects, ...wanted.effects, ...asked.effects]};
+}
+
+function setDemand(state: EscrowState, demands: readonly EscrowDemand[]): EscrowState {
+	let {waitingByPool, waitingByTeam} = state;
+	for (const demand of demands) {
+		if (demand.type === 'pool') {
+			waitingByPool = waitingByPool.set(demand.pool, demand.waiting);
+		} else {
+			waitingByTeam = waitingByTeam.set(demand.team, demand.waiting);
+		}
+	}
+
+	return {...state, waitingByPool, waitingByTeam};
+}
+
+function updateMinions(state: EscrowState, minions: readonly KnownMinion[]): EscrowState {
+	const sources = minions.map(({minion, incarnation, pool, slots, condition}): [MinionId, SlotSource] => [minion, {
+		minion, incarnation, pool, slots: condition === 'leaving' ? 0 : slots,
+	}]);
+	return {...state, minions: state.minions.merge(sources)};
+}
+
+function updateConfigurationLease(state: EscrowState, isFresh: boolean, nowMs: MonotonicMs): EscrowState {
+	const wasFresh = state.home.isConfigurationFresh;
+	const configurationFreshAtMs = isFresh || wasFresh ? nowMs : state.home.configurationFreshAtMs;
+	return {...state, home: {...state.home, isConfigurationFresh: isFresh, configurationFreshAtMs}};
+}
+
+function updateLeftNodes(state: EscrowState, {view}: EscrowEvent & {type: 'membership/changed'}): EscrowState {
+	const leftNodes = view.members.filter(({health}) => health === 'left').map(({node}) => node);
+	return {...state, home: {...state.home, leftNodes}};
+}
+
+function reduce(state: EscrowState, event: EscrowEvent, context: Context): EscrowStep {
+	const {cfg, nowMs} = context;
+	switch (event.type) {
+		case 'escrow/tick': {
+			return handleTick(state, context);
+		}
+
+		case 'escrow/viewChanged': {
+			const home = beginEpoch(state.home, {...event.view, nowMs});
+			return home === state.home ? {state, effects: []} : reportToAll(updateLentResources({...state, home}, cfg), context);
+		}
+
+		case 'escrow/configurationLease': {
+			return reportWants(updateConfigurationLease(state, event.isFresh, nowMs), context);
+		}
+
+		case 'escrow/teamBoundsChanged': {
+			const teamBounds = createMap(event.bounds.map((bound): [TeamId, TeamBound] => [bound.team, bound]));
+			return reportToAll(updateLentResources({...state, teamBounds}, cfg), context);
+		}
+
+		case 'minions/changed': {
+			return reportToAll(updateLentResources(updateMinions(state, event.minions), cfg), context);
+		}
+
+		case 'escrow/demand': {
+			return reportWants(setDemand(state, event.demands), context);
+		}
+
+		case 'escrow/usage': {
+			return {state: {...state, holder: setUsage(state.holder, event.usage)}, effects: []};
+		}
+
+		case 'escrow/holderUsage': {
+			return {state: {...state, home: enterHolderUsage(state.home, event, context)}, effects: []};
+		}
+
+		case 'escrow/leave': {
+			const holder = {...state.holder, rights: createMap<string, never>()};
+			return reportToAll({...state, holder, isLeaving: true}, context);
+		}
+
+		case 'membership/changed': {
+			return {state: updateLeftNodes(state, event), effects: []};
+		}
+
+		case 'peer/received': {
+			return receiveMessage(state, event, context);
+		}
+	}
+}
+
+function getRight(state: EscrowState, key: string, nowMs: MonotonicMs): HeldRight | undefined {
+	const right = state.holder.rights.get(key) ?? state.told.get(key);
+	return right === undefined || state.isLeaving ? undefined : {resource: right.resource, amount: getHeldAmount(state.holder, key, nowMs)};
+}
+
+/** Tells the rights that are not what `escrow/held` last told. */
+function tellRights({state, effects}: EscrowStep, nowMs: MonotonicMs): EscrowStep {
+	const keys = new Set([...state.holder.rights.keys(), ...state.told.keys()]);
+	const changed = [...keys].flatMap(key => {
+		const told = state.told.get(key);
+		const right = getRight(state, key, nowMs) ?? (told && {...told, amount: 0});
+		return right === undefined || right.amount === (told?.amount ?? 0) ? [] : [{key, right}];
+	});
+	if (changed.length === 0) {
+		return {state, effects};
+	}
+
+	const told = state.told.withMutations(entries => {
+		for (const {key, right} of changed) {
+			if (right.amount === 0) {
+				entries.delete(key);
+			} else {
+				entries.set(key, right);
+			}
+		}
+	});
+	return {state: {...state, told}, effects: [...effects, {type: 'escrow/held', rights: changed.map(({right}) => right)}]};
+}
+
+/**
+ * Moves escrow on by one event.
+ *
+ * @param state - What was known.
+ * @param event - What happened; `escrow/tick` is expected about every 100 ms.
+ * @param cfg - This node's place, its incarnation, and timings in milliseconds.
+ * @returns What is known now, what to send, and which rights of this node changed.
+ */
+export function reduceEscrow(state: EscrowState, event: EscrowEvent, cfg: EscrowConfig): EscrowStep {
+	const step = reduce(state, event, {cfg, nowMs: event.nowMs});
+	const hasSameRights = step.state.holder.rights === state.holder.rights && event.type !== 'escrow/tick';
+	return hasSameRights ? step : tellRights(step, event.nowMs);
+}
+
+/**
+ * @param state - The state of escrow.
+ * @returns Every right that this node holds, as `escrow/held` last told.
+ */
+export function listHeldRights(state: EscrowState): readonly HeldRight[] {
+	return [...state.told.values()];
+}
