--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,9 +1,18 @@
 /**
- * The pure coordination parts of samphiremill, for the daemon and for others to embed.
+ * The coordination parts of samphiremill, each usable alone.
  *
  * @packageDocumentation
  */
-export type * from './membership/index.js';
+export * from './claims/index.js';
+export * from './control/index.js';
+export type * from './escrow/types.js';
+export * from './jobs/index.js';
+export * from './membership/index.js';
 export * from './minions/index.js';
+export * from './node/index.js';
 export * from './peer-link/index.js';
+export * from './placement/index.js';
+export * from './replica/index.js';
+export * from './shares/index.js';
 export type * from './step.js';
+export * from './waves/index.js';
