Take slots and team limits from escrow

Cause: a minion's home entry host had all of its slots, and team limits were split evenly over the entry hosts, whatever the demand. Change: the node reducer carries demand and usage from the jobs to escrow and rights back. A marker in the data folder tells whether an earlier process ended without a planned stop; only then may its tasks still run. Seen first: with the earlier tasks assumed always, the ten callers' sessions failed with 503 deadlineTooNear after 15 s each, since nothing was lent for 30 s.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,7 +5,7 @@
  */
 export * from './claims/index.js';
 export * from './control/index.js';
-export type * from './escrow/types.js';
+export * from './escrow/index.js';
 export * from './jobs/index.js';
 export * from './membership/index.js';
 export * from './minions/index.js';
--- a/packages/core/src/node/placeable-minions.ts
+++ b/packages/core/src/node/placeable-minions.ts
@@ -1,6 +1,5 @@
-import {rankMembers, type MinionId} from '@samphiremill/common';
 import {
-	getVersionedRecord, getView,
+	getVersionedRecord,
 	getTeamLimit, getTeamWeight, listQueues, listTeams,
 } from '../control/index.js';
 import type {JobsPolicy, PlaceableMinion} from '../jobs/index.js';
@@ -8,9 +7,9 @@
 import {listMinions} from '../minions/index.js';
 import type {NodeState} from './types.js';
 
-const isHomeOf = (state: NodeState, minion: MinionId): boolean => {
-	const members = getView(state.control, state.dataCentre)?.members ?? [];
-	return rankMembers(minion, members)[0] === state.self;
+const getHeldSlots = ({heldSlots}: NodeState, {minion, incarnation}: KnownMinion): number => {
+	const held = heldSlots.get(minion);
+	return held?.incarnation === incarnation ? held.amount : 0;
 };
 
 /** A host takes work only for the pool that owns it, and none while it is being released. */
@@ -34,7 +33,7 @@
 		rack: record.rack,
 		cores: record.cores,
 		memoryMb: record.memoryMb,
-		heldSlots: isHomeOf(state, minion) ? known.slots : 0,
+		heldSlots: getHeldSlots(state, known),
 		connections,
 		isAcceptingWork: known.condition === 'ready' && isOwnedByPool(state, known),
 	};
--- a/packages/core/src/node/reduce-node.ts
+++ b/packages/core/src/node/reduce-node.ts
@@ -1,11 +1,13 @@
 import type {DataCentreId, MonotonicMs, NodeId} from '@samphiremill/common';
+import {Map as ImmutableMap} from 'immutable';
 import {createClaimsState, reduceClaims, type ClaimsEvent} from '../claims/index.js';
 import {createControlState} from '../control/index.js';
+import {createEscrowState, reduceEscrow, type EscrowEvent} from '../escrow/index.js';
 import {createJobsState, reduceJobs, type JobsEvent} from '../jobs/index.js';
 import {createMembershipState, reduceMembership, type MembershipEvent} from '../membership/index.js';
+import {listTeamBounds, takeDemands, takeRights} from './escrow-bridge.js';
 import {getJobsPolicy, listPlaceableMinions} from './placeable-minions.js';
 import {isInternalEffect, routeEffect} from './route-effects.js';
-import {listTeamAllowances} from './team-limits.js';
 import type {
 	NodeConfig, NodeEffect, NodeEvent, NodeState, NodeStep, PartEffect,
 } from './types.js';
@@ -29,7 +31,10 @@
 		isConfigurationFresh: false,
 		membership: createMembershipState(cfg.membership, nowMs),
 		claims: createClaimsState(self, dataCentre),
+		escrow: createEscrowState(nowMs),
 		jobs: createJobsState(),
+		heldSlots: ImmutableMap(),
+		demands: ImmutableMap(),
 	};
 }
 
@@ -43,6 +48,11 @@
 	return {state: {...state, jobs}, effects};
 };
 
+const applyToEscrow = (state: NodeState, event: EscrowEvent, cfg: NodeConfig): PartStep => {
+	const {state: escrow, effects} = reduceEscrow(state.escrow, event, cfg.escrow);
+	return {state: {...state, escrow}, effects};
+};
+
 const applyToMembership = (state: NodeState, event: MembershipEvent, cfg: NodeConfig): PartStep => {
 	const {state: membership, effects} = reduceMembership(state.membership, event, cfg.membership);
 	return {state: {...state, membership}, effects};
@@ -51,17 +61,29 @@
 const isClaimsEvent = (event: {readonly type: string}): event is ClaimsEvent => event.type.startsWith('claims/');
 const isJobsEvent = (event: {readonly type: string}): event is JobsEvent => event.type.startsWith('jobs/');
 
-const receive = (state: NodeState, event: Extract<NodeEvent, {readonly type: 'peer/received'}>, cfg: NodeConfig): PartStep => {
-	const {message, ...envelope} = event;
-	return isClaimsMessage(message)
-		? applyToClaims(state, {...envelope, message}, cfg)
-		: applyToMembership(state, {...envelope, message}, cfg);
-};
+// Escrow also takes what membership tells of minions and entry hosts.
+const isEscrowEvent = (event: {readonly type: string}): event is EscrowEvent =>
+	event.type.startsWith('escrow/') || event.type === 'minions/changed' || event.type === 'membership/changed';
+
+type ReceivedEvent = Extract<NodeEvent, {readonly type: 'peer/received'}>;
+type ReceivedBy<Event extends {readonly type: string}> = Extract<Event, {readonly type: 'peer/received'}>;
+
+const isForClaims = (event: ReceivedEvent): event is ReceivedBy<ClaimsEvent> => event.message.type.startsWith('claims/');
+const isForEscrow = (event: ReceivedEvent): event is ReceivedBy<EscrowEvent> => event.message.type.startsWith('escrow/');
+
+const isForMembership = (event: ReceivedEvent): event is ReceivedBy<MembershipEvent> => /^(?:membership|minions)\//v.test(event.message.type);
+
+const receive = (state: NodeState, event: ReceivedEvent, cfg: NodeConfig): PartStep => {
+	if (isForClaims(event)) {
+		return applyToClaims(state, event, cfg);
+	}
 
-type ReceivedMessage = Extract<NodeEvent, {readonly type: 'peer/received'}>['message'];
-type ReceivedClaimsMessage = Extract<ClaimsEvent, {readonly type: 'peer/received'}>['message'];
+	if (isForEscrow(event)) {
+		return applyToEscrow(state, event, cfg);
+	}
 
-const isClaimsMessage = (message: ReceivedMessage): message is ReceivedClaimsMessage => message.type.startsWith('claims/');
+	return isForMembership(event) ? applyToMembership(state, event, cfg) : {state, effects: []};
+};
 
 /** What changed records mean to the parts, in the order in which the parts depend on each other. */
 const listControlEvents = (state: NodeState, former: NodeState, {isRestart, nowMs}: {
@@ -73,15 +95,19 @@
 		...changedViews.map((view): NodeEvent => ({
 			type: 'claims/viewChanged', view, isRestart, nowMs,
 		})),
+		...changedViews
+			.filter(view => view.dataCentre === state.dataCentre)
+			.map((view): NodeEvent => ({type: 'escrow/viewChanged', view, nowMs})),
+		{type: 'escrow/teamBoundsChanged', bounds: listTeamBounds(state), nowMs},
 		{type: 'jobs/policyChanged', policy: getJobsPolicy(state), nowMs},
 		{type: 'jobs/minionsChanged', minions: listPlaceableMinions(state), nowMs},
-		...listTeamAllowances(state).map((allowance): NodeEvent => ({type: 'jobs/limitHeld', ...allowance, nowMs})),
 	];
 };
 
 const listTickEvents = (nowMs: MonotonicMs): NodeEvent[] => [
 	{type: 'membership/tick', nowMs},
 	{type: 'claims/tick', nowMs},
+	{type: 'escrow/tick', nowMs},
 	{type: 'jobs/tick', nowMs},
 ];
 
@@ -98,10 +124,22 @@
 		return {
 			state: {...state, isConfigurationFresh: isFresh},
 			effects: [],
-			events: [{type: 'claims/freshnessChanged', isFresh, nowMs}],
+			events: [
+				{type: 'claims/freshnessChanged', isFresh, nowMs},
+				{type: 'escrow/configurationLease', isFresh, nowMs},
+			],
 		};
 	}
 
+	if (event.type === 'node/rightsHeld') {
+		return {...takeRights({state, ...event}), effects: []};
+	}
+
+	if (event.type === 'node/demandChanged') {
+		const taken = takeDemands({state, ...event});
+		return {state: taken.state, effects: [], events: [taken.event]};
+	}
+
 	if (event.type === 'node/tick') {
 		return {state, effects: [], events: listTickEvents(event.nowMs)};
 	}
@@ -114,6 +152,10 @@
 		return {...applyToClaims(state, event, cfg), events: []};
 	}
 
+	if (isEscrowEvent(event)) {
+		return {...applyToEscrow(state, event, cfg), events: []};
+	}
+
 	return isJobsEvent(event)
 		? {...applyToJobs(state, event, cfg), events: []}
 		: {...applyToMembership(state, event, cfg), events: []};
--- a/packages/core/src/node/route-effects.ts
+++ b/packages/core/src/node/route-effects.ts
@@ -3,6 +3,7 @@
  */
 import type {MonotonicMs} from '@samphiremill/common';
 import {createClaimName} from '../claims/index.js';
+import type {EscrowResource} from '../escrow/index.js';
 import type {MembershipView, MemberStatus} from '../membership/index.js';
 import {listPlaceableMinions} from './placeable-minions.js';
 import type {
@@ -12,8 +13,12 @@
 const internalTypes: ReadonlySet<string> = new Set<InternalEffect['type']>([
 	'claims/answered',
 	'claims/startRecorded',
+	'escrow/held',
 	'jobs/claim',
+	'jobs/demandChanged',
+	'jobs/limitUseChanged',
 	'jobs/recordStart',
+	'jobs/slotUseChanged',
 	'membership/changed',
 	'minions/changed',
 ]);
@@ -38,6 +43,10 @@
 	return view.members.filter(member => isLost(member, known.get(member.node)));
 };
 
+const createUsageEvent = (resource: EscrowResource, running: number, nowMs: MonotonicMs): NodeEvent => ({
+	type: 'escrow/usage', usage: [{resource, running}], nowMs,
+});
+
 /** What an internal effect leads to: events for other parts, and effects for the shell. */
 export type RoutedEffect = {
 	readonly events: readonly NodeEvent[];
@@ -69,6 +78,23 @@
 			return {events: [{...effect, type: 'jobs/startRecorded', nowMs}], effects: []};
 		}
 
+		case 'escrow/held': {
+			return {events: [{type: 'node/rightsHeld', rights: effect.rights, nowMs}], effects: []};
+		}
+
+		case 'jobs/demandChanged': {
+			return {events: [{type: 'node/demandChanged', demands: effect.demands, nowMs}], effects: []};
+		}
+
+		case 'jobs/slotUseChanged': {
+			const {minion, incarnation, inUse} = effect;
+			return {events: [createUsageEvent({type: 'slot', minion, incarnation}, inUse, nowMs)], effects: []};
+		}
+
+		case 'jobs/limitUseChanged': {
+			return {events: [createUsageEvent({type: 'teamLimit', team: effect.team}, effect.inUse, nowMs)], effects: []};
+		}
+
 		case 'jobs/claim': {
 			const {job, team, idempotencyKey, bodyHash} = effect.spec;
 			return {
@@ -104,13 +130,22 @@
 
 		case 'membership/changed': {
 			return {
-				events: listLostNodes(effect.view, former.membership.view).map(({node}) => ({type: 'claims/nodeLost', node, nowMs})),
+				events: [
+					...listLostNodes(effect.view, former.membership.view).map(({node}): NodeEvent => ({type: 'claims/nodeLost', node, nowMs})),
+					{type: 'membership/changed', view: effect.view, nowMs},
+				],
 				effects: [],
 			};
 		}
 
 		case 'minions/changed': {
-			return {events: [{type: 'jobs/minionsChanged', minions: listPlaceableMinions(state), nowMs}], effects: []};
+			return {
+				events: [
+					{type: 'minions/changed', minions: effect.minions, nowMs},
+					{type: 'jobs/minionsChanged', minions: listPlaceableMinions(state), nowMs},
+				],
+				effects: [],
+			};
 		}
 	}
 }
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -8,6 +8,7 @@
 import {
 	createDefaultJobsCfg,
 	createNodeState,
+	defaultEscrowTimings,
 	defaultMembershipTimings,
 	minionForgetAfterMs,
 	minionLeaseMs,
@@ -40,6 +41,7 @@
 import {createOperatorContext, createReportSource} from './operator-context.js';
 import {answerReportRequest} from './peer-reports.js';
 import {createNodeEngine, type ShellEffect} from './node-engine.js';
+import {markRunning, unmarkRunning} from './running-marker.js';
 import type {DecisionLog, Metrics, Runtime} from './types.js';
 
 /** What a daemon is started with, besides its settings. */
@@ -66,7 +68,8 @@
 	node, dataCentre, region, host: listen.peers.host, peerPort: listen.peers.port, isVoter,
 });
 
-const createNodeConfig = ({settings, self, incarnation, random}: {
+const createNodeConfig = ({settings, self, incarnation, random, mayHaveEarlierTasks}: {
+	readonly mayHaveEarlierTasks: boolean;
 	readonly settings: Settings;
 	readonly self: NodeAddress;
 	readonly incarnation: number;
@@ -80,6 +83,14 @@
 			self: settings.node, leaseMs: minionLeaseMs, renewalPeriodMs: minionRenewalPeriodMs, forgetAfterMs: minionForgetAfterMs,
 		},
 	},
+	escrow: {
+		self: settings.node,
+		dataCentre: settings.dataCentre,
+		incarnation,
+		localNodes: [self, ...settings.peers].filter(({dataCentre}) => dataCentre === settings.dataCentre).map(({node}) => node),
+		earlierTasksMs: mayHaveEarlierTasks ? defaultEscrowTimings.taskLeaseMs : 0,
+		timings: defaultEscrowTimings,
+	},
 	claims: {hasStore: settings.dataFolder !== undefined},
 	jobs: createDefaultJobsCfg(random),
 });
@@ -87,6 +98,8 @@
 type Disk = {
 	readonly store: ReplicaStore<ControlCommand>;
 	readonly journal: ClaimsJournal;
+	/** An earlier process ended without a planned stop. */
+	readonly hasUnplannedEnd: boolean;
 };
 
 const openDisk = async (folder: string | undefined, listLiveRecords: () => readonly ClaimRecord[]): Promise<Result<Disk | undefined, StoreError>> => {
@@ -105,7 +118,14 @@
 		return journal;
 	}
 
-	return createSuccess({store: store.value, journal: journal.value});
+	const marked = await markRunning({folder, fileSystem: storeFileSystem});
+	if (!marked.ok) {
+		await journal.value.close();
+		await store.value.close();
+		return marked;
+	}
+
+	return createSuccess({store: store.value, journal: journal.value, hasUnplannedEnd: marked.value});
 };
 
 const createEffectHandler = ({getRegistry, persistClaim, recordDecision}: {
@@ -144,10 +164,7 @@
 			return;
 		}
 
-		case 'minions/probe':
-		case 'jobs/demandChanged':
-		case 'jobs/slotUseChanged':
-		case 'jobs/limitUseChanged': {
+		case 'minions/probe': {
 			return;
 		}
 
@@ -161,7 +178,7 @@
 	typeof message === 'object' && message !== null && 'type' in message && typeof message.type === 'string' && message.type.startsWith('replica/');
 
 const isNodeMessage = (message: unknown): message is NodeMessage =>
-	typeof message === 'object' && message !== null && 'type' in message && typeof message.type === 'string' && /^(?:claims|membership|minions)\//v.test(message.type);
+	typeof message === 'object' && message !== null && 'type' in message && typeof message.type === 'string' && /^(?:claims|escrow|membership|minions)\//v.test(message.type);
 
 const countMetrics = (metrics: Metrics) => ({
 	onClientError() {
@@ -189,7 +206,12 @@
 	const self = getSelfAddress(settings);
 	const addresses = [self, ...settings.peers];
 	const cfg = createNodeConfig({
-		settings, self, incarnation, random,
+		settings,
+		self,
+		incarnation,
+		random,
+		// Without a disk nobody knows how an earlier process ended.
+		mayHaveEarlierTasks: disk === undefined || disk.hasUnplannedEnd,
 	});
 	const metrics = createMetrics();
 	const bodyBudget = createBodyBudget(settings.limits.bodyBudgetBytes);
@@ -384,6 +406,7 @@
 		engine.dispatch({type: 'jobs/stopping', nowMs: timers.getNow()});
 		controlHost.replica.transferLeadership();
 		await server.close();
+		engine.dispatch({type: 'escrow/leave', nowMs: timers.getNow()});
 		engine.dispatch({type: 'membership/leave', nowMs: timers.getNow()});
 		await new Promise<void>(resolve => {
 			timers.scheduleOnce(leaveNoticeMs, resolve);
@@ -396,6 +419,10 @@
 		await client.close();
 		await transport.close();
 		await disk?.journal.close();
+		if (settings.dataFolder !== undefined) {
+			await unmarkRunning({folder: settings.dataFolder, fileSystem: storeFileSystem});
+		}
+
 		await disk?.store.close();
 	};
 
