--- /dev/null
+++ b/bench/replica-commit.ts
@@ -0,0 +1,203 @@
+/**
+ * Commit latency and throughput of the replicated log with its store on a real disk. The voters share
+ * one process; messages pass through JSON and the event loop, so the network costs nothing else.
+ *
+ * Run: node bench/dist/replica-commit.js [FOLDER]
+ */
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout} from 'node:timers/promises';
+import {
+	createSeededRandom, toBrand, type DataCentreId, type MonotonicMs, type NodeId, type TimerService,
+} from '@samphiremill/common';
+import {defaultReplicaLimits, type ReplicaMessage} from '@samphiremill/core';
+import {
+	createReplicaHost, openReplicaStore, storeFileSystem, type ReplicaHost, type ReplicaStore, type StoreFileSystem,
+} from '@samphiremill/daemon';
+import {formatTable, getQuantile} from './statistics.js';
+
+const sequentialChanges = 500;
+const concurrentChanges = 4000;
+const concurrency = 64;
+const command = 'x'.repeat(300);
+
+type Cluster = {
+	readonly hosts: ReadonlyMap<string, ReplicaHost<string, number>>;
+	readonly close: () => Promise<void>;
+};
+
+const timers: TimerService = {
+	getNow: () => toBrand<MonotonicMs>(performance.now()),
+	scheduleOnce(delayMs, callback) {
+		const timer = globalThis.setTimeout(callback, delayMs);
+		return () => {
+			clearTimeout(timer);
+		};
+	},
+	scheduleEvery(periodMs, callback) {
+		const timer = setInterval(callback, periodMs);
+		return () => {
+			clearInterval(timer);
+		};
+	},
+};
+
+const unsyncedFileSystem: StoreFileSystem = {
+	...storeFileSystem,
+	async openToAppend(file) {
+		const opened = await storeFileSystem.openToAppend(file);
+		return {
+			...opened, async syncData() {
+}
+		};
+	},
+};
+
+const openStore = async (folder: string, fileSystem: StoreFileSystem): Promise<ReplicaStore<string>> => {
+	const opened = await openReplicaStore<string>({folder, fileSystem});
+	if (!opened.ok) {
+		throw new Error(JSON.stringify(opened.err));
+	}
+
+	return opened.value;
+};
+
+const startCluster = async (folder: string, {voters, fileSystem}: {
+	readonly voters: readonly string[];
+	readonly fileSystem: StoreFileSystem;
+}): Promise<Cluster> => {
+	const names = [...voters, 'observer'];
+	const hosts = new Map<string, ReplicaHost<string, number>>();
+	const stores: Array<ReplicaStore<string>> = [];
+	for (const [place, name] of names.entries()) {
+		const store = voters.includes(name) ? await openStore(path.join(folder, name), fileSystem) : undefined; // eslint-disable-line no-await-in-loop -- three folders, once
+		if (store !== undefined) {
+			stores.push(store);
+		}
+
+		let applied = 0;
+		hosts.set(name, createReplicaHost<string, number>({
+			cfg: {
+				self: toBrand<NodeId>(name),
+				nodes: names.map(node => ({
+					node: toBrand<NodeId>(node), dataCentre: toBrand<DataCentreId>('a'), isInitialVoter: voters.includes(node),
+				})),
+				limits: defaultReplicaLimits,
+				random: createSeededRandom(place + 1),
+			},
+			...(store !== undefined && {store}),
+			timers,
+			processId: 'bench',
+			send(to, message) {
+				const text = JSON.stringify(message);
+				setImmediate(() => {
+					// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- written on the line above
+					hosts.get(to)?.receive(toBrand<NodeId>(name), JSON.parse(text) as ReplicaMessage<string>);
+				});
+			},
+			applyCommand() {
+				applied += 1;
+				return applied;
+			},
+			createSnapshot: () => String(applied),
+			installSnapshot(data) {
+				applied = Number(data);
+			},
+		}));
+	}
+
+	while (![...hosts.values()].some(host => host.hasLeaderLease())) {
+		await setTimeout(20); // eslint-disable-line no-await-in-loop -- waits for the first leader
+	}
+
+	await setTimeout(1000);
+	return {
+		hosts,
+		async close() {
+			for (const host of hosts.values()) {
+				host.stop();
+			}
+
+			await Promise.all(stores.map(async store => store.close()));
+		},
+	};
+};
+
+const proposeTimed = async (host: ReplicaHost<string, number>) => {
+	const startedMs = performance.now();
+	const result = await host.propose(command);
+	if (!result.ok) {
+		throw new Error(JSON.stringify(result.err));
+	}
+
+	return performance.now() - startedMs;
+};
+
+const measureSequential = async (host: ReplicaHost<string, number>) => {
+	const latenciesMs: number[] = [];
+	for (let change = 0; change < sequentialChanges; change += 1) {
+		latenciesMs.push(await proposeTimed(host)); // eslint-disable-line no-await-in-loop -- one after the other is what is measured
+	}
+
+	return latenciesMs;
+};
+
+const measureConcurrent = async (host: ReplicaHost<string, number>) => {
+	const startedMs = performance.now();
+	let left = concurrentChanges;
+	await Promise.all(Array.from({length: concurrency}, async () => {
+		while (left > 0) {
+			left -= 1;
+			await proposeTimed(host); // eslint-disable-line no-await-in-loop -- each caller waits for its answer
+		}
+	}));
+	return (concurrentChanges / (performance.now() - startedMs)) * 1000;
+};
+
+const format = (valueMs: number) => valueMs.toFixed(2);
+
+const measureCluster = async (folder: string, {voters, fileSystem, label}: {
+	readonly voters: readonly string[];
+	readonly fileSystem: StoreFileSystem;
+	readonly label: string;
+}) => {
+	const cluster = await startCluster(folder, {voters, fileSystem});
+	const leader = [...cluster.hosts.values()].find(host => host.hasLeaderLease());
+	const observer = cluster.hosts.get('observer');
+	if (leader === undefined || observer === undefined) {
+		throw new Error('There is no leader');
+	}
+
+	const atLeaderMs = await measureSequential(leader);
+	const atObserverMs = await measureSequential(observer);
+	const perSecond = await measureConcurrent(leader);
+	await cluster.close();
+	return [
+		label,
+		format(getQuantile(atLeaderMs, 0.5)),
+		format(getQuantile(atLeaderMs, 0.99)),
+		format(getQuantile(atObserverMs, 0.5)),
+		format(getQuantile(atObserverMs, 0.99)),
+		Math.round(perSecond),
+	];
+};
+
+const folder = await mkdtemp(path.join(process.argv[2] ?? tmpdir(), 'replica-commit-'));
+const three = ['v1', 'v2', 'v3'];
+const cases = [
+	{label: '1 voter, synced', voters: ['v1'], fileSystem: storeFileSystem},
+	{label: '3 voters, synced', voters: three, fileSystem: storeFileSystem},
+	{label: '3 voters, not synced', voters: three, fileSystem: unsyncedFileSystem},
+	{label: '5 voters, synced', voters: [...three, 'v4', 'v5'], fileSystem: storeFileSystem},
+];
+const rows: Array<ReadonlyArray<string | number>> = [[
+	'voters', 'leader p50 ms', 'leader p99 ms', 'observer p50 ms', 'observer p99 ms', `changes/s, ${concurrency} callers`,
+]];
+for (const [place, options] of cases.entries()) {
+	rows.push(await measureCluster(path.join(folder, String(place)), options)); // eslint-disable-line no-await-in-loop -- side by side would disturb each other
+}
+
+console.log(formatTable(rows));
+await rm(folder, {recursive: true});
--- /dev/null
+++ b/bench/replica-restart.ts
@@ -0,0 +1,117 @@
+/**
+ * Time to restart a sole voter after a number of changes: open the folder, check every record, elect,
+ * apply everything.
+ *
+ * Run: node bench/dist/replica-restart.js [FOLDER]
+ */
+import {
+	mkdtemp, readdir, rm, stat,
+} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout} from 'node:timers/promises';
+import {
+	createSeededRandom, toBrand, type DataCentreId, type MonotonicMs, type NodeId, type TimerService,
+} from '@samphiremill/common';
+import {defaultReplicaLimits} from '@samphiremill/core';
+import {createReplicaHost, openReplicaStore} from '@samphiremill/daemon';
+import {formatTable} from './statistics.js';
+
+const self = toBrand<NodeId>('v1');
+const command = 'x'.repeat(300);
+
+const timers: TimerService = {
+	getNow: () => toBrand<MonotonicMs>(performance.now()),
+	scheduleOnce(delayMs, callback) {
+		const timer = globalThis.setTimeout(callback, delayMs);
+		return () => {
+			clearTimeout(timer);
+		};
+	},
+	scheduleEvery(periodMs, callback) {
+		const timer = setInterval(callback, periodMs);
+		return () => {
+			clearInterval(timer);
+		};
+	},
+};
+
+const start = async (folder: string, snapshotEveryEntries: number) => {
+	const startedMs = performance.now();
+	const opened = await openReplicaStore<string>({folder});
+	if (!opened.ok) {
+		throw new Error(JSON.stringify(opened.err));
+	}
+
+	const openedMs = performance.now() - startedMs;
+	let applied: string[] = [];
+	const host = createReplicaHost<string, number>({
+		cfg: {
+			self,
+			nodes: [{node: self, dataCentre: toBrand<DataCentreId>('a'), isInitialVoter: true}],
+			limits: {...defaultReplicaLimits, snapshotEveryEntries},
+			random: createSeededRandom(1),
+		},
+		store: opened.value,
+		timers,
+		processId: String(startedMs),
+		send() {
+			throw new Error('A sole voter has nobody to send to');
+		},
+		applyCommand: applying => applied.push(applying),
+		createSnapshot: () => JSON.stringify(applied),
+		installSnapshot(data) {
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- written above
+			applied = JSON.parse(data) as string[];
+		},
+	});
+	while (!host.hasLeaderLease() || host.getFreshness() !== 'fresh') {
+		await setTimeout(1); // eslint-disable-line no-await-in-loop -- waits until the node serves
+	}
+
+	return {
+		host,
+		store: opened.value,
+		openedMs,
+		servingMs: performance.now() - startedMs,
+		countApplied: () => applied.length,
+	};
+};
+
+const getFolderBytes = async (folder: string) => {
+	const names = await readdir(folder);
+	const sizes = await Promise.all(names.map(async name => stat(path.join(folder, name))));
+	return sizes.reduce((sum, {size}) => sum + size, 0);
+};
+
+const measure = async (folder: string, {changes, snapshotEveryEntries}: {
+	readonly changes: number;
+	readonly snapshotEveryEntries: number;
+}) => {
+	const first = await start(folder, snapshotEveryEntries);
+	await Promise.all(Array.from({length: changes}, async () => first.host.propose(command)));
+	first.host.stop();
+	await first.store.close();
+	const folderBytes = await getFolderBytes(folder);
+	const second = await start(folder, snapshotEveryEntries);
+	if (second.countApplied() !== changes) {
+		throw new Error(`${second.countApplied()} changes after the restart`);
+	}
+
+	second.host.stop();
+	await second.store.close();
+	return [changes, snapshotEveryEntries, Math.round(folderBytes / 1024), second.openedMs.toFixed(1), second.servingMs.toFixed(1)];
+};
+
+const folder = await mkdtemp(path.join(process.argv[2] ?? tmpdir(), 'replica-restart-'));
+const rows: Array<ReadonlyArray<string | number>> = [['changes', 'snapshot every', 'folder KiB', 'store open ms', 'serving ms']];
+for (const [place, changes] of [0, 500, 2000, 4000].entries()) {
+	for (const snapshotEveryEntries of [1000, 1_000_000]) {
+		// eslint-disable-next-line no-await-in-loop -- side by side would disturb each other
+		rows.push(await measure(path.join(folder, `${place}-${snapshotEveryEntries}`), {changes, snapshotEveryEntries}));
+	}
+}
+
+console.log(formatTable(rows));
+await rm(folder, {recursive: true});
--- /dev/null
+++ b/bench/replica-traffic.ts
@@ -0,0 +1,88 @@
+/**
+ * Bytes a second of the replicated log by role, against the number of nodes, with and without relays,
+ * in virtual time. Each message counts as its JSON, its JSON-RPC frame and its TCP/IP headers.
+ *
+ * Run: node bench/dist/replica-traffic.js
+ */
+import {
+	createTestNetwork, type NodeTraffic, type TestNetwork, type TestNode,
+} from '@samphiremill/core/testing';
+import {formatTable, getQuantile} from './statistics.js';
+
+const dataCentres = 11;
+const voters = 7;
+const overheadBytes = 104;
+const warmUpMs = 10_000;
+const measuredMs = 60_000;
+const command = 'x'.repeat(300);
+
+const createNodes = (perDataCentre: number, hasRelays: boolean): readonly TestNode[] =>
+	Array.from({length: dataCentres * perDataCentre}, (_, index): TestNode => {
+		const isVoter = index < voters;
+		const dataCentre = index % dataCentres;
+		return {
+			name: `n${String(index).padStart(3, '0')}`,
+			// A data centre of its own for each node means that each is fed by a voter.
+			dataCentre: hasRelays ? `dc${dataCentre}` : `dc${index}`,
+			kind: isVoter ? 'voter' : 'diskless',
+		};
+	});
+
+const getBytes = (after: NodeTraffic, before: NodeTraffic) => ({
+	sent: after.sentBytes - before.sentBytes + ((after.sentMessages - before.sentMessages) * overheadBytes),
+	received: after.receivedBytes - before.receivedBytes + ((after.receivedMessages - before.receivedMessages) * overheadBytes),
+});
+
+const run = (network: TestNetwork, nodes: readonly TestNode[], changesPerMinute: number) => {
+	network.run(warmUpMs);
+	const before = nodes.map(({name}) => network.getTraffic(name));
+	const pauseMs = changesPerMinute === 0 ? measuredMs : measuredMs / changesPerMinute;
+	for (let elapsedMs = 0; elapsedMs < measuredMs; elapsedMs += pauseMs) {
+		if (changesPerMinute > 0) {
+			network.propose(nodes.at(-1)?.name ?? '', command);
+		}
+
+		network.run(pauseMs);
+	}
+
+	return nodes.map(({name}, place) => {
+		const {sent, received} = getBytes(network.getTraffic(name), before[place] ?? network.getTraffic(name));
+		return {name, perSecond: ((sent + received) / measuredMs) * 1000};
+	});
+};
+
+const measure = ({perDataCentre, hasRelays, changesPerMinute}: {
+	readonly perDataCentre: number;
+	readonly hasRelays: boolean;
+	readonly changesPerMinute: number;
+}) => {
+	const nodes = createNodes(perDataCentre, hasRelays);
+	const network = createTestNetwork({nodes, seed: 1, delayMs: {least: 1, most: 20}});
+	const rates = run(network, nodes, changesPerMinute);
+	const leader = network.getLeader();
+	const isRelay = (place: number) => place >= voters && place < dataCentres;
+	const getGreatest = (isIncluded: (name: string, place: number) => boolean) =>
+		Math.round(getQuantile(rates.filter(({name}, place) => isIncluded(name, place)).map(({perSecond}) => perSecond), 1));
+	return [
+		nodes.length,
+		hasRelays ? 'relays' : 'none',
+		changesPerMinute,
+		getGreatest(name => name === leader),
+		getGreatest((name, place) => place < voters && name !== leader),
+		getGreatest((_, place) => isRelay(place)),
+		getGreatest((_, place) => place >= dataCentres),
+	];
+};
+
+const rows: Array<ReadonlyArray<string | number>> = [[
+	'nodes', 'fan-out', 'changes/min', 'leader B/s', 'other voter B/s', 'relay B/s', 'other observer B/s',
+]];
+for (const hasRelays of [true, false]) {
+	for (const perDataCentre of [2, 3, 6, 12]) {
+		for (const changesPerMinute of [0, 60]) {
+			rows.push(measure({perDataCentre, hasRelays, changesPerMinute}));
+		}
+	}
+}
+
+console.log(formatTable(rows));
--- /dev/null
+++ b/bench/statistics.ts
@@ -0,0 +1,20 @@
+/** Order statistics and tables for the benches. */
+
+/**
+ * @param values - Measured values.
+ * @param share - The quantile, between 0 and 1.
+ * @returns The smallest value that at least this share of the values does not exceed.
+ */
+export function getQuantile(values: readonly number[], share: number): number {
+	const ascending = values.toSorted((left, right) => left - right);
+	return ascending[Math.max(0, Math.ceil(share * ascending.length) - 1)] ?? Number.NaN;
+}
+
+/**
+ * @param rows - Rows of cells, the first being the head.
+ * @returns A Markdown table.
+ */
+export function formatTable(rows: ReadonlyArray<ReadonlyArray<string | number>>): string {
+	const [head = [], ...body] = rows;
+	return [head, head.map(() => '---'), ...body].map(row => `| ${row.join(' | ')} |`).join('\n');
+}
--- a/packages/core/src/replica/commit.test.ts
+++ b/packages/core/src/replica/commit.test.ts
@@ -47,7 +47,7 @@
 	});
 	const acknowledge = (from: string, storeId: string, matchIndex: number) => {
 		receive(from, {
-			type: 'replica/appended', term: 4, round: 1, storeId: toBrand<StoreId>(storeId), isAccepted: true, matchIndex, receivedIndex: matchIndex,
+			type: 'replica/appended', term: 4, round: 1, storeId: toBrand<StoreId>(storeId), isAccepted: true, matchIndex, receivedIndex: matchIndex, echo: {life: 0, sentAtMs: 0},
 		});
 	};
 
--- a/packages/core/src/replica/confirmation.ts
+++ b/packages/core/src/replica/confirmation.ts
@@ -1,20 +1,23 @@
 /**
- * The configuration lease. A node asks a majority of the voters for the ends of their logs. Whatever
- * was committed before it asked is in at least one of the answers, whether or not there is a leader,
- * so once everything up to them is applied, its configuration was the newest when it asked.
+ * The configuration lease. In quiet times a leader's heartbeats confirm its commit index to the other
+ * voters. Without a leader a voter asks a majority for the ends of their logs: whatever was committed
+ * before it asked is in at least one of the answers, so once everything up to them is applied, its
+ * configuration was the newest when it asked. Every other node asks the node that feeds it.
  */
 import type {NodeId} from '@samphiremill/common';
 import {Map as ImmutableMap} from 'immutable';
 import {maximumOpenPolls} from './constants.js';
 import {getLastIndex} from './log.js';
-import type {ConfirmedMessage, PollAnswerMessage, PollMessage} from './messages.js';
+import type {
+	AppendMessage, ConfirmedMessage, PollAnswerMessage, PollMessage,
+} from './messages.js';
 import {
 	getOtherVoters, getQuorumSize, hasVoter, isVotingReplica,
 } from './quorum.js';
 import {
 	chainSteps, createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
-import type {ConfirmationPoll, ReplicaState} from './types.js';
+import type {ConfirmationPoll, ReplicaState, WaitingAsker} from './types.js';
 import {getUpstream, noteUpstreamHeard} from './upstream.js';
 
 /** How far this node's configuration can be relied on. */
@@ -42,12 +45,12 @@
  *
  * @param state - The state.
  * @param from - The node.
- * @param token - What it calls its request.
+ * @param asker - What it calls its request, and when that came.
  * @returns The state.
  */
-export function registerAsker<Command>(state: ReplicaState<Command>, from: NodeId, token: number): ReplicaState<Command> {
+export function registerAsker<Command>(state: ReplicaState<Command>, from: NodeId, asker: WaitingAsker): ReplicaState<Command> {
 	const {confirmation} = state;
-	return {...state, confirmation: {...confirmation, waitingAskers: confirmation.waitingAskers.set(from, token)}};
+	return {...state, confirmation: {...confirmation, waitingAskers: confirmation.waitingAskers.set(from, asker)}};
 }
 
 /**
@@ -87,6 +90,51 @@
 	return settleConfirmations({...state, confirmation: {...state.confirmation, polls}});
 };
 
+/**
+ * Takes a confirmation that came without a poll, for this node and for all that asked it before.
+ *
+ * @param state - The state.
+ * @param confirmed - Nothing beyond the index was committed at this time, in monotonic milliseconds.
+ * @returns The next step.
+ */
+export function addConfirmation<Command>(
+	state: ReplicaState<Command>,
+	{sentAtMs, index}: {readonly sentAtMs: number; readonly index: number},
+): ReplicaStep<Command> {
+	const {confirmation} = state;
+	const isAnswered = ({askedAtMs}: WaitingAsker) => askedAtMs <= sentAtMs;
+	const poll: ConfirmationPoll = {
+		round: confirmation.nextRound,
+		sentAtMs,
+		index,
+		answers: ImmutableMap(),
+		askers: confirmation.waitingAskers.filter(asker => isAnswered(asker)).map(({token}) => token),
+	};
+	return settleConfirmations({
+		...state,
+		confirmation: {
+			...confirmation,
+			nextRound: confirmation.nextRound + 1,
+			polls: [...confirmation.polls, poll].slice(-maximumOpenPolls),
+			waitingAskers: confirmation.waitingAskers.filter(asker => !isAnswered(asker)),
+		},
+	});
+}
+
+/**
+ * Takes the confirmation that comes with a leader's heartbeat.
+ *
+ * @param state - A voter or learner.
+ * @param message - The heartbeat.
+ * @returns The next step. What an earlier life of this process sent counts for nothing.
+ */
+export function handleConfirms<Command>(state: ReplicaState<Command>, message: AppendMessage<Command>): ReplicaStep<Command> {
+	const {confirms, commitIndex} = message;
+	return confirms?.life === state.confirmation.life
+		? addConfirmation(state, {sentAtMs: confirms.sentAtMs, index: commitIndex})
+		: createStep(state);
+}
+
 const countAnswer = <Command>(
 	state: ReplicaState<Command>,
 	poll: ConfirmationPoll,
@@ -105,7 +153,7 @@
 	const {confirmation} = state;
 	const round = confirmation.nextRound;
 	const poll: ConfirmationPoll = {
-		round, sentAtMs: nowMs, index: undefined, answers: ImmutableMap(), askers: confirmation.waitingAskers,
+		round, sentAtMs: nowMs, index: undefined, answers: ImmutableMap(), askers: confirmation.waitingAskers.map(({token}) => token),
 	};
 	const next: ReplicaState<Command> = {
 		...state,
@@ -142,10 +190,18 @@
  * @returns The next step.
  */
 export function tickConfirmation<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
-	const {nextPollMs, lastPollMs, waitingAskers} = state.confirmation;
-	const isAsked = !waitingAskers.isEmpty()
-		&& context.nowMs >= lastPollMs + context.cfg.limits.confirmationSpacingMs;
-	return isAsked || context.nowMs >= nextPollMs ? startPoll(state, context) : createStep(state);
+	const {nextPollMs, lastPollMs, waitingAskers, confirmedAtMs = Number.NEGATIVE_INFINITY} = state.confirmation;
+	const {cfg, nowMs} = context;
+	// While a leader's heartbeats confirm, a voter needs no poll.
+	const isConfirmedByLeader = state.voters.length > 1
+		&& isVotingReplica(state, cfg)
+		&& nowMs - confirmedAtMs < cfg.limits.heartbeatConfirmationMs;
+	if (isConfirmedByLeader) {
+		return createStep(state);
+	}
+
+	const isAsked = !waitingAskers.isEmpty() && nowMs >= lastPollMs + cfg.limits.confirmationSpacingMs;
+	return isAsked || nowMs >= nextPollMs ? startPoll(state, context) : createStep(state);
 }
 
 /**
--- a/packages/core/src/replica/constants.ts
+++ b/packages/core/src/replica/constants.ts
@@ -10,6 +10,7 @@
 	confirmationPeriodMs: 500,
 	confirmationSpacingMs: 250,
 	configurationLeaseMs: 2000,
+	heartbeatConfirmationMs: 700,
 	upstreamTimeoutMs: 1200,
 	upstreamRetryMs: 5000,
 	learnerTimeoutMs: 60_000,
@@ -24,6 +25,9 @@
 /** How often an unanswered proposal, read or snapshot request is sent again. */
 export const requestResendMs = 500;
 
+/** How many proposals a replica recognises after their entries were compacted. */
+export const rememberedRequests = 512;
+
 /** How long a snapshot transfer may stand still. */
 export const snapshotStallMs = 2000;
 
--- a/packages/core/src/replica/create-replica.ts
+++ b/packages/core/src/replica/create-replica.ts
@@ -8,6 +8,10 @@
 	LogEntry, RecoveredReplica, ReplicaLog, ReplicaSnapshot, ReplicaState,
 } from './types.js';
 
+// Both together stay within the integers that a number holds exactly.
+const lifeCount = 2 ** 31;
+const roundsPerLife = 2 ** 21;
+
 const restoreLog = <Command>(
 	entries: ReadonlyArray<LogEntry<Command>>,
 	snapshot: ReplicaSnapshot | undefined,
@@ -15,10 +19,11 @@
 	const [first] = entries;
 	if (snapshot === undefined || first === undefined || first.index > snapshot.index) {
 		const base = snapshot ?? {index: 0, term: 0};
-		return appendEntries(createLog<Command>(base), entries);
+		return appendEntries(createLog<Command>(base, snapshot?.requests), entries);
 	}
 
-	return appendEntries(createLog<Command>(first), entries.slice(1));
+	const compacted = snapshot.requests.filter(({index}) => index <= first.index);
+	return appendEntries(createLog<Command>(first, compacted), entries.slice(1));
 };
 
 /**
@@ -36,6 +41,7 @@
 	const {nowMs} = context;
 	const {hardState, snapshot, entries}: RecoveredReplica<Command> = recovered ?? {hardState: {term: 0}, entries: []};
 	const log = restoreLog(entries, snapshot);
+	const life = Math.floor(context.cfg.random() * lifeCount);
 	const {voters, index} = getLatestVoters(log, {voters: snapshot?.voters ?? [], index: snapshot?.index ?? 0});
 	const state: ReplicaState<Command> = {
 		role: 'observer',
@@ -64,7 +70,8 @@
 			upstreamRank: 0, upstreamHeardMs: nowMs, upstreamRetryAtMs: nowMs, subscribers: ImmutableMap(),
 		},
 		confirmation: {
-			nextRound: 1,
+			life,
+			nextRound: life * roundsPerLife,
 			nextPollMs: nowMs,
 			lastPollMs: Number.NEGATIVE_INFINITY,
 			polls: [],
--- a/packages/core/src/replica/elections.ts
+++ b/packages/core/src/replica/elections.ts
@@ -12,6 +12,14 @@
 import {enterTerm, getElectionDeadline, moveRole} from './roles.js';
 import type {ReplicaState} from './types.js';
 
+// Shares of the election timeout. A pre-vote disturbs nobody, so it is repeated soon: the first one
+// often comes while the others are still bound to the lost leader. A split vote waits longer.
+const preVoteRetryShare = 0.3;
+const voteRetryShare = 0.5;
+
+const getRetryDeadline = ({cfg, nowMs}: ReplicaContext, share: number) =>
+	nowMs + (cfg.limits.electionTimeoutMs * share * (1 + cfg.random()));
+
 const createRequest = <Command>(
 	state: ReplicaState<Command>,
 	options: {readonly term: number; readonly isPreVote: boolean; readonly isTransfer: boolean},
@@ -37,7 +45,7 @@
 		...moveRole(state, {type: 'electionTimedOut'}),
 		votes: [context.cfg.self],
 		leader: undefined,
-		electionDeadlineMs: getElectionDeadline(context),
+		electionDeadlineMs: getRetryDeadline(context, preVoteRetryShare),
 	};
 	return hasWon(next)
 		? startElection(next, context, false)
@@ -67,7 +75,7 @@
 		votedFor: self,
 		votes: [self],
 		leader: undefined,
-		electionDeadlineMs: getElectionDeadline(context),
+		electionDeadlineMs: getRetryDeadline(context, voteRetryShare),
 	};
 	const message = createRequest(candidate, {term: candidate.term, isPreVote: false, isTransfer});
 	const messages = message === undefined ? [] : getOtherVoters(candidate, context.cfg).map(to => ({to, message}));
--- a/packages/core/src/replica/feed.ts
+++ b/packages/core/src/replica/feed.ts
@@ -54,7 +54,7 @@
 	const {token, lastIndex} = message;
 	const subscribers = state.feed.subscribers.set(from, {sentIndex: lastIndex, renewedAtMs: context.nowMs});
 	const subscribed = {...state, feed: {...state.feed, subscribers}};
-	const next = token === undefined ? subscribed : registerAsker(subscribed, from, token);
+	const next = token === undefined ? subscribed : registerAsker(subscribed, from, {token, askedAtMs: context.nowMs});
 	return token === undefined || lastIndex < state.commitIndex
 		? feedSubscriber(next, context, {to: from, previousIndex: lastIndex})
 		: createStep(next);
@@ -95,6 +95,29 @@
 		? [createSend(from, {type: 'replica/pull', lastIndex: state.commitIndex})]
 		: []);
 
+const takeFeed = <Command>(
+	state: ReplicaState<Command>,
+	context: ReplicaContext,
+	{from, message}: {readonly from: NodeId; readonly message: FeedMessage<Command>},
+): ReplicaStep<Command> => {
+	// A voter believes only a leader's own messages, since what it may vote for depends on them.
+	const leader = state.role === 'observer' ? message.leader ?? state.leader : state.leader;
+	const heard = noteUpstreamHeard({...state, clusterId: message.clusterId, leader}, context, from);
+	if (getUpstream(heard, context.cfg) !== from) {
+		return createStep(heard);
+	}
+
+	if (message.previousIndex > heard.commitIndex) {
+		return pullMore(heard, from, message.commitIndex);
+	}
+
+	return chainSteps(
+		acceptEntries(heard, context, message.entries),
+		next => commitUpTo(next, message.previousIndex + message.entries.length),
+		next => pullMore(next, from, message.commitIndex),
+	);
+};
+
 /**
  * Takes committed entries from the node that feeds this one.
  *
@@ -114,21 +137,8 @@
 		return createStep(state);
 	}
 
-	// A voter believes only a leader's own messages, since what it may vote for depends on them.
-	const leader = state.role === 'observer' ? message.leader ?? state.leader : state.leader;
-	const heard = noteUpstreamHeard({...state, clusterId: message.clusterId, leader}, context, from);
-	if (getUpstream(heard, context.cfg) !== from) {
-		return createStep(heard);
-	}
-
-	if (message.previousIndex > heard.commitIndex) {
-		return pullMore(heard, from, message.commitIndex);
-	}
-
 	return chainSteps(
-		enterTerm(heard, context, message.entries.at(-1)?.term ?? 0),
-		next => acceptEntries(next, context, message.entries),
-		next => commitUpTo(next, message.previousIndex + message.entries.length),
-		next => pullMore(next, from, message.commitIndex),
+		enterTerm(state, context, message.entries.at(-1)?.term ?? 0),
+		next => takeFeed(next, context, {from, message}),
 	);
 }
--- a/packages/core/src/replica/following.ts
+++ b/packages/core/src/replica/following.ts
@@ -1,5 +1,6 @@
 import type {NodeId} from '@samphiremill/common';
 import {commitUpTo} from './commit.js';
+import {handleConfirms} from './confirmation.js';
 import {
 	appendEntries, getLastIndex, getLatestVoters, getTerm, truncateLog,
 } from './log.js';
@@ -64,12 +65,16 @@
 
 const createAnswer = <Command>(
 	state: ReplicaState<Command>,
-	{cfg}: ReplicaContext,
+	{cfg, nowMs}: ReplicaContext,
 	answer: Pick<AppendedMessage, 'round' | 'isAccepted' | 'matchIndex' | 'receivedIndex'>,
 ): AppendedMessage | undefined => cfg.storeId === undefined
 	? undefined
 	: {
-		type: 'replica/appended', term: state.term, storeId: cfg.storeId, ...answer,
+		type: 'replica/appended',
+		term: state.term,
+		storeId: cfg.storeId,
+		echo: {life: state.confirmation.life, sentAtMs: nowMs},
+		...answer,
 	};
 
 // The leader's own log decides: whatever it holds up to the received entries is equal to ours.
@@ -82,6 +87,7 @@
 	return chainSteps(
 		acceptEntries(state, context, message.entries),
 		next => commitUpTo(next, Math.min(message.commitIndex, lastIndex)),
+		next => handleConfirms(next, message),
 		next => {
 			const {hasFailed, persistedIndex} = next.persistence;
 			const answer = createAnswer(next, context, {
--- a/packages/core/src/replica/log.ts
+++ b/packages/core/src/replica/log.ts
@@ -1,15 +1,24 @@
 import {List, Map as ImmutableMap} from 'immutable';
+import {rememberedRequests} from './constants.js';
 import type {
-	LogEntry, ReplicaLog, RequestId, VoterIdentity,
+	IndexedRequest, LogEntry, ReplicaLog, RequestId, VoterIdentity,
 } from './types.js';
 
 /**
  * @param base - The index and term of the entry before the first retained one.
+ * @param requests - The newest proposals up to there.
  * @returns A log without entries.
  */
-export function createLog<Command>(base: {readonly index: number; readonly term: number}): ReplicaLog<Command> {
+export function createLog<Command>(
+	base: {readonly index: number; readonly term: number},
+	requests: readonly IndexedRequest[] = [],
+): ReplicaLog<Command> {
 	return {
-		baseIndex: base.index, baseTerm: base.term, entries: List(), requests: ImmutableMap(),
+		baseIndex: base.index,
+		baseTerm: base.term,
+		entries: List(),
+		compactedRequests: List(requests),
+		requests: ImmutableMap(requests.map(({requestId, index}) => [requestId, index] as const)),
 	};
 }
 
@@ -59,20 +68,21 @@
 	return log.entries.slice(Math.max(0, range.from - log.baseIndex - 1), Math.max(0, range.until - log.baseIndex - 1)).toArray();
 }
 
-const addRequests = <Command>(requests: ImmutableMap<RequestId, number>, entries: ReadonlyArray<LogEntry<Command>>) =>
+const getRequests = <Command>(entries: Iterable<LogEntry<Command>>): readonly IndexedRequest[] =>
+	[...entries].flatMap(({index, payload}) => payload.type === 'command' ? [{requestId: payload.requestId, index}] : []);
+
+const addRequests = (requests: ImmutableMap<RequestId, number>, added: readonly IndexedRequest[]) =>
 	requests.withMutations(mutable => {
-		for (const {index, payload} of entries) {
-			if (payload.type === 'command') {
-				mutable.set(payload.requestId, index);
-			}
+		for (const {requestId, index} of added) {
+			mutable.set(requestId, index);
 		}
 	});
 
-const removeRequests = <Command>(requests: ImmutableMap<RequestId, number>, entries: Iterable<LogEntry<Command>>) =>
+const removeRequests = (requests: ImmutableMap<RequestId, number>, removed: Iterable<IndexedRequest>) =>
 	requests.withMutations(mutable => {
-		for (const {index, payload} of entries) {
-			if (payload.type === 'command' && mutable.get(payload.requestId) === index) {
-				mutable.delete(payload.requestId);
+		for (const {requestId, index} of removed) {
+			if (mutable.get(requestId) === index) {
+				mutable.delete(requestId);
 			}
 		}
 	});
@@ -83,7 +93,7 @@
  * @returns The longer log.
  */
 export function appendEntries<Command>(log: ReplicaLog<Command>, entries: ReadonlyArray<LogEntry<Command>>): ReplicaLog<Command> {
-	return {...log, entries: log.entries.push(...entries), requests: addRequests(log.requests, entries)};
+	return {...log, entries: log.entries.push(...entries), requests: addRequests(log.requests, getRequests(entries))};
 }
 
 /**
@@ -96,7 +106,7 @@
 	return {
 		...log,
 		entries: log.entries.take(size),
-		requests: removeRequests(log.requests, log.entries.skip(size)),
+		requests: removeRequests(log.requests, getRequests(log.entries.skip(size))),
 	};
 }
 
@@ -112,14 +122,26 @@
 	}
 
 	const count = newBaseIndex - log.baseIndex;
+	const compacted = log.compactedRequests.push(...getRequests(log.entries.take(count)));
 	return {
 		baseIndex: newBaseIndex,
 		baseTerm,
 		entries: log.entries.skip(count),
-		requests: removeRequests(log.requests, log.entries.take(count)),
+		compactedRequests: compacted.takeLast(rememberedRequests),
+		requests: removeRequests(log.requests, compacted.skipLast(rememberedRequests)),
 	};
 }
 
+/**
+ * @param log - The log.
+ * @param index - An index that the log holds.
+ * @returns The newest proposals up to the index, oldest first.
+ */
+export function getRequestsUpTo<Command>(log: ReplicaLog<Command>, index: number): readonly IndexedRequest[] {
+	const retained = getRequests(log.entries.take(Math.max(0, index - log.baseIndex)));
+	return log.compactedRequests.push(...retained).takeLast(rememberedRequests).toArray();
+}
+
 /** A voter set and the index of the entry that set it. */
 export type IndexedVoters = {
 	readonly voters: readonly VoterIdentity[];
--- a/packages/core/src/replica/messages.ts
+++ b/packages/core/src/replica/messages.ts
@@ -1,6 +1,6 @@
 import type {NodeId} from '@samphiremill/common';
 import type {
-	LogEntry, ReplicaFailure, RequestId, StoreId, VoterChange, VoterIdentity,
+	IndexedRequest, LogEntry, ReplicaFailure, RequestId, StoreId, VoterChange, VoterIdentity,
 } from './types.js';
 
 /** Asks for a vote. A pre-vote asks only whether a vote would be given, and changes no term. */
@@ -24,6 +24,13 @@
 	readonly storeId: StoreId;
 };
 
+/** When a peer sent an answer, in its own time. The leader hands it back unread. */
+export type ConfirmationEcho = {
+	/** Tells the lives of the peer's process apart, since each counts its time anew. */
+	readonly life: number;
+	readonly sentAtMs: number;
+};
+
 /** The leader's entries; without entries, its heartbeat. */
 export type AppendMessage<Command> = {
 	readonly type: 'replica/append';
@@ -34,6 +41,8 @@
 	readonly previousTerm: number;
 	readonly entries: ReadonlyArray<LogEntry<Command>>;
 	readonly commitIndex: number;
+	/** Sent only under the leader lease: nothing beyond `commitIndex` was committed when the peer sent this. */
+	readonly confirms?: ConfirmationEcho;
 };
 
 /** Answers `replica/append`. */
@@ -47,6 +56,7 @@
 	readonly matchIndex: number;
 	/** In memory up to here and equal to the leader's log; when refused, where to go on from. */
 	readonly receivedIndex: number;
+	readonly echo: ConfirmationEcho;
 };
 
 /** Tells a node that the entries it needs are gone, and which snapshot replaces them. */
@@ -70,6 +80,8 @@
 	readonly term: number;
 	readonly clusterId: StoreId;
 	readonly voters: readonly VoterIdentity[];
+	/** Only with the first chunk. */
+	readonly requests: readonly IndexedRequest[];
 	readonly offset: number;
 	readonly length: number;
 	readonly data: string;
--- a/packages/core/src/replica/proposals.ts
+++ b/packages/core/src/replica/proposals.ts
@@ -174,6 +174,20 @@
 	return createStep({...state, proposals: state.proposals.deleteAll(done.map(({requestId}) => requestId))}, effects);
 }
 
+/**
+ * Sends what is unanswered to a leader that has just become known.
+ *
+ * @param state - The state.
+ * @param context - The set-up and the time.
+ * @returns The next step.
+ */
+export function resendProposals<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
+	return chainSteps(
+		createStep(state),
+		...state.proposals.keySeq().toArray().map(requestId => (next: ReplicaState<Command>) => sendProposal(next, context, requestId)),
+	);
+}
+
 /**
  * Sends unanswered proposals again and gives up those that are past their deadline.
  *
--- a/packages/core/src/replica/reads.ts
+++ b/packages/core/src/replica/reads.ts
@@ -2,7 +2,7 @@
 import {requestResendMs} from './constants.js';
 import type {ReadAnswerMessage} from './messages.js';
 import {getQuorumValue} from './quorum.js';
-import {hasLeaderLease} from './replication.js';
+import {hasLeaderLease} from './leader-lease.js';
 import {
 	chainSteps, createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
--- a/packages/core/src/replica/reduce-replica.ts
+++ b/packages/core/src/replica/reduce-replica.ts
@@ -11,7 +11,7 @@
 import type {ReplicaMessage, RequestMessage} from './messages.js';
 import {acknowledgePersist} from './persistence.js';
 import {
-	finishProposals, handleForward, handleForwarded, handlePropose, tickProposals,
+	finishProposals, handleForward, handleForwarded, handlePropose, resendProposals, tickProposals,
 } from './proposals.js';
 import {
 	confirmReads, finishReads, handleRead, handleReadAnswer, handleReadRequest, tickReads,
@@ -253,6 +253,7 @@
 		next => continueVoterChange(next, context),
 		next => continueTransfer(next, context),
 		next => createStep(reconcileRole(next, context)),
+		next => next.leader === undefined || next.leader === state.leader ? createStep(next) : resendProposals(next, context),
 	);
 	return announceRole(state, settleCommit(step, context, state.commitIndex));
 }
--- a/packages/core/src/replica/replica.model.test.ts
+++ b/packages/core/src/replica/replica.model.test.ts
@@ -186,6 +186,7 @@
 			const id = recover();
 			expect(network.getOutcome(id)?.type).toBe('done');
 			expect(new Set(names.map(name => network.getApplied(name).join(','))).size).toBe(1);
+			expect(new Set(network.getApplied('o1')).size).toBe(network.getApplied('o1').length);
 			expect(names.map(name => network.getFreshness(name))).toEqual(names.map(() => 'fresh'));
 		},
 	), {seed, numRuns: numberRuns});
--- a/packages/core/src/replica/replication.ts
+++ b/packages/core/src/replica/replication.ts
@@ -1,6 +1,8 @@
 import type {NodeId} from '@samphiremill/common';
 import {List, Map as ImmutableMap} from 'immutable';
 import {commitUpTo} from './commit.js';
+import {addConfirmation} from './confirmation.js';
+import {getConfirmedSendMs} from './leader-lease.js';
 import {
 	appendEntries, getLastIndex, getTerm,
 } from './log.js';
@@ -25,6 +27,7 @@
 	ackedRound: 0,
 	lastAckMs: 0,
 	ackedSentAtMs: Number.NEGATIVE_INFINITY,
+	echo: undefined,
 });
 
 const getPeers = <Command>(
@@ -187,6 +190,7 @@
 		ackedRound: Math.max(progress.ackedRound, message.round),
 		ackedSentAtMs: Math.max(progress.ackedSentAtMs, sentAtMs ?? Number.NEGATIVE_INFINITY),
 		lastAckMs: nowMs,
+		echo: message.echo,
 	};
 	if (!message.isAccepted) {
 		// A late refusal must not take back what the peer acknowledged since.
@@ -221,6 +225,16 @@
 	);
 }
 
+// A majority followed this leader when it sent the round, so its commits were the newest then.
+const confirmOwnLease = <Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> => {
+	const sentAtMs = getConfirmedSendMs(state, context);
+	const {leadership, confirmation} = state;
+	const isNews = sentAtMs > (confirmation.confirmedAtMs ?? Number.NEGATIVE_INFINITY);
+	return leadership !== undefined && isNews && state.commitIndex >= leadership.firstIndex
+		? addConfirmation(state, {sentAtMs, index: state.commitIndex})
+		: createStep(state);
+};
+
 /**
  * Takes a peer's answer to entries or a heartbeat.
  *
@@ -248,28 +262,7 @@
 	return chainSteps(
 		createStep(setProgress(state, from, updateProgress(progress, message, {nowMs: context.nowMs, sentAtMs}))),
 		next => commitAndAnnounce(next, context),
+		next => confirmOwnLease(next, context),
 		next => sendNewEntries(next, context, from),
 	);
 }
-
-/**
- * Whether this leader may act alone: a majority heard from it so lately that no other can have been
- * elected, whatever the network does now.
- *
- * @param state - The state.
- * @param context - The set-up and the time.
- * @returns Whether the leader lease holds and the term's first entry is committed.
- */
-export function hasLeaderLease<Command>(
-	state: ReplicaState<Command>,
-	{cfg, nowMs}: ReplicaContext,
-): boolean {
-	const {leadership} = state;
-	if (leadership === undefined || !leadership.isLeaseUsable || state.commitIndex < leadership.firstIndex) {
-		return false;
-	}
-
-	const sentAtMs = getQuorumValue(state.voters.map(({node}) =>
-		node === cfg.self ? nowMs : leadership.progress.get(node)?.ackedSentAtMs ?? Number.NEGATIVE_INFINITY));
-	return nowMs < sentAtMs + cfg.limits.leaderLeaseMs;
-}
--- a/packages/core/src/replica/sending.ts
+++ b/packages/core/src/replica/sending.ts
@@ -1,6 +1,7 @@
 import type {NodeId} from '@samphiremill/common';
+import {hasLeaderLease} from './leader-lease.js';
 import {getEntries, getLastIndex, getTerm} from './log.js';
-import type {AppendMessage} from './messages.js';
+import type {AppendMessage, ConfirmationEcho} from './messages.js';
 import {
 	createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
@@ -25,9 +26,10 @@
 
 const createAppend = <Command>(
 	state: ReplicaState<Command>,
-	{round, previousIndex, maximumEntries}: {
+	{round, previousIndex, maximumEntries, confirms}: {
 		readonly round: number;
 		readonly previousIndex: number;
+		readonly confirms: ConfirmationEcho | undefined;
 		readonly maximumEntries: number;
 	},
 ): AppendMessage<Command> | undefined => {
@@ -47,6 +49,7 @@
 		previousTerm: previousTerm ?? 0,
 		entries: isCompacted ? [] : getEntries(state.log, {from: previousIndex + 1, until: previousIndex + 1 + maximumEntries}),
 		commitIndex: isCompacted ? 0 : state.commitIndex,
+		...(confirms !== undefined && !isCompacted && {confirms}),
 	};
 };
 
@@ -60,7 +63,7 @@
  */
 export function sendAppend<Command>(
 	state: ReplicaState<Command>,
-	{cfg}: ReplicaContext,
+	context: ReplicaContext,
 	peer: NodeId,
 ): ReplicaStep<Command> {
 	const {leadership} = state;
@@ -71,7 +74,10 @@
 
 	const previousIndex = progress.nextIndex - 1;
 	const message = createAppend(state, {
-		round: leadership.round, previousIndex, maximumEntries: cfg.limits.maximumBatchEntries,
+		round: leadership.round,
+		previousIndex,
+		maximumEntries: context.cfg.limits.maximumBatchEntries,
+		confirms: hasLeaderLease(state, context) ? progress.echo : undefined,
 	});
 	if (message === undefined) {
 		return createStep(state);
--- a/packages/core/src/replica/snapshots.ts
+++ b/packages/core/src/replica/snapshots.ts
@@ -1,7 +1,7 @@
 import type {NodeId} from '@samphiremill/common';
 import {requestResendMs, snapshotStallMs} from './constants.js';
 import {
-	compactLog, createLog, getLatestVoters, getTerm, truncateLog,
+	compactLog, createLog, getLatestVoters, getRequestsUpTo, getTerm, truncateLog,
 } from './log.js';
 import type {PullSnapshotMessage, SnapshotChunkMessage, SnapshotOfferMessage} from './messages.js';
 import {persistState, sendWhenPersisted} from './persistence.js';
@@ -50,7 +50,7 @@
 	}
 
 	const snapshot: ReplicaSnapshot = {
-		index, term, voters: getVotersAt(state, index), clusterId: state.clusterId, data,
+		index, term, voters: getVotersAt(state, index), clusterId: state.clusterId, requests: getRequestsUpTo(state.log, index), data,
 	};
 	const log = compactLog(state.log, index - context.cfg.limits.trailingEntries);
 	return persistState({...released, log, snapshot}, context, {snapshot, firstIndex: log.baseIndex + 1});
@@ -61,14 +61,21 @@
 // Tells a leader where to go on from. It counts only from a voter or learner with a disk.
 const acknowledgeSnapshot = <Command>(
 	state: ReplicaState<Command>,
-	{cfg}: ReplicaContext,
+	{cfg, nowMs}: ReplicaContext,
 	{to, index}: {readonly to: NodeId; readonly index: number},
 ): ReplicaStep<Command> => cfg.storeId === undefined
 	? createStep(state)
 	: sendWhenPersisted(state, [{
 		to,
 		message: {
-			type: 'replica/appended', term: state.term, storeId: cfg.storeId, round: 0, isAccepted: true, matchIndex: index, receivedIndex: index,
+			type: 'replica/appended',
+			term: state.term,
+			storeId: cfg.storeId,
+			round: 0,
+			isAccepted: true,
+			matchIndex: index,
+			receivedIndex: index,
+			echo: {life: state.confirmation.life, sentAtMs: nowMs},
 		},
 	}]);
 
@@ -99,7 +106,7 @@
 	}
 
 	const incomingSnapshot: IncomingSnapshot = {
-		from, index: message.index, chunks: [], offset: 0, length: message.length, ...getTransferTimes(nowMs),
+		from, index: message.index, requests: [], chunks: [], offset: 0, length: message.length, ...getTransferTimes(nowMs),
 	};
 	return createStep({...state, incomingSnapshot}, [createPull(incomingSnapshot)]);
 }
@@ -122,7 +129,7 @@
 		return createStep(state);
 	}
 
-	const {index, term, voters, clusterId, data} = snapshot;
+	const {index, term, voters, clusterId, requests, data} = snapshot;
 	if (index !== message.index) {
 		return createStep(state, [createSend(from, {type: 'replica/snapshotOffer', index, length: data.length})]);
 	}
@@ -133,6 +140,7 @@
 		term,
 		voters,
 		clusterId,
+		requests: message.offset === 0 ? requests : [],
 		offset: message.offset,
 		length: data.length,
 		data: data.slice(message.offset, message.offset + cfg.limits.maximumChunkLength),
@@ -146,7 +154,7 @@
 ): ReplicaStep<Command> => {
 	// What follows a matching entry stays; any other tail is older than the snapshot.
 	const isTailKept = getTerm(state.log, snapshot.index) === snapshot.term;
-	const log = isTailKept ? compactLog(state.log, snapshot.index) : createLog<Command>(snapshot);
+	const log = isTailKept ? compactLog(state.log, snapshot.index) : createLog<Command>(snapshot, snapshot.requests);
 	const latest = getLatestVoters(log, {voters: snapshot.voters, index: snapshot.index});
 	const next: ReplicaState<Command> = {
 		...state,
@@ -191,19 +199,20 @@
 		return createStep({...state, incomingSnapshot: undefined});
 	}
 
+	const requests = [...incoming.requests, ...message.requests];
 	const chunks = [...incoming.chunks, message.data];
 	const offset = incoming.offset + message.data.length;
 	if (offset >= message.length) {
 		const {index, term, voters, clusterId} = message;
 		return installSnapshot(state, context, {
 			from, snapshot: {
-				index, term, voters, clusterId, data: chunks.join(''),
+				index, term, voters, clusterId, requests, data: chunks.join(''),
 			},
 		});
 	}
 
 	const next: IncomingSnapshot = {
-		...incoming, chunks, offset, ...getTransferTimes(context.nowMs),
+		...incoming, requests, chunks, offset, ...getTransferTimes(context.nowMs),
 	};
 	return createStep({...state, incomingSnapshot: next}, [createPull(next)]);
 }
--- a/packages/core/src/replica/test-network.ts
+++ b/packages/core/src/replica/test-network.ts
@@ -61,6 +61,18 @@
 const tickMs = 50;
 const stalenessBoundMs = 3000;
 
+/** What a node has sent and received. */
+export type NodeTraffic = {
+	readonly sentBytes: number;
+	readonly sentMessages: number;
+	readonly receivedBytes: number;
+	readonly receivedMessages: number;
+};
+
+const noTraffic: NodeTraffic = {
+	sentBytes: 0, sentMessages: 0, receivedBytes: 0, receivedMessages: 0,
+};
+
 /** A running test network. */
 export type TestNetwork = {
 	readonly getNowMs: () => number;
@@ -70,7 +82,8 @@
 	readonly getFreshness: (name: string) => ReturnType<typeof getConfigurationFreshness>;
 	readonly getOutcome: (id: RequestId) => TestOutcome | undefined;
 	readonly getStoreId: (name: string) => StoreId | undefined;
-	readonly countBytes: (name: string) => {readonly sent: number; readonly received: number};
+	/** Counts from the start, in bytes of JSON. */
+	readonly getTraffic: (name: string) => NodeTraffic;
 	readonly run: (durationMs: number) => void;
 	readonly propose: (name: string, command: string) => RequestId;
 	readonly read: (name: string) => RequestId;
@@ -110,7 +123,7 @@
 	const commitTimes: number[] = [];
 	const outcomes = new Map<RequestId, TestOutcome>();
 	const readStarts = new Map<RequestId, number>();
-	const bytes = new Map<string, {sent: number; received: number}>();
+	const traffic = new Map<string, NodeTraffic>();
 	const replicaNodes = options.nodes.map(({name, dataCentre, kind}) => ({
 		node: toBrand<NodeId>(name), dataCentre: toBrand<DataCentreId>(dataCentre), isInitialVoter: kind === 'voter',
 	}));
@@ -168,8 +181,10 @@
 
 	const send = (from: string, to: string, message: ReplicaMessage<string>) => {
 		const size = JSON.stringify(message).length;
-		bytes.set(from, {sent: (bytes.get(from)?.sent ?? 0) + size, received: bytes.get(from)?.received ?? 0});
-		bytes.set(to, {sent: bytes.get(to)?.sent ?? 0, received: (bytes.get(to)?.received ?? 0) + size});
+		const sender = traffic.get(from) ?? noTraffic;
+		traffic.set(from, {...sender, sentBytes: sender.sentBytes + size, sentMessages: sender.sentMessages + 1});
+		const receiver = traffic.get(to) ?? noTraffic;
+		traffic.set(to, {...receiver, receivedBytes: receiver.receivedBytes + size, receivedMessages: receiver.receivedMessages + 1});
 		const copies = random() < repeatChance ? 2 : 1;
 		for (let copy = 0; copy < copies; copy += 1) {
 			if (random() < lossChance) {
@@ -371,7 +386,7 @@
 		getFreshness: name => getConfigurationFreshness(get(name).state, {nowMs: getLocalMs(name), leaseMs: limits.configurationLeaseMs}),
 		getOutcome: id => outcomes.get(id),
 		getStoreId: name => get(name).cfg.storeId,
-		countBytes: name => bytes.get(name) ?? {sent: 0, received: 0},
+		getTraffic: name => traffic.get(name) ?? noTraffic,
 		run(durationMs) {
 			const untilMs = nowMs + durationMs;
 			for (let [due] = scheduled; due !== undefined && due.atMs <= untilMs; [due] = scheduled) {
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -6,7 +6,7 @@
 	Brand, DataCentreId, NodeId, RandomSource,
 } from '@samphiremill/common';
 import type {List, Map as ImmutableMap} from 'immutable';
-import type {ReplicaMessage} from './messages.js';
+import type {ConfirmationEcho, ReplicaMessage} from './messages.js';
 
 /** One life of a data folder. An emptied folder gets a new one, so it can't pass for the old voter. */
 export type StoreId = Brand<string, 'StoreId'>;
@@ -40,12 +40,20 @@
 	readonly clusterId?: StoreId;
 };
 
+/** A proposal and where its entry stands. */
+export type IndexedRequest = {
+	readonly requestId: RequestId;
+	readonly index: number;
+};
+
 /** The applied state up to an index, serialised by the embedder. */
 export type ReplicaSnapshot = {
 	readonly index: number;
 	readonly term: number;
 	readonly voters: readonly VoterIdentity[];
 	readonly clusterId: StoreId;
+	/** The newest proposals up to the index, so that a resend is recognised after it, too. */
+	readonly requests: readonly IndexedRequest[];
 	readonly data: string;
 };
 
@@ -61,7 +69,9 @@
 	readonly baseIndex: number;
 	readonly baseTerm: number;
 	readonly entries: List<LogEntry<Command>>;
-	/** Where each retained proposal stands, so that a resend isn't appended again. */
+	/** Proposals whose entries are compacted, oldest first, up to a bound. */
+	readonly compactedRequests: List<IndexedRequest>;
+	/** Where each known proposal stands, so that a resend isn't appended again. */
 	readonly requests: ImmutableMap<RequestId, number>;
 };
 
@@ -87,6 +97,8 @@
 	/** Requests that come within this time of the last poll are answered by the next one. */
 	readonly confirmationSpacingMs: number;
 	readonly configurationLeaseMs: number;
+	/** Age of a heartbeat's confirmation from which a voter polls the others itself. */
+	readonly heartbeatConfirmationMs: number;
 	readonly upstreamTimeoutMs: number;
 	readonly upstreamRetryMs: number;
 	readonly learnerTimeoutMs: number;
@@ -126,6 +138,8 @@
 	readonly lastAckMs: number;
 	/** The monotonic time when the newest acknowledged round was sent. */
 	readonly ackedSentAtMs: number;
+	/** The peer's own time of its newest answer. */
+	readonly echo: ConfirmationEcho | undefined;
 };
 
 /** A voter change in progress. */
@@ -222,6 +236,7 @@
 export type IncomingSnapshot = {
 	readonly from: NodeId;
 	readonly index: number;
+	readonly requests: readonly IndexedRequest[];
 	readonly chunks: readonly string[];
 	readonly offset: number;
 	readonly length: number;
@@ -255,14 +270,22 @@
 	readonly askers: ImmutableMap<NodeId, number>;
 };
 
+/** A node that waits for a confirmation. */
+export type WaitingAsker = {
+	readonly token: number;
+	readonly askedAtMs: number;
+};
+
 /** The configuration lease of this node. */
 export type ConfirmationState = {
+	/** Differs in each life of the process, so that no late answer to an earlier one counts. */
+	readonly life: number;
 	readonly nextRound: number;
 	readonly nextPollMs: number;
 	readonly lastPollMs: number;
 	/** Polls whose index isn't known or isn't applied yet. */
 	readonly polls: readonly ConfirmationPoll[];
-	readonly waitingAskers: ImmutableMap<NodeId, number>;
+	readonly waitingAskers: ImmutableMap<NodeId, WaitingAsker>;
 	/** Send time of the newest effective confirmation; absent before the first. */
 	readonly confirmedAtMs: number | undefined;
 };
--- a/packages/daemon/src/store/store.test.ts
+++ b/packages/daemon/src/store/store.test.ts
@@ -34,7 +34,7 @@
 	hardState: {term: 1},
 	entries: [],
 	snapshot: {
-		index, term: 1, voters: [], clusterId: toBrand<StoreId>('cluster'), data: `state at ${index}`,
+		index, term: 1, voters: [], clusterId: toBrand<StoreId>('cluster'), requests: [], data: `state at ${index}`,
 	},
 	firstIndex: index,
 });
