--- a/bench/placeholder.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export const version = '0.1.0';
--- a/packages/core/src/control/apply-control-command.test.ts
+++ b/packages/core/src/control/apply-control-command.test.ts
@@ -4,6 +4,7 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {applyControlCommand} from './apply-control-command.js';
+import {appliedChangeCount, appliedChangeSlack} from './constants.js';
 import {createControlState} from './create-control-state.js';
 import {
 	findKeyBySecretHash, getHistory, getPoolOf, getTeamLimit, getTeamWeight, getVersionedRecord, listPools,
@@ -115,6 +116,20 @@
 	expect(refused.answer).toEqual({type: 'invalid', findings: [{path: '/homePool', message: 'there is no pool nowhere'}]});
 });
 
+test('the answers of the latest changes are kept, within a bound', () => {
+	let state = createExampleState();
+	for (let index = 0; index < appliedChangeCount + (2 * appliedChangeSlack); index += 1) {
+		state = applyControlCommand(state, createPut(`pool-${index}`, createPool(index))).state;
+		expect(state.changes.size).toBeLessThan(appliedChangeCount + appliedChangeSlack);
+	}
+
+	const last = appliedChangeCount + (2 * appliedChangeSlack) - 1;
+	const oldestKept = last - appliedChangeCount + 1;
+	for (const index of [last, oldestKept]) {
+		expect(applyControlCommand(state, createPut(`pool-${index}`, createPool(index))).state).toBe(state);
+	}
+});
+
 test('shares and limits have defaults', () => {
 	const state = createExampleState();
 	expect([getTeamWeight(state, toBrand('olinda')), getTeamLimit(state, toBrand('olinda'))]).toEqual([3, 40]);
--- a/packages/core/src/control/apply-control-command.ts
+++ b/packages/core/src/control/apply-control-command.ts
@@ -1,6 +1,7 @@
 import {assertNever, hashText} from '@samphiremill/common';
+import {OrderedMap} from 'immutable';
 import {toCanonicalJson} from './canonical-json.js';
-import {appliedChangeCount} from './constants.js';
+import {appliedChangeCount, appliedChangeSlack} from './constants.js';
 import {controlParts, type PartCommand} from './parts.js';
 import {rejectUnknownCommand} from './parts/reject-unknown-command.js';
 import {planV1Delete, planV1Put, toV1Finding} from './schema/documents.js';
@@ -84,9 +85,8 @@
 }): ControlStep {
 	const {state, answer} = step;
 	const changes = state.changes.set(command.changeId, {fingerprint, answer});
-	const oldest = changes.keySeq().first();
-	const isFull = changes.size > appliedChangeCount && oldest !== undefined;
-	return {answer, state: {...state, changes: isFull ? changes.delete(oldest) : changes}};
+	const isFull = changes.size >= appliedChangeCount + appliedChangeSlack;
+	return {answer, state: {...state, changes: isFull ? OrderedMap(changes.takeLast(appliedChangeCount)) : changes}};
 }
 
 function placeInV1({state, answer}: ControlStep): ControlStep {
--- a/packages/core/src/control/constants.ts
+++ b/packages/core/src/control/constants.ts
@@ -1,6 +1,9 @@
 /** How many answers are kept for resends: more than two days at 1,800 changes a day. */
 export const appliedChangeCount = 4096;
 
+/** How many more answers gather before the oldest are dropped together, since dropping one is costly. */
+export const appliedChangeSlack = 512;
+
 /** How many changes of one record are kept. */
 export const historyEntriesPerRecord = 8;
 
--- a/packages/core/src/control/references.ts
+++ b/packages/core/src/control/references.ts
@@ -64,10 +64,8 @@
 		return [];
 	}
 
-	const isTaken = listVersionedRecords(state, 'key')
-		.some(other => other.record.id !== record.id && other.record.secretHash === record.secretHash);
 	const findings: Finding[] = [];
-	if (isTaken) {
+	if (state.keyBySecretHash.get(record.secretHash) !== record.id) {
 		findings.push({path: '/secretHash', message: 'belongs to another key'});
 	}
 
--- a/packages/core/src/control/snapshot/restore-control-state.ts
+++ b/packages/core/src/control/snapshot/restore-control-state.ts
@@ -2,9 +2,10 @@
 import {Map as ImmutableMap, OrderedMap} from 'immutable';
 import type * as z from 'zod/mini';
 import {
-	appliedChangeCount, deletedRecordCount, historyEntriesPerRecord, recordKinds, retiredWorkerCount,
+	appliedChangeCount, appliedChangeSlack, deletedRecordCount, historyEntriesPerRecord, recordKinds, retiredWorkerCount,
 } from '../constants.js';
 import {createControlState} from '../create-control-state.js';
+import {indexSecret} from '../index-secret.js';
 import {adoptWorker} from '../ownership.js';
 import {parseDocument} from '../parse-document.js';
 import {controlParts} from '../parts.js';
@@ -62,7 +63,7 @@
 function putVersioned(state: ControlState, versioned: VersionedRecord): ControlState {
 	const {kind, id} = versioned.record;
 	const records = (state.records.get(kind) ?? ImmutableMap<string, VersionedRecord>()).set(id, versioned);
-	return {...state, records: state.records.set(kind, records)};
+	return indexSecret({state: {...state, records: state.records.set(kind, records)}, previous: undefined, record: versioned.record});
 }
 
 function restoreRecords(state: ControlState, restoration: Restoration): ControlState {
@@ -100,12 +101,6 @@
 	};
 }
 
-function indexSecrets(state: ControlState): ControlState {
-	const keys = [...(state.records.get('key')?.values() ?? [])].map(({record}) => record);
-	const entries = keys.flatMap(record => record.kind === 'key' ? [[record.secretHash, record.id] as const] : []);
-	return {...state, keyBySecretHash: ImmutableMap(entries)};
-}
-
 function hasPools(state: ControlState, {phase}: HostOwnership): boolean {
 	const pools = phase.type === 'releasing' ? [phase.pool, phase.to] : [phase.pool];
 	return pools.every(id => getVersionedRecord(state, {kind: 'pool', id}) !== undefined);
@@ -166,9 +161,8 @@
 	const restoration: Restoration = {fields: document, findings: []};
 	let state = restoreRecords(createControlState(), restoration);
 	state = restoreHistory(state, restoration);
-	state = indexSecrets(state);
 	state = restoreOwnership(state, restoration);
-	const changes = readItems({restoration, field: 'changes', schema: storedChange}).slice(-appliedChangeCount);
+	const changes = readItems({restoration, field: 'changes', schema: storedChange}).slice(-(appliedChangeCount + appliedChangeSlack));
 	const views = readItems({restoration, field: 'views', schema: storedView});
 	state = {
 		...state,
--- a/packages/core/src/control/write-records.ts
+++ b/packages/core/src/control/write-records.ts
@@ -2,16 +2,17 @@
  * Applies the writes of one operator's change: all of them, or none.
  */
 import {
-	assertNever, toBrand, type ChangeId, type Finding, type KeyId, type WallClockMs, type WorkerId,
+	assertNever, toBrand, type ChangeId, type Finding, type WallClockMs, type WorkerId,
 } from '@samphiremill/common';
 import {Map as ImmutableMap} from 'immutable';
 import {toCanonicalJson} from './canonical-json.js';
 import {deletedRecordCount, historyEntriesPerRecord} from './constants.js';
+import {indexSecret} from './index-secret.js';
 import {adoptWorker, retireWorker} from './ownership.js';
 import {findRecordFindings, findReferrers} from './references.js';
 import {getHistory, getRecordKey, getVersionedRecord} from './selectors.js';
 import type {
-	ControlRecord, ControlState, ControlStep, HistoryEntry, RecordChange, RecordConflict, RecordKind, RecordWrite,
+	ControlState, ControlStep, HistoryEntry, RecordChange, RecordConflict, RecordKind, RecordWrite,
 	VersionedRecord,
 } from './types.js';
 
@@ -62,23 +63,6 @@
 	return {...state, history: state.history.set(getRecordKey(address), entries)};
 }
 
-function indexSecret({state, previous, record}: {
-	readonly state: ControlState;
-	readonly previous: ControlRecord | undefined;
-	readonly record: ControlRecord | undefined;
-}): ControlState {
-	let {keyBySecretHash} = state;
-	if (previous?.kind === 'key') {
-		keyBySecretHash = keyBySecretHash.delete(previous.secretHash);
-	}
-
-	if (record?.kind === 'key') {
-		keyBySecretHash = keyBySecretHash.set(record.secretHash, toBrand<KeyId>(record.id));
-	}
-
-	return keyBySecretHash === state.keyBySecretHash ? state : {...state, keyBySecretHash};
-}
-
 type WriteStep = {readonly state: ControlState; readonly change: RecordChange};
 
 function putRecord({state, write: {record, isRenewal}, origin}: {
