--- /dev/null
+++ b/packages/daemon/src/wave-controller/wave-controller.ts
@@ -0,0 +1,176 @@
+import type {WorkerId} from '@samphiremill/common';
+import {
+	createDemandState,
+	createMovesState,
+	createWavesState,
+	defaultMovesConfig,
+	defaultWavesConfig,
+	getFleetRecords,
+	planMoves,
+	planWaveStep,
+	reduceDemand,
+	trackReleases,
+	type DemandState,
+	type EntryHostSight,
+	type PlatformHost,
+	type ReleaseIndex,
+} from '@samphiremill/core';
+import type {PlatformHostState} from '../platform/types.js';
+import {leaderWarmUpMs, planPeriodMs, reopenPeriodMs} from './constants.js';
+import {carryOutWork, readPlatform, reopenIntakes} from './platform-work.js';
+import type {PlannedCommand, WaveController, WaveControllerOptions} from './types.js';
+
+/** What only the leader knows, and only while it leads. */
+type Leadership = {
+	readonly sinceMs: number;
+	readonly reopenedAtMs: number;
+	/** When each reboot was first seen to have ended, by its id. */
+	readonly finishedSeenAtMs: ReadonlyMap<string, number>;
+	readonly releaseIndexes: readonly ReleaseIndex[];
+	readonly demand: DemandState;
+};
+
+/**
+ * Starts the controller of waves and moves. Each period, and only on the leader, it looks at fleet
+ * and platform, proposes what the planners say, and carries out what has been committed.
+ *
+ * @param options - The platform, the committed state, the view of the fleet and the clock.
+ * @returns The running controller.
+ */
+export function startWaveController(options: WaveControllerOptions): WaveController {
+	const {timers} = options;
+	let leadership: Leadership | undefined;
+	let running: Promise<void> | undefined;
+
+	const run = async () => {
+		const nowMs = timers.getNow();
+		if (!options.hasLeaderLease()) {
+			leadership = undefined;
+			return;
+		}
+
+		leadership ??= {
+			sinceMs: nowMs, reopenedAtMs: nowMs, finishedSeenAtMs: new Map(), releaseIndexes: [], demand: createDemandState(),
+		};
+		if (nowMs - leadership.sinceMs >= leaderWarmUpMs) {
+			leadership = await lead(options, leadership);
+		}
+	};
+
+	const runOnce = async () => {
+		running ??= run().finally(() => {
+			running = undefined;
+		});
+		await running;
+	};
+
+	const cancel = timers.scheduleEvery(planPeriodMs, () => {
+		void runOnce();
+	});
+	return {
+		runOnce,
+		async stop() {
+			cancel();
+			await running;
+		},
+	};
+}
+
+async function lead(options: WaveControllerOptions, leadership: Leadership): Promise<Leadership> {
+	const nowMs = options.timers.getNow();
+	const releaseIndexes = trackReleases({
+		releaseIndexes: leadership.releaseIndexes,
+		moves: options.getControlState().moves ?? createMovesState(),
+		appliedIndex: options.getAppliedIndex(),
+	});
+	// Read before the platform is asked: see `PlanMovesInput`.
+	const entryHosts = options.getEntryHosts();
+	const seen = await readPlatform(options);
+	const next = {
+		...leadership,
+		releaseIndexes,
+		finishedSeenAtMs: noteFinished(seen, leadership.finishedSeenAtMs, nowMs),
+		demand: reduceDemand(leadership.demand, {
+			type: 'moves/demandObserved', pools: options.getDemand(), nowMs,
+		}, options.movesConfig ?? defaultMovesConfig),
+	};
+	await proposeAll(options, plan({
+		options, leadership: next, seen, entryHosts,
+	}));
+	if (!options.hasLeaderLease()) {
+		return next;
+	}
+
+	await carryOutWork(options, seen);
+	if (nowMs - next.reopenedAtMs < reopenPeriodMs) {
+		return next;
+	}
+
+	await reopenIntakes(options);
+	return {...next, reopenedAtMs: nowMs};
+}
+
+function plan({options, leadership, seen, entryHosts}: {
+	options: WaveControllerOptions;
+	leadership: Leadership;
+	seen: readonly PlatformHostState[];
+	entryHosts: readonly EntryHostSight[];
+}): readonly PlannedCommand[] {
+	const state = options.getControlState();
+	const records = getFleetRecords(state);
+	const waves = state.waves ?? createWavesState();
+	const atMs = options.getWallClockMs();
+	const cfg = options.wavesConfig ?? defaultWavesConfig;
+	const platform = seen.map(host => createSight(host, leadership.finishedSeenAtMs));
+	const waveCommands = planWaveStep({
+		control: {waves, records}, fleet: options.getFleet(), platform, nowMs: atMs, cfg,
+	});
+	const moveCommands = planMoves({
+		moves: state.moves ?? createMovesState(),
+		context: {
+			records, waves, views: [...state.views.values()], maximumHostsAsideFleetWide: cfg.maximumHostsAsideFleetWide,
+		},
+		demand: leadership.demand,
+		platform,
+		entryHosts,
+		releaseIndexes: leadership.releaseIndexes,
+		nowMs: options.timers.getNow(),
+		atMs,
+		cfg: options.movesConfig ?? defaultMovesConfig,
+	});
+	return [...waveCommands, ...moveCommands];
+}
+
+async function proposeAll(options: WaveControllerOptions, commands: readonly PlannedCommand[]): Promise<void> {
+	for (const command of commands) {
+		// eslint-disable-next-line no-await-in-loop -- each command counts on those before it
+		const outcome = await options.propose(command);
+		options.log({type: 'proposed', command, outcome});
+		if (outcome === undefined) {
+			return;
+		}
+	}
+}
+
+function noteFinished(
+	seen: readonly PlatformHostState[],
+	known: Leadership['finishedSeenAtMs'],
+	nowMs: number,
+): Leadership['finishedSeenAtMs'] {
+	return new Map(seen
+		.filter(({reboot}) => reboot?.state === 'finished')
+		.map(({reboot}) => [reboot?.id ?? '', known.get(reboot?.id ?? '') ?? nowMs]));
+}
+
+function createSight(host: PlatformHostState, finishedSeenAtMs: Leadership['finishedSeenAtMs']): PlatformHost {
+	const worker: WorkerId = host.host;
+	const seenAtMs = finishedSeenAtMs.get(host.reboot?.id ?? '');
+	return {
+		worker,
+		intake: host.intake,
+		runningTasks: host.tasks.length,
+		...(host.reboot !== undefined && {
+			reboot: {...host.reboot, ...(seenAtMs !== undefined && {finishedSeenAtMs: seenAtMs})},
+		}),
+	};
+}
