--- a/packages/core/src/control/apply-control-command.test.ts
+++ b/packages/core/src/control/apply-control-command.test.ts
@@ -105,6 +105,16 @@
 	expect(lost.answer).toEqual({type: 'notFound', kind: 'wave', id: 'none'});
 });
 
+test('a worker is not deleted while it is on its way to another pool', () => {
+	const {worker, pool} = {worker: exampleWorker.id, pool: toBrand<PoolId>('counters')};
+	const phase = {type: 'releasing', pool, to: toBrand<PoolId>('ledgers')} as const;
+	const {state} = applyControlCommand(createExampleState(), createDelete('a', 'wave', 'autumn'));
+	const moving = {...state, ownership: state.ownership.set(worker, {worker, epoch: 2, phase})};
+	expect(applyControlCommand(moving, createDelete('x', 'worker', worker)).answer).toEqual({
+		type: 'invalid', findings: [{path: '', message: 'worker w-1 is on its way from pool counters to pool ledgers'}],
+	});
+});
+
 test('a worker\'s new home is a known pool and leaves its present owner to a move', () => {
 	const order = {
 		type: 'control/setHomePool', changeId: toBrand<ChangeId>('go'), actor: 'ana', acceptedAtMs: toBrand<WallClockMs>(5), worker: exampleWorker.id,
--- a/packages/core/src/control/references.ts
+++ b/packages/core/src/control/references.ts
@@ -2,7 +2,7 @@
  * Which records name which others, and what is wrong with that.
  */
 import {
-	assertNever, joinPath, type Finding, type PoolId,
+	assertNever, joinPath, toBrand, type Finding, type PoolId, type WorkerId,
 } from '@samphiremill/common';
 import {openTeamId, recordKinds} from './constants.js';
 import {getVersionedRecord, listVersionedRecords} from './selectors.js';
@@ -15,6 +15,8 @@
 	readonly id: string;
 };
 
+type RecordAddress = {readonly kind: RecordKind; readonly id: string};
+
 function listPoolReferences(pools: readonly PoolId[]): readonly Reference[] {
 	return pools.map((id, index) => ({path: joinPath('/pools', index), kind: 'pool', id}));
 }
@@ -96,16 +98,31 @@
 	return owned.map(({worker}) => ({path: '', message: `pool ${pool} still owns worker ${worker}`}));
 }
 
+function findUnfinishedMove(state: ControlState, worker: string): readonly Finding[] {
+	const phase = state.retiredOwnership.get(toBrand<WorkerId>(worker))?.phase;
+	return phase?.type === 'releasing'
+		? [{path: '', message: `worker ${worker} is on its way from pool ${phase.pool} to pool ${phase.to}`}]
+		: [];
+}
+
+function findOwnershipFindings(state: ControlState, {kind, id}: RecordAddress): readonly Finding[] {
+	if (kind === 'pool') {
+		return findOwnedHosts(state, id);
+	}
+
+	return kind === 'worker' ? findUnfinishedMove(state, id) : [];
+}
+
 /**
- * Finds what still needs a record that is to be deleted.
+ * Finds what still needs a deleted record.
  *
- * @param state - The control state.
+ * @param state - The control state in which the record is deleted.
  * @param address - The kind and id of the record.
  * @returns One finding for each record that names it.
  */
 export function findReferrers(
 	state: ControlState,
-	address: {readonly kind: RecordKind; readonly id: string},
+	address: RecordAddress,
 ): readonly Finding[] {
 	const referrers = recordKinds
 		.flatMap(kind => listVersionedRecords(state, kind))
@@ -115,5 +132,5 @@
 				path: '',
 				message: `${address.kind} ${address.id} is named by ${record.kind} ${record.id} at ${path}`,
 			})));
-	return address.kind === 'pool' ? [...referrers, ...findOwnedHosts(state, address.id)] : referrers;
+	return [...referrers, ...findOwnershipFindings(state, address)];
 }
