Compare documents with their defaults filled in

Cause: diff reported each field that a file leaves to its default as a change, and apply then changed nothing.

Change: diff compares the document as the entry host would read it.

--- a/packages/cli/src/cli.test.ts
+++ b/packages/cli/src/cli.test.ts
@@ -199,6 +199,17 @@
 			'GET /v1/records/queue/cloths?apiVersion=samphiremill/v2': [refuse(404, 'notFound')],
 		},
 	},
+	'diff of a document that leaves defaults out': {
+		args: ['diff', '-f', 'pool'],
+		files: {
+			pool: {
+				apiVersion: 'samphiremill/v2', kind: 'pool', id: 'counters', maximumUnavailableHosts: 2,
+			},
+		},
+		answers: {
+			'GET /v1/records/pool/counters?apiVersion=samphiremill/v2': [{status: 200, document: {...pool, metadata}}],
+		},
+	},
 	'a command that does not exist': {args: ['pause']},
 	'a token that may only read': {
 		args: ['wave', 'abort', 'autumn'],
--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -29,17 +29,17 @@
 	];
 }
 
-async function diffDocument(context: CommandContext, {kind, id, document}: LocalDocument): Promise<ExitCode> {
+async function diffDocument(context: CommandContext, {kind, id, complete}: LocalDocument): Promise<ExitCode> {
 	const result = await context.call({
 		method: 'GET',
-		target: `/v1/records/${kind}/${encodeURIComponent(id)}?apiVersion=${toText(document.apiVersion)}`,
+		target: `/v1/records/${kind}/${encodeURIComponent(id)}?apiVersion=${toText(complete.apiVersion)}`,
 	});
 	const isMissing = result.type === 'refused' && result.status === 404;
 	if (result.type !== 'done' && !isMissing) {
 		return printFailure(context, result);
 	}
 
-	const differences = findDifferences(result.type === 'done' ? toFields(result.document) : {}, document);
+	const differences = findDifferences(result.type === 'done' ? toFields(result.document) : {}, complete);
 	if (differences.length === 0) {
 		return exitCodes.ok;
 	}
--- a/packages/cli/src/documents.ts
+++ b/packages/cli/src/documents.ts
@@ -1,6 +1,8 @@
 /** Record documents as operators keep them in files. */
-import {formatFindings} from '@samphiremill/common';
-import {parseJson, readDocument, recordKinds} from '@samphiremill/core';
+import {formatFindings, type Finding} from '@samphiremill/common';
+import {
+	parseJson, readDocument, recordKinds, type DocumentWrite,
+} from '@samphiremill/core';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 import {toFields, toText, type Fields} from './read-fields.js';
 import type {CommandContext} from './types.js';
@@ -10,6 +12,8 @@
 	readonly kind: string;
 	readonly id: string;
 	readonly document: Fields;
+	/** The document with every default filled in, without metadata. */
+	readonly complete: Fields;
 	/** The entity tag of the read that the document came from, without quotes. */
 	readonly etag?: string;
 };
@@ -28,17 +32,44 @@
 	return Array.isArray(items) ? items : [value];
 }
 
-function toLocalDocument(value: unknown): LocalDocument {
+function getComplete(write: DocumentWrite): Fields {
+	return write.apiVersion === 'samphiremill/v1' ? {...write.document} : {apiVersion: write.apiVersion, ...write.record};
+}
+
+function toLocalDocument(value: unknown, write: DocumentWrite): LocalDocument {
 	const document = toFields(value);
 	const {etag} = toFields(document.metadata);
 	return {
 		kind: toText(document.kind),
 		id: toText(document.id) || toText(document.name),
 		document,
+		complete: getComplete(write),
 		...(typeof etag === 'string' && {etag}),
 	};
 }
 
+type ReadFile = {readonly documents: readonly LocalDocument[]; readonly findings: readonly Finding[]};
+
+function readFile(text: string): ReadFile {
+	const json = parseJson(text);
+	if (!json.ok) {
+		return {documents: [], findings: json.err};
+	}
+
+	const documents: LocalDocument[] = [];
+	const findings: Finding[] = [];
+	for (const [index, item] of listDocuments(json.value).entries()) {
+		const read = readDocument(item);
+		if (read.ok) {
+			documents.push(toLocalDocument(item, read.value));
+		} else {
+			findings.push(...read.err.map(finding => ({...finding, path: `/${index}${finding.path}`})));
+		}
+	}
+
+	return {documents, findings};
+}
+
 const kindOrder: readonly string[] = recordKinds;
 
 function getKindOrder({kind}: LocalDocument): number {
@@ -58,20 +89,12 @@
 	let isValid = true;
 	for (const path of paths) {
 		// eslint-disable-next-line no-await-in-loop -- files are few, and findings come in their order
-		const json = parseJson(await io.readText(path));
-		const items = json.ok ? listDocuments(json.value) : [];
-		const findings = json.ok
-			? items.flatMap((item, index) => {
-				const read = readDocument(item);
-				return read.ok ? [] : read.err.map(finding => ({...finding, path: `/${index}${finding.path}`}));
-			})
-			: json.err;
-		if (findings.length > 0) {
-			io.writeError(`${path}:\n${formatFindings(findings)}\n`);
+		const file = readFile(await io.readText(path));
+		documents.push(...file.documents);
+		if (file.findings.length > 0) {
+			io.writeError(`${path}:\n${formatFindings(file.findings)}\n`);
 			isValid = false;
 		}
-
-		documents.push(...items.map(item => toLocalDocument(item)));
 	}
 
 	return isValid
