--- a/packages/cli/src/cli.test.ts
+++ b/packages/cli/src/cli.test.ts
@@ -148,6 +148,10 @@
 			}],
 		},
 	},
+	'an entry host that is cut off says so': {
+		args: ['get', 'team'],
+		answers: {'GET /v1/records/team?apiVersion=samphiremill/v2': [{status: 200, document: {items: []}, isStale: true}]},
+	},
 	'workers on the move': {
 		args: ['workers', '--moving'],
 		answers: {
--- a/packages/cli/src/client/create-api-client.ts
+++ b/packages/cli/src/client/create-api-client.ts
@@ -16,6 +16,8 @@
 	readonly timeoutMs: number;
 };
 
+type Answered = Extract<HttpOutcome, {type: 'answered'}>;
+
 const retriedStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
 
 function parseBody(text: string): unknown {
@@ -30,7 +32,7 @@
 	return typeof value === 'object' && value !== null && 'title' in value && 'reason' in value;
 }
 
-function toResult({status, body}: Extract<HttpOutcome, {type: 'answered'}>): ApiResult {
+function toResult({status, body}: Answered): ApiResult {
 	const document = parseBody(body);
 	if (status < 300) {
 		return {type: 'done', document};
@@ -43,7 +45,7 @@
 	};
 }
 
-function isFinal(outcome: HttpOutcome): outcome is Extract<HttpOutcome, {type: 'answered'}> {
+function isFinal(outcome: HttpOutcome): outcome is Answered {
 	return outcome.type === 'answered' && !retriedStatuses.has(outcome.status);
 }
 
@@ -80,6 +82,12 @@
 		timeoutMs: Math.min(requestTimeoutMs, timeoutMs),
 	});
 
+	const warnIfStale = (endpoint: string, {isStale}: Answered) => {
+		if (isStale === true) {
+			io.writeError(`${endpoint} is cut off; its records may be old\n`);
+		}
+	};
+
 	return async call => {
 		const deadlineMs = io.getNowMs() + timeoutMs;
 		let isRunPossible = false;
@@ -90,6 +98,7 @@
 				// eslint-disable-next-line no-await-in-loop -- endpoints are tried one after another
 				const outcome = await send(endpoint, call);
 				if (isFinal(outcome)) {
+					warnIfStale(endpoint, outcome);
 					return toResult(outcome);
 				}
 
--- a/packages/cli/src/create-io.ts
+++ b/packages/cli/src/create-io.ts
@@ -19,7 +19,12 @@
 			...(body !== undefined && {body}),
 			signal: AbortSignal.timeout(timeoutMs),
 		});
-		return {type: 'answered', status: response.statusCode, body: await response.body.text()};
+		return {
+			type: 'answered',
+			status: response.statusCode,
+			body: await response.body.text(),
+			isStale: response.headers['samphiremill-fresh'] === 'false',
+		};
 	} catch (err) {
 		const code = err instanceof Error && 'code' in err ? err.code : undefined;
 		return {type: 'failed', isSent: !unsentCodes.has(code), message: err instanceof Error ? err.message : String(err)};
--- a/packages/cli/src/test-io.ts
+++ b/packages/cli/src/test-io.ts
@@ -4,7 +4,7 @@
 
 /** What a scripted entry host answers: status and document, or a failure. */
 export type ScriptedAnswer
-	= | {readonly status: number; readonly document: unknown}
+	= | {readonly status: number; readonly document: unknown; readonly isStale?: true}
 		| {readonly failure: 'unsent' | 'sent'};
 
 /** One session: the files, and the answers to each request in turn, by `METHOD target`. */
@@ -31,7 +31,9 @@
 
 	return 'failure' in answer
 		? {type: 'failed', isSent: answer.failure === 'sent', message: `connection failed (${answer.failure})`}
-		: {type: 'answered', status: answer.status, body: JSON.stringify(answer.document)};
+		: {
+			type: 'answered', status: answer.status, body: JSON.stringify(answer.document), isStale: answer.isStale === true,
+		};
 }
 
 function describeCall({
--- a/packages/cli/src/types.ts
+++ b/packages/cli/src/types.ts
@@ -14,7 +14,8 @@
 
 /** What came of one HTTP request. */
 export type HttpOutcome
-	= | {readonly type: 'answered'; readonly status: number; readonly body: string}
+	/** `isStale` where the host said that its configuration is not fresh. */
+	= | {readonly type: 'answered'; readonly status: number; readonly body: string; readonly isStale?: boolean}
 	/** `isSent` is false only if the endpoint cannot have received the request. */
 		| {readonly type: 'failed'; readonly isSent: boolean; readonly message: string};
 
--- a/packages/daemon/src/operators/actions/delete-record.ts
+++ b/packages/daemon/src/operators/actions/delete-record.ts
@@ -4,7 +4,9 @@
 import {
 	findRecordKind, readApiVersion, readExpectedRevisions, readOrigin, type ChangeOrigin,
 } from '../read-request.js';
-import {createInvalidResponse, createNotFoundResponse, createProposalResponse} from '../respond.js';
+import {
+	createInUseResponse, createInvalidResponse, createNotFoundResponse, createProposalResponse,
+} from '../respond.js';
 import type {OperatorRoute} from '../types.js';
 
 function createCommand({kind, id, isV1, origin, expectedRevisions}: {
@@ -49,6 +51,9 @@
 		const command = createCommand({
 			kind, id, isV1, origin: origin.value, expectedRevisions: expected.value,
 		});
-		return createProposalResponse(await context.propose(command));
+		const outcome = await context.propose(command);
+		return outcome.type === 'committed' && outcome.answer.type === 'invalid'
+			? createInUseResponse(outcome.answer.findings)
+			: createProposalResponse(outcome);
 	},
 };
--- a/packages/daemon/src/operators/actions/get-status.ts
+++ b/packages/daemon/src/operators/actions/get-status.ts
@@ -9,6 +9,7 @@
 	method: 'GET',
 	path: '/v1/status',
 	role: 'read',
+	isAnsweredWithoutRecords: true,
 	async handle({query}, context) {
 		const status = await context.askFleetStatus();
 		const index = Number(query.get('index') ?? status.commitIndex);
--- a/packages/daemon/src/operators/handle-operator-request.ts
+++ b/packages/daemon/src/operators/handle-operator-request.ts
@@ -1,9 +1,15 @@
 import {authorizeOperator} from './authorize-operator.js';
 import {appliedIndexHeader, freshHeader} from './constants.js';
+import {createStartingResponse} from './respond.js';
 import type {
 	ApiRequest, ApiResponse, OperatorContext, OperatorRoute,
 } from './types.js';
 
+function hasRecords(context: OperatorContext): boolean {
+	const {appliedIndex, isFresh} = context.getStatus();
+	return isFresh || appliedIndex > 0;
+}
+
 /**
  * Answers one request of an operator.
  *
@@ -22,6 +28,10 @@
 		return operator.err;
 	}
 
+	if (route.isAnsweredWithoutRecords !== true && !hasRecords(ctx)) {
+		return createStartingResponse();
+	}
+
 	const response = await route.handle({...req, operator: operator.value}, ctx);
 	const {appliedIndex, isFresh} = ctx.getStatus();
 	return {
--- a/packages/daemon/src/operators/operators.test.ts
+++ b/packages/daemon/src/operators/operators.test.ts
@@ -107,6 +107,8 @@
 		{call: 'POST /v1/waves/autumn/stop'},
 		{call: 'POST /v1/waves/winter/start'},
 		{call: 'POST /v1/workers/w-1/move', body: {pool: 'ledgers'}},
+		{call: 'DELETE /v1/records/worker/w-1'},
+		{call: 'DELETE /v1/records/pool/counters'},
 		{call: 'GET /v1/moves'},
 		{call: 'GET /v1/workers?pool=ledgers'},
 		{call: 'GET /v1/status?index=4'},
@@ -140,6 +142,17 @@
 	expect(daemon.ctx.getControlState().changes.size).toBe(0);
 });
 
+test('a host without records refuses to answer from them', async () => {
+	const daemon = createTestDaemon();
+	daemon.setFresh(false);
+	const target = '/v1/records/pool';
+	const headers = {authorization};
+	expect(await daemon.request({method: 'GET', target, headers})).toMatchObject({status: 503, document: {reason: 'starting'}});
+	expect(await daemon.request({method: 'GET', target: '/v1/status', headers})).toMatchObject({status: 200});
+	daemon.setFresh(true);
+	expect(await daemon.request({method: 'GET', target, headers})).toMatchObject({status: 200, document: {items: []}});
+});
+
 test('any body gets a 2xx or a 4xx answer', async () => {
 	await fc.assert(fc.asyncProperty(
 		fc.constantFrom(...operatorRoutes),
--- a/packages/daemon/src/operators/respond.ts
+++ b/packages/daemon/src/operators/respond.ts
@@ -38,6 +38,23 @@
 	});
 }
 
+/** @returns The answer of a host that has started and knows no records yet. */
+export function createStartingResponse(): ApiResponse {
+	return createProblemResponse({
+		status: 503, title: 'This entry host has no records yet', reason: 'starting', ran: 'no', retryAfterMs: proposalRetryAfterMs,
+	});
+}
+
+/**
+ * @param findings - What still needs the record that was to be deleted.
+ * @returns The answer that tells all of it.
+ */
+export function createInUseResponse(findings: readonly Finding[]): ApiResponse {
+	return createProblemResponse({
+		status: 422, title: 'The record is still in use', reason: 'inUse', ran: 'no', findings,
+	});
+}
+
 /**
  * @param subject - What was not found.
  * @returns The answer that tells it.
--- a/packages/daemon/src/operators/test-operator-context.ts
+++ b/packages/daemon/src/operators/test-operator-context.ts
@@ -23,6 +23,8 @@
 	readonly ctx: OperatorContext;
 	/** Outcomes that replace those of the next proposals; `unknown` applies the command all the same. */
 	readonly nextOutcomes: Array<'unavailable' | 'unknown'>;
+	/** Sets whether the configuration lease is fresh. */
+	readonly setFresh: (isFresh: boolean) => void;
 	readonly request: (input: TestRequest) => Promise<ApiResponse>;
 };
 
@@ -64,6 +66,7 @@
 	let state: ControlState = createControlState();
 	let index = 0;
 	let changeCount = 0;
+	let isFresh = true;
 	const nextOutcomes: Array<'unavailable' | 'unknown'> = [];
 	const [node, dataCentre] = [toBrand<NodeId>('node-1'), toBrand<DataCentreId>('recife')];
 
@@ -75,7 +78,7 @@
 		leader: node,
 		commitIndex: index,
 		appliedIndex: index,
-		isFresh: true,
+		isFresh,
 		hosts: [
 			{
 				node, dataCentre, health: 'alive', role: 'leader', appliedIndex: index,
@@ -132,6 +135,9 @@
 	return {
 		ctx: context,
 		nextOutcomes,
+		setFresh(next) {
+			isFresh = next;
+		},
 		async request({method, target, headers = {}, body = ''}) {
 			const url = new URL(target, 'http://127.0.0.1');
 			const found = findRoute(method, url.pathname);
--- a/packages/daemon/src/operators/types.ts
+++ b/packages/daemon/src/operators/types.ts
@@ -119,6 +119,8 @@
 	readonly path: string;
 	/** What an operator needs for this route. */
 	readonly role: OperatorRole;
+	/** Also answered by a host that has just started and has no records yet. */
+	readonly isAnsweredWithoutRecords?: true;
 	readonly handle: (req: AuthorizedRequest, context: OperatorContext) => Promise<ApiResponse> | ApiResponse;
 };
 
