--- /dev/null
+++ b/examples/stand-in-platform.test.ts
@@ -0,0 +1,189 @@
+import {
+	createVirtualTimerService, toBrand, type MonotonicMs, type WallClockMs, type WorkerId,
+} from '@samphiremill/common';
+import {
+	applyControlCommand, createControlState, defaultWavesConfig, type ControlCommand, type ControlRecord,
+} from '@samphiremill/core';
+import {createPlatformClient, startWaveController, type ControllerDecision} from '@samphiremill/daemon';
+import {afterEach, expect, test} from 'vitest';
+import {startStandInPlatform, type StandInPlatform} from './stand-in-platform.js';
+
+const workers = ['worker-0', 'worker-1', 'worker-2', 'worker-3'];
+const closers: Array<() => Promise<void>> = [];
+
+afterEach(async () => {
+	for (const close of closers.splice(0)) {
+		// eslint-disable-next-line no-await-in-loop -- later ones use what earlier ones opened
+		await close();
+	}
+});
+
+function createRecords(): readonly ControlRecord[] {
+	return [
+		{
+			kind: 'pool', id: toBrand('pool-0'), maximumUnavailableHosts: 1, isSpare: false,
+		},
+		{
+			kind: 'pool', id: toBrand('pool-1'), maximumUnavailableHosts: 1, isSpare: false,
+		},
+		...workers.map((id): ControlRecord => ({
+			kind: 'worker', id: toBrand(id), dataCentre: toBrand('dc-0'), rack: toBrand('rack-0'), cores: 32, memoryMb: 65_536, accelerators: 0, homePool: toBrand('pool-0'),
+		})),
+	];
+}
+
+/** A log that commits at once, with a controller that the test drives. */
+async function startSession(options: {readonly lostShare?: number} = {}) {
+	const timers = createVirtualTimerService(1000);
+	const down = new Set<string>();
+	const transcript: string[] = [];
+	const platform: StandInPlatform = await startStandInPlatform({
+		host: '127.0.0.1',
+		port: 0,
+		timers,
+		hosts: workers,
+		rebootMs: 4000,
+		...options,
+		onIntakeChanged(host, intake) {
+			transcript.push(`platform: intake of ${host} ${intake}`);
+		},
+		onRebootStarted(host) {
+			down.add(host);
+			transcript.push(`platform: ${host} reboots`);
+		},
+		onRebootFinished(host) {
+			down.delete(host);
+			transcript.push(`platform: ${host} is back`);
+		},
+	});
+	closers.push(platform.close);
+	const client = createPlatformClient({url: platform.url});
+	closers.push(client.close);
+	let control = createControlState();
+	let index = 0;
+	const commit = (command: ControlCommand) => {
+		const step = applyControlCommand(control, command);
+		control = step.state;
+		index += 1;
+		return step.answer;
+	};
+
+	const write = (record: ControlRecord) => commit({
+		type: 'control/putRecord', changeId: toBrand(`change-${index}`), actor: 'operator', acceptedAtMs: toBrand(0), record,
+	});
+	for (const record of createRecords()) {
+		write(record);
+	}
+
+	const describe = (decision: ControllerDecision) => {
+		if (decision.type === 'proposed' && decision.outcome?.type === 'applied') {
+			transcript.push(`${decision.command.type}${'worker' in decision.command ? ` ${decision.command.worker}` : ''}`);
+		}
+	};
+
+	const startLeader = () => {
+		const controller = startWaveController({
+			timers,
+			platform: client,
+			hasLeaderLease: () => true,
+			getControlState: () => control,
+			getAppliedIndex: () => index,
+			getFleet: () => ({
+				workers: workers.map(id => ({
+					worker: toBrand<WorkerId>(id),
+					pool: toBrand('pool-0'),
+					dataCentre: toBrand('dc-0'),
+					condition: down.has(id) ? 'silent' : 'up',
+					lastSeenAtMs: toBrand<MonotonicMs>(down.has(id) ? 0 : timers.getNow()),
+				})),
+			}),
+			getEntryHosts: () => [],
+			getDemand: () => [],
+			getLearnedRunTime: () => undefined,
+			getWallClockMs: () => toBrand<WallClockMs>(timers.getNow()),
+			propose: async command => commit(command),
+			log: describe,
+		});
+		closers.unshift(controller.stop);
+		return controller;
+	};
+
+	return {
+		timers, platform, transcript, write, startLeader, getControl: () => control,
+	};
+}
+
+type Session = Awaited<ReturnType<typeof startSession>>;
+
+/** Advances virtual time by periods and lets each plan finish before the next. */
+async function run({timers}: Session, controller: {readonly runOnce: () => Promise<void>}, periods: number) {
+	for (let period = 0; period < periods; period += 1) {
+		timers.advance(250);
+		// eslint-disable-next-line no-await-in-loop -- one period after the other
+		await controller.runOnce();
+	}
+}
+
+const wave: ControlRecord = {
+	kind: 'wave', id: toBrand('wave-0'), pools: [toBrand('pool-0')], desired: 'running', maximumHostsAside: 7,
+};
+
+test('a wave over the platform survives a change of leader and reboots every host once', async () => {
+	const session = await startSession();
+	session.write(wave);
+	const first = session.startLeader();
+	await run(session, first, 32);
+	await first.stop();
+	const second = session.startLeader();
+	await run(session, second, 140);
+	expect(session.getControl().waves?.waves[0]?.phase).toBe('completed');
+	expect(session.platform.getReboots().map(reboot => reboot.split(' ')[0])).toEqual(workers);
+	expect(workers.map(host => session.platform.getIntake(host))).toEqual(['open', 'open', 'open', 'open']);
+	expect(session.transcript).toMatchSnapshot();
+});
+
+test('a host that runs a task is checkpointed or waited for before its reboot', async () => {
+	const session = await startSession();
+	session.write(wave);
+	session.platform.setTasks('worker-0', [
+		{
+			task: 'long', kind: 'laundry', elapsedMs: 600_000, canCheckpoint: true, checkpoint: 'none',
+		},
+		{
+			task: 'short', kind: 'receipt', elapsedMs: 10, canCheckpoint: true, checkpoint: 'none',
+		},
+	]);
+	const controller = session.startLeader();
+	await run(session, controller, 40);
+	expect(session.platform.getReboots()).toEqual([]);
+	session.platform.setTasks('worker-0', []);
+	await run(session, controller, 4);
+	expect(session.platform.getReboots()).toEqual(['worker-0 wave-0:worker-0:1']);
+});
+
+test('a host that does not come back counts as failed until the platform has it back', async () => {
+	const session = await startSession({lostShare: 1});
+	session.write({...wave, workers: workers.map(id => toBrand<WorkerId>(id))});
+	const controller = session.startLeader();
+	await run(session, controller, 40);
+	session.timers.advance(defaultWavesConfig.rebootTimeoutMs);
+	await run(session, controller, 4);
+	expect(session.getControl().waves?.waves[0]?.hosts.map(({phase}) => phase)).toEqual(['failed', 'pending', 'pending', 'pending']);
+	session.platform.recoverHost('worker-0');
+	await run(session, controller, 4);
+	expect(session.getControl().waves?.waves[0]?.hosts[0]?.phase).toBe('returned');
+});
+
+test('an operator moves a host to another pool for good', async () => {
+	const session = await startSession();
+	const controller = session.startLeader();
+	await run(session, controller, 24);
+	const moved = createRecords().find(record => record.kind === 'worker');
+	if (moved?.kind === 'worker') {
+		session.write({...moved, homePool: toBrand('pool-1')});
+	}
+
+	await run(session, controller, 48);
+	expect(session.getControl().ownership.get(toBrand('worker-0'))).toMatchObject({epoch: 3, phase: {type: 'member', pool: 'pool-1'}});
+	expect(session.transcript).toMatchSnapshot();
+});
--- /dev/null
+++ b/examples/stand-in-platform.ts
@@ -0,0 +1,210 @@
+/**
+ * A small stand-in for the platform that runs the hosts: it closes and opens the intake of a host,
+ * tells which tasks run there, and reboots it once for each id, in its own timers' time.
+ */
+import {Buffer} from 'node:buffer';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {createSeededRandom, type TimerService} from '@samphiremill/common';
+
+/** One task as the platform's interface shows it. */
+export type StandInTask = {
+	readonly task: string;
+	readonly kind: string;
+	readonly elapsedMs: number;
+	readonly canCheckpoint: boolean;
+	readonly checkpoint: 'none' | 'running' | 'taken';
+};
+
+/** How a stand-in platform is set up. */
+export type StandInPlatformOptions = {
+	/** An IP number to listen on. */
+	readonly host: string;
+	/** 0 lets the system choose. */
+	readonly port: number;
+	readonly timers: TimerService;
+	readonly hosts: readonly string[];
+	readonly rebootMs: number;
+	readonly seed?: number;
+	/** The part of reboots after which the host does not come back, from 0 to 1. */
+	readonly lostShare?: number;
+	/** The part of reboots that the platform refuses, from 0 to 1. */
+	readonly refusedShare?: number;
+	readonly onIntakeChanged?: (host: string, intake: 'open' | 'closed') => void;
+	readonly onRebootStarted?: (host: string) => void;
+	readonly onRebootFinished?: (host: string) => void;
+};
+
+type Reboot = {readonly id: string; readonly state: 'running' | 'finished' | 'failed'};
+type HostState = {readonly intake: 'open' | 'closed'; readonly tasks: readonly StandInTask[]; readonly reboot?: Reboot};
+
+/** A running stand-in platform. */
+export type StandInPlatform = {
+	readonly url: string;
+	/** Every reboot that was begun, as `host id`, in order. */
+	readonly getReboots: () => readonly string[];
+	readonly getIntake: (host: string) => 'open' | 'closed' | undefined;
+	readonly setTasks: (host: string, tasks: readonly StandInTask[]) => void;
+	/** Lets a host that did not come back finish its reboot after all. */
+	readonly recoverHost: (host: string) => void;
+	readonly close: () => Promise<void>;
+};
+
+/**
+ * Starts a stand-in platform.
+ *
+ * @param options - Where it listens, its hosts, and how its reboots go.
+ * @returns The running platform.
+ */
+export async function startStandInPlatform(options: StandInPlatformOptions): Promise<StandInPlatform> {
+	const {timers, rebootMs, lostShare = 0, refusedShare = 0} = options;
+	const random = createSeededRandom(options.seed ?? 1);
+	const hosts = new Map<string, HostState>(options.hosts.map(host => [host, {intake: 'open', tasks: []}]));
+	const reboots: string[] = [];
+
+	const update = (host: string, change: Partial<HostState>) => {
+		const known = hosts.get(host);
+		if (known !== undefined) {
+			hosts.set(host, {...known, ...change});
+		}
+	};
+
+	const finishReboot = (host: string) => {
+		const reboot = hosts.get(host)?.reboot;
+		if (reboot?.state === 'running') {
+			update(host, {reboot: {...reboot, state: 'finished'}});
+			options.onRebootFinished?.(host);
+		}
+	};
+
+	const startReboot = (host: string, id: string) => {
+		if (hosts.get(host)?.reboot?.id === id) {
+			return;
+		}
+
+		if (random() < refusedShare) {
+			update(host, {reboot: {id, state: 'failed'}});
+			return;
+		}
+
+		reboots.push(`${host} ${id}`);
+		update(host, {tasks: [], reboot: {id, state: 'running'}});
+		options.onRebootStarted?.(host);
+		if (random() >= lostShare) {
+			timers.scheduleOnce(rebootMs, () => {
+				finishReboot(host);
+			});
+		}
+	};
+
+	const updateTask = (host: string, task: string, change: Partial<StandInTask>) => {
+		const tasks = hosts.get(host)?.tasks ?? [];
+		update(host, {tasks: tasks.map(known => known.task === task ? {...known, ...change} : known)});
+	};
+
+	const setIntake = (host: string, document: unknown) => {
+		const isClosed = typeof document === 'object' && document !== null && 'intake' in document && document.intake === 'closed';
+		const intake = isClosed ? 'closed' : 'open';
+		if (hosts.get(host)?.intake !== intake) {
+			update(host, {intake});
+			options.onIntakeChanged?.(host, intake);
+		}
+	};
+
+	const handle = async (req: IncomingMessage, res: ServerResponse) => {
+		const url = new URL(req.url ?? '/', 'http://platform');
+		const [host = '', resource = '', name = '', verb = ''] = url.pathname.split('/').slice(3).map(part => decodeURIComponent(part));
+		const body = await readJson(req);
+		if (url.pathname === '/v1/hosts') {
+			const listed = [...hosts].filter(([, {intake}]) => intake === (url.searchParams.get('intake') ?? intake));
+			sendJson(res, 200, {hosts: listed.map(([known, state]) => ({host: known, ...state}))});
+			return;
+		}
+
+		if (!hosts.has(host)) {
+			sendJson(res, 404, {title: 'unknown host'});
+			return;
+		}
+
+		switch (`${req.method} ${resource} ${verb}`) {
+			case 'GET  ': {
+				break;
+			}
+
+			case 'PUT intake ': {
+				setIntake(host, body);
+				break;
+			}
+
+			case 'PUT reboots ': {
+				startReboot(host, name);
+				break;
+			}
+
+			case 'PUT tasks checkpoint': {
+				updateTask(host, name, {checkpoint: 'taken'});
+				break;
+			}
+
+			case 'PUT tasks throttle': {
+				break;
+			}
+
+			case 'DELETE tasks ': {
+				update(host, {tasks: (hosts.get(host)?.tasks ?? []).filter(({task}) => task !== name)});
+				break;
+			}
+
+			default: {
+				sendJson(res, 404, {title: 'unknown operation'});
+				return;
+			}
+		}
+
+		sendJson(res, 200, {host, ...hosts.get(host)});
+	};
+
+	const server = createServer((req, res) => {
+		void handle(req, res);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(options.port, options.host, resolve);
+	});
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- a TCP server that listens has this address
+	const {port} = server.address() as AddressInfo;
+	return {
+		url: `http://${options.host}:${port}`,
+		getReboots: () => reboots,
+		getIntake: host => hosts.get(host)?.intake,
+		setTasks(host, tasks) {
+			update(host, {tasks});
+		},
+		recoverHost: finishReboot,
+		async close() {
+			server.closeAllConnections();
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+		},
+	};
+}
+
+async function readJson(req: IncomingMessage): Promise<unknown> {
+	const chunks: Uint8Array[] = [];
+	for await (const chunk of req as AsyncIterable<Uint8Array>) {
+		chunks.push(chunk);
+	}
+
+	try {
+		return JSON.parse(new TextDecoder().decode(Buffer.concat(chunks)));
+	} catch {
+		return undefined;
+	}
+}
+
+function sendJson(res: ServerResponse, status: number, document: unknown): void {
+	res.writeHead(status, {'content-type': 'application/json'});
+	res.end(JSON.stringify(document));
+}
--- a/packages/core/src/moves/constants.ts
+++ b/packages/core/src/moves/constants.ts
@@ -12,5 +12,6 @@
 	takeBackHoldMs: 5 * minuteMs,
 	maximumMovesInFlight: 2,
 	reserveHosts: 1,
+	leaseWaitMs: 3 * secondMs,
 	slotsPerHost: 8,
 };
--- a/packages/core/src/moves/moves.test.ts
+++ b/packages/core/src/moves/moves.test.ts
@@ -14,7 +14,7 @@
 import {createDemandState, reduceDemand} from './reduce-demand.js';
 import {getServingPool} from './serving-pool.js';
 import {trackReleases} from './track-releases.js';
-import type {MoveCommand, MoveContext, ReleaseIndex} from './types.js';
+import type {MoveCommand, MoveContext, SeenRelease} from './types.js';
 
 const runOptions = {
 	seed: Number(process.env.SAMPHIREMILL_SEED ?? 7),
@@ -26,6 +26,7 @@
 const leaseMs = 3000;
 const cfg = {
 	...defaultMovesConfig, lendHoldMs: 0, takeBackHoldMs: 0, smoothingMs: 1,
+	leaseWaitMs: leaseMs,
 };
 
 const workers = Array.from({length: 6}, (_, index): WorkerRecord => ({
@@ -51,7 +52,7 @@
 		[id, {worker: id, epoch: 1, phase: {type: 'member', pool: homePool}}]));
 
 	members: readonly NodeId[] = nodes;
-	releaseIndexes: readonly ReleaseIndex[] = [];
+	releases: readonly SeenRelease[] = [];
 	readonly log: Array<ReadonlyMap<WorkerId, HostOwnership>> = [this.owners];
 	readonly history: MoveCommand[] = [];
 	/** Hosts on which work dispatched under the old pool still runs. */
@@ -83,7 +84,9 @@
 	}
 
 	plan(): readonly MoveCommand[] {
-		this.releaseIndexes = trackReleases({releaseIndexes: this.releaseIndexes, moves: this.moves, appliedIndex: this.log.length - 1});
+		this.releases = trackReleases({
+			releases: this.releases, moves: this.moves, appliedIndex: this.log.length - 1, nowMs: this.nowMs,
+		});
 		return planMoves({
 			moves: this.moves,
 			context: this.context,
@@ -91,9 +94,9 @@
 			platform: this.moves.moves.map(({worker}): PlatformHost =>
 				({worker, intake: 'closed', runningTasks: this.busy.has(worker) ? 1 : 0})),
 			entryHosts: [...this.entryHosts].map(([node, host]) => ({
-				node, dataCentre: toBrand('dc-0'), appliedIndex: host.applied, isLeaseExpired: this.nowMs - host.renewedAtMs > leaseMs,
+				node, dataCentre: toBrand('dc-0'), appliedIndex: host.applied,
 			})),
-			releaseIndexes: this.releaseIndexes,
+			releases: this.releases,
 			nowMs: this.nowMs,
 			atMs: toBrand(this.nowMs),
 			cfg,
@@ -206,7 +209,7 @@
 		}
 
 		case 'newLeader': {
-			world.releaseIndexes = [];
+			world.releases = [];
 			break;
 		}
 
--- a/packages/core/src/moves/plan-move-steps.ts
+++ b/packages/core/src/moves/plan-move-steps.ts
@@ -32,21 +32,20 @@
 }
 
 function planDrained(move: HostMove, input: PlanMovesInput): MoveCommand | undefined {
-	const {context, platform, entryHosts, releaseIndexes} = input;
+	const {context, platform, entryHosts, releases, nowMs, cfg} = input;
 	const {worker, epoch} = move;
 	const host = platform.find(other => other.worker === worker);
-	const release = releaseIndexes.find(other => other.worker === worker && other.epoch === epoch);
+	const release = releases.find(other => other.worker === worker && other.epoch === epoch);
 	if (release === undefined || host?.intake !== 'closed' || host.runningTasks > 0) {
 		return undefined;
 	}
 
 	const acknowledgedBy = entryHosts.filter(({appliedIndex}) => appliedIndex >= release.index).map(({node}) => node);
-	const expired = entryHosts.filter(({isLeaseExpired}) => isLeaseExpired).map(({node}) => node);
-	const settled = new Set([...acknowledgedBy, ...expired]);
-	const isSettled = getRequiredEntryHosts({move, context}).every(node => settled.has(node));
+	const silent = getRequiredEntryHosts({move, context}).filter(node => !acknowledgedBy.includes(node));
+	const isSettled = silent.length === 0 || nowMs - release.seenAtMs > cfg.leaseWaitMs;
 	return isSettled
 		? {
-			type: 'moves/hostDrained', worker, epoch, acknowledgedBy, expired,
+			type: 'moves/hostDrained', worker, epoch, acknowledgedBy, expired: silent,
 		}
 		: undefined;
 }
--- a/packages/core/src/moves/track-releases.ts
+++ b/packages/core/src/moves/track-releases.ts
@@ -1,18 +1,23 @@
-import type {MovesState, ReleaseIndex} from './types.js';
+import type {MovesState, SeenRelease} from './types.js';
 
 /**
- * Keeps the leader's log index at which it first saw each release. An entry host that has applied
- * that index has applied the release. A new leader starts with none and notes its own, later index.
+ * Keeps when the leader first saw each release. An entry host that has applied the index of that
+ * moment has applied the release; one that renews its configuration lease later has done so too. A
+ * new leader starts with none and notes its own, later moment.
  *
- * @param input - What was noted so far, the committed moves, and the leader's applied index.
- * @returns The indexes of the moves that are under way.
+ * @param input - What was noted so far, the committed moves, the leader's applied index, and the
+ *   time on the leader's monotonic clock in milliseconds.
+ * @returns The releases that are under way.
  */
-export function trackReleases({releaseIndexes, moves, appliedIndex}: {
-	releaseIndexes: readonly ReleaseIndex[];
+export function trackReleases({releases, moves, appliedIndex, nowMs}: {
+	releases: readonly SeenRelease[];
 	moves: MovesState;
 	appliedIndex: number;
-}): readonly ReleaseIndex[] {
+	nowMs: number;
+}): readonly SeenRelease[] {
 	return moves.moves.map(({worker, epoch}) =>
-		releaseIndexes.find(known => known.worker === worker && known.epoch === epoch)
-		?? {worker, epoch, index: appliedIndex});
+		releases.find(known => known.worker === worker && known.epoch === epoch)
+		?? {
+			worker, epoch, index: appliedIndex, seenAtMs: nowMs,
+		});
 }
--- a/packages/core/src/moves/types.ts
+++ b/packages/core/src/moves/types.ts
@@ -124,8 +124,6 @@
 	readonly dataCentre: DataCentreId;
 	/** The log index that the host is known to have applied. */
 	readonly appliedIndex: number;
-	/** Its configuration lease has certainly run out, by the leader's monotonic clock. */
-	readonly isLeaseExpired: boolean;
 };
 
 /** How much a pool has to do, as the entry hosts report it. */
@@ -172,6 +170,8 @@
 	readonly maximumMovesInFlight: number;
 	/** Hosts that a spare pool never lends. */
 	readonly reserveHosts: number;
+	/** After this time an entry host's configuration lease has run out unless it has applied the release. */
+	readonly leaseWaitMs: number;
 	/** Slots that one host brings, for judging a pool without one of its hosts. */
 	readonly slotsPerHost: number;
 };
@@ -184,16 +184,19 @@
 	/** Asked after `entryHosts` was read, so that work which an entry host sent before it applied a release is seen. */
 	readonly platform: readonly PlatformHost[];
 	readonly entryHosts: readonly EntryHostSight[];
-	/** The leader's log index at which it first saw each release. */
-	readonly releaseIndexes: readonly ReleaseIndex[];
+	/** When the leader first saw each release. */
+	readonly releases: readonly SeenRelease[];
 	readonly nowMs: number;
 	readonly atMs: WallClockMs;
 	readonly cfg: MovesConfig;
 };
 
-/** The leader's log index at which it first saw a release. */
-export type ReleaseIndex = {
+/** When the leader first saw a release. */
+export type SeenRelease = {
 	readonly worker: WorkerId;
 	readonly epoch: number;
+	/** The leader's applied log index. */
 	readonly index: number;
+	/** On the leader's monotonic clock. */
+	readonly seenAtMs: number;
 };
--- a/packages/core/src/waves/index.ts
+++ b/packages/core/src/waves/index.ts
@@ -5,6 +5,7 @@
 export * from './decide-task-drain.js';
 export * from './estimate-wave.js';
 export * from './find-wave-obstacles.js';
+export * from './list-hosts-to-close.js';
 export * from './order-hosts.js';
 export {getRebootId} from './plan-host-steps.js';
 export * from './plan-wave-step.js';
--- a/packages/core/src/waves/plan-host-steps.ts
+++ b/packages/core/src/waves/plan-host-steps.ts
@@ -88,9 +88,12 @@
 function planDrainingStep(sight: HostSight): void {
 	const {platform, draft, input: {nowMs}} = sight;
 	const drained = createStep({...sight, nowMs, type: 'waves/hostDrained'});
-	// Refused once the wave stopped or failures have overdrawn the budget.
+	// Refused once the wave stopped or failures have overdrawn the budget. The host counts as
+	// unavailable until its intake is open again.
 	if (!draft.wouldApply(drained)) {
-		propose(sight, 'waves/recallDrain');
+		if (platform?.intake === 'open') {
+			propose(sight, 'waves/recallDrain');
+		}
 	} else if (platform?.intake === 'closed' && platform.runningTasks === 0) {
 		draft.propose(drained);
 	}
@@ -120,10 +123,13 @@
 	}
 }
 
-/** A host is back when it was heard of after its reboot ended, not merely before its lease ran out. */
+/**
+ * A host is back when it takes work again and was heard of after its reboot ended, not merely before
+ * its lease ran out.
+ */
 function isBack(sight: HostSight): boolean {
 	const reboot = getReboot(sight);
-	if (sight.seen?.condition !== 'up' || reboot?.state !== 'finished') {
+	if (sight.seen?.condition !== 'up' || sight.platform?.intake !== 'open' || reboot?.state !== 'finished') {
 		return false;
 	}
 
--- a/packages/core/src/waves/test-wave-world.ts
+++ b/packages/core/src/waves/test-wave-world.ts
@@ -5,6 +5,7 @@
 import type {WaveRecord, WorkerRecord} from '../control/types.js';
 import {applyWaveCommand} from './apply-wave-command.js';
 import {defaultWavesConfig} from './constants.js';
+import {listHostsToClose} from './list-hosts-to-close.js';
 import {getRebootId} from './plan-host-steps.js';
 import {planWaveStep} from './plan-wave-step.js';
 import type {
@@ -127,9 +128,11 @@
 	/** The leader's controller: asks the platform for what has been committed, again and again. */
 	callPlatform(rebootTicks: number): void {
 		const aside = this.state.waves.flatMap(wave => wave.hosts.map(host => ({wave, host})));
+		const toClose = new Set(listHostsToClose({
+			state: this.state, records: this.records, platform: this.workers.map(({id}) => this.#askPlatform(id)),
+		}));
 		for (const [worker, host] of this.hosts) {
-			const closed = aside.some(other => other.host.worker === worker
-				&& ['draining', 'rebooting', 'failed'].includes(other.host.phase));
+			const closed = toClose.has(worker);
 			if (host.isIntakeOpen && closed) {
 				host.tasksUntilMs = this.nowMs + (2 * tickMs);
 			}
--- a/packages/core/src/waves/waves.test.ts
+++ b/packages/core/src/waves/waves.test.ts
@@ -41,7 +41,8 @@
 		expect(command.observationRevision).toBe(world.state.observationRevision);
 	}
 
-	expect(countOut(world, pool, known)).toBeLessThanOrEqual(pool?.maximumUnavailableHosts ?? 0);
+	const closed = world.workers.filter(({id}) => world.hosts.get(id)?.isIntakeOpen === false).map(({id}) => id);
+	expect(countOut(world, pool, new Set([...known, ...closed]))).toBeLessThanOrEqual(pool?.maximumUnavailableHosts ?? 0);
 	expect(world.state.waves.find(({wave}) => wave === command.wave)?.phase).toBe('running');
 	const aside = world.state.waves.flatMap(({hosts}) => hosts.filter(({phase}) =>
 		['granted', 'draining', 'rebooting'].includes(phase)));
@@ -211,6 +212,9 @@
 
 	world.fail(3, 10);
 	world.tick();
+	expect(world.state.waves[0]?.hosts[0]?.phase).toBe('draining');
+	expect(world.hosts.get(toBrand('worker-0-0'))?.isIntakeOpen).toBe(true);
+	world.tick();
 	expect(world.state.waves[0]?.hosts.every(({phase}) => phase === 'pending')).toBe(true);
 	expect([...world.hosts.values()].every(({isIntakeOpen}) => isIntakeOpen)).toBe(true);
 });
--- a/packages/daemon/src/wave-controller/platform-work.ts
+++ b/packages/daemon/src/wave-controller/platform-work.ts
@@ -4,7 +4,7 @@
  */
 import type {WorkerId} from '@samphiremill/common';
 import {
-	createMovesState, createWavesState, decideTaskDrain, getRebootId, type ControlState, type WaveHost, type WaveState,
+	createMovesState, createWavesState, decideTaskDrain, getFleetRecords, getRebootId, listHostsToClose, type ControlState, type PlatformHost, type WaveHost, type WaveState,
 } from '@samphiremill/core';
 import type {PlatformHostState, PlatformTask} from '../platform/types.js';
 import {checkpointCostMs} from './constants.js';
@@ -13,24 +13,44 @@
 /** A host of a wave with its wave. */
 type HeldHost = {readonly wave: WaveState; readonly host: WaveHost};
 
-const closedPhases: ReadonlySet<WaveHost['phase']> = new Set(['draining', 'rebooting', 'failed']);
-
-/**
- * @param state - The committed state.
- * @returns The hosts whose intake is to be closed: drained, rebooted or failed in a wave, or moving.
- */
-export function getClosedHosts(state: ControlState): ReadonlySet<WorkerId> {
-	const held = getHeldHosts(state).map(({host}) => host.worker);
-	const moving = (state.moves ?? createMovesState()).moves.map(({worker}) => worker);
-	return new Set([...held, ...moving]);
-}
+const heldPhases: ReadonlySet<WaveHost['phase']> = new Set(['draining', 'rebooting', 'failed']);
 
 function getHeldHosts(state: ControlState): readonly HeldHost[] {
 	return (state.waves ?? createWavesState()).waves.flatMap(wave => wave.hosts
-		.filter(({phase}) => closedPhases.has(phase))
+		.filter(({phase}) => heldPhases.has(phase))
 		.map(host => ({wave, host})));
 }
 
+function getMovingHosts(state: ControlState): readonly WorkerId[] {
+	return (state.moves ?? createMovesState()).moves.map(({worker}) => worker);
+}
+
+/** The hosts that are to take no new work, for a wave or a move. */
+function getClosedHosts(state: ControlState, seen: readonly PlatformHostState[]): ReadonlySet<WorkerId> {
+	const held = listHostsToClose({
+		state: state.waves ?? createWavesState(),
+		records: getFleetRecords(state),
+		platform: seen.map(host => createPlatformSight(host)),
+	});
+	return new Set([...held, ...getMovingHosts(state)]);
+}
+
+/**
+ * @param host - What the platform said of a host.
+ * @param finishedSeenAtMs - When its reboot was first seen to have ended, where it has.
+ * @returns The same as the planners read it.
+ */
+export function createPlatformSight(host: PlatformHostState, finishedSeenAtMs?: number): PlatformHost {
+	return {
+		worker: host.host,
+		intake: host.intake,
+		runningTasks: host.tasks.length,
+		...(host.reboot !== undefined && {
+			reboot: {...host.reboot, ...(finishedSeenAtMs !== undefined && {finishedSeenAtMs})},
+		}),
+	};
+}
+
 /**
  * Asks the platform of each host that the committed state holds aside.
  *
@@ -38,7 +58,8 @@
  * @returns The hosts that the platform answered for.
  */
 export async function readPlatform(options: WaveControllerOptions): Promise<readonly PlatformHostState[]> {
-	const hosts = [...getClosedHosts(options.getControlState())];
+	const state = options.getControlState();
+	const hosts = [...new Set([...getHeldHosts(state).map(({host}) => host.worker), ...getMovingHosts(state)])];
 	const answers = await Promise.all(hosts.map(async host =>
 		logged({options, call: {operation: 'getHost', host}, run: async () => options.platform.getHost(host)})));
 	return answers.flatMap(answer => answer.ok ? [answer.value] : []);
@@ -53,7 +74,8 @@
 export async function carryOutWork(options: WaveControllerOptions, seen: readonly PlatformHostState[]): Promise<void> {
 	const state = options.getControlState();
 	const known = new Map(seen.map(host => [host.host, host]));
-	await Promise.all([...getClosedHosts(state)].map(async host => closeIntake({options, host, seen: known.get(host)})));
+	const closed = getClosedHosts(state, seen);
+	await Promise.all([...closed].map(async host => closeIntake({options, host, seen: known.get(host)})));
 	await Promise.all(getHeldHosts(state)
 		.filter(({host}) => host.phase === 'rebooting')
 		.map(async held => startReboot({options, held, seen: known.get(held.host.worker)})));
@@ -114,8 +136,9 @@
  * Opens the intake of hosts that nothing holds aside any more, whichever leader closed it.
  *
  * @param options - The platform and the committed state.
+ * @param seen - What the platform said last.
  */
-export async function reopenIntakes(options: WaveControllerOptions): Promise<void> {
+export async function reopenIntakes(options: WaveControllerOptions, seen: readonly PlatformHostState[]): Promise<void> {
 	const closed = await logged({
 		options, call: {operation: 'listClosedHosts'}, run: async () => options.platform.listClosedHosts(),
 	});
@@ -125,7 +148,7 @@
 
 	// Read after the answer, so that a host granted meanwhile is left closed.
 	const state = options.getControlState();
-	const wanted = getClosedHosts(state);
+	const wanted = getClosedHosts(state, seen);
 	const stray = closed.value.filter(host => !wanted.has(host) && state.ownership.has(host));
 	await Promise.all(stray.map(async host =>
 		logged({options, call: {operation: 'openIntake', host}, run: async () => options.platform.setIntake(host, 'open')})));
@@ -144,3 +167,11 @@
 
 	return result;
 }
+
+/**
+ * @param state - The committed state.
+ * @returns Whether a wave or a move holds any host aside.
+ */
+export function hasWork(state: ControlState): boolean {
+	return getHeldHosts(state).length > 0 || getMovingHosts(state).length > 0;
+}
--- a/packages/daemon/src/wave-controller/wave-controller.ts
+++ b/packages/daemon/src/wave-controller/wave-controller.ts
@@ -1,4 +1,3 @@
-import type {WorkerId} from '@samphiremill/common';
 import {
 	createDemandState,
 	createMovesState,
@@ -12,12 +11,13 @@
 	trackReleases,
 	type DemandState,
 	type EntryHostSight,
-	type PlatformHost,
-	type ReleaseIndex,
+	type SeenRelease,
 } from '@samphiremill/core';
 import type {PlatformHostState} from '../platform/types.js';
 import {leaderWarmUpMs, planPeriodMs, reopenPeriodMs} from './constants.js';
-import {carryOutWork, readPlatform, reopenIntakes} from './platform-work.js';
+import {
+	carryOutWork, createPlatformSight, hasWork, readPlatform, reopenIntakes,
+} from './platform-work.js';
 import type {PlannedCommand, WaveController, WaveControllerOptions} from './types.js';
 
 /** What only the leader knows, and only while it leads. */
@@ -26,7 +26,7 @@
 	readonly reopenedAtMs: number;
 	/** When each reboot was first seen to have ended, by its id. */
 	readonly finishedSeenAtMs: ReadonlyMap<string, number>;
-	readonly releaseIndexes: readonly ReleaseIndex[];
+	readonly releases: readonly SeenRelease[];
 	readonly demand: DemandState;
 };
 
@@ -50,7 +50,7 @@
 		}
 
 		leadership ??= {
-			sinceMs: nowMs, reopenedAtMs: nowMs, finishedSeenAtMs: new Map(), releaseIndexes: [], demand: createDemandState(),
+			sinceMs: nowMs, reopenedAtMs: nowMs, finishedSeenAtMs: new Map(), releases: [], demand: createDemandState(),
 		};
 		if (nowMs - leadership.sinceMs >= leaderWarmUpMs) {
 			leadership = await lead(options, leadership);
@@ -78,17 +78,18 @@
 
 async function lead(options: WaveControllerOptions, leadership: Leadership): Promise<Leadership> {
 	const nowMs = options.timers.getNow();
-	const releaseIndexes = trackReleases({
-		releaseIndexes: leadership.releaseIndexes,
+	const releases = trackReleases({
+		releases: leadership.releases,
 		moves: options.getControlState().moves ?? createMovesState(),
 		appliedIndex: options.getAppliedIndex(),
+		nowMs,
 	});
 	// Read before the platform is asked: see `PlanMovesInput`.
 	const entryHosts = options.getEntryHosts();
 	const seen = await readPlatform(options);
 	const next = {
 		...leadership,
-		releaseIndexes,
+		releases,
 		finishedSeenAtMs: noteFinished(seen, leadership.finishedSeenAtMs, nowMs),
 		demand: reduceDemand(leadership.demand, {
 			type: 'moves/demandObserved', pools: options.getDemand(), nowMs,
@@ -102,11 +103,13 @@
 	}
 
 	await carryOutWork(options, seen);
-	if (nowMs - next.reopenedAtMs < reopenPeriodMs) {
+	// A host that comes back counts as unavailable until it is open, so it is not kept waiting.
+	const isActive = hasWork(options.getControlState()) || seen.length > 0;
+	if (!isActive && nowMs - next.reopenedAtMs < reopenPeriodMs) {
 		return next;
 	}
 
-	await reopenIntakes(options);
+	await reopenIntakes(options, seen);
 	return {...next, reopenedAtMs: nowMs};
 }
 
@@ -121,7 +124,7 @@
 	const waves = state.waves ?? createWavesState();
 	const atMs = options.getWallClockMs();
 	const cfg = options.wavesConfig ?? defaultWavesConfig;
-	const platform = seen.map(host => createSight(host, leadership.finishedSeenAtMs));
+	const platform = seen.map(host => createPlatformSight(host, leadership.finishedSeenAtMs.get(host.reboot?.id ?? '')));
 	const waveCommands = planWaveStep({
 		control: {waves, records}, fleet: options.getFleet(), platform, nowMs: atMs, cfg,
 	});
@@ -133,7 +136,7 @@
 		demand: leadership.demand,
 		platform,
 		entryHosts,
-		releaseIndexes: leadership.releaseIndexes,
+		releases: leadership.releases,
 		nowMs: options.timers.getNow(),
 		atMs,
 		cfg: options.movesConfig ?? defaultMovesConfig,
@@ -161,16 +164,3 @@
 		.filter(({reboot}) => reboot?.state === 'finished')
 		.map(({reboot}) => [reboot?.id ?? '', known.get(reboot?.id ?? '') ?? nowMs]));
 }
-
-function createSight(host: PlatformHostState, finishedSeenAtMs: Leadership['finishedSeenAtMs']): PlatformHost {
-	const worker: WorkerId = host.host;
-	const seenAtMs = finishedSeenAtMs.get(host.reboot?.id ?? '');
-	return {
-		worker,
-		intake: host.intake,
-		runningTasks: host.tasks.length,
-		...(host.reboot !== undefined && {
-			reboot: {...host.reboot, ...(seenAtMs !== undefined && {finishedSeenAtMs: seenAtMs})},
-		}),
-	};
-}
