Start waves and moves in the daemon where its settings name a platform

Cause: the controller was reached only by tests.

Change: startWaveDuties wires the controller to the daemon's records, view of the fleet, leader lease, log and platformUrl; start-daemon starts it beside the leader's duties.

--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -30,6 +30,7 @@
 import {
 	openReplicaStore, storeFileSystem, type ReplicaStore, type StoreError,
 } from '../store/index.js';
+import {startWaveDuties} from '../wave-controller/index.js';
 import {freshnessPeriodMs, leaveNoticeMs, nodeTickPeriodMs} from './constants.js';
 import {startControlHost} from './control-host.js';
 import {createJobRegistry, type JobRegistry} from './job-registry.js';
@@ -360,6 +361,11 @@
 			seedCommands,
 			log,
 		}),
+		startWaveDuties({
+			runtime,
+			hasLeaderLease: controlHost.replica.hasLeaderLease,
+			getAppliedIndex: () => controlHost.replica.getState().commitIndex,
+		}),
 	];
 	void confirmRecords();
 	const server = await startHttpServer({
