Put urgent work ahead as long as it alone is within its team's due

Change: the order of teams with urgent work counts only what their urgent work has running; ordinary work still counts all, so that it stands back until the team is level again.

--- a/packages/core/src/jobs/place-jobs.ts
+++ b/packages/core/src/jobs/place-jobs.ts
@@ -93,6 +93,7 @@
 		pool: spec.pool,
 		team: spec.team,
 		queue: spec.queue,
+		urgency: spec.urgency,
 		shareSlots: getShareSlots(getPool(state, spec.pool), size),
 		cores: size.cores,
 		memoryMb: size.memoryMb,
--- a/packages/core/src/jobs/pool-teams.ts
+++ b/packages/core/src/jobs/pool-teams.ts
@@ -36,6 +36,7 @@
 	running: 0,
 	dispatched: 0,
 	usedSlots: 0,
+	urgentUsedSlots: 0,
 	runningElsewhere: 0,
 	servedPerWeight: 0,
 	rackUse: ImmutableMap(),
@@ -113,6 +114,7 @@
 		team,
 		weight: teamState.weight,
 		usedPerWeight: (poolTeam.usedSlots + poolTeam.runningElsewhere) / teamState.weight,
+		urgentUsedPerWeight: poolTeam.urgentUsedSlots / teamState.weight,
 		servedPerWeight: poolTeam.servedPerWeight,
 		hasUrgent: poolTeam.urgent.entries.size > 0,
 	};
@@ -121,6 +123,7 @@
 function isSameRank(left: TeamRank | undefined, right: TeamRank | undefined): boolean {
 	return left === right || (right !== undefined
 		&& left?.usedPerWeight === right.usedPerWeight
+		&& left.urgentUsedPerWeight === right.urgentUsedPerWeight
 		&& left.servedPerWeight === right.servedPerWeight
 		&& left.weight === right.weight
 		&& left.hasUrgent === right.hasUrgent);
--- a/packages/core/src/jobs/reduce-jobs.test.ts
+++ b/packages/core/src/jobs/reduce-jobs.test.ts
@@ -2,6 +2,7 @@
 import {
 	createMinion, createSpec, createTestNode, toJob, toKey, toMinion, toMs, toPool, toTeam, toWorker,
 } from './test-fleet.js';
+import type {JobSpec} from './types.js';
 
 const keyed = {idempotencyKey: toKey('key-1'), isIdempotent: false};
 const first = {job: toJob('job-1'), attempt: 1};
@@ -130,3 +131,44 @@
 	});
 	expect(node.getState().pools.get(toPool('counters'))?.heldSlots).toBe(16);
 });
+
+test('urgent work goes ahead within its team\'s due, and no further', () => {
+	const node = createTestNode();
+	const [large, small] = [toTeam('large'), toTeam('small')];
+	node.send({type: 'jobs/minionsChanged', minions: [createMinion({heldSlots: 4})]});
+	const submit = (job: string, changes: Partial<JobSpec>) => {
+		node.send({type: 'jobs/submitted', spec: createSpec({job: toJob(job), ...changes})});
+	};
+
+	for (let index = 0; index < 4; index += 1) {
+		submit(`first-${index}`, {team: large});
+	}
+
+	for (let index = 0; index < 4; index += 1) {
+		submit(`urgent-${index}`, {team: large, urgency: 'urgent'});
+		submit(`small-${index}`, {team: small});
+	}
+
+	const started = [0, 1, 2, 3].flatMap(index => node.send({
+		type: 'jobs/answered', job: toJob(`first-${index}`), attempt: 1, status: 200,
+	})).flatMap(effect => effect.type === 'jobs/dispatch' ? [effect.job] : []);
+	// Two of four slots are due to each team.
+	expect(started).toEqual(['urgent-0', 'urgent-1', 'small-0', 'small-1']);
+});
+
+test('a wave of cancellations refuses waiting jobs as not run, and frees no slot of a running one', () => {
+	const node = createTestNode();
+	node.send({type: 'jobs/minionsChanged', minions: [createMinion({heldSlots: 1})]});
+	const jobs = Array.from({length: 1000}, (_, index) => toJob(`job-${index}`));
+	for (const job of jobs) {
+		node.send({type: 'jobs/submitted', spec: createSpec({job})});
+	}
+
+	const outcomes = jobs.flatMap(job => node.send({type: 'jobs/cancelRequested', job}))
+		.flatMap(effect => effect.type === 'jobs/finish' && effect.outcome.type === 'refused' ? [effect.outcome.ran] : []);
+	expect(outcomes).toEqual(['maybe', ...Array.from({length: 999}, () => 'no')]);
+	node.send({type: 'jobs/submitted', spec: createSpec({job: toJob('next')})});
+	expect(node.getState().reservations.has('next#1')).toBe(false);
+	node.send({type: 'jobs/slotFreed', job: toJob('job-0'), attempt: 1});
+	expect(node.getState().reservations.has('next#1')).toBe(true);
+});
--- a/packages/core/src/jobs/reservations.ts
+++ b/packages/core/src/jobs/reservations.ts
@@ -32,11 +32,13 @@
 }
 
 function addTeamUse(poolTeam: PoolTeam, reservation: Reservation, sign: 1 | -1): PoolTeam {
+	const urgentSlots = reservation.urgency === 'urgent' ? reservation.shareSlots : 0;
 	const rackCount = poolTeam.rackUse.get(reservation.rack, 0) + sign;
 	return {
 		...poolTeam,
 		running: poolTeam.running + sign,
 		usedSlots: Math.max(0, poolTeam.usedSlots + (sign * reservation.shareSlots)),
+		urgentUsedSlots: Math.max(0, poolTeam.urgentUsedSlots + (sign * urgentSlots)),
 		rackUse: rackCount === 0
 			? poolTeam.rackUse.delete(reservation.rack)
 			: poolTeam.rackUse.set(reservation.rack, rackCount),
--- a/packages/core/src/jobs/state.ts
+++ b/packages/core/src/jobs/state.ts
@@ -15,7 +15,7 @@
 import type {JobQueue, Ticket} from './job-queue.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {
-	JobAttempt, JobsCfg, JobsEffect, JobSpec, PlaceableMinion,
+	JobAttempt, JobsCfg, JobsEffect, JobSpec, PlaceableMinion, Urgency,
 } from './types.js';
 
 /** What outlives an attempt of a job. */
@@ -66,6 +66,7 @@
 	readonly queue: QueueId;
 	/** Of the pool's scarcest resource, in slots; at least 1. */
 	readonly shareSlots: number;
+	readonly urgency: Urgency;
 	readonly cores: number;
 	readonly memoryMb: number;
 	readonly reservedAtMs: number;
@@ -93,6 +94,8 @@
 	readonly dispatched: number;
 	/** What the running jobs take, in slots. */
 	readonly usedSlots: number;
+	/** Of these, what the urgent jobs take. */
+	readonly urgentUsedSlots: number;
 	/** What the team has running at other entry hosts. */
 	readonly runningElsewhere: number;
 	/** Slot-milliseconds served, divided by the weight. */
--- a/packages/core/src/shares/team-order.ts
+++ b/packages/core/src/shares/team-order.ts
@@ -1,6 +1,6 @@
 /**
  * Which team comes next: the one with the least running for its weight, urgent work ahead as long
- * as its team stays within its due. Every change costs the logarithm of the number of teams.
+ * as its team's urgent work alone stays within the due. The team's ordinary work then stands back. Every change costs the logarithm of the number of teams.
  */
 import type {TeamId} from '@samphiremill/common';
 import {
@@ -13,6 +13,8 @@
 	readonly weight: number;
 	/** What the team has running, in slots, divided by its weight. */
 	readonly usedPerWeight: number;
+	/** What the team's urgent jobs alone have running, in slots, divided by its weight. */
+	readonly urgentUsedPerWeight: number;
 	/** Slot-milliseconds that the team was served, divided by its weight; decides between equals. */
 	readonly servedPerWeight: number;
 	readonly hasUrgent: boolean;
@@ -38,9 +40,13 @@
 		|| (left.team < right.team ? -1 : Number(left.team > right.team));
 }
 
+function compareUrgentRanks(left: TeamRank, right: TeamRank): number {
+	return left.urgentUsedPerWeight - right.urgentUsedPerWeight || compareRanks(left, right);
+}
+
 /** @returns An order without teams. */
 export function createTeamOrder(): TeamOrder {
-	return {all: createSortedSet(compareRanks), urgent: createSortedSet(compareRanks), weightSum: 0};
+	return {all: createSortedSet(compareRanks), urgent: createSortedSet(compareUrgentRanks), weightSum: 0};
 }
 
 /**
@@ -76,7 +82,7 @@
  */
 export function pickTeam(order: TeamOrder, capacity: number): TeamPick | undefined {
 	const urgent = getFirstItem(order.urgent);
-	if (urgent !== undefined && urgent.usedPerWeight < capacity / order.weightSum) {
+	if (urgent !== undefined && urgent.urgentUsedPerWeight < capacity / order.weightSum) {
 		return {team: urgent.team, reason: 'urgentWithinDue'};
 	}
 
