Let no team wait behind large jobs of others, and keep room for large jobs

Cause: after four teams whose next job had no room, a round of placement ended, so that jobs of further teams waited beside free slots; and a job that needs a whole worker never found one while small jobs kept coming.

Change: all teams are looked at, those without any chance at the cost of a comparison; once a job that was passed over has used up half of its time, the emptiest worker that is large enough is kept free for it.

Checked: both new tests of reduce-jobs fail on the code before, and the second fails with the kept worker switched off.

--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -11,8 +11,6 @@
 export const waitQuantile = 0.5;
 /** The quantile of run times below which a job is not expected to finish. */
 export const shortestRunQuantile = 0.1;
-/** How many teams whose next job has no room now are passed over in one round. */
-export const maximumPassedOverTeams = 4;
 /** A job that failed on this many workers is at fault itself. */
 export const jobFaultWorkers = 3;
 /** When to come back after a refusal that no estimate exists for, in milliseconds. */
--- a/packages/core/src/jobs/place-jobs.ts
+++ b/packages/core/src/jobs/place-jobs.ts
@@ -4,13 +4,12 @@
 import {
 	type MinionId, type PoolId, type TeamId,
 } from '@samphiremill/common';
-import {getItemCount} from '../collections/sorted-set.js';
+import {getItemAt, getItemCount} from '../collections/sorted-set.js';
 import {
 	chooseMinion, type Candidate, type PlacementChoice, type TaskSize,
 } from '../placement/index.js';
 import {pickTeam, removeTeam, type TeamPick} from '../shares/index.js';
-import {maximumPassedOverTeams} from './constants.js';
-import {estimateSize, getShareSlots} from './estimates.js';
+import {estimateSize, getLatestStartMs, getShareSlots} from './estimates.js';
 import {getFrontJob, takeJob} from './job-queue.js';
 import {putJob} from './job-table.js';
 import {getWorkerHealth} from './minions.js';
@@ -18,7 +17,7 @@
 import {addReservation, markDispatched} from './reservations.js';
 import {createRetryBudget, payForRetries} from './retry-budget.js';
 import type {
-	Context, JobsState, JobsStep, JobState, Placed, Reservation,
+	Context, JobsState, JobsStep, JobState, MinionState, Placed, Reservation,
 } from './state.js';
 import type {JobsDecision, JobsEffect} from './types.js';
 
@@ -55,13 +54,14 @@
 	readonly state: JobsState;
 	readonly job: QueuedJob;
 	readonly size: TaskSize;
+	readonly keptFree: MinionId | undefined;
 	readonly context: Context;
 }): PlacementChoice | undefined {
-	const {state, job, size, context} = options;
+	const {state, job, size, keptFree, context} = options;
 	const {rackUse} = getPoolTeam(state, job.spec);
 	return chooseMinion({
 		ready: getPool(state, job.spec.pool).ready,
-		getCandidate: minion => getCandidate(state, minion),
+		getCandidate: minion => minion === keptFree ? undefined : getCandidate(state, minion),
 		request: {size, avoidedWorkers: job.failedWorkers, getRackUse: rack => rackUse.get(rack, 0)},
 		choices: context.cfg.placementChoices,
 		random: context.cfg.random,
@@ -198,13 +198,14 @@
 function placeNextJob(state: JobsState, options: {
 	readonly job: QueuedJob;
 	readonly pick: TeamPick;
+	readonly size: TaskSize;
+	readonly keptFree: MinionId | undefined;
 	readonly context: Context;
 }): JobsStep | undefined {
-	const {job, pick, context} = options;
+	const {job, pick, size, keptFree, context} = options;
 	const {spec, ticket} = job;
-	const size = estimateSize(state, spec);
 	const choice = choosePlace({
-		state, job, size, context,
+		state, job, size, keptFree, context,
 	});
 	const incarnation = choice && state.minions.get(choice.candidate.minion)?.info.incarnation;
 	if (choice === undefined || incarnation === undefined) {
@@ -246,9 +247,77 @@
 	return {...state, pools: state.pools.set(pool, changed)};
 }
 
+/** The most room that any ready minion has; after placements it is an upper bound. */
+function getMostRoom(state: JobsState, pool: PoolId): TaskSize {
+	const {ready} = getPool(state, pool);
+	let [cores, memoryMb] = [0, 0];
+	for (let index = 0; index < getItemCount(ready); index += 1) {
+		const minion = getItemAt(ready, index);
+		const candidate = minion === undefined ? undefined : getCandidate(state, minion);
+		cores = Math.max(cores, candidate?.freeCores ?? 0);
+		memoryMb = Math.max(memoryMb, candidate?.freeMemoryMb ?? 0);
+	}
+
+	return {cores, memoryMb};
+}
+
+/** A job that has used up half of its time is not passed over by smaller ones for good. */
+function isOverdue(state: JobsState, {spec}: QueuedJob, nowMs: number): boolean {
+	return nowMs - spec.submittedAtMs > (getLatestStartMs(state, spec) - spec.submittedAtMs) / 2;
+}
+
+/** The minion that will have room for the job soonest: the emptiest of those large enough. */
+function findMinionToKeepFree(state: JobsState, pool: PoolId, size: TaskSize): MinionId | undefined {
+	let best: MinionState | undefined;
+	for (const minion of state.minions.values()) {
+		const {info, usedCores, usedMemoryMb} = minion;
+		const isLargeEnough = info.pool === pool && info.isAcceptingWork && info.heldSlots > 0
+			&& size.cores <= info.cores && size.memoryMb <= info.memoryMb;
+		const lack = Math.max(usedCores / info.cores, usedMemoryMb / info.memoryMb);
+		const leastLack = best === undefined
+			? Number.POSITIVE_INFINITY
+			: Math.max(best.usedCores / best.info.cores, best.usedMemoryMb / best.info.memoryMb);
+		best = isLargeEnough && lack < leastLack ? minion : best;
+	}
+
+	return best?.info.minion;
+}
+
+/** What is known while the jobs of one pool are placed. */
+type PlacingRound = {
+	readonly state: JobsState;
+	readonly passedOver: readonly TeamId[];
+	/** An upper bound of the room on ready minions, once a job had none. */
+	readonly mostRoom?: TaskSize | undefined;
+	/** Gets no job in this round, so that one that was passed over for long finds room. */
+	readonly keptFree?: MinionId | undefined;
+};
+
+function hasNoRoom(size: TaskSize, mostRoom: TaskSize | undefined): boolean {
+	return mostRoom !== undefined && (size.cores > mostRoom.cores || size.memoryMb > mostRoom.memoryMb);
+}
+
+function passOverJob(round: PlacingRound, options: {
+	readonly job: QueuedJob;
+	readonly size: TaskSize;
+	readonly nowMs: number;
+}): PlacingRound {
+	const {job, size, nowMs} = options;
+	const {state, passedOver, mostRoom, keptFree} = round;
+	const {pool, team} = job.spec;
+	const needsRoom = keptFree === undefined && isOverdue(state, job, nowMs);
+	return {
+		state: passOver(state, pool, team),
+		passedOver: [...passedOver, team],
+		mostRoom: mostRoom ?? getMostRoom(state, pool),
+		keptFree: needsRoom ? findMinionToKeepFree(state, pool, size) : keptFree,
+	};
+}
+
 /**
  * Places the jobs of a pool in the order of its teams. A team whose next job has no room on any
- * minion now is passed over for this round.
+ * minion now is passed over for this round; once that job has used up half of its time, a minion
+ * is kept free for it.
  *
  * @param state - The jobs before.
  * @param pool - The pool.
@@ -257,26 +326,29 @@
  */
 export function placeWaitingJobs(state: JobsState, pool: PoolId, context: Context): JobsStep {
 	const effects: JobsEffect[] = [];
-	const passedOver: TeamId[] = [];
-	let current = state;
-	while (passedOver.length < maximumPassedOverTeams) {
-		const {ready, order, heldSlots} = getPool(current, pool);
+	let round: PlacingRound = {state, passedOver: []};
+	for (;;) {
+		const {ready, order, heldSlots} = getPool(round.state, pool);
 		const pick = getItemCount(ready) === 0 ? undefined : pickTeam(order, heldSlots);
-		const job = pick && findNextJob(current, pool, pick);
+		const job = pick && findNextJob(round.state, pool, pick);
 		if (pick === undefined || job === undefined) {
 			break;
 		}
 
-		const step = placeNextJob(current, {job, pick, context});
-		if (step === undefined) {
-			passedOver.push(pick.team);
-		}
-
-		current = step?.state ?? passOver(current, pool, pick.team);
+		const size = estimateSize(round.state, job.spec);
+		const step = hasNoRoom(size, round.mostRoom)
+			? undefined
+			: placeNextJob(round.state, {
+				job, pick, size, keptFree: round.keptFree, context,
+			});
+		round = step === undefined
+			? passOverJob(round, {job, size, nowMs: context.nowMs})
+			: {...round, state: step.state};
 		effects.push(...step?.effects ?? []);
 	}
 
-	for (const team of passedOver) {
+	let current = round.state;
+	for (const team of round.passedOver) {
 		current = updatePoolTeam(current, {pool, team});
 	}
 
--- a/packages/core/src/jobs/reduce-jobs.test.ts
+++ b/packages/core/src/jobs/reduce-jobs.test.ts
@@ -1,8 +1,9 @@
 import {expect, test} from 'vitest';
+import type {JobId} from '@samphiremill/common';
 import {
 	createMinion, createSpec, createTestNode, toJob, toKey, toMinion, toMs, toPool, toTeam, toWorker,
 } from './test-fleet.js';
-import type {JobSpec} from './types.js';
+import type {JobsEffect, JobSpec} from './types.js';
 
 const keyed = {idempotencyKey: toKey('key-1'), isIdempotent: false};
 const first = {job: toJob('job-1'), attempt: 1};
@@ -172,3 +173,54 @@
 	node.send({type: 'jobs/slotFreed', job: toJob('job-0'), attempt: 1});
 	expect(node.getState().reservations.has('next#1')).toBe(true);
 });
+
+test('teams whose jobs have no room hold up no other team', () => {
+	const node = createTestNode();
+	node.send({type: 'jobs/minionsChanged', minions: [createMinion()]});
+	node.send({
+		type: 'jobs/submitted', spec: createSpec({declared: {cores: 20, memoryMb: 1, runTimeMs: 1}}),
+	});
+	const declared = {cores: 32, memoryMb: 1, runTimeMs: 1};
+	for (let index = 0; index < 9; index += 1) {
+		const spec = createSpec({job: toJob(`large-${index}`), team: toTeam(`large-${index}`), declared});
+		node.send({type: 'jobs/submitted', spec});
+	}
+
+	const effects = node.send({type: 'jobs/submitted', spec: createSpec({job: toJob('small'), team: toTeam('small')})});
+	expect(effects).toContainEqual(expect.objectContaining({type: 'jobs/dispatch', job: 'small'}));
+});
+
+test('a job that needs a whole worker finds one although small jobs never stop coming', () => {
+	const node = createTestNode();
+	const other = createMinion({minion: toMinion('minion-2'), worker: toWorker('worker-2')});
+	node.send({type: 'jobs/minionsChanged', minions: [createMinion(), other]});
+	const small = {cores: 4, memoryMb: 1, runTimeMs: 1};
+	const running: JobId[] = [];
+	const take = (effects: readonly JobsEffect[]) => {
+		running.push(...effects.flatMap(effect => effect.type === 'jobs/dispatch' ? [effect.job] : []));
+	};
+
+	const submitSmall = (index: number) => {
+		const spec = createSpec({
+			job: toJob(`small-${index}`), declared: small, deadlineAtMs: toMs(node.getNowMs() + 600_000),
+		});
+		take(node.send({type: 'jobs/submitted', spec}));
+	};
+
+	for (let index = 0; index < 24; index += 1) {
+		submitSmall(index);
+	}
+
+	const large = {cores: 32, memoryMb: 1, runTimeMs: 1};
+	take(node.send({type: 'jobs/submitted', spec: createSpec({job: toJob('large'), team: toTeam('large'), declared: large})}));
+	for (let index = 24; index < 224 && !running.includes(toJob('large')); index += 1) {
+		node.advance(100);
+		submitSmall(index);
+		take(node.send({
+			type: 'jobs/answered', job: running.shift() ?? toJob('none'), attempt: 1, status: 200,
+		}));
+	}
+
+	expect(running).toContain('large');
+	expect(node.getNowMs()).toBeLessThan(20_000);
+});
