Divide team limits between data centres in the log

A team's limit holds fleet-wide, data centres cut off included, only if each one has a committed part of it. The leader grants and recalls parts by demand; a recalled part stays charged until the home of the limit in that data centre has shown, under the committed view, that it is free. The control state machine keeps the grants as its part escrow.

--- a/packages/core/src/control/parts.ts
+++ b/packages/core/src/control/parts.ts
@@ -3,17 +3,20 @@
  * state to `PartStates`, its commands to `PartCommand` and itself to `controlParts`.
  */
 import type {Finding} from '@samphiremill/common';
+import type {EscrowCommand, TeamGrantsState} from '../escrow/team-grants/index.js';
 import type {WaveCommand, WavesState} from '../waves/types.js';
+import {escrowPart} from './parts/escrow-part.js';
 import {wavesPart} from './parts/waves-part.js';
 import type {ControlState, ControlStep} from './types.js';
 
 /** The committed state of each part; absent until the part's first command. */
 export type PartStates = {
+	readonly escrow?: TeamGrantsState;
 	readonly waves?: WavesState;
 };
 
 /** The commands of all parts. Their `type` is `part/verb`. */
-export type PartCommand = WaveCommand;
+export type PartCommand = EscrowCommand | WaveCommand;
 
 /** What a part supplies to the control state machine. */
 export type ControlPart = {
@@ -29,4 +32,4 @@
 };
 
 /** Every part, registered in this one place. */
-export const controlParts: readonly ControlPart[] = [wavesPart];
+export const controlParts: readonly ControlPart[] = [escrowPart, wavesPart];
--- a/packages/core/src/escrow/constants.ts
+++ b/packages/core/src/escrow/constants.ts
@@ -18,3 +18,9 @@
 
 /** The shortest time between two requests to one holder to report. */
 export const minimumAskGapMs = 20;
+
+/** The shortest time between two reports of team limits to the leader. */
+export const limitReportGapMs = 500;
+
+/** How often the leader is told of all team limits, changed or not. */
+export const wholeLimitReportPeriodMs = 10_000;
--- a/packages/core/src/escrow/home.ts
+++ b/packages/core/src/escrow/home.ts
@@ -218,6 +218,21 @@
 	return total;
 }
 
+/**
+ * @param state - The home.
+ * @param key - The resource's key.
+ * @param context - The timings and the time.
+ * @returns How many units the jobs of all holders use or wait for.
+ */
+export function getTotalWanted(state: HomeState, key: string, context: Context): number {
+	let total = 0;
+	for (const {wanted} of listClaimants(state, key, context)) {
+		total += wanted;
+	}
+
+	return total;
+}
+
 function isLoanOver(ledger: HolderLedger, context: Context): boolean {
 	const {leaseMs, taskLeaseMs} = context.cfg.timings;
 	return hasWaited(context, ledger.heardAtMs, leaseMs + taskLeaseMs);
--- a/packages/core/src/escrow/reduce-escrow.ts
+++ b/packages/core/src/escrow/reduce-escrow.ts
@@ -16,7 +16,11 @@
 	answerReport, beginEpoch, createHomeState, enterHolderUsage, enterReport, isInOffice, listHoldersToAsk,
 	setLentResources, tickHome, type HomeState,
 } from './home.js';
+import {
+	createLimitReportsState, setLeader, takeLimitReports, writeLimitReport, type LimitReportsState,
+} from './limit-reports.js';
 import {getResourceKey, rankForResource} from './resources.js';
+import type {TeamLimitReport} from './team-grants/types.js';
 import type {
 	EscrowConfig, EscrowDemand, EscrowEffect, EscrowEvent, EscrowMessage, EscrowResource, HeldRight, TeamBound,
 } from './types.js';
@@ -38,6 +42,7 @@
 	readonly teamBounds: ImmutableMap<TeamId, TeamBound>;
 	readonly waitingByPool: ImmutableMap<PoolId, number>;
 	readonly waitingByTeam: ImmutableMap<TeamId, number>;
+	readonly limitReports: LimitReportsState;
 	readonly isLeaving: boolean;
 	readonly reportedAtMs: ImmutableMap<NodeId, MonotonicMs>;
 	readonly askedAtMs: ImmutableMap<NodeId, MonotonicMs>;
@@ -60,6 +65,7 @@
 		teamBounds: createMap(),
 		waitingByPool: createMap(),
 		waitingByTeam: createMap(),
+		limitReports: createLimitReportsState(),
 		isLeaving: false,
 		reportedAtMs: createMap(),
 		askedAtMs: createMap(),
@@ -209,6 +215,10 @@
 			return receiveGrant(state, {from, message}, context);
 		}
 
+		case 'escrow/limitReport': {
+			return {state: {...state, limitReports: takeLimitReports(state.limitReports, message.reports)}, effects: []};
+		}
+
 		case 'escrow/reportNow': {
 			return message.epoch === state.home.epoch ? reportTo(state, from, context) : {state, effects: []};
 		}
@@ -242,6 +252,16 @@
 	return chainSteps({state, effects: []}, homes, (current, home) => reportTo(current, home, context));
 }
 
+function reportLimits(state: EscrowState, context: Context): EscrowStep {
+	const {state: limitReports, message} = writeLimitReport(state.limitReports, {
+		home: state.home, bounds: state.teamBounds.values(), ...context,
+	});
+	const {leader} = limitReports;
+	return message === undefined || leader === undefined
+		? {state, effects: []}
+		: sendMessage({...state, limitReports}, {to: leader, message}, context);
+}
+
 function handleTick(state: EscrowState, context: Context): EscrowStep {
 	const {nowMs} = context;
 	const ticked = {
@@ -251,7 +271,8 @@
 	const reported = chainSteps({state: ticked, effects: []}, due, (current, home) => reportTo(current, home, context));
 	const wanted = reportWants(reported.state, context);
 	const asked = askHolders(wanted.state, context);
-	return {state: asked.state, effects: [...reported.effects, ...wanted.effects, ...asked.effects]};
+	const told = reportLimits(asked.state, context);
+	return {state: told.state, effects: [...reported.effects, ...wanted.effects, ...asked.effects, ...told.effects]};
 }
 
 function setDemand(state: EscrowState, demands: readonly EscrowDemand[]): EscrowState {
@@ -310,6 +331,10 @@
 			return reportToAll(updateLentResources(updateMinions(state, event.minions), cfg), context);
 		}
 
+		case 'escrow/leaderChanged': {
+			return {state: {...state, limitReports: setLeader(state.limitReports, event.leader)}, effects: []};
+		}
+
 		case 'escrow/demand': {
 			return reportWants(setDemand(state, event.demands), context);
 		}
@@ -387,3 +412,11 @@
 export function listHeldRights(state: EscrowState): readonly HeldRight[] {
 	return [...state.told.values()];
 }
+
+/**
+ * @param state - The state of escrow on the leader.
+ * @returns What homes have reported of team limits, for `planTeamLimitGrants`.
+ */
+export function listTeamLimitReports(state: EscrowState): readonly TeamLimitReport[] {
+	return [...state.limitReports.received.values()];
+}
--- a/packages/core/src/escrow/test-holders.ts
+++ b/packages/core/src/escrow/test-holders.ts
@@ -150,7 +150,11 @@
 		});
 		const minions = announcements.map(announcement => ({...announcement, condition: 'ready' as const, renewedAtMs: getNowOf(node)}));
 		dispatch(node, {type: 'minions/changed', minions});
-		dispatch(node, {type: 'escrow/teamBoundsChanged', bounds: [{team: testTeam, amount: testLimit}]});
+		dispatch(node, {
+			type: 'escrow/teamBoundsChanged', bounds: [{
+				team: testTeam, amount: testLimit, version: 1, isRecalled: false,
+			}],
+		});
 		// A restarted node may read an old view from its disk, but never a fresh lease.
 		dispatch(node, {type: 'escrow/viewChanged', view});
 	};
--- a/packages/core/src/escrow/types.ts
+++ b/packages/core/src/escrow/types.ts
@@ -7,6 +7,7 @@
 } from '@samphiremill/common';
 import type {DataCentreView} from '../control/types.js';
 import type {KnownMinion, MembershipView} from '../membership/types.js';
+import type {TeamLimitReport} from './team-grants/types.js';
 
 /** What a right is a right to. */
 export type EscrowResource
@@ -63,6 +64,8 @@
 		readonly reportId: number;
 		readonly items: readonly GrantItem[];
 	}
+		/** What homes tell the leader of team limits. */
+	| {readonly type: 'escrow/limitReport'; readonly reports: readonly TeamLimitReport[]}
 		/** The sender has something to lend to the receiver, or to call back from it. */
 	| {readonly type: 'escrow/reportNow'; readonly epoch: number};
 
@@ -75,6 +78,10 @@
 export type TeamBound = {
 	readonly team: TeamId;
 	readonly amount: number;
+	/** The version of the grant that says so. */
+	readonly version: number;
+	/** The data centre is still charged for more than `amount`, until its home has shown that it is free. */
+	readonly isRecalled: boolean;
 };
 
 /** How much of a resource this node's jobs have in use, those that are reserved included. */
@@ -92,6 +99,8 @@
 		| {readonly type: 'escrow/configurationLease'; readonly isFresh: boolean; readonly nowMs: MonotonicMs}
 		/** All bounds of teams in the own data centre. */
 		| {readonly type: 'escrow/teamBoundsChanged'; readonly bounds: readonly TeamBound[]; readonly nowMs: MonotonicMs}
+		/** The leader of the log as this node knows it, to whom homes report team limits. */
+		| {readonly type: 'escrow/leaderChanged'; readonly leader: NodeId | undefined; readonly nowMs: MonotonicMs}
 		| {readonly type: 'escrow/demand'; readonly demands: readonly EscrowDemand[]; readonly nowMs: MonotonicMs}
 		| {readonly type: 'escrow/usage'; readonly usage: readonly EscrowUsage[]; readonly nowMs: MonotonicMs}
 		/** What a silent holder still runs, measured at its minions after its lease had run out. */
