Test escrow in office, cut off, stopping, and count both leases of an earlier home

A home is in office for up to a lease after the last report, and its last loan is good for another lease; the wait before the next home lends counted one of the two. Found by the new test of a data centre that loses its majority. Homes and keys of resources are now kept rather than worked out at each report.

--- a/packages/core/src/escrow/holder.ts
+++ b/packages/core/src/escrow/holder.ts
@@ -31,6 +31,7 @@
 	readonly usage: ImmutableMap<string, EscrowUsage>;
 };
 
+type ReportableResource = {readonly key: string; readonly resource: EscrowResource};
 type Report = EscrowMessage & {type: 'escrow/report'};
 type Grant = EscrowMessage & {type: 'escrow/grant'};
 
@@ -75,8 +76,7 @@
 	return {...state, usage: next};
 }
 
-function createItem(state: HolderState, resource: EscrowResource, {waiting, nowMs}: {readonly waiting: number; readonly nowMs: MonotonicMs}): ReportItem {
-	const key = getResourceKey(resource);
+function createItem(state: HolderState, {key, resource}: ReportableResource, {waiting, nowMs}: {readonly waiting: number; readonly nowMs: MonotonicMs}): ReportItem {
 	const running = state.usage.get(key)?.running ?? 0;
 	return {
 		resource, held: getHeldAmount(state, key, nowMs), running, wanted: running + waiting,
@@ -94,7 +94,7 @@
 export function writeReport(state: HolderState, options: {
 	readonly home: NodeId;
 	readonly epoch: number;
-	readonly resources: readonly EscrowResource[];
+	readonly resources: readonly ReportableResource[];
 	readonly getWaiting: (resource: EscrowResource) => number;
 	readonly isLeaving: boolean;
 	readonly cfg: EscrowConfig;
@@ -111,7 +111,7 @@
 		earlierTasksMs: cfg.earlierTasksMs,
 		isLeaving: options.isLeaving,
 		items: options.resources
-			.map(resource => createItem(state, resource, {waiting: options.getWaiting(resource), nowMs}))
+			.map(entry => createItem(state, entry, {waiting: options.getWaiting(entry.resource), nowMs}))
 			.filter(({held, running, wanted}) => held > 0 || running > 0 || wanted > 0),
 	};
 	const awaited = state.sentReports.filter(({sentAtMs}) => nowMs - sentAtMs < cfg.timings.leaseMs);
--- a/packages/core/src/escrow/home.ts
+++ b/packages/core/src/escrow/home.ts
@@ -98,8 +98,9 @@
 	return nowMs - sinceMs >= durationMs * cfg.timings.maximumClockRatio;
 }
 
+/** An earlier home stays in office for a lease, its last loan lasts for another one, then tasks end. */
 function getLoanEndMs({timings}: EscrowConfig): number {
-	return timings.configurationLeaseMs + timings.leaseMs + timings.taskLeaseMs;
+	return Math.max(timings.configurationLeaseMs, timings.leaseMs) + timings.leaseMs + timings.taskLeaseMs;
 }
 
 function isEarlierLendingOver(state: HomeState, context: Context): boolean {
--- a/packages/core/src/escrow/reduce-escrow.test.ts
+++ b/packages/core/src/escrow/reduce-escrow.test.ts
@@ -2,9 +2,9 @@
 import {toBrand, type NodeId} from '@samphiremill/common';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {getResourceKey} from './resources.js';
+import {getResourceKey, rankForResource} from './resources.js';
 import {
-	createTestHolders, testLimit, testSlots, type TestHolders,
+	createTestHolders, testLimit, testSlots, testTeam, testTimings, type TestHolders,
 } from './test-holders.js';
 import type {EscrowResource} from './types.js';
 
@@ -103,6 +103,10 @@
 		const holders = createTestHolders({
 			nodeCount: 3, minionCount: 2, seed: networkSeed, clockRates: [1, 0.98, 1.02],
 		});
+		for (const node of holders.nodes) {
+			holders.setWaiting(node, 9);
+		}
+
 		advanceWithinBounds(holders, 300);
 		for (const [step, pauseMs] of faults) {
 			applyFault(holders, step);
@@ -124,15 +128,103 @@
 		}
 
 		advanceWithinBounds(holders, 1000);
+		expectToHoldAll(holders, firstNode);
+	}), {seed, numRuns: numberRuns});
+});
+
+function isolate(holders: TestHolders, node: NodeId) {
+	holders.setLogCut(node, true);
+	for (const other of holders.nodes) {
+		holders.network.cut(node, other);
+		holders.network.cut(other, node);
+	}
+}
+
+function expectToHoldAll(holders: TestHolders, node: NodeId) {
+	for (const resource of holders.resources) {
+		expect(holders.getHeld(node, resource)).toBe(getBound(resource));
+	}
+}
+
+test('a holder that is cut off stays charged until its tasks have ended, then others get its part', () => {
+	const holders = createTestHolders({
+		nodeCount: 3, minionCount: 2, seed: 1, clockRates: [1, 0.98, 1.02],
+	});
+	const {resources: [slot]} = holders;
+	for (const node of holders.nodes) {
+		holders.setWaiting(node, 9);
+	}
+
+	advanceWithinBounds(holders, 1000);
+	const others = holders.nodes.filter(node => slot !== undefined && node !== rankForResource(slot, holders.nodes)[0]);
+	const [lost = firstNode, waiting = firstNode] = others;
+	isolate(holders, lost);
+	for (const node of holders.nodes) {
+		holders.setWaiting(node, node === waiting || node === lost ? 9 : 0);
+	}
+
+	advanceWithinBounds(holders, 4000);
+	expect(holders.getHeld(waiting, slot ?? {type: 'teamLimit', team: testTeam})).toBeLessThan(testSlots);
+	advanceWithinBounds(holders, 16_000);
+	expect(holders.getHeld(waiting, slot ?? {type: 'teamLimit', team: testTeam})).toBe(testSlots);
+});
+
+test('a home that is cut off from its data centre and the log stops lending before the next home begins', () => {
+	for (const lost of createTestHolders({nodeCount: 3, minionCount: 2, seed: 1}).nodes) {
+		const holders = createTestHolders({
+			nodeCount: 3, minionCount: 2, seed: 1, clockRates: [0.98, 1, 1.02],
+		});
+		const rest = holders.nodes.filter(node => node !== lost);
+		const [waiting = firstNode] = rest;
+		holders.setWaiting(lost, 9);
+		advanceWithinBounds(holders, 1000);
+		isolate(holders, lost);
+		holders.commitView(rest);
+		holders.setWaiting(waiting, 9);
+		advanceWithinBounds(holders, 14_000);
+		expectToHoldAll(holders, waiting);
 		for (const resource of holders.resources) {
-			expect(holders.getHeld(firstNode, resource)).toBe(getBound(resource));
+			expect(holders.getHeld(lost, resource)).toBe(0);
 		}
-	}), {seed, numRuns: numberRuns});
+	}
+});
+
+test('a data centre cut off from the log goes on lending while a majority of it is there', () => {
+	const holders = createTestHolders({nodeCount: 3, minionCount: 2, seed: 1});
+	advanceWithinBounds(holders, 1000);
+	const [lost = firstNode, waiting = firstNode, other = firstNode] = holders.nodes;
+	for (const node of holders.nodes) {
+		holders.setLogCut(node, true);
+	}
+
+	const inOffice = holders.resources.filter(resource => rankForResource(resource, holders.nodes)[0] !== lost);
+	holders.crash(lost);
+	holders.setWaiting(waiting, 9);
+	advanceWithinBounds(holders, 12_000);
+	expect(inOffice).not.toEqual([]);
+	for (const resource of inOffice) {
+		expect(holders.getHeld(waiting, resource)).toBe(getBound(resource));
+	}
+
+	holders.crash(other);
+	// A report keeps the home in office for a lease, and its last answer is good for another one.
+	advanceWithinBounds(holders, (2 * testTimings.leaseMs) + 200);
+	for (const resource of inOffice) {
+		expect(holders.getHeld(waiting, resource)).toBe(0);
+	}
+});
+
+test('a node that stops as planned gives everything back at once', () => {
+	const holders = createTestHolders({nodeCount: 2, minionCount: 2, seed: 1});
+	const [stopping = firstNode, waiting = firstNode] = holders.nodes;
+	advanceWithinBounds(holders, 1000);
+	holders.dispatch(stopping, {type: 'escrow/leave'});
+	holders.setWaiting(waiting, 9);
+	advanceWithinBounds(holders, 300);
+	expectToHoldAll(holders, waiting);
 });
 
 test('a single node holds everything at once', () => {
 	const holders = createTestHolders({nodeCount: 1, minionCount: 2, seed: 1});
-	for (const resource of holders.resources) {
-		expect(holders.getHeld(firstNode, resource)).toBe(getBound(resource));
-	}
+	expectToHoldAll(holders, firstNode);
 });
--- a/packages/core/src/escrow/reduce-escrow.ts
+++ b/packages/core/src/escrow/reduce-escrow.ts
@@ -34,12 +34,21 @@
 	readonly slots: number;
 };
 
+/** A resource with what is costly to work out: its key and its home. */
+export type KeyedResource = {
+	readonly key: string;
+	readonly resource: EscrowResource;
+	readonly home: NodeId | undefined;
+};
+
 /** What one entry host knows of rights. */
 export type EscrowState = {
 	readonly holder: HolderState;
 	readonly home: HomeState;
 	readonly minions: ImmutableMap<MinionId, SlotSource>;
 	readonly teamBounds: ImmutableMap<TeamId, TeamBound>;
+	/** Every resource that this node has heard of, by key. */
+	readonly known: ImmutableMap<string, KeyedResource>;
 	readonly waitingByPool: ImmutableMap<PoolId, number>;
 	readonly waitingByTeam: ImmutableMap<TeamId, number>;
 	readonly limitReports: LimitReportsState;
@@ -63,6 +72,7 @@
 		home: createHomeState(nowMs),
 		minions: createMap(),
 		teamBounds: createMap(),
+		known: createMap(),
 		waitingByPool: createMap(),
 		waitingByTeam: createMap(),
 		limitReports: createLimitReportsState(),
@@ -88,14 +98,18 @@
 	];
 }
 
-function getHome(state: EscrowState, resource: EscrowResource): NodeId | undefined {
-	return rankForResource(resource, state.home.members)[0];
+function createKeyed(state: EscrowState, resource: EscrowResource): KeyedResource {
+	return {key: getResourceKey(resource), resource, home: rankForResource(resource, state.home.members)[0]};
 }
 
 /** Brings the home's resources in line with the directory, the bounds and the view. */
 function updateLentResources(state: EscrowState, {self}: EscrowConfig): EscrowState {
-	const own = listResources(state).filter(({resource}) => getHome(state, resource) === self);
-	return {...state, home: setLentResources(state.home, own)};
+	const keyed = listResources(state).map(({resource, bound}) => ({...createKeyed(state, resource), bound}));
+	return {
+		...state,
+		known: createMap(keyed.map(({key, resource, home}): [string, KeyedResource] => [key, {key, resource, home}])),
+		home: setLentResources(state.home, keyed.filter(({home}) => home === self).map(({resource, bound}) => ({resource, bound}))),
+	};
 }
 
 function getWaiting(state: EscrowState, resource: EscrowResource): number {
@@ -112,24 +126,19 @@
 }
 
 /** Every resource that this node knows, holds or uses. */
-function listReportable(state: EscrowState): readonly EscrowResource[] {
-	const resources = new Map<string, EscrowResource>();
-	for (const resource of [
-		...listResources(state).map(entry => entry.resource),
-		...[...state.holder.rights.values()].map(entry => entry.resource),
-		...[...state.holder.usage.values()].map(entry => entry.resource),
-	]) {
-		resources.set(getResourceKey(resource), resource);
-	}
-
-	return [...resources.values()];
+function listReportable(state: EscrowState): readonly KeyedResource[] {
+	const {known, holder} = state;
+	const rest = [...holder.rights, ...holder.usage].filter(([key]) => !known.has(key));
+	return rest.length === 0
+		? [...known.values()]
+		: [...known.merge(rest.map(([key, {resource}]): [string, KeyedResource] => [key, createKeyed(state, resource)])).values()];
 }
 
 function reportTo(state: EscrowState, home: NodeId, {cfg, nowMs}: Context): EscrowStep {
 	const written = writeReport(state.holder, {
 		home,
 		epoch: state.home.epoch,
-		resources: listReportable(state).filter(resource => getHome(state, resource) === home),
+		resources: listReportable(state).filter(entry => entry.home === home),
 		getWaiting: resource => getWaiting(state, resource),
 		isLeaving: state.isLeaving,
 		cfg,
@@ -225,10 +234,9 @@
 	}
 }
 
+/** Every member, since a home needs an empty report too, to know what this node does not hold. */
 function listHomes(state: EscrowState): readonly NodeId[] {
-	const homes = new Set(listReportable(state).flatMap(resource => getHome(state, resource) ?? []));
-	// Every home needs this node's report, an empty one too, to know what it does not hold.
-	return [...new Set([...homes, ...state.home.members])];
+	return state.home.members;
 }
 
 function reportToAll(state: EscrowState, context: Context): EscrowStep {
@@ -236,10 +244,9 @@
 }
 
 function wantsMore(state: EscrowState, home: NodeId, nowMs: MonotonicMs): boolean {
-	return listReportable(state).some(resource => {
-		const key = getResourceKey(resource);
-		const running = state.holder.usage.get(key)?.running ?? 0;
-		return running + getWaiting(state, resource) > getHeldAmount(state.holder, key, nowMs) && getHome(state, resource) === home;
+	return [...state.known.values()].some(entry => {
+		const running = state.holder.usage.get(entry.key)?.running ?? 0;
+		return entry.home === home && running + getWaiting(state, entry.resource) > getHeldAmount(state.holder, entry.key, nowMs);
 	});
 }
 
