--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,10 +5,11 @@
  */
 export * from './claims/index.js';
 export * from './control/index.js';
-export type * from './escrow/types.js';
+export * from './escrow/index.js';
 export * from './jobs/index.js';
 export * from './membership/index.js';
 export * from './minions/index.js';
+export * from './moves/index.js';
 export * from './node/index.js';
 export * from './peer-link/index.js';
 export * from './placement/index.js';
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -13,3 +13,5 @@
 export type {DecisionLog, LogFields, Runtime} from './runtime/types.js';
 export * from './settings/index.js';
 export * from './store/index.js';
+export * from './platform/index.js';
+export * from './wave-controller/index.js';
