--- a/packages/core/src/escrow/reduce-escrow.ts
+++ b/packages/core/src/escrow/reduce-escrow.ts
@@ -16,7 +16,11 @@
 	answerReport, beginEpoch, createHomeState, enterHolderUsage, enterReport, isInOffice, listHoldersToAsk,
 	setLentResources, tickHome, type HomeState,
 } from './home.js';
+import {
+	createLimitReportsState, setLeader, takeLimitReports, writeLimitReport, type LimitReportsState,
+} from './limit-reports.js';
 import {getResourceKey, rankForResource} from './resources.js';
+import type {TeamLimitReport} from './team-grants/types.js';
 import type {
 	EscrowConfig, EscrowDemand, EscrowEffect, EscrowEvent, EscrowMessage, EscrowResource, HeldRight, TeamBound,
 } from './types.js';
@@ -30,14 +34,24 @@
 	readonly slots: number;
 };
 
+/** A resource with what is costly to work out: its key and its home. */
+export type KeyedResource = {
+	readonly key: string;
+	readonly resource: EscrowResource;
+	readonly home: NodeId | undefined;
+};
+
 /** What one entry host knows of rights. */
 export type EscrowState = {
 	readonly holder: HolderState;
 	readonly home: HomeState;
 	readonly minions: ImmutableMap<MinionId, SlotSource>;
 	readonly teamBounds: ImmutableMap<TeamId, TeamBound>;
+	/** Every resource that this node has heard of, by key. */
+	readonly known: ImmutableMap<string, KeyedResource>;
 	readonly waitingByPool: ImmutableMap<PoolId, number>;
 	readonly waitingByTeam: ImmutableMap<TeamId, number>;
+	readonly limitReports: LimitReportsState;
 	readonly isLeaving: boolean;
 	readonly reportedAtMs: ImmutableMap<NodeId, MonotonicMs>;
 	readonly askedAtMs: ImmutableMap<NodeId, MonotonicMs>;
@@ -58,8 +72,10 @@
 		home: createHomeState(nowMs),
 		minions: createMap(),
 		teamBounds: createMap(),
+		known: createMap(),
 		waitingByPool: createMap(),
 		waitingByTeam: createMap(),
+		limitReports: createLimitReportsState(),
 		isLeaving: false,
 		reportedAtMs: createMap(),
 		askedAtMs: createMap(),
@@ -82,14 +98,18 @@
 	];
 }
 
-function getHome(state: EscrowState, resource: EscrowResource): NodeId | undefined {
-	return rankForResource(resource, state.home.members)[0];
+function createKeyed(state: EscrowState, resource: EscrowResource): KeyedResource {
+	return {key: getResourceKey(resource), resource, home: rankForResource(resource, state.home.members)[0]};
 }
 
 /** Brings the home's resources in line with the directory, the bounds and the view. */
 function updateLentResources(state: EscrowState, {self}: EscrowConfig): EscrowState {
-	const own = listResources(state).filter(({resource}) => getHome(state, resource) === self);
-	return {...state, home: setLentResources(state.home, own)};
+	const keyed = listResources(state).map(({resource, bound}) => ({...createKeyed(state, resource), bound}));
+	return {
+		...state,
+		known: createMap(keyed.map(({key, resource, home}): [string, KeyedResource] => [key, {key, resource, home}])),
+		home: setLentResources(state.home, keyed.filter(({home}) => home === self).map(({resource, bound}) => ({resource, bound}))),
+	};
 }
 
 function getWaiting(state: EscrowState, resource: EscrowResource): number {
@@ -106,24 +126,19 @@
 }
 
 /** Every resource that this node knows, holds or uses. */
-function listReportable(state: EscrowState): readonly EscrowResource[] {
-	const resources = new Map<string, EscrowResource>();
-	for (const resource of [
-		...listResources(state).map(entry => entry.resource),
-		...[...state.holder.rights.values()].map(entry => entry.resource),
-		...[...state.holder.usage.values()].map(entry => entry.resource),
-	]) {
-		resources.set(getResourceKey(resource), resource);
-	}
-
-	return [...resources.values()];
+function listReportable(state: EscrowState): readonly KeyedResource[] {
+	const {known, holder} = state;
+	const rest = [...holder.rights, ...holder.usage].filter(([key]) => !known.has(key));
+	return rest.length === 0
+		? [...known.values()]
+		: [...known.merge(rest.map(([key, {resource}]): [string, KeyedResource] => [key, createKeyed(state, resource)])).values()];
 }
 
 function reportTo(state: EscrowState, home: NodeId, {cfg, nowMs}: Context): EscrowStep {
 	const written = writeReport(state.holder, {
 		home,
 		epoch: state.home.epoch,
-		resources: listReportable(state).filter(resource => getHome(state, resource) === home),
+		resources: listReportable(state).filter(entry => entry.home === home),
 		getWaiting: resource => getWaiting(state, resource),
 		isLeaving: state.isLeaving,
 		cfg,
@@ -209,16 +224,19 @@
 			return receiveGrant(state, {from, message}, context);
 		}
 
+		case 'escrow/limitReport': {
+			return {state: {...state, limitReports: takeLimitReports(state.limitReports, message.reports)}, effects: []};
+		}
+
 		case 'escrow/reportNow': {
 			return message.epoch === state.home.epoch ? reportTo(state, from, context) : {state, effects: []};
 		}
 	}
 }
 
+/** Every member, since a home needs an empty report too, to know what this node does not hold. */
 function listHomes(state: EscrowState): readonly NodeId[] {
-	const homes = new Set(listReportable(state).flatMap(resource => getHome(state, resource) ?? []));
-	// Every home needs this node's report, an empty one too, to know what it does not hold.
-	return [...new Set([...homes, ...state.home.members])];
+	return state.home.members;
 }
 
 function reportToAll(state: EscrowState, context: Context): EscrowStep {
@@ -226,10 +244,9 @@
 }
 
 function wantsMore(state: EscrowState, home: NodeId, nowMs: MonotonicMs): boolean {
-	return listReportable(state).some(resource => {
-		const key = getResourceKey(resource);
-		const running = state.holder.usage.get(key)?.running ?? 0;
-		return running + getWaiting(state, resource) > getHeldAmount(state.holder, key, nowMs) && getHome(state, resource) === home;
+	return [...state.known.values()].some(entry => {
+		const running = state.holder.usage.get(entry.key)?.running ?? 0;
+		return entry.home === home && running + getWaiting(state, entry.resource) > getHeldAmount(state.holder, entry.key, nowMs);
 	});
 }
 
@@ -242,6 +259,16 @@
 	return chainSteps({state, effects: []}, homes, (current, home) => reportTo(current, home, context));
 }
 
+function reportLimits(state: EscrowState, context: Context): EscrowStep {
+	const {state: limitReports, message} = writeLimitReport(state.limitReports, {
+		home: state.home, bounds: state.teamBounds.values(), ...context,
+	});
+	const {leader} = limitReports;
+	return message === undefined || leader === undefined
+		? {state, effects: []}
+		: sendMessage({...state, limitReports}, {to: leader, message}, context);
+}
+
 function handleTick(state: EscrowState, context: Context): EscrowStep {
 	const {nowMs} = context;
 	const ticked = {
@@ -251,7 +278,8 @@
 	const reported = chainSteps({state: ticked, effects: []}, due, (current, home) => reportTo(current, home, context));
 	const wanted = reportWants(reported.state, context);
 	const asked = askHolders(wanted.state, context);
-	return {state: asked.state, effects: [...reported.effects, ...wanted.effects, ...asked.effects]};
+	const told = reportLimits(asked.state, context);
+	return {state: told.state, effects: [...reported.effects, ...wanted.effects, ...asked.effects, ...told.effects]};
 }
 
 function setDemand(state: EscrowState, demands: readonly EscrowDemand[]): EscrowState {
@@ -310,6 +338,10 @@
 			return reportToAll(updateLentResources(updateMinions(state, event.minions), cfg), context);
 		}
 
+		case 'escrow/leaderChanged': {
+			return {state: {...state, limitReports: setLeader(state.limitReports, event.leader)}, effects: []};
+		}
+
 		case 'escrow/demand': {
 			return reportWants(setDemand(state, event.demands), context);
 		}
@@ -387,3 +419,11 @@
 export function listHeldRights(state: EscrowState): readonly HeldRight[] {
 	return [...state.told.values()];
 }
+
+/**
+ * @param state - The state of escrow on the leader.
+ * @returns What homes have reported of team limits, for `planTeamLimitGrants`.
+ */
+export function listTeamLimitReports(state: EscrowState): readonly TeamLimitReport[] {
+	return [...state.limitReports.received.values()];
+}
