--- a/packages/core/src/node/escrow-bridge.ts
+++ b/packages/core/src/node/escrow-bridge.ts
@@ -2,9 +2,9 @@
  * What escrow means to the jobs of this entry host, and the other way round.
  */
 import type {MonotonicMs, PoolId, TeamId} from '@samphiremill/common';
-import {getTeamLimit, listTeams} from '../control/index.js';
-import type {
-	EscrowDemand, EscrowEvent, HeldRight, TeamBound,
+import {listLimits} from '../control/index.js';
+import {
+	createTeamGrantsState, listTeamBounds, type EscrowDemand, type EscrowEvent, type HeldRight, type TeamBound,
 } from '../escrow/index.js';
 import type {TeamDemand} from '../jobs/index.js';
 import type {HeldSlots, NodeEvent, NodeState} from './types.js';
@@ -75,22 +75,10 @@
 }
 
 /**
- * Splits each team's limit evenly over the data centres that have members, so that the parts never
- * sum past it.
- *
  * @param state - The entry host.
- * @returns The part of each limited team that this data centre may have running.
+ * @returns The committed part of each limited team that this data centre may have running.
  */
-export function listTeamBounds({dataCentre, control}: NodeState): readonly TeamBound[] {
-	const dataCentres = [...control.views.keys()].toSorted();
-	const place = dataCentres.indexOf(dataCentre);
-	return listTeams(control).flatMap(({id: team}) => {
-		const limit = getTeamLimit(control, team);
-		if (limit === undefined || place === -1) {
-			return [];
-		}
-
-		const remainder = place < limit % dataCentres.length ? 1 : 0;
-		return [{team, amount: Math.floor(limit / dataCentres.length) + remainder}];
-	});
+export function listDataCentreBounds({dataCentre, control}: NodeState): readonly TeamBound[] {
+	const teams = listLimits(control).map(({id}) => id);
+	return listTeamBounds(control.escrow ?? createTeamGrantsState(), {dataCentre, teams});
 }
--- a/packages/core/src/node/reduce-node.ts
+++ b/packages/core/src/node/reduce-node.ts
@@ -5,7 +5,7 @@
 import {createEscrowState, reduceEscrow, type EscrowEvent} from '../escrow/index.js';
 import {createJobsState, reduceJobs, type JobsEvent} from '../jobs/index.js';
 import {createMembershipState, reduceMembership, type MembershipEvent} from '../membership/index.js';
-import {listTeamBounds, takeDemands, takeRights} from './escrow-bridge.js';
+import {listDataCentreBounds, takeDemands, takeRights} from './escrow-bridge.js';
 import {getJobsPolicy, listPlaceableMinions} from './placeable-minions.js';
 import {isInternalEffect, routeEffect} from './route-effects.js';
 import type {
@@ -98,7 +98,7 @@
 		...changedViews
 			.filter(view => view.dataCentre === state.dataCentre)
 			.map((view): NodeEvent => ({type: 'escrow/viewChanged', view, nowMs})),
-		{type: 'escrow/teamBoundsChanged', bounds: listTeamBounds(state), nowMs},
+		{type: 'escrow/teamBoundsChanged', bounds: listDataCentreBounds(state), nowMs},
 		{type: 'jobs/policyChanged', policy: getJobsPolicy(state), nowMs},
 		{type: 'jobs/minionsChanged', minions: listPlaceableMinions(state), nowMs},
 	];
--- a/packages/daemon/src/runtime/control-host.ts
+++ b/packages/daemon/src/runtime/control-host.ts
@@ -41,7 +41,7 @@
  * @param options - Who takes part, the store where there is one, how to send, and whom to tell.
  * @returns The running log.
  */
-export function startControlHost({self, addresses, store, timers, random, processId, log, send, onChanged, onStoreFailed}: {
+export function startControlHost({self, addresses, store, timers, random, processId, log, send, onChanged, onLeaderChanged, onStoreFailed}: {
 	readonly self: NodeId;
 	readonly addresses: readonly NodeAddress[];
 	readonly store: ReplicaStore<ControlCommand> | undefined;
@@ -52,6 +52,7 @@
 	readonly send: (to: NodeId, message: ReplicaMessage<ControlCommand>) => void;
 	/** Called once for all entries that were applied together. */
 	readonly onChanged: () => void;
+	readonly onLeaderChanged: (leader: NodeId | undefined) => void;
 	readonly onStoreFailed: (err: StoreError) => void;
 }): ControlHost {
 	let control = createControlState();
@@ -93,6 +94,7 @@
 		},
 		onRoleChanged({role, term, leader}) {
 			log.info(`the replicated log is in term ${term}`, {role, term, leader});
+			onLeaderChanged(leader);
 		},
 		onStoreFailed,
 	});
--- a/packages/daemon/src/runtime/leader-duties.ts
+++ b/packages/daemon/src/runtime/leader-duties.ts
@@ -3,7 +3,7 @@
  */
 import type {MonotonicMs, TimerService} from '@samphiremill/common';
 import {
-	planViews, type ControlCommand, type ControlState, type NodeState,
+	createTeamGrantsState, listLimits, listTeamLimitReports, planTeamLimitGrants, planViews, type ControlCommand, type ControlState, type NodeState,
 } from '@samphiremill/core';
 import {planPeriodMs} from './constants.js';
 import type {DecisionLog, ProposalResult} from './types.js';
@@ -16,6 +16,12 @@
 
 const planners: readonly Plan[] = [
 	({control, node, nowMs}) => planViews(control.views.values(), node.membership.view, nowMs),
+	({control, node}) => planTeamLimitGrants({
+		state: control.escrow ?? createTeamGrantsState(),
+		limits: listLimits(control).map(({id: team, maximumRunningJobs: limit}) => ({team, limit})),
+		views: [...control.views.values()],
+		reports: listTeamLimitReports(node.escrow),
+	}),
 ];
 
 /**
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -306,6 +306,9 @@
 				announceControl(false);
 			}
 		},
+		onLeaderChanged(leader) {
+			engine.dispatch({type: 'escrow/leaderChanged', leader, nowMs: timers.getNow()});
+		},
 		onStoreFailed(err) {
 			log.error(`the data folder failed: ${err.type}`, {...err});
 		},
