--- a/bench/replica-commit.ts
+++ b/bench/replica-commit.ts
@@ -48,10 +48,7 @@
 	...storeFileSystem,
 	async openToAppend(file) {
 		const opened = await storeFileSystem.openToAppend(file);
-		return {
-			...opened, async syncData() {
-}
-		};
+		return {...opened, syncData: async () => undefined};
 	},
 };
 
--- a/packages/core/src/replica/constants.ts
+++ b/packages/core/src/replica/constants.ts
@@ -2,7 +2,7 @@
 
 /** Periods and bounds for entry hosts up to 100 ms apart, one way. */
 export const defaultReplicaLimits: ReplicaLimits = {
-	heartbeatPeriodMs: 200,
+	heartbeatPeriodMs: 250,
 	electionTimeoutMs: 1000,
 	leaderLeaseMs: 750,
 	retransmitTimeoutMs: 500,
--- a/packages/daemon/src/replica-host.test.ts
+++ b/packages/daemon/src/replica-host.test.ts
@@ -7,7 +7,7 @@
 import {defaultReplicaLimits} from '@samphiremill/core';
 import {afterEach, expect, test} from 'vitest';
 import {createReplicaHost, type ReplicaHost} from './replica-host.js';
-import {openReplicaStore, type ReplicaStore} from './store/index.js';
+import {openReplicaStore, storeFileSystem, type ReplicaStore} from './store/index.js';
 
 const self = toBrand<NodeId>('a1');
 const folders: string[] = [];
@@ -31,7 +31,10 @@
 	return opened.value;
 };
 
-const startHost = (store: ReplicaStore<string>, snapshotEveryEntries = 1000) => {
+const startHost = (store: ReplicaStore<string>, {snapshotEveryEntries = 1000, onStoreFailed}: {
+	readonly snapshotEveryEntries?: number;
+	readonly onStoreFailed?: () => void;
+} = {}) => {
 	const timers = createVirtualTimerService(1000);
 	let applied: string[] = [];
 	const host: ReplicaHost<string, number> = createReplicaHost<string, number>({
@@ -43,6 +46,7 @@
 		},
 		store,
 		timers,
+		...(onStoreFailed !== undefined && {onStoreFailed}),
 		processId: 'p1',
 		send() {
 			throw new Error('A sole voter has nobody to send to');
@@ -71,7 +75,7 @@
 test('a sole voter answers with the outcome of its own apply, and finds everything after a restart', async () => {
 	const folder = await createFolder();
 	const store = await openStore(folder);
-	const {host, timers, getApplied} = startHost(store, 10);
+	const {host, timers, getApplied} = startHost(store, {snapshotEveryEntries: 10});
 	await settleDisk(timers, () => host.hasLeaderLease());
 	const commands = Array.from({length: 25}, (_, index) => `c${index}`);
 	const results = await Promise.all(commands.map(async command => host.propose(command)));
@@ -84,9 +88,61 @@
 
 	const reopened = await openStore(folder);
 	expect(reopened.storeId).toBe(store.storeId);
-	const again = startHost(reopened, 10);
+	const again = startHost(reopened, {snapshotEveryEntries: 10});
 	await settleDisk(again.timers, () => again.host.hasLeaderLease());
 	expect(again.getApplied()).toEqual(getApplied());
 	again.host.stop();
 	await reopened.close();
 });
+
+test('a full disk ends every acknowledgement, and the next start finds what was acknowledged before', async () => {
+	const folder = await createFolder();
+	let isFull = false;
+	const opened = await openReplicaStore<string>({
+		folder,
+		fileSystem: {
+			...storeFileSystem,
+			async openToAppend(file) {
+				const handle = await storeFileSystem.openToAppend(file);
+				return {
+					...handle,
+					async appendAll(data) {
+						if (isFull) {
+							throw Object.assign(new Error('no space left on device'), {code: 'ENOSPC'});
+						}
+
+						await handle.appendAll(data);
+					},
+				};
+			},
+		},
+	});
+	const store = opened.ok ? opened.value : expect.fail('the store did not open');
+	let failures = 0;
+	const {host, timers} = startHost(store, {
+		onStoreFailed() {
+			failures += 1;
+		},
+	});
+	await settleDisk(timers, () => host.hasLeaderLease());
+	expect(await host.propose('kept')).toMatchObject({ok: true});
+	isFull = true;
+	const refused = Promise.all(['lost', 'lost too'].map(async command => host.propose(command)));
+	await settleDisk(timers, () => failures > 0);
+	expect(host.hasLeaderLease()).toBe(false);
+	timers.advance(6000);
+	expect(await refused).toEqual(Array.from({length: 2}, () => ({ok: false, err: {type: 'unknown'}})));
+	const later = host.propose('later');
+	timers.advance(6000);
+	expect(await later).toEqual({ok: false, err: {type: 'notProposed', reason: 'storageFailed'}});
+	expect(failures).toBe(1);
+	host.stop();
+	await store.close();
+
+	const reopened = await openStore(folder);
+	const again = startHost(reopened);
+	await settleDisk(again.timers, () => again.host.hasLeaderLease());
+	expect(again.getApplied()).toEqual(['kept']);
+	again.host.stop();
+	await reopened.close();
+});
