--- a/packages/core/src/jobs/pool-teams.ts
+++ b/packages/core/src/jobs/pool-teams.ts
@@ -36,10 +36,12 @@
 	running: 0,
 	dispatched: 0,
 	usedSlots: 0,
+	urgentUsedSlots: 0,
 	runningElsewhere: 0,
 	servedPerWeight: 0,
 	rackUse: ImmutableMap(),
 	refused: 0,
+	isDemandChanged: false,
 };
 
 const emptyTeam: TeamState = {
@@ -112,6 +114,7 @@
 		team,
 		weight: teamState.weight,
 		usedPerWeight: (poolTeam.usedSlots + poolTeam.runningElsewhere) / teamState.weight,
+		urgentUsedPerWeight: poolTeam.urgentUsedSlots / teamState.weight,
 		servedPerWeight: poolTeam.servedPerWeight,
 		hasUrgent: poolTeam.urgent.entries.size > 0,
 	};
@@ -120,14 +123,14 @@
 function isSameRank(left: TeamRank | undefined, right: TeamRank | undefined): boolean {
 	return left === right || (right !== undefined
 		&& left?.usedPerWeight === right.usedPerWeight
+		&& left.urgentUsedPerWeight === right.urgentUsedPerWeight
 		&& left.servedPerWeight === right.servedPerWeight
 		&& left.weight === right.weight
 		&& left.hasUrgent === right.hasUrgent);
 }
 
-function putRank(poolTeam: PoolTeam, rank: TeamRank | undefined): PoolTeam {
-	const {rank: _, ...rest} = poolTeam;
-	return rank === undefined ? rest : {...rest, rank};
+function putPlace(poolTeam: PoolTeam, rank: TeamRank | undefined): PoolTeam {
+	return {...poolTeam, rank, isDemandChanged: true};
 }
 
 function replaceRank(pool: PoolState, before: TeamRank | undefined, after: TeamRank | undefined): PoolState {
@@ -143,13 +146,6 @@
 		: poolTeam;
 }
 
-function markDemandChanged(state: JobsState, place: TeamInPool): JobsState {
-	const key = `${place.pool}/${place.team}`;
-	return state.changedDemands.has(key)
-		? state
-		: {...state, changedDemands: state.changedDemands.set(key, place)};
-}
-
 /**
  * Changes a team's work in a pool and puts the team where it now belongs in the order.
  *
@@ -167,11 +163,10 @@
 	const before = pool.teams.get(place.team, emptyPoolTeam);
 	const changed = change(raiseToFloor(pool, before));
 	const rank = createRank({team: place.team, teamState: getTeam(state, place.team), poolTeam: changed});
-	const isMoved = !isSameRank(before.rank, rank);
-	const ordered = isMoved ? replaceRank(pool, before.rank, rank) : pool;
-	const poolTeam = isMoved ? putRank(changed, rank) : changed;
+	const ordered = isSameRank(before.rank, rank) ? pool : replaceRank(pool, before.rank, rank);
+	const poolTeam = putPlace(changed, rank);
 	const pools = state.pools.set(place.pool, {...ordered, teams: ordered.teams.set(place.team, poolTeam)});
-	return markDemandChanged({...state, pools}, place);
+	return {...state, pools};
 }
 
 /**
@@ -185,6 +180,10 @@
 export function updateTeam(state: JobsState, team: TeamId, change: (team: TeamState) => TeamState): JobsState {
 	const before = getTeam(state, team);
 	const after = change(before);
+	if (after === before) {
+		return state;
+	}
+
 	const changed = {...state, teams: state.teams.set(team, after)};
 	if (before.weight === after.weight && canRunMore(before) === canRunMore(after)) {
 		return changed;
--- a/packages/core/src/jobs/state.ts
+++ b/packages/core/src/jobs/state.ts
@@ -15,7 +15,7 @@
 import type {JobQueue, Ticket} from './job-queue.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {
-	JobAttempt, JobsCfg, JobsEffect, JobSpec, PlaceableMinion,
+	JobAttempt, JobsCfg, JobsEffect, JobSpec, PlaceableMinion, Urgency,
 } from './types.js';
 
 /** What outlives an attempt of a job. */
@@ -66,6 +66,7 @@
 	readonly queue: QueueId;
 	/** Of the pool's scarcest resource, in slots; at least 1. */
 	readonly shareSlots: number;
+	readonly urgency: Urgency;
 	readonly cores: number;
 	readonly memoryMb: number;
 	readonly reservedAtMs: number;
@@ -93,14 +94,18 @@
 	readonly dispatched: number;
 	/** What the running jobs take, in slots. */
 	readonly usedSlots: number;
+	/** Of these, what the urgent jobs take. */
+	readonly urgentUsedSlots: number;
 	/** What the team has running at other entry hosts. */
 	readonly runningElsewhere: number;
 	/** Slot-milliseconds served, divided by the weight. */
 	readonly servedPerWeight: number;
 	readonly rackUse: ImmutableMap<string, number>;
 	readonly refused: number;
+	/** Whether the demand has changed since it was last made known. */
+	readonly isDemandChanged: boolean;
 	/** The team's place in the order, while it is in it. */
-	readonly rank?: TeamRank;
+	readonly rank?: TeamRank | undefined;
 };
 
 /** One pool at this node. */
@@ -154,8 +159,6 @@
 	readonly budgets: ImmutableMap<QueueId, RetryBudget>;
 	readonly profiles: ImmutableMap<string, RunProfile>;
 	readonly timers: SortedSet<JobTimer>;
-	/** Pools and teams whose demand changed since it was last made known. */
-	readonly changedDemands: ImmutableMap<string, {readonly pool: PoolId; readonly team: TeamId}>;
 	/** What teams were due and had, for the shares report. */
 	readonly shareWindow: ShareWindow;
 	readonly isStopping: boolean;
@@ -186,7 +189,6 @@
 		budgets: ImmutableMap(),
 		profiles: ImmutableMap(),
 		timers: createSortedSet(compareTimers),
-		changedDemands: ImmutableMap(),
 		shareWindow: createShareWindow(shareWindowMs),
 		isStopping: false,
 	};
