Take out settings that nothing reads

Cause: five limits of the settings file (answer size, header size, three timeouts) were checked and documented but changed nothing; the HTTP server has fixed bounds.

Conclusion: the tests of settings, sessions, operators and the command line pass.

--- a/packages/daemon/src/settings/constants.ts
+++ b/packages/daemon/src/settings/constants.ts
@@ -13,10 +13,5 @@
 export const defaultLimits = {
 	maximumBodyBytes: 1_048_576,
 	bodyBudgetBytes: 16_777_216,
-	maximumAnswerBytes: 16_777_216,
 	maximumConnections: 4096,
-	maximumHeaderBytes: 16_384,
-	headersTimeoutMs: 5000,
-	requestTimeoutMs: 30_000,
-	drainTimeoutMs: 60_000,
 } as const;
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -37,12 +37,7 @@
 const limits = z.strictObject({
 	maximumBodyBytes: z._default(positive, defaultLimits.maximumBodyBytes),
 	bodyBudgetBytes: z._default(positive, defaultLimits.bodyBudgetBytes),
-	maximumAnswerBytes: z._default(positive, defaultLimits.maximumAnswerBytes),
 	maximumConnections: z._default(positive, defaultLimits.maximumConnections),
-	maximumHeaderBytes: z._default(positive, defaultLimits.maximumHeaderBytes),
-	headersTimeoutMs: z._default(positive, defaultLimits.headersTimeoutMs),
-	requestTimeoutMs: z._default(positive, defaultLimits.requestTimeoutMs),
-	drainTimeoutMs: z._default(positive, defaultLimits.drainTimeoutMs),
 });
 
 const operator = z.strictObject({
--- a/packages/daemon/src/settings/types.ts
+++ b/packages/daemon/src/settings/types.ts
@@ -21,16 +21,7 @@
 	readonly maximumBodyBytes: number;
 	/** The memory that all request bodies held at once may take, in bytes. */
 	readonly bodyBudgetBytes: number;
-	/** The largest answer of one job, in bytes. */
-	readonly maximumAnswerBytes: number;
 	readonly maximumConnections: number;
-	readonly maximumHeaderBytes: number;
-	/** How long a client may take to send the headers of one request. */
-	readonly headersTimeoutMs: number;
-	/** How long a client may take to send one whole request. */
-	readonly requestTimeoutMs: number;
-	/** How long a planned stop waits for running jobs. */
-	readonly drainTimeoutMs: number;
 };
 
 /** What an operator may do. */
