Refuse commands that this version does not know

Cause: a replica older than its leader threw on a new operator's command, and would have thrown again at each restart.

Change: unknown commands are refused without effect, those with a change id too.

--- a/packages/core/src/control/apply-control-command.ts
+++ b/packages/core/src/control/apply-control-command.ts
@@ -89,6 +89,21 @@
 	return {answer, state: {...state, changes: isFull ? OrderedMap(changes.takeLast(appliedChangeCount)) : changes}};
 }
 
+const operatorCommandTypes: ReadonlySet<string> = new Set<OperatorCommand['type']>([
+	'control/putRecord',
+	'control/deleteRecord',
+	'control/writeRecords',
+	'control/putV1Document',
+	'control/deleteV1Document',
+	'control/setWaveDesired',
+	'control/setHomePool',
+]);
+
+/** Whether this version knows the command. A newer leader's log may hold others. */
+function isKnown({type}: {readonly type: string}): boolean {
+	return operatorCommandTypes.has(type);
+}
+
 function placeInV1({state, answer}: ControlStep): ControlStep {
 	return answer.type === 'invalid'
 		? {state, answer: {...answer, findings: answer.findings.map(finding => toV1Finding(finding))}}
@@ -136,7 +151,7 @@
  */
 export function applyControlCommand(state: ControlState, command: ControlCommand): ControlStep {
 	if ('changeId' in command) {
-		return applyOperatorCommand(state, command);
+		return isKnown(command) ? applyOperatorCommand(state, command) : rejectUnknownCommand(state, command);
 	}
 
 	return command.type === 'control/setView' ? setView(state, command) : applyPartCommand(state, command);
--- a/packages/core/src/control/parts/waves-part.test.ts
+++ b/packages/core/src/control/parts/waves-part.test.ts
@@ -32,12 +32,13 @@
 	const again = applyControlCommand(state, {type: 'waves/start', wave, atMs});
 	expect(again).toMatchObject({answer: {type: 'rejected', reason: 'alreadyStarted'}});
 	expect(again.state).toBe(state);
-	const newer: unknown = {type: 'orbits/start'};
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- a newer leader's command has no type here
-	const unknown = applyControlCommand(state, newer as ControlCommand);
-	expect(unknown).toEqual({
-		state, answer: {type: 'rejected', reason: 'unknownCommand', message: 'no part takes orbits/start'},
-	});
+	for (const newer of [{type: 'orbits/start'}, {type: 'control/paintPool', changeId: 'c', actor: 'ana'}]) {
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- a newer leader's command has no type here
+		const unknown = applyControlCommand(state, newer as unknown as ControlCommand);
+		expect(unknown).toEqual({
+			state, answer: {type: 'rejected', reason: 'unknownCommand', message: `no part takes ${newer.type}`},
+		});
+	}
 });
 
 test('a damaged state of a part is reported and left out', () => {
