Show the winner of a conflict in words

Cause: the command line printed a conflict as one JSON line.

Change: it names the revision in force, who made it, the revision that was expected, and the record.

--- a/packages/cli/src/cli.test.ts
+++ b/packages/cli/src/cli.test.ts
@@ -55,7 +55,13 @@
 	'apply stops at a conflict and tells what is left': {
 		args: ['apply', '-f', 'all'],
 		files: {all: [queue, pool]},
-		answers: {[putPool]: [refuse(412, 'conflict', {conflicts: [{kind: 'pool', id: 'counters', current: {revision: 5}}]})]},
+		answers: {
+			[putPool]: [refuse(412, 'conflict', {
+				conflicts: [{
+					kind: 'pool', id: 'counters', expectedRevision: 3, current: {revision: 5, changedBy: 'rui', record: pool},
+				}, {kind: 'limit', id: 'x', expectedRevision: 2}],
+			})],
+		},
 	},
 	'apply checks every file before it sends anything': {
 		args: ['apply', '-f', 'bad', 'broken'],
--- a/packages/cli/src/output/print.ts
+++ b/packages/cli/src/output/print.ts
@@ -1,7 +1,8 @@
 /** Writes results and refusals for people or for programs. */
 import {exitCodes, type ExitCode} from '../exit-codes.js';
 import type {ApiResult, CommandContext, ProblemDocument} from '../types.js';
-import {formatTable, type TableRow} from './format-table.js';
+import {toFields, toItems, type Fields} from '../read-fields.js';
+import {formatCell, formatTable, type TableRow} from './format-table.js';
 
 /**
  * Writes a result in the format that was asked for.
@@ -45,12 +46,22 @@
 	}
 }
 
+function formatConflict({kind, id, expectedRevision, current}: Fields): string {
+	const name = `${formatCell(kind)} ${formatCell(id)}`;
+	if (current === undefined) {
+		return `  ${name}: there is none, and revision ${formatCell(expectedRevision)} was expected`;
+	}
+
+	const {revision, changedBy, record} = toFields(current);
+	return `  ${name}: revision ${formatCell(revision)} by ${formatCell(changedBy)} is in force, ${formatCell(expectedRevision)} was expected: ${formatCell(record)}`;
+}
+
 function formatProblem({title, detail, findings, conflicts}: ProblemDocument): string {
 	return [
 		title,
 		...(detail === undefined ? [] : [detail]),
 		...(findings ?? []).map(({path, message}) => `  ${path === '' ? '/' : path}: ${message}`),
-		...(conflicts ?? []).map(conflict => `  the record in force: ${JSON.stringify(conflict)}`),
+		...toItems(conflicts).map(conflict => formatConflict(conflict)),
 	].join('\n');
 }
 
