--- /dev/null
+++ b/bench/buffers.ts
@@ -0,0 +1,222 @@
+/**
+ * Measures buffer cost, host moves and start times together, over the tuning of lending, on one
+ * seeded trace per load. Run: `node bench/dist/buffers.js`.
+ */
+import process from 'node:process';
+import {
+	createSeededRandom, toBrand, type NodeId, type PoolId, type WorkerId,
+} from '@samphiremill/common';
+import {
+	applyMoveCommand, createDemandState, createMovesState, createWavesState, defaultMovesConfig, planMoves, reduceDemand, trackReleases,
+	type HostOwnership, type MoveContext, type MovesConfig, type PoolRecord, type SeenRelease, type WorkerRecord,
+} from '@samphiremill/core';
+
+/** How a queue's rate changes over time, as a multiple of its mean. */
+type Load = {readonly name: string; readonly getFactor: (desk: number, nowMs: number) => number};
+
+/** How spare hosts are used. */
+type Policy = {readonly name: string; readonly cfg: MovesConfig | 'never' | 'spread'};
+
+type Desk = {
+	readonly pool: PoolId;
+	readonly queue: number[];
+	/** When each running job ends. */
+	running: number[];
+};
+
+type Result = {
+	readonly idleSlotSeconds: number;
+	readonly moves: number;
+	readonly startMs: readonly number[];
+};
+
+const secondMs = 1000;
+const stepMs = 100;
+const planMs = secondMs;
+const durationMs = 2 * 3600 * secondMs;
+const deskCount = 4;
+const hostsPerDesk = 8;
+const spareHosts = 4;
+const slotsPerHost = 8;
+const meanRunMs = 2 * secondMs;
+const drainMs = 6 * secondMs;
+/** The part of a desk's own slots that its mean rate keeps busy. */
+const meanUse = 0.45;
+const startBoundMs = 1400;
+
+const spare = toBrand<PoolId>('pool-spare');
+const getDesk = (index: number) => toBrand<PoolId>(`pool-${index}`);
+
+const burstMs = 8 * secondMs;
+const quietMs = 30 * secondMs;
+
+/** Each queue in turn asks five times its mean for some seconds, then a twentieth. */
+const getBurstFactor = (desk: number, nowMs: number) => {
+	const phaseMs = ((nowMs + (desk * 60 * secondMs)) % (deskCount * 60 * secondMs));
+	if (phaseMs < burstMs) {
+		return 5;
+	}
+
+	return phaseMs < burstMs + quietMs ? 0.05 : 1;
+};
+
+const surgeMs = 15 * 60 * secondMs;
+
+const loads: readonly Load[] = [
+	{name: 'bursts', getFactor: getBurstFactor},
+	{
+		name: 'bursts and a surge of 15 min at 2.4 times the mean on one desk each half hour',
+		getFactor(desk, nowMs) {
+			const half = Math.floor(nowMs / (2 * surgeMs));
+			const isSurge = nowMs % (2 * surgeMs) < surgeMs && half % deskCount === desk;
+			return getBurstFactor(desk, nowMs) * (isSurge ? 2.4 : 1);
+		},
+	},
+];
+
+const lend = (cfg: Partial<MovesConfig>): MovesConfig => ({...defaultMovesConfig, reserveHosts: 0, ...cfg});
+
+const policies: readonly Policy[] = [
+	{name: 'spare held, never lent', cfg: 'never'},
+	{name: 'spare spread over the desks for good', cfg: 'spread'},
+	...[1, 10, 60].flatMap(smoothing => [0, 10, 20, 30, 60].flatMap(hold => [30, 300].map((back): Policy => ({
+		name: `smoothing ${smoothing} s, lend after ${hold} s, take back after ${back} s`,
+		cfg: lend({smoothingMs: smoothing * secondMs, lendHoldMs: hold * secondMs, takeBackHoldMs: back * secondMs}),
+	})))),
+];
+
+const workers: readonly WorkerRecord[] = Array.from({length: (deskCount * hostsPerDesk) + spareHosts}, (_, index) => ({
+	kind: 'worker',
+	id: toBrand(`worker-${String(index).padStart(2, '0')}`),
+	dataCentre: toBrand('dc-0'),
+	rack: toBrand(`rack-${Math.floor(index / 4)}`),
+	cores: 32,
+	memoryMb: 65_536,
+	accelerators: 0,
+	homePool: index < deskCount * hostsPerDesk ? getDesk(index % deskCount) : spare,
+}));
+
+const pools: readonly PoolRecord[] = [
+	...Array.from({length: deskCount}, (_, index): PoolRecord => ({
+		kind: 'pool', id: getDesk(index), maximumUnavailableHosts: 1, isSpare: false,
+	})),
+	{
+		kind: 'pool', id: spare, maximumUnavailableHosts: spareHosts, isSpare: true,
+	},
+];
+
+const run = (load: Load, policy: Policy): Result => {
+	const random = createSeededRandom(11);
+	let owners: ReadonlyMap<WorkerId, HostOwnership> = new Map(workers.map(({id, homePool}, index) => {
+		const pool = policy.cfg === 'spread' && homePool === spare ? getDesk(index % deskCount) : homePool;
+		return [id, {worker: id, epoch: 1, phase: {type: 'member' as const, pool}}];
+	}));
+	const desks = Array.from({length: deskCount}, (_, index): Desk => ({pool: getDesk(index), queue: [], running: []}));
+	const cfg = typeof policy.cfg === 'string' ? undefined : policy.cfg;
+	const startMs: number[] = [];
+	let demand = createDemandState();
+	let moves = createMovesState();
+	let releases: readonly SeenRelease[] = [];
+	let idleSlotSeconds = 0;
+	let moveCount = 0;
+
+	const countHosts = (pool: PoolId) => [...owners.values()].filter(({phase}) => phase.type === 'member' && phase.pool === pool).length;
+	const getRunMs = () => -Math.log(1 - random()) * meanRunMs;
+
+	const serve = (desk: Desk, index: number, nowMs: number) => {
+		const ratePerMs = load.getFactor(index, nowMs) * meanUse * hostsPerDesk * slotsPerHost / meanRunMs;
+		for (let left = ratePerMs * stepMs; left > 0; left -= 1) {
+			if (random() < left) {
+				desk.queue.push(nowMs);
+			}
+		}
+
+		desk.running = desk.running.filter(endMs => endMs > nowMs);
+		const slots = countHosts(desk.pool) * slotsPerHost;
+		const started = desk.queue.splice(0, Math.max(0, slots - desk.running.length));
+		desk.running.push(...started.map(() => nowMs + getRunMs()));
+		startMs.push(...started.map(arrivedAtMs => nowMs - arrivedAtMs));
+		const isBusy = desk.running.length / slots;
+		idleSlotSeconds += (policy.cfg === 'spread' ? spareHosts / deskCount * slotsPerHost * (1 - isBusy) : 0) * stepMs / secondMs;
+	};
+
+	const plan = (nowMs: number, plannerCfg: MovesConfig) => {
+		demand = reduceDemand(demand, {
+			type: 'moves/demandObserved',
+			nowMs,
+			pools: desks.map(desk => ({
+				pool: desk.pool,
+				demandSlots: desk.running.length + desk.queue.length,
+				capacitySlots: countHosts(desk.pool) * slotsPerHost,
+			})),
+		}, plannerCfg);
+		releases = trackReleases({
+			releases, moves, appliedIndex: nowMs, nowMs,
+		});
+		const context: MoveContext = {
+			records: {
+				pools, waves: [], workers, ownership: [...owners.values()],
+			},
+			waves: createWavesState(),
+			views: [{dataCentre: toBrand('dc-0'), epoch: 1, members: [toBrand<NodeId>('node-0')]}],
+			maximumHostsAsideFleetWide: 7,
+		};
+		const commands = planMoves({
+			moves,
+			context,
+			demand,
+			platform: moves.moves.map(({worker, startedAtMs}) =>
+				({worker, intake: 'closed', runningTasks: nowMs - startedAtMs >= drainMs ? 0 : 1})),
+			entryHosts: [],
+			releases,
+			nowMs,
+			atMs: toBrand(nowMs),
+			cfg: plannerCfg,
+		});
+		for (const command of commands) {
+			const applied = applyMoveCommand({state: moves, command, context: {...context, records: {...context.records, ownership: [...owners.values()]}}});
+			moves = applied.state;
+			moveCount += command.type === 'moves/adopt' && applied.answer.type === 'applied' ? 1 : 0;
+			if (applied.ownership !== undefined) {
+				owners = new Map(owners).set(applied.ownership.worker, applied.ownership);
+			}
+		}
+	};
+
+	for (let nowMs = 0; nowMs < durationMs; nowMs += stepMs) {
+		for (const [index, desk] of desks.entries()) {
+			serve(desk, index, nowMs);
+		}
+
+		// Spare hosts and hosts on their way serve no desk.
+		const serving = desks.reduce((sum, {pool}) => sum + countHosts(pool), 0);
+		idleSlotSeconds += (workers.length - serving) * slotsPerHost * stepMs / secondMs;
+		if (cfg !== undefined && nowMs % planMs === 0) {
+			plan(nowMs, cfg);
+		}
+	}
+
+	return {idleSlotSeconds, moves: moveCount, startMs};
+};
+
+const getQuantile = (sorted: readonly number[], part: number) => sorted[Math.floor(sorted.length * part)] ?? 0;
+const print = (cells: readonly string[]) => {
+	process.stdout.write(`| ${cells.join(' | ')} |\n`);
+};
+
+for (const load of loads) {
+	process.stdout.write(`\n${load.name}\n\n`);
+	print(['policy', 'idle slot-seconds held', 'host moves', 'start p50 ms', 'p99 ms', 'p99.9 ms', 'started after 1.4 s']);
+	print(Array.from({length: 7}, () => '---'));
+	for (const policy of policies) {
+		const {idleSlotSeconds, moves, startMs} = run(load, policy);
+		const sorted = startMs.toSorted((left, right) => left - right);
+		print([
+			policy.name,
+			idleSlotSeconds.toFixed(0),
+			String(moves),
+			...[0.5, 0.99, 0.999].map(part => getQuantile(sorted, part).toFixed(0)),
+			`${(100 * sorted.filter(delayMs => delayMs > startBoundMs).length / sorted.length).toFixed(2)} %`,
+		]);
+	}
+}
--- /dev/null
+++ b/bench/wave-world.ts
@@ -0,0 +1,253 @@
+/**
+ * A fleet in virtual time for the benches of waves: drains, reboots and unplanned failures, with the
+ * planner of the product and commands that are committed at once.
+ */
+import process from 'node:process';
+import {createSeededRandom, toBrand, type WorkerId} from '@samphiremill/common';
+import {
+	applyWaveCommand, createWavesState, defaultWavesConfig, getRebootId, listHostsToClose, planWaveStep,
+	type FleetRecords, type OrderHosts, type PlatformHost, type PoolRecord, type VersionedWave, type WavesConfig, type WavesState, type WorkerRecord,
+} from '@samphiremill/core';
+
+/** The size of a fleet and how often its hosts fail. */
+export type FleetShape = {
+	readonly name: string;
+	readonly workers: number;
+	readonly pools: number;
+	readonly dataCentres: number;
+	readonly hostsPerRack: number;
+	readonly budget: number;
+	readonly failuresPerDay: number;
+	readonly restartsPerDay: number;
+	/** How often the bench plans. */
+	readonly tickMs: number;
+};
+
+/** One roll-out. */
+export type RollOut = {
+	readonly shape: FleetShape;
+	readonly orderHosts: OrderHosts;
+	readonly maximumHostsAside: number;
+	readonly seed: number;
+};
+
+/** What one roll-out came to. */
+export type RollOutResult = {
+	readonly durationMs: number;
+	readonly meanCycleMs: number;
+	readonly pauses: number;
+	/** Planned steps after which a pool had more hosts out than its budget. */
+	readonly overdraws: number;
+	readonly returned: number;
+	readonly failed: number;
+	/** Racks with a host aside, averaged over the time that any host was aside. */
+	readonly meanOpenRacks: number;
+	readonly planMicroseconds: readonly number[];
+};
+
+type Host = {
+	downUntilMs: number;
+	drainedAtMs: number | undefined;
+	reboot: {readonly id: string; readonly untilMs: number} | undefined;
+};
+
+const secondMs = 1000;
+const minuteMs = 60 * secondMs;
+const dayMs = 24 * 60 * minuteMs;
+const failureMs = 120 * minuteMs;
+const restartMs = 5 * minuteMs;
+const operatorDelayMs = 10 * minuteMs;
+const limitMs = 20 * dayMs;
+
+/** How long a reboot takes on average in these benches. */
+export const meanRebootMs = 5 * minuteMs;
+
+const createRecords = ({workers, pools, dataCentres, hostsPerRack, budget}: FleetShape, maximumHostsAside: number): FleetRecords => {
+	const poolRecords = Array.from({length: pools}, (_, index): PoolRecord => ({
+		kind: 'pool', id: toBrand(`pool-${String(index).padStart(2, '0')}`), maximumUnavailableHosts: budget, isSpare: false,
+	}));
+	const workerRecords = Array.from({length: workers}, (_, index): WorkerRecord => {
+		const rack = Math.floor(index / hostsPerRack);
+		return {
+			kind: 'worker',
+			id: toBrand(`worker-${String(index).padStart(4, '0')}`),
+			dataCentre: toBrand(`dc-${rack % dataCentres}`),
+			rack: toBrand(`rack-${rack}`),
+			cores: 32,
+			memoryMb: 131_072,
+			accelerators: 0,
+			homePool: toBrand(`pool-${String(index % pools).padStart(2, '0')}`),
+		};
+	});
+	return {
+		pools: poolRecords,
+		workers: workerRecords,
+		ownership: workerRecords.map(({id, homePool}) => ({worker: id, epoch: 1, phase: {type: 'member', pool: homePool}})),
+		waves: [{
+			record: {
+				kind: 'wave', id: toBrand('wave'), pools: poolRecords.map(({id}) => id), desired: 'running', maximumHostsAside,
+			},
+			revision: 1,
+		}],
+	};
+};
+
+/**
+ * Runs one wave over a whole fleet to its end.
+ *
+ * @param options - The fleet, the order of hosts, the bound of hosts aside, and the seed.
+ * @returns How long it took and what happened.
+ */
+export function runRollOut({shape, orderHosts, maximumHostsAside, seed}: RollOut): RollOutResult {
+	const {tickMs} = shape;
+	const random = createSeededRandom(seed);
+	const cfg: WavesConfig = {...defaultWavesConfig, maximumHostsAsideFleetWide: maximumHostsAside};
+	let records = createRecords(shape, maximumHostsAside);
+	let state: WavesState = createWavesState();
+	const hosts = new Map<WorkerId, Host>(records.workers.map(({id}) => [id, {downUntilMs: 0, drainedAtMs: undefined, reboot: undefined}]));
+	const racks = new Map(records.workers.map(({id, rack}) => [id, rack]));
+	const planMicroseconds: number[] = [];
+	let pauses = 0;
+	let pausedAtMs: number | undefined;
+	let overdraws = 0;
+	let openRacks = 0;
+	let busyTicks = 0;
+	let nowMs = 0;
+
+	const isDown = (host: Host) => Math.max(host.downUntilMs, host.reboot?.untilMs ?? 0) > nowMs;
+	const failHosts = (perDay: number, durationMs: number) => {
+		if (random() < perDay * tickMs / dayMs) {
+			const worker = records.workers[Math.floor(random() * records.workers.length)];
+			const host = worker && hosts.get(worker.id);
+			if (host !== undefined) {
+				host.downUntilMs = Math.max(host.downUntilMs, nowMs + durationMs);
+			}
+		}
+	};
+
+	const getPlatform = (): readonly PlatformHost[] => {
+		const closed = new Set(listHostsToClose({state, records, platform: [...hosts].map(([worker, host]) => see(worker, host, 'closed'))}));
+		return [...hosts].map(([worker, host]) => see(worker, host, closed.has(worker) ? 'closed' : 'open'));
+	};
+
+	const see = (worker: WorkerId, host: Host, intake: PlatformHost['intake']): PlatformHost => ({
+		worker,
+		intake,
+		runningTasks: host.drainedAtMs === undefined || host.drainedAtMs > nowMs ? 1 : 0,
+		...(host.reboot !== undefined && {
+			reboot: {id: host.reboot.id, state: host.reboot.untilMs > nowMs ? 'running' : 'finished', finishedSeenAtMs: host.reboot.untilMs},
+		}),
+	});
+
+	const carryOut = () => {
+		for (const wave of state.waves) {
+			for (const {worker, phase, attempt} of wave.hosts) {
+				const host = hosts.get(worker);
+				if (host === undefined) {
+					continue;
+				}
+
+				if (phase === 'draining') {
+					host.drainedAtMs ??= nowMs + ((10 + (random() * 50)) * secondMs);
+				} else if (phase === 'pending') {
+					host.drainedAtMs = undefined;
+				}
+
+				const id = getRebootId({wave: wave.wave, worker, attempt});
+				if (phase === 'rebooting' && host.reboot?.id !== id) {
+					host.reboot = {id, untilMs: nowMs + (meanRebootMs * (0.7 + (0.6 * random())))};
+				}
+			}
+		}
+	};
+
+	const countOverdraws = () => {
+		const out = new Set(state.waves.flatMap(wave => wave.hosts
+			.filter(({phase}) => ['granted', 'draining', 'rebooting', 'failed'].includes(phase))
+			.map(({worker}) => worker)));
+		const down = new Set(state.unavailable.map(({worker}) => worker));
+		return records.pools.filter(({id, maximumUnavailableHosts}) => {
+			const members = records.workers.filter(({homePool}) => homePool === id);
+			const planned = members.some(worker => out.has(worker.id) && !down.has(worker.id));
+			return planned && members.filter(worker => out.has(worker.id) || down.has(worker.id)).length > maximumUnavailableHosts;
+		}).length;
+	};
+
+	const tick = () => {
+		failHosts(shape.failuresPerDay, failureMs);
+		failHosts(shape.restartsPerDay, restartMs);
+		const startedAt = process.hrtime.bigint();
+		const commands = planWaveStep({
+			control: {waves: state, records},
+			fleet: {workers: [...hosts].map(([worker, host]) => ({worker, condition: isDown(host) ? 'silent' : 'up', lastSeenAtMs: isDown(host) ? 0 : nowMs}))},
+			platform: getPlatform(),
+			nowMs: toBrand(nowMs),
+			cfg,
+			orderHosts,
+		});
+		planMicroseconds.push(Number(process.hrtime.bigint() - startedAt) / 1000);
+		for (const command of commands) {
+			state = applyWaveCommand({
+				state, command, records, cfg,
+			}).state;
+			overdraws += command.type === 'waves/grantDrain' ? countOverdraws() : 0;
+		}
+
+		carryOut();
+		const open = new Set(state.waves.flatMap(wave => wave.hosts
+			.filter(({phase}) => ['granted', 'draining', 'rebooting'].includes(phase))
+			.map(({worker}) => racks.get(worker))));
+		openRacks += open.size;
+		busyTicks += open.size > 0 ? 1 : 0;
+	};
+
+	const actAsOperator = () => {
+		const isPaused = state.waves[0]?.phase === 'paused';
+		if (isPaused && pausedAtMs === undefined) {
+			pausedAtMs = nowMs;
+			pauses += 1;
+		}
+
+		if (isPaused && pausedAtMs !== undefined && nowMs - pausedAtMs >= operatorDelayMs) {
+			pausedAtMs = undefined;
+			const waves = records.waves.map(({record, revision}): VersionedWave => ({record, revision: revision + 1}));
+			records = {...records, waves};
+		}
+	};
+
+	while (state.waves[0]?.phase !== 'completed' && nowMs < limitMs) {
+		nowMs += tickMs;
+		tick();
+		actAsOperator();
+	}
+
+	const done = state.waves[0]?.hosts ?? [];
+	const cycles = done
+		.filter(({phase}) => phase === 'returned')
+		.map(({grantedAtMs, changedAtMs}) => changedAtMs - (grantedAtMs ?? changedAtMs));
+	return {
+		durationMs: nowMs,
+		meanCycleMs: cycles.reduce((sum, cycle) => sum + cycle, 0) / Math.max(1, cycles.length),
+		pauses,
+		overdraws,
+		returned: cycles.length,
+		failed: done.filter(({phase}) => phase === 'failed').length,
+		meanOpenRacks: openRacks / Math.max(1, busyTicks),
+		planMicroseconds,
+	};
+}
+
+/**
+ * Computes the least time that the budgets and the bound imply for a whole fleet.
+ *
+ * @param options - The fleet, the bound of hosts aside, and how long one host is aside on average.
+ * @returns Milliseconds.
+ */
+export function getRollOutBoundMs({shape, maximumHostsAside, cycleMs}: {
+	shape: FleetShape;
+	maximumHostsAside: number;
+	cycleMs: number;
+}): number {
+	const largestPool = Math.ceil(shape.workers / shape.pools);
+	return Math.max(shape.workers / maximumHostsAside, largestPool / shape.budget) * cycleMs;
+}
--- /dev/null
+++ b/bench/waves.ts
@@ -0,0 +1,65 @@
+/**
+ * Measures how long a wave over a whole fleet takes against the lower bound, by the order of hosts,
+ * and what one step of planning costs. Run: `node bench/dist/waves.js`.
+ */
+import process from 'node:process';
+import {
+	orderByFailureDomain, orderById, orderByWholeRack, orderSingly, type OrderHosts,
+} from '@samphiremill/core';
+import {getRollOutBoundMs, runRollOut, type FleetShape} from './wave-world.js';
+
+const hourMs = 3_600_000;
+const smallFleet = 100;
+const seeds = [1, 2, 3];
+
+const shapes: readonly FleetShape[] = [
+	{
+		name: 'Irmandade', workers: 40, pools: 5, dataCentres: 4, hostsPerRack: 4, budget: 1, failuresPerDay: 0.26, restartsPerDay: 5.1, tickMs: 5000,
+	},
+	{
+		name: 'Tearmann', workers: 35, pools: 5, dataCentres: 3, hostsPerRack: 4, budget: 1, failuresPerDay: 0.23, restartsPerDay: 4.5, tickMs: 5000,
+	},
+	{
+		name: 'two years', workers: 620, pools: 25, dataCentres: 11, hostsPerRack: 4, budget: 2, failuresPerDay: 4, restartsPerDay: 79, tickMs: 15_000,
+	},
+];
+
+const orders: ReadonlyArray<{readonly name: string; readonly orderHosts: OrderHosts}> = [
+	{name: 'one at a time', orderHosts: orderSingly},
+	{name: 'whole racks', orderHosts: orderByWholeRack},
+	{name: 'by id', orderHosts: orderById},
+	{name: 'by failure domain', orderHosts: orderByFailureDomain},
+];
+
+const getMean = (values: readonly number[]) => values.reduce((sum, value) => sum + value, 0) / values.length;
+const getQuantile = (values: readonly number[], part: number) => values.toSorted((left, right) => left - right)[Math.floor(values.length * part)] ?? 0;
+const print = (cells: readonly string[]) => {
+	process.stdout.write(`| ${cells.join(' | ')} |\n`);
+};
+
+print(['fleet', 'order', 'hours', 'lower bound, hours', 'ratio', 'pauses', 'not returned', 'budget overdrawn by a grant', 'open racks', 'plan mean us', 'plan p99 us']);
+print(Array.from({length: 11}, () => '---'));
+for (const shape of shapes) {
+	for (const {name, orderHosts} of orders) {
+		const runs = (shape.workers > smallFleet ? seeds.slice(0, 1) : seeds).map(seed => runRollOut({
+			shape, orderHosts, maximumHostsAside: 7, seed,
+		}));
+		const cycleMs = getMean(runs.map(run => run.meanCycleMs));
+		const boundMs = getRollOutBoundMs({shape, maximumHostsAside: 7, cycleMs});
+		const durationMs = getMean(runs.map(run => run.durationMs));
+		const costs = runs.flatMap(run => run.planMicroseconds);
+		print([
+			shape.name,
+			name,
+			(durationMs / hourMs).toFixed(2),
+			(boundMs / hourMs).toFixed(2),
+			(durationMs / boundMs).toFixed(2),
+			String(runs.reduce((sum, run) => sum + run.pauses, 0)),
+			String(runs.reduce((sum, run) => sum + shape.workers - run.returned, 0)),
+			String(runs.reduce((sum, run) => sum + run.overdraws, 0)),
+			getMean(runs.map(run => run.meanOpenRacks)).toFixed(2),
+			getMean(costs).toFixed(0),
+			getQuantile(costs, 0.99).toFixed(0),
+		]);
+	}
+}
--- a/packages/core/src/waves/order-hosts.ts
+++ b/packages/core/src/waves/order-hosts.ts
@@ -8,9 +8,9 @@
 } from './types.js';
 
 /**
- * Takes the pool first whose hosts need the most rounds under its budget, since that pool decides
- * when the wave ends. Within a pool it stays in a rack and a data centre that are open already, so
- * that the loss of one more failure domain overlaps with as much of the wave as possible.
+ * Takes the pools first whose budgets decide when the wave ends: those that need as many rounds as
+ * the bound over all hosts does. Beyond that it stays in a rack and a data centre that are open
+ * already, so that few failure domains are touched at once. It never waits for a rack to be done.
  *
  * @param input - The candidates and the committed state.
  * @returns The candidates, the first to be granted first.
@@ -18,6 +18,8 @@
 export const orderByFailureDomain: OrderHosts = ({candidates, control: {waves, records}}) => {
 	const rounds = countRounds(candidates, records);
 	const opened = findOpenedDomains(waves, records);
+	const bound = Math.max(1, ...records.waves.map(({record}) => record.maximumHostsAside));
+	const boundRounds = Math.ceil(candidates.length / bound);
 	return candidates
 		.map(candidate => ({candidate, rank: getRank(candidate)}))
 		.toSorted((left, right) => compareRanks(left.rank, right.rank))
@@ -25,9 +27,10 @@
 
 	function getRank({pool, worker, wave}: DrainCandidate): readonly string[] {
 		return [
-			String(1_000_000 - (rounds.get(pool) ?? 0)),
+			(rounds.get(pool) ?? 0) >= boundRounds ? '0' : '1',
 			opened.has(getRackKey(worker)) ? '0' : '1',
 			opened.has(worker.dataCentre) ? '0' : '1',
+			String(1_000_000 - (rounds.get(pool) ?? 0)),
 			pool,
 			worker.dataCentre,
 			worker.rack,
