--- a/packages/core/src/control/parts.ts
+++ b/packages/core/src/control/parts.ts
@@ -3,20 +3,23 @@
  * state to `PartStates`, its commands to `PartCommand` and itself to `controlParts`.
  */
 import type {Finding} from '@samphiremill/common';
+import type {EscrowCommand, TeamGrantsState} from '../escrow/team-grants/index.js';
 import type {MoveCommand, MovesState} from '../moves/types.js';
 import type {WaveCommand, WavesState} from '../waves/types.js';
+import {escrowPart} from './parts/escrow-part.js';
 import {movesPart} from './parts/moves-part.js';
 import {wavesPart} from './parts/waves-part.js';
 import type {ControlState, ControlStep} from './types.js';
 
 /** The committed state of each part; absent until the part's first command. */
 export type PartStates = {
+	readonly escrow?: TeamGrantsState;
 	readonly moves?: MovesState;
 	readonly waves?: WavesState;
 };
 
 /** The commands of all parts. Their `type` is `part/verb`. */
-export type PartCommand = MoveCommand | WaveCommand;
+export type PartCommand = EscrowCommand | MoveCommand | WaveCommand;
 
 /** What a part supplies to the control state machine. */
 export type ControlPart = {
@@ -32,4 +35,4 @@
 };
 
 /** Every part, registered in this one place. */
-export const controlParts: readonly ControlPart[] = [movesPart, wavesPart];
+export const controlParts: readonly ControlPart[] = [escrowPart, movesPart, wavesPart];
