Keep jobs off hosts that a wave holds aside, and reach a minion that moved to another port

Cause: the session over a daemon lost jobs during a wave once it submitted some: entry hosts went on placing jobs on a host that was being drained until its minion said that it left, and the client of minions kept the connections to the first address of a minion, so after a restart on another port every job failed there.

Change: a minion on a host that a wave holds aside accepts no work by the committed state alone; the client opens a new pool when a minion's address changes. listPoolsWithBudget looks at all pools in one pass.

--- a/examples/wave-session.test.ts
+++ b/examples/wave-session.test.ts
@@ -105,6 +105,7 @@
 	};
 
 	return {
+		origin: session.origin,
 		call,
 		read,
 		lines,
@@ -131,7 +132,36 @@
 	return text;
 }
 
-test('an operator starts a wave over a running daemon, and each host is rebooted once', async () => {
+/** Submits one job after the other that may run once at most, and gives the status of each. */
+function submitUntilStopped(origin: string) {
+	const statuses: number[] = [];
+	const session = {isStopped: false};
+	const submit = async () => {
+		while (!session.isStopped) {
+			// eslint-disable-next-line no-await-in-loop -- one job after the other
+			const {statusCode, body} = await request(`${origin}/v1/queues/questions/jobs`, {
+				method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify({question: 'is violet-3 free?'}),
+			});
+			// The fleet serves from the first answer on.
+			if (statuses.length > 0 || statusCode === 200) {
+				statuses.push(statusCode);
+			}
+
+			await body.dump(); // eslint-disable-line no-await-in-loop -- the connection is used again
+		}
+	};
+
+	const done = submit();
+	return {
+		async stop() {
+			session.isStopped = true;
+			await done;
+			return statuses;
+		},
+	};
+}
+
+test('an operator starts a wave over a running daemon, each host is rebooted once, and no job is lost', async () => {
 	const session = await startSession();
 	try {
 		await pollUntil(
@@ -145,10 +175,14 @@
 			return `${status} ${text}`;
 		}, text => text.startsWith('2'));
 		expect(written).toMatch(/^2\d\d /v);
+		const jobs = submitUntilStopped(session.origin);
 		const progress = await pollUntil(
 			async () => session.read('/v1/waves/december/progress'),
 			text => text.includes('"phase":"completed"'),
 		);
+		const outcomes = await jobs.stop();
+		expect(outcomes.length).toBeGreaterThan(10);
+		expect(new Set(outcomes)).toEqual(new Set([200]));
 		expect(JSON.parse(progress)).toMatchObject({phase: 'completed', hosts: {total: 2, returned: 2, failed: 0}});
 		expect(session.platform.getReboots()).toEqual(['worker-1 december:worker-1:1', 'worker-2 december:worker-2:1']);
 		expect(session.lines.filter(line => line.startsWith('waves/grantDrain'))).toHaveLength(2);
--- a/packages/core/src/node/placeable-minions.ts
+++ b/packages/core/src/node/placeable-minions.ts
@@ -1,3 +1,4 @@
+import type {WorkerId} from '@samphiremill/common';
 import {
 	getVersionedRecord,
 	getTeamLimit, getTeamWeight, listQueues, listTeams,
@@ -5,6 +6,7 @@
 import type {JobsPolicy, PlaceableMinion} from '../jobs/index.js';
 import type {KnownMinion} from '../membership/index.js';
 import {listMinions} from '../minions/index.js';
+import {createWavesState, getHostsAside} from '../waves/index.js';
 import type {NodeState} from './types.js';
 
 const getHeldSlots = ({heldSlots}: NodeState, {minion, incarnation}: KnownMinion): number => {
@@ -18,7 +20,14 @@
 	return phase?.type === 'member' && phase.pool === pool;
 };
 
-const getPlaceableMinion = (state: NodeState, known: KnownMinion): PlaceableMinion | undefined => {
+type Placing = {
+	readonly state: NodeState;
+	readonly known: KnownMinion;
+	/** Hosts that a maintenance wave holds aside. */
+	readonly aside: ReadonlySet<WorkerId>;
+};
+
+const getPlaceableMinion = ({state, known, aside}: Placing): PlaceableMinion | undefined => {
 	const record = getVersionedRecord(state.control, {kind: 'worker', id: known.worker})?.record;
 	if (record === undefined) {
 		return undefined;
@@ -35,7 +44,7 @@
 		memoryMb: record.memoryMb,
 		heldSlots: getHeldSlots(state, known),
 		connections,
-		isAcceptingWork: known.condition === 'ready' && isOwnedByPool(state, known),
+		isAcceptingWork: known.condition === 'ready' && isOwnedByPool(state, known) && !aside.has(worker),
 	};
 };
 
@@ -46,8 +55,9 @@
  * @returns The minions in order of id.
  */
 export function listPlaceableMinions(state: NodeState): readonly PlaceableMinion[] {
+	const aside = new Set(getHostsAside({state: state.control.waves ?? createWavesState()}));
 	return listMinions(state.membership.minions)
-		.map(known => getPlaceableMinion(state, known))
+		.map(known => getPlaceableMinion({state, known, aside}))
 		.filter(minion => minion !== undefined);
 }
 
--- a/packages/core/src/waves/availability.ts
+++ b/packages/core/src/waves/availability.ts
@@ -93,3 +93,26 @@
 	const aside = new Set([...getHostsAside({state}), ...getMovingHosts(records)]);
 	return maximumHostsAside - aside.size;
 }
+
+/**
+ * Does for all pools in one pass what `getBudgetLeft` does for one.
+ *
+ * @param input - The committed state.
+ * @returns The pools of which at least one more host may become unavailable.
+ */
+export function listPoolsWithBudget({state, records}: {
+	state: WavesState;
+	records: FleetRecords;
+}): ReadonlySet<PoolId> {
+	const unavailable = getUnavailableHosts({state, records});
+	const counts = new Map<PoolId, number>();
+	for (const {worker, phase} of records.ownership) {
+		if (unavailable.has(worker)) {
+			counts.set(phase.pool, (counts.get(phase.pool) ?? 0) + 1);
+		}
+	}
+
+	return new Set(records.pools
+		.filter(({id, maximumUnavailableHosts}) => (counts.get(id) ?? 0) < maximumUnavailableHosts)
+		.map(({id}) => id));
+}
--- a/packages/core/src/waves/plan-grants.ts
+++ b/packages/core/src/waves/plan-grants.ts
@@ -1,4 +1,6 @@
-import {isAside, getBudgetLeft, getFleetBoundLeft} from './availability.js';
+import {
+	isAside, getBudgetLeft, getFleetBoundLeft, listPoolsWithBudget,
+} from './availability.js';
 import {orderByFailureDomain} from './order-hosts.js';
 import type {DrainCandidate, PlanWaveInput, WavesState} from './types.js';
 import type {WaveDraft} from './wave-draft.js';
@@ -35,9 +37,7 @@
 		return [];
 	}
 
-	const openPools = new Set(records.pools
-		.filter(({id}) => getBudgetLeft({pool: id, state, records}) > 0)
-		.map(({id}) => id));
+	const openPools = listPoolsWithBudget({state, records});
 	const workers = new Map(records.workers.map(worker => [worker.id, worker]));
 	const owners = new Map(records.ownership.map(owner => [owner.worker, owner.phase]));
 	const unavailable = new Set(state.unavailable.map(({worker}) => worker));
--- a/packages/daemon/src/dispatch/minion-client.ts
+++ b/packages/daemon/src/dispatch/minion-client.ts
@@ -172,36 +172,39 @@
  * @returns The client.
  */
 export function createMinionClient({timers}: {readonly timers: TimerService}): MinionClient {
-	const pools = new Map<MinionId, Pool>();
+	const pools = new Map<MinionId, {readonly origin: string; readonly pool: Pool}>();
 
 	const getPool = (attempt: DispatchAttempt): Pool => {
+		const origin = getOrigin(attempt);
 		const known = pools.get(attempt.minion);
-		if (known !== undefined) {
-			return known;
+		if (known?.origin === origin) {
+			return known.pool;
 		}
 
-		const pool = new Pool(getOrigin(attempt), {
+		// A minion that came back may listen elsewhere. What is in flight at the old address finishes.
+		void known?.pool.close();
+		const pool = new Pool(origin, {
 			connections: attempt.maximumConnections,
 			pipelining: 1,
 			keepAliveTimeout: maximumIdleReuseMs,
 			keepAliveMaxTimeout: maximumIdleReuseMs,
 			connect: {timeout: connectTimeoutMs},
 		});
-		pools.set(attempt.minion, pool);
+		pools.set(attempt.minion, {origin, pool});
 		return pool;
 	};
 
 	return {
 		dispatch: (attempt, handlers) => runAttempt({timers, getPool}, attempt, handlers),
 		forget(minion) {
-			const pool = pools.get(minion);
+			const known = pools.get(minion);
 			pools.delete(minion);
-			void pool?.close();
+			void known?.pool.close();
 		},
 		async close() {
 			const all = [...pools.values()];
 			pools.clear();
-			await Promise.all(all.map(async pool => pool.close()));
+			await Promise.all(all.map(async ({pool}) => pool.close()));
 		},
 	};
 }
