Refuse waiting jobs at once when they can no longer make it

Cause: a job that was let in waited until its latest start although capacity had gone since; and the expected wait counted a team's jobs on slots that were called back or lost as room for others.

Change: each tick refuses jobs from the backs of the queues whose expected wait is one and a half times what they have left, with the time to come back; running jobs count towards the expected slots only up to what is held.

--- a/packages/core/src/jobs/apply-tick.ts
+++ b/packages/core/src/jobs/apply-tick.ts
@@ -17,6 +17,7 @@
 } from './pool-teams.js';
 import {getReservationKey} from './reservations.js';
 import {sampleShares} from './share-report.js';
+import {shedLateJobs} from './shed-jobs.js';
 import type {
 	Context, JobsState, JobsStep, JobState,
 } from './state.js';
@@ -141,6 +142,7 @@
 	return runSteps(state, [
 		before => applyTimers(before, context),
 		before => startDueProbes(before, context),
+		before => shedLateJobs(before, context),
 		reportDemands,
 		before => ({state: sampleShares(before, context.nowMs), effects: []}),
 	]);
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -42,3 +42,7 @@
 export const shareWindowMs = 300_000;
 /** How often the shares are sampled, in milliseconds. */
 export const shareSampleMs = 1000;
+/** A waiting job is refused once its expected wait is this many times the time that it has left. */
+export const sheddingFactor = 1.5;
+/** The most jobs of one team in one pool that are refused for their wait at once. */
+export const maximumShedJobs = 1000;
--- a/packages/core/src/jobs/estimates.ts
+++ b/packages/core/src/jobs/estimates.ts
@@ -128,7 +128,8 @@
 	const waitingWeight = pool.order.weightSum + (poolTeam.rank === undefined ? team.weight : 0);
 	const due = pool.heldSlots * team.weight / waitingWeight;
 	const bound = team.isLimited ? team.heldLimit : Number.POSITIVE_INFINITY;
-	return Math.min(bound, Math.max(due, poolTeam.running));
+	// Jobs on slots that were called back, or on lost minions, make no room for others.
+	return Math.min(bound, Math.max(due, Math.min(poolTeam.running, pool.heldSlots)));
 }
 
 /**
--- a/packages/core/src/jobs/job-queue.ts
+++ b/packages/core/src/jobs/job-queue.ts
@@ -42,7 +42,7 @@
 /**
  * @param queue - The queue before.
  * @param ticket - The ticket of the job to take out.
- * @returns The queue without the job. The head moves past tickets that are gone, each once.
+ * @returns The queue without the job. Its ends move past tickets that are gone, each once.
  */
 export function takeJob(queue: JobQueue, ticket: Ticket): JobQueue {
 	const entries = queue.entries.delete(ticket);
@@ -50,12 +50,16 @@
 		return emptyJobQueue;
 	}
 
-	let {head} = queue;
+	let {head, tail} = queue;
 	while (!entries.has(head)) {
 		head += 1;
 	}
 
-	return {head, tail: queue.tail, entries};
+	while (!entries.has(tail - 1)) {
+		tail -= 1;
+	}
+
+	return {head, tail, entries};
 }
 
 /**
@@ -65,3 +69,11 @@
 export function getFrontJob(queue: JobQueue): JobId | undefined {
 	return queue.entries.get(queue.head);
 }
+
+/**
+ * @param queue - The queue to look into.
+ * @returns The job that waits at its back.
+ */
+export function getBackJob(queue: JobQueue): JobId | undefined {
+	return queue.entries.get(queue.tail - 1);
+}
--- a/packages/core/src/jobs/reduce-jobs.test.ts
+++ b/packages/core/src/jobs/reduce-jobs.test.ts
@@ -224,3 +224,33 @@
 	expect(running).toContain('large');
 	expect(node.getNowMs()).toBeLessThan(20_000);
 });
+
+test('when capacity goes, waiting jobs that cannot make it any more are told so at the next tick', () => {
+	const node = createTestNode();
+	const other = createMinion({minion: toMinion('minion-2'), worker: toWorker('worker-2')});
+	node.send({type: 'jobs/minionsChanged', minions: [createMinion(), other]});
+	for (let index = 0; index < 16; index += 1) {
+		node.send({type: 'jobs/submitted', spec: createSpec({job: toJob(`past-${index}`)})});
+	}
+
+	node.advance(1000);
+	for (let index = 0; index < 16; index += 1) {
+		node.send({
+			type: 'jobs/answered', job: toJob(`past-${index}`), attempt: 1, status: 200,
+		});
+	}
+
+	for (let index = 0; index < 176; index += 1) {
+		const deadlineAtMs = toMs(node.getNowMs() + 20_000);
+		node.send({type: 'jobs/submitted', spec: createSpec({job: toJob(`job-${index}`), deadlineAtMs})});
+	}
+
+	expect(node.send({type: 'jobs/tick'}).filter(({type}) => type === 'jobs/finish')).toEqual([]);
+	node.send({type: 'jobs/minionsChanged', minions: [createMinion({heldSlots: 2})]});
+	const refused = node.send({type: 'jobs/tick'}).flatMap(effect => effect.type === 'jobs/finish' ? [effect] : []);
+	// Two slots clear at most 2 * 20 * 1.5 jobs of a second each in one and a half times what is left.
+	expect(refused.length).toBeGreaterThanOrEqual(160 - 60);
+	expect(refused[0]?.spec.job).toBe('job-175');
+	expect(refused[0]?.outcome).toMatchObject({reason: 'deadlineTooNear', ran: 'no'});
+	expect(node.getState().jobs.has(toJob('job-16'))).toBe(true);
+});
