--- a/packages/core/src/replica/confirmation.ts
+++ b/packages/core/src/replica/confirmation.ts
@@ -1,20 +1,23 @@
 /**
- * The configuration lease. A node asks a majority of the voters for the ends of their logs. Whatever
- * was committed before it asked is in at least one of the answers, whether or not there is a leader,
- * so once everything up to them is applied, its configuration was the newest when it asked.
+ * The configuration lease. In quiet times a leader's heartbeats confirm its commit index to the other
+ * voters. Without a leader a voter asks a majority for the ends of their logs: whatever was committed
+ * before it asked is in at least one of the answers, so once everything up to them is applied, its
+ * configuration was the newest when it asked. Every other node asks the node that feeds it.
  */
 import type {NodeId} from '@samphiremill/common';
 import {Map as ImmutableMap} from 'immutable';
-import {maximumOpenPolls, maximumUnappliedConfirmations} from './constants.js';
+import {maximumOpenPolls} from './constants.js';
 import {getLastIndex} from './log.js';
-import type {ConfirmedMessage, PollAnswerMessage, PollMessage} from './messages.js';
+import type {
+	AppendMessage, ConfirmedMessage, PollAnswerMessage, PollMessage,
+} from './messages.js';
 import {
 	getOtherVoters, getQuorumSize, hasVoter, isVotingReplica,
 } from './quorum.js';
 import {
 	chainSteps, createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
-import type {ConfirmationPoll, ReplicaState} from './types.js';
+import type {ConfirmationPoll, ReplicaState, WaitingAsker} from './types.js';
 import {getUpstream, noteUpstreamHeard} from './upstream.js';
 
 /** How far this node's configuration can be relied on. */
@@ -42,58 +45,95 @@
  *
  * @param state - The state.
  * @param from - The node.
- * @param token - What it calls its request.
+ * @param asker - What it calls its request, and when that came.
  * @returns The state.
  */
-export function registerAsker<Command>(state: ReplicaState<Command>, from: NodeId, token: number): ReplicaState<Command> {
+export function registerAsker<Command>(state: ReplicaState<Command>, from: NodeId, asker: WaitingAsker): ReplicaState<Command> {
 	const {confirmation} = state;
-	return {...state, confirmation: {...confirmation, waitingAskers: confirmation.waitingAskers.set(from, token)}};
+	return {...state, confirmation: {...confirmation, waitingAskers: confirmation.waitingAskers.set(from, asker)}};
 }
 
 /**
- * Makes those confirmations effective whose index is applied by now.
+ * Makes those polls effective whose index is applied by now, for this node and for those that asked
+ * it. A node confirms to others only what it can also feed to them.
  *
  * @param state - The state.
- * @returns The state.
+ * @returns The next step.
  */
-export function settleConfirmations<Command>(state: ReplicaState<Command>): ReplicaState<Command> {
-	const {confirmation, commitIndex} = state;
-	if (confirmation.unapplied.length === 0) {
-		return state;
+export function settleConfirmations<Command>(state: ReplicaState<Command>): ReplicaStep<Command> {
+	const {confirmation, commitIndex, leader} = state;
+	const isEffective = ({index}: ConfirmationPoll) => index !== undefined && index <= commitIndex;
+	const effective = confirmation.polls.filter(poll => isEffective(poll));
+	if (effective.length === 0) {
+		return createStep(state);
 	}
 
-	const effective = confirmation.unapplied.filter(({index}) => index <= commitIndex).map(({sentAtMs}) => sentAtMs);
-	const confirmedAtMs = Math.max(...effective, confirmation.confirmedAtMs ?? Number.NEGATIVE_INFINITY);
-	return effective.length === 0
-		? state
-		: {
-			...state,
-			confirmation: {
-				...confirmation,
-				confirmedAtMs,
-				unapplied: confirmation.unapplied.filter(({index}) => index > commitIndex),
-			},
-		};
+	const confirmedAtMs = Math.max(
+		...effective.map(({sentAtMs}) => sentAtMs),
+		confirmation.confirmedAtMs ?? Number.NEGATIVE_INFINITY,
+	);
+	const polls = confirmation.polls.filter(poll => !isEffective(poll));
+	const answers = effective.flatMap(({askers, index}) => [...askers].map(([to, token]) => createSend<Command>(to, {
+		type: 'replica/confirmed', token, index: index ?? 0, leader,
+	})));
+	return createStep({...state, confirmation: {...confirmation, polls, confirmedAtMs}}, answers);
 }
 
+// A later answer can let the poll do with less of the log.
 const confirmPoll = <Command>(
 	state: ReplicaState<Command>,
 	poll: ConfirmationPoll,
 	index: number,
 ): ReplicaStep<Command> => {
+	const confirmed = {...poll, index: Math.min(poll.index ?? index, index)};
+	const polls = state.confirmation.polls.map(other => other.round === poll.round ? confirmed : other);
+	return settleConfirmations({...state, confirmation: {...state.confirmation, polls}});
+};
+
+/**
+ * Takes a confirmation that came without a poll, for this node and for all that asked it before.
+ *
+ * @param state - The state.
+ * @param confirmed - Nothing beyond the index was committed at this time, in monotonic milliseconds.
+ * @returns The next step.
+ */
+export function addConfirmation<Command>(
+	state: ReplicaState<Command>,
+	{sentAtMs, index}: {readonly sentAtMs: number; readonly index: number},
+): ReplicaStep<Command> {
 	const {confirmation} = state;
-	// A later answer matters only if it lets the poll do with less of the log.
-	if (poll.index !== undefined && poll.index <= index) {
-		return createStep(state);
-	}
+	const isAnswered = ({askedAtMs}: WaitingAsker) => askedAtMs <= sentAtMs;
+	const poll: ConfirmationPoll = {
+		round: confirmation.nextRound,
+		sentAtMs,
+		index,
+		answers: ImmutableMap(),
+		askers: confirmation.waitingAskers.filter(asker => isAnswered(asker)).map(({token}) => token),
+	};
+	return settleConfirmations({
+		...state,
+		confirmation: {
+			...confirmation,
+			nextRound: confirmation.nextRound + 1,
+			polls: [...confirmation.polls, poll].slice(-maximumOpenPolls),
+			waitingAskers: confirmation.waitingAskers.filter(asker => !isAnswered(asker)),
+		},
+	});
+}
 
-	const polls = confirmation.polls.map(other => other.round === poll.round ? {...poll, index} : other);
-	const unapplied = [...confirmation.unapplied, {sentAtMs: poll.sentAtMs, index}].slice(-maximumUnappliedConfirmations);
-	const answers = [...poll.askers].map(([to, token]) => createSend<Command>(to, {
-		type: 'replica/confirmed', token, index, leader: state.leader,
-	}));
-	return createStep(settleConfirmations({...state, confirmation: {...confirmation, polls, unapplied}}), answers);
-};
+/**
+ * Takes the confirmation that comes with a leader's heartbeat.
+ *
+ * @param state - A voter or learner.
+ * @param message - The heartbeat.
+ * @returns The next step. What an earlier life of this process sent counts for nothing.
+ */
+export function handleConfirms<Command>(state: ReplicaState<Command>, message: AppendMessage<Command>): ReplicaStep<Command> {
+	const {confirms, commitIndex} = message;
+	return confirms?.life === state.confirmation.life
+		? addConfirmation(state, {sentAtMs: confirms.sentAtMs, index: commitIndex})
+		: createStep(state);
+}
 
 const countAnswer = <Command>(
 	state: ReplicaState<Command>,
@@ -113,7 +153,7 @@
 	const {confirmation} = state;
 	const round = confirmation.nextRound;
 	const poll: ConfirmationPoll = {
-		round, sentAtMs: nowMs, index: undefined, answers: ImmutableMap(), askers: confirmation.waitingAskers,
+		round, sentAtMs: nowMs, index: undefined, answers: ImmutableMap(), askers: confirmation.waitingAskers.map(({token}) => token),
 	};
 	const next: ReplicaState<Command> = {
 		...state,
@@ -126,17 +166,20 @@
 			waitingAskers: ImmutableMap(),
 		},
 	};
-	if (isVotingReplica(next, cfg)) {
-		return chainSteps(
-			createStep(next, getOtherVoters(next, cfg).map(to => createSend<Command>(to, {type: 'replica/poll', round}))),
-			polled => countAnswer(polled, poll, {from: cfg.self, lastIndex: getLastIndex(polled.log)}),
-		);
-	}
-
+	const isVoter = isVotingReplica(next, cfg);
 	const upstream = getUpstream(next, cfg);
-	return createStep(next, upstream === undefined
+	const polls = isVoter ? getOtherVoters(next, cfg).map(to => createSend<Command>(to, {type: 'replica/poll', round})) : [];
+	const pulls = upstream === undefined
 		? []
-		: [createSend(upstream, {type: 'replica/pull', token: round, lastIndex: next.commitIndex})]);
+		: [createSend<Command>(upstream, {
+			type: 'replica/pull', lastIndex: next.commitIndex, ...(!isVoter && {token: round}),
+		})];
+	return chainSteps(
+		createStep(next, [...polls, ...pulls]),
+		polled => isVoter
+			? countAnswer(polled, poll, {from: cfg.self, lastIndex: getLastIndex(polled.log)})
+			: createStep(polled),
+	);
 };
 
 /**
@@ -147,10 +190,18 @@
  * @returns The next step.
  */
 export function tickConfirmation<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
-	const {nextPollMs, lastPollMs, waitingAskers} = state.confirmation;
-	const isAsked = !waitingAskers.isEmpty()
-		&& context.nowMs >= lastPollMs + context.cfg.limits.confirmationSpacingMs;
-	return isAsked || context.nowMs >= nextPollMs ? startPoll(state, context) : createStep(state);
+	const {nextPollMs, lastPollMs, waitingAskers, confirmedAtMs = Number.NEGATIVE_INFINITY} = state.confirmation;
+	const {cfg, nowMs} = context;
+	// While a leader's heartbeats confirm, a voter needs no poll.
+	const isConfirmedByLeader = state.voters.length > 1
+		&& isVotingReplica(state, cfg)
+		&& nowMs - confirmedAtMs < cfg.limits.heartbeatConfirmationMs;
+	if (isConfirmedByLeader) {
+		return createStep(state);
+	}
+
+	const isAsked = !waitingAskers.isEmpty() && nowMs >= lastPollMs + cfg.limits.confirmationSpacingMs;
+	return isAsked || nowMs >= nextPollMs ? startPoll(state, context) : createStep(state);
 }
 
 /**
--- a/packages/core/src/replica/constants.ts
+++ b/packages/core/src/replica/constants.ts
@@ -10,6 +10,7 @@
 	confirmationPeriodMs: 500,
 	confirmationSpacingMs: 250,
 	configurationLeaseMs: 2000,
+	heartbeatConfirmationMs: 700,
 	upstreamTimeoutMs: 1200,
 	upstreamRetryMs: 5000,
 	learnerTimeoutMs: 60_000,
@@ -24,14 +25,14 @@
 /** How often an unanswered proposal, read or snapshot request is sent again. */
 export const requestResendMs = 500;
 
+/** How many proposals a replica recognises after their entries were compacted. */
+export const rememberedRequests = 512;
+
 /** How long a snapshot transfer may stand still. */
 export const snapshotStallMs = 2000;
 
 /** How many polls for a confirmation may be open at once. */
-export const maximumOpenPolls = 4;
-
-/** How many confirmations may wait for their index to be applied. */
-export const maximumUnappliedConfirmations = 8;
+export const maximumOpenPolls = 8;
 
 /** How long a fed node stays subscribed after its last pull. */
 export const subscriptionMs = 3000;
--- a/packages/core/src/replica/test-network.ts
+++ b/packages/core/src/replica/test-network.ts
@@ -56,11 +56,23 @@
 	hasFailedDisk: boolean;
 };
 
-type ScheduledCall = {readonly atMs: number; readonly order: number; readonly run: () => void};
+type ScheduledCall = {readonly atMs: number; readonly run: () => void};
 
 const tickMs = 50;
 const stalenessBoundMs = 3000;
 
+/** What a node has sent and received. */
+export type NodeTraffic = {
+	readonly sentBytes: number;
+	readonly sentMessages: number;
+	readonly receivedBytes: number;
+	readonly receivedMessages: number;
+};
+
+const noTraffic: NodeTraffic = {
+	sentBytes: 0, sentMessages: 0, receivedBytes: 0, receivedMessages: 0,
+};
+
 /** A running test network. */
 export type TestNetwork = {
 	readonly getNowMs: () => number;
@@ -70,7 +82,8 @@
 	readonly getFreshness: (name: string) => ReturnType<typeof getConfigurationFreshness>;
 	readonly getOutcome: (id: RequestId) => TestOutcome | undefined;
 	readonly getStoreId: (name: string) => StoreId | undefined;
-	readonly countBytes: (name: string) => {readonly sent: number; readonly received: number};
+	/** Counts from the start, in bytes of JSON. */
+	readonly getTraffic: (name: string) => NodeTraffic;
 	readonly run: (durationMs: number) => void;
 	readonly propose: (name: string, command: string) => RequestId;
 	readonly read: (name: string) => RequestId;
@@ -80,6 +93,8 @@
 	readonly cut: (from: string, to: string) => void;
 	readonly isolate: (names: readonly string[]) => void;
 	readonly heal: () => void;
+	/** From now on no message is lost or repeated by chance. */
+	readonly calm: () => void;
 	readonly crash: (name: string) => void;
 	readonly restart: (name: string) => void;
 	readonly wipe: (name: string) => void;
@@ -98,24 +113,32 @@
 	const limits = {...defaultReplicaLimits, ...options.limits};
 	const delayMs = options.delayMs ?? {least: 1, most: 10};
 	const syncMs = options.syncMs ?? {least: 1, most: 5};
+	let {lossChance = 0, repeatChance = 0} = options;
 	let nowMs = 0;
-	let nextOrder = 0;
 	let nextRequest = 0;
-	let scheduled: ScheduledCall[] = [];
+	const scheduled: ScheduledCall[] = [];
 	const cuts = new Set<string>();
 	const leaders = new Map<number, string>();
 	const committed = new Map<number, string>();
 	const commitTimes: number[] = [];
 	const outcomes = new Map<RequestId, TestOutcome>();
 	const readStarts = new Map<RequestId, number>();
-	const bytes = new Map<string, {sent: number; received: number}>();
+	const traffic = new Map<string, NodeTraffic>();
 	const replicaNodes = options.nodes.map(({name, dataCentre, kind}) => ({
 		node: toBrand<NodeId>(name), dataCentre: toBrand<DataCentreId>(dataCentre), isInitialVoter: kind === 'voter',
 	}));
 
 	const schedule = (delay: number, run: () => void) => {
-		scheduled.push({atMs: nowMs + delay, order: nextOrder, run});
-		nextOrder += 1;
+		const atMs = nowMs + delay;
+		let low = 0;
+		for (let high = scheduled.length; low < high;) {
+			const middle = Math.floor((low + high) / 2);
+			const isLater = (scheduled[middle]?.atMs ?? 0) > atMs;
+			low = isLater ? low : middle + 1;
+			high = isLater ? middle : high;
+		}
+
+		scheduled.splice(low, 0, {atMs, run});
 	};
 
 	const createCfg = ({name, kind}: TestNode, life: number): ReplicaConfig => ({
@@ -158,11 +181,13 @@
 
 	const send = (from: string, to: string, message: ReplicaMessage<string>) => {
 		const size = JSON.stringify(message).length;
-		bytes.set(from, {sent: (bytes.get(from)?.sent ?? 0) + size, received: bytes.get(from)?.received ?? 0});
-		bytes.set(to, {sent: bytes.get(to)?.sent ?? 0, received: (bytes.get(to)?.received ?? 0) + size});
-		const copies = random() < (options.repeatChance ?? 0) ? 2 : 1;
+		const sender = traffic.get(from) ?? noTraffic;
+		traffic.set(from, {...sender, sentBytes: sender.sentBytes + size, sentMessages: sender.sentMessages + 1});
+		const receiver = traffic.get(to) ?? noTraffic;
+		traffic.set(to, {...receiver, receivedBytes: receiver.receivedBytes + size, receivedMessages: receiver.receivedMessages + 1});
+		const copies = random() < repeatChance ? 2 : 1;
 		for (let copy = 0; copy < copies; copy += 1) {
-			if (random() < (options.lossChance ?? 0)) {
+			if (random() < lossChance) {
 				continue;
 			}
 
@@ -361,17 +386,11 @@
 		getFreshness: name => getConfigurationFreshness(get(name).state, {nowMs: getLocalMs(name), leaseMs: limits.configurationLeaseMs}),
 		getOutcome: id => outcomes.get(id),
 		getStoreId: name => get(name).cfg.storeId,
-		countBytes: name => bytes.get(name) ?? {sent: 0, received: 0},
+		getTraffic: name => traffic.get(name) ?? noTraffic,
 		run(durationMs) {
 			const untilMs = nowMs + durationMs;
-			for (;;) {
-				const due = scheduled.filter(({atMs}) => atMs <= untilMs)
-					.toSorted((left, right) => left.atMs - right.atMs || left.order - right.order)[0];
-				if (due === undefined) {
-					break;
-				}
-
-				scheduled = scheduled.filter(call => call !== due);
+			for (let [due] = scheduled; due !== undefined && due.atMs <= untilMs; [due] = scheduled) {
+				scheduled.shift();
 				nowMs = Math.max(nowMs, due.atMs);
 				due.run();
 			}
@@ -414,6 +433,10 @@
 				}
 			}
 		},
+		calm() {
+			lossChance = 0;
+			repeatChance = 0;
+		},
 		heal() {
 			cuts.clear();
 		},
--- /dev/null
+++ b/packages/daemon/src/wave-controller/wave-controller.ts
@@ -0,0 +1,166 @@
+import {
+	createDemandState,
+	createMovesState,
+	createWavesState,
+	defaultMovesConfig,
+	defaultWavesConfig,
+	getFleetRecords,
+	planMoves,
+	planWaveStep,
+	reduceDemand,
+	trackReleases,
+	type DemandState,
+	type EntryHostSight,
+	type SeenRelease,
+} from '@samphiremill/core';
+import type {PlatformHostState} from '../platform/types.js';
+import {leaderWarmUpMs, planPeriodMs, reopenPeriodMs} from './constants.js';
+import {
+	carryOutWork, createPlatformSight, hasWork, readPlatform, reopenIntakes,
+} from './platform-work.js';
+import type {PlannedCommand, WaveController, WaveControllerOptions} from './types.js';
+
+/** What only the leader knows, and only while it leads. */
+type Leadership = {
+	readonly sinceMs: number;
+	readonly reopenedAtMs: number;
+	/** When each reboot was first seen to have ended, by its id. */
+	readonly finishedSeenAtMs: ReadonlyMap<string, number>;
+	readonly releases: readonly SeenRelease[];
+	readonly demand: DemandState;
+};
+
+/**
+ * Starts the controller of waves and moves. Each period, and only on the leader, it looks at fleet
+ * and platform, proposes what the planners say, and carries out what has been committed.
+ *
+ * @param options - The platform, the committed state, the view of the fleet and the clock.
+ * @returns The running controller.
+ */
+export function startWaveController(options: WaveControllerOptions): WaveController {
+	const {timers} = options;
+	let leadership: Leadership | undefined;
+	let running: Promise<void> | undefined;
+
+	const run = async () => {
+		const nowMs = timers.getNow();
+		if (!options.hasLeaderLease()) {
+			leadership = undefined;
+			return;
+		}
+
+		leadership ??= {
+			sinceMs: nowMs, reopenedAtMs: nowMs, finishedSeenAtMs: new Map(), releases: [], demand: createDemandState(),
+		};
+		if (nowMs - leadership.sinceMs >= leaderWarmUpMs) {
+			leadership = await lead(options, leadership);
+		}
+	};
+
+	const runOnce = async () => {
+		running ??= run().finally(() => {
+			running = undefined;
+		});
+		await running;
+	};
+
+	const cancel = timers.scheduleEvery(planPeriodMs, () => {
+		void runOnce();
+	});
+	return {
+		runOnce,
+		async stop() {
+			cancel();
+			await running;
+		},
+	};
+}
+
+async function lead(options: WaveControllerOptions, leadership: Leadership): Promise<Leadership> {
+	const nowMs = options.timers.getNow();
+	const releases = trackReleases({
+		releases: leadership.releases,
+		moves: options.getControlState().moves ?? createMovesState(),
+		appliedIndex: options.getAppliedIndex(),
+		nowMs,
+	});
+	// Read before the platform is asked: see `PlanMovesInput`.
+	const entryHosts = options.getEntryHosts();
+	const seen = await readPlatform(options);
+	const next = {
+		...leadership,
+		releases,
+		finishedSeenAtMs: noteFinished(seen, leadership.finishedSeenAtMs, nowMs),
+		demand: reduceDemand(leadership.demand, {
+			type: 'moves/demandObserved', pools: options.getDemand(), nowMs,
+		}, options.movesConfig ?? defaultMovesConfig),
+	};
+	await proposeAll(options, plan({
+		options, leadership: next, seen, entryHosts,
+	}));
+	if (!options.hasLeaderLease()) {
+		return next;
+	}
+
+	await carryOutWork(options, seen);
+	// A host that comes back counts as unavailable until it is open, so it is not kept waiting.
+	const isActive = hasWork(options.getControlState()) || seen.length > 0;
+	if (!isActive && nowMs - next.reopenedAtMs < reopenPeriodMs) {
+		return next;
+	}
+
+	await reopenIntakes(options, seen);
+	return {...next, reopenedAtMs: nowMs};
+}
+
+function plan({options, leadership, seen, entryHosts}: {
+	options: WaveControllerOptions;
+	leadership: Leadership;
+	seen: readonly PlatformHostState[];
+	entryHosts: readonly EntryHostSight[];
+}): readonly PlannedCommand[] {
+	const state = options.getControlState();
+	const records = getFleetRecords(state);
+	const waves = state.waves ?? createWavesState();
+	const atMs = options.getWallClockMs();
+	const cfg = options.wavesConfig ?? defaultWavesConfig;
+	const platform = seen.map(host => createPlatformSight(host, leadership.finishedSeenAtMs.get(host.reboot?.id ?? '')));
+	const waveCommands = planWaveStep({
+		control: {waves, records}, fleet: options.getFleet(), platform, nowMs: atMs, cfg,
+	});
+	const moveCommands = planMoves({
+		moves: state.moves ?? createMovesState(),
+		context: {
+			records, waves, views: [...state.views.values()], maximumHostsAsideFleetWide: cfg.maximumHostsAsideFleetWide,
+		},
+		demand: leadership.demand,
+		platform,
+		entryHosts,
+		releases: leadership.releases,
+		nowMs: options.timers.getNow(),
+		atMs,
+		cfg: options.movesConfig ?? defaultMovesConfig,
+	});
+	return [...waveCommands, ...moveCommands];
+}
+
+async function proposeAll(options: WaveControllerOptions, commands: readonly PlannedCommand[]): Promise<void> {
+	for (const command of commands) {
+		// eslint-disable-next-line no-await-in-loop -- each command counts on those before it
+		const outcome = await options.propose(command);
+		options.log({type: 'proposed', command, outcome});
+		if (outcome === undefined) {
+			return;
+		}
+	}
+}
+
+function noteFinished(
+	seen: readonly PlatformHostState[],
+	known: Leadership['finishedSeenAtMs'],
+	nowMs: number,
+): Leadership['finishedSeenAtMs'] {
+	return new Map(seen
+		.filter(({reboot}) => reboot?.state === 'finished')
+		.map(({reboot}) => [reboot?.id ?? '', known.get(reboot?.id ?? '') ?? nowMs]));
+}
