Sum the shares report up in intervals of ten seconds

Cause: one interval a second for five minutes keeps 427,500 entries at the two-year size, where a node may use 64 MB for control.

Change: samples are added to the newest interval until ten seconds are full, teams with nothing are left out, and lookups go through maps.

--- a/packages/core/src/shares/share-window.ts
+++ b/packages/core/src/shares/share-window.ts
@@ -58,6 +58,9 @@
 	readonly pools: readonly PoolShareSample[];
 };
 
+/** How much time samples are summed up over, in milliseconds. */
+const bucketDurationMs = 10_000;
+
 /** The samples of the last while, summed up in intervals. */
 export type ShareWindow = {
 	/** How long the window is, in milliseconds. */
@@ -74,35 +77,68 @@
 	return {durationMs, buckets: []};
 }
 
-function getRefusedBefore(sample: TimedSample, pool: PoolId, team: TeamId): number {
-	const found = sample.pools.find(other => other.pool === pool);
-	return found?.teams.find(other => other.team === team)?.refused ?? 0;
+function hasAnything({dueSlotMs, grantedSlotMs, usedSlotMs, refused}: ShareTotals): boolean {
+	return dueSlotMs > 0 || grantedSlotMs > 0 || usedSlotMs > 0 || refused > 0;
 }
 
 /** What held since the last sample is counted for the time until this one. */
 function sumPool(options: {
 	readonly pool: PoolShareSample;
-	readonly last: TimedSample;
+	readonly before: PoolShareSample | undefined;
 	readonly durationMs: number;
 }): readonly ShareTotals[] {
-	const {pool: {pool, teams}, last, durationMs} = options;
-	const before = last.pools.find(other => other.pool === pool);
-	const dues = computeShares({
+	const {pool: {pool, teams}, before, durationMs} = options;
+	const earlier = new Map(before?.teams.map(team => [team.team, team]));
+	const shares = computeShares({
 		capacity: before?.capacitySlots ?? 0,
 		demands: (before?.teams ?? []).map(({demandedSlots, ...team}) => ({...team, demand: demandedSlots})),
 	});
-	return teams.map(({team, refused}) => {
-		const held = before?.teams.find(other => other.team === team);
-		const due = dues.find(other => other.team === team)?.due ?? 0;
+	const dues = new Map(shares.map(({team, due}) => [team, due]));
+	return teams.map(({team, refused}): ShareTotals => {
+		const held = earlier.get(team);
 		return {
 			pool,
 			team,
-			dueSlotMs: due * durationMs,
+			dueSlotMs: (dues.get(team) ?? 0) * durationMs,
 			grantedSlotMs: (held?.grantedSlots ?? 0) * durationMs,
 			usedSlotMs: (held?.usedSlots ?? 0) * durationMs,
-			refused: refused - getRefusedBefore(last, pool, team),
+			refused: refused - (held?.refused ?? 0),
 		};
-	});
+	}).filter(totals => hasAnything(totals));
+}
+
+function getTotalsKey({pool, team}: ShareTotals): string {
+	return `${pool}/${team}`;
+}
+
+function mergeTotals(left: readonly ShareTotals[], right: readonly ShareTotals[]): readonly ShareTotals[] {
+	const sums = new Map(left.map(totals => [getTotalsKey(totals), totals]));
+	for (const totals of right) {
+		const before = sums.get(getTotalsKey(totals));
+		sums.set(getTotalsKey(totals), before === undefined
+			? totals
+			: {
+				pool: totals.pool,
+				team: totals.team,
+				dueSlotMs: before.dueSlotMs + totals.dueSlotMs,
+				grantedSlotMs: before.grantedSlotMs + totals.grantedSlotMs,
+				usedSlotMs: before.usedSlotMs + totals.usedSlotMs,
+				refused: before.refused + totals.refused,
+			});
+	}
+
+	return [...sums.values()];
+}
+
+/** Adds to the newest interval until it is full, so that a long window stays small. */
+function addBucket(buckets: readonly ShareBucket[], bucket: ShareBucket): readonly ShareBucket[] {
+	const newest = buckets.at(-1);
+	if (newest === undefined || bucket.endMs - newest.startMs > bucketDurationMs) {
+		return [...buckets, bucket];
+	}
+
+	const totals = mergeTotals(newest.totals, bucket.totals);
+	return [...buckets.slice(0, -1), {startMs: newest.startMs, endMs: bucket.endMs, totals}];
 }
 
 /**
@@ -118,10 +154,13 @@
 		return {...window, last: sample};
 	}
 
-	const totals = sample.pools.flatMap(pool => sumPool({pool, last, durationMs: sample.atMs - last.atMs}));
-	const bucket = {startMs: last.atMs, endMs: sample.atMs, totals};
-	const recent = window.buckets.filter(({startMs}) => startMs >= sample.atMs - durationMs);
-	return {durationMs, last: sample, buckets: [...recent, bucket]};
+	const earlier = new Map(last.pools.map(pool => [pool.pool, pool]));
+	const totals = sample.pools.flatMap(pool => sumPool({
+		pool, before: earlier.get(pool.pool), durationMs: sample.atMs - last.atMs,
+	}));
+	const recent = window.buckets.filter(({endMs}) => endMs > sample.atMs - durationMs);
+	const buckets = addBucket(recent, {startMs: last.atMs, endMs: sample.atMs, totals});
+	return {durationMs, last: sample, buckets};
 }
 
 /** Sums lines of the same pool and team. */
--- a/packages/core/src/shares/shares.test.ts
+++ b/packages/core/src/shares/shares.test.ts
@@ -80,12 +80,13 @@
 			],
 		}],
 	});
-	let window = createShareWindow(4000);
-	for (let second = 0; second <= 8; second += 1) {
-		window = recordShares(window, createSample(second * 1000, second < 6 ? 0 : 2, second));
+	let window = createShareWindow(40_000);
+	for (let second = 0; second <= 80; second += 1) {
+		window = recordShares(window, createSample(second * 1000, second < 60 ? 0 : 2, second));
 	}
 
 	const report = reportShares(window);
 	expect(report).toMatchSnapshot();
+	expect(window.buckets.length).toBe(4);
 	expect(mergeShareReports([report, report])[0]?.refused).toBe(2 * (report[0]?.refused ?? 0));
 });
