Answer escrow reports by what changes, and report each second

Answers now name only what differs from the report, reports come each second, and a report that repeats the one before it causes no new search for holders to ask.

--- a/bench/virtual-fleet.ts
+++ b/bench/virtual-fleet.ts
@@ -67,6 +67,10 @@
 
 const noTraffic: Traffic = {sentBytes: 0, receivedBytes: 0, sentMessages: 0};
 
+function isEscrowMessage(message: Message): message is EscrowMessage {
+	return message.type.startsWith('escrow/');
+}
+
 function createAddresses({dataCentres, entryHosts}: FleetSize): readonly NodeAddress[] {
 	return Array.from({length: entryHosts}, (_, index) => ({
 		node: toBrand<NodeId>(`entry-${String(index).padStart(2, '0')}`),
@@ -152,13 +156,13 @@
 			return;
 		}
 
-		if (message.type.startsWith('escrow/')) {
+		if (isEscrowMessage(message)) {
 			applyToEscrow(node, {
-				type: 'peer/received', from, message: message as EscrowMessage, nowMs: getTime(),
+				type: 'peer/received', from, message, nowMs: getTime(),
 			});
 		} else {
 			applyToMembership(node, {
-				type: 'peer/received', from, message: message as MembershipMessage, nowMs: getTime(),
+				type: 'peer/received', from, message, nowMs: getTime(),
 			});
 		}
 	};
--- a/packages/core/src/escrow/constants.ts
+++ b/packages/core/src/escrow/constants.ts
@@ -2,7 +2,7 @@
 
 /** Timings for data centres of a few entry hosts, a few milliseconds apart. */
 export const defaultEscrowTimings: EscrowTimings = {
-	reportPeriodMs: 500,
+	reportPeriodMs: 1000,
 	leaseMs: 3000,
 	taskLeaseMs: 30_000,
 	configurationLeaseMs: 3000,
--- a/packages/core/src/escrow/holder.ts
+++ b/packages/core/src/escrow/holder.ts
@@ -18,6 +18,8 @@
 	readonly epoch: number;
 	readonly reportId: number;
 	readonly sentAtMs: MonotonicMs;
+	/** What the report said that this node holds. */
+	readonly held: ReadonlyArray<readonly [string, HeldRight]>;
 };
 
 /** What this node holds and has in use. */
@@ -102,6 +104,12 @@
 }): {readonly state: HolderState; readonly report: Report} {
 	const {home, epoch, cfg, nowMs} = options;
 	const reportId = state.nextReportId;
+	const entries = options.resources
+		.map(entry => ({key: entry.key, item: createItem(state, entry, {waiting: options.getWaiting(entry.resource), nowMs})}))
+		.filter(({item: {held, running, wanted}}) => held > 0 || running > 0 || wanted > 0);
+	const held = entries
+		.filter(({item}) => item.held > 0)
+		.map(({key, item}): [string, HeldRight] => [key, {resource: item.resource, amount: item.held}]);
 	const report: Report = {
 		type: 'escrow/report',
 		epoch,
@@ -110,9 +118,7 @@
 		answeredReportId: state.answered.get(home) ?? 0,
 		earlierTasksMs: cfg.earlierTasksMs,
 		isLeaving: options.isLeaving,
-		items: options.resources
-			.map(entry => createItem(state, entry, {waiting: options.getWaiting(entry.resource), nowMs}))
-			.filter(({held, running, wanted}) => held > 0 || running > 0 || wanted > 0),
+		items: entries.map(({item}) => item),
 	};
 	const awaited = state.sentReports.filter(({sentAtMs}) => nowMs - sentAtMs < cfg.timings.leaseMs);
 	return {
@@ -120,7 +126,7 @@
 			...state,
 			nextReportId: reportId + 1,
 			sentReports: [...awaited, {
-				home, epoch, reportId, sentAtMs: nowMs,
+				home, epoch, reportId, sentAtMs: nowMs, held,
 			}],
 		},
 		report,
@@ -148,12 +154,13 @@
 	}
 
 	const leaseUntilMs = toBrand<MonotonicMs>(sent.sentAtMs + leaseMs);
+	const kept = sent.held.map(([key, right]): [string, LeasedRight] => [key, {...right, leaseUntilMs}]);
 	const granted = message.items.map((item): [string, LeasedRight] => [getResourceKey(item.resource), {...item, leaseUntilMs}]);
 	return {
 		...state,
 		answered: state.answered.set(from, message.reportId),
 		sentReports: state.sentReports.filter(report => report !== sent),
-		rights: state.rights.merge(granted),
+		rights: state.rights.merge(kept, granted),
 	};
 }
 
--- a/packages/core/src/escrow/home.ts
+++ b/packages/core/src/escrow/home.ts
@@ -43,6 +43,8 @@
 	readonly bound: number;
 	/** Every loan of the resource is in the ledger. */
 	readonly isLedgerWhole: boolean;
+	/** The members of the view in the order in which remainders go round. */
+	readonly ranked: readonly NodeId[];
 };
 
 /** The ledger of one home. */
@@ -186,12 +188,13 @@
  * @param resources - Every resource that this node is now the home of, with its bound.
  * @returns The home; what it is new to it is lent only once the epoch is settled.
  */
-export function setLentResources(state: HomeState, resources: ReadonlyArray<Omit<LentResource, 'isLedgerWhole'>>): HomeState {
+export function setLentResources(state: HomeState, resources: ReadonlyArray<Pick<LentResource, 'resource' | 'bound'>>): HomeState {
 	return {
 		...state,
 		resources: createMap(resources.map((entry): [string, LentResource] => {
 			const key = getResourceKey(entry.resource);
-			return [key, {...entry, isLedgerWhole: state.isSettled || state.resources.get(key)?.isLedgerWhole === true}];
+			const isLedgerWhole = state.isSettled || state.resources.get(key)?.isLedgerWhole === true;
+			return [key, {...entry, isLedgerWhole, ranked: rankForResource(entry.resource, state.members)}];
 		})),
 	};
 }
@@ -303,9 +306,22 @@
 	}, context);
 }
 
+/**
+ * @param before - The home before a report.
+ * @param after - The home with the report.
+ * @param holder - Whose report it is.
+ * @returns Whether the report said what the one before it said.
+ */
+export function hasSameItems(before: HomeState, after: HomeState, holder: NodeId): boolean {
+	const [old, items] = [before.ledgers.get(holder)?.items, after.ledgers.get(holder)?.items];
+	return old?.size === items?.size && [...items ?? []].every(([key, {held, running, wanted}]) => {
+		const other = old?.get(key);
+		return other?.held === held && other.running === running && other.wanted === wanted;
+	});
+}
+
 function listClaimants(state: HomeState, key: string, context: Context): ReadonlyArray<Claimant<NodeId>> {
-	const resource = state.resources.get(key)?.resource;
-	const members = resource === undefined ? state.members : rankForResource(resource, state.members);
+	const members = state.resources.get(key)?.ranked ?? state.members;
 	return members.flatMap(holder => {
 		const ledger = state.ledgers.get(holder);
 		return ledger !== undefined && !ledger.isLeaving && isCurrent(state, ledger, context)
@@ -358,7 +374,7 @@
  * @param state - The home.
  * @param holder - Whose report it is.
  * @param context - The timings and the time.
- * @returns The home, and what the holder may use of each resource.
+ * @returns The home, and what the holder may use, as far as it is not what the holder reported.
  */
 export function answerReport(state: HomeState, holder: NodeId, context: Context): {readonly state: HomeState; readonly items: readonly GrantItem[]} {
 	const ledger = state.ledgers.get(holder);
@@ -366,15 +382,20 @@
 		return {state, items: []};
 	}
 
-	const known = [...state.resources].map(([key, lent]): GrantItem => ({
-		resource: lent.resource, amount: chooseAmount(state, holder, {key, lent, context}),
+	const known = [...state.resources].map(([key, lent]) => ({
+		key, resource: lent.resource, amount: chooseAmount(state, holder, {key, lent, context}),
 	}));
 	// A resource that this node has not heard of yet cannot be lent to anyone else meanwhile.
-	const unknown = [...ledger.items].filter(([key]) => !state.resources.has(key)).map(([, {resource, held}]) => ({resource, amount: held}));
-	const items = [...known, ...unknown].filter(({resource, amount}) => amount > 0 || ledger.items.has(getResourceKey(resource)));
-	const amounts = createMap(items.map(({resource, amount}): [string, number] => [getResourceKey(resource), amount]));
+	const unknown = [...ledger.items].filter(([key]) => !state.resources.has(key)).map(([key, {resource, held}]) => ({key, resource, amount: held}));
+	const granted = [...known, ...unknown].filter(({key, amount}) => amount > 0 || ledger.items.has(key));
+	const amounts = createMap(granted.map(({key, amount}): [string, number] => [key, amount]));
 	const outstanding = mergeOutstanding([...ledger.outstanding, {reportId: ledger.reportId, amounts}]);
-	return {state: {...state, ledgers: state.ledgers.set(holder, {...ledger, outstanding})}, items};
+	return {
+		state: {...state, ledgers: state.ledgers.set(holder, {...ledger, outstanding})},
+		items: granted
+			.filter(({key, amount}) => amount !== (ledger.items.get(key)?.held ?? 0))
+			.map(({resource, amount}) => ({resource, amount})),
+	};
 }
 
 /**
--- a/packages/core/src/escrow/reduce-escrow.ts
+++ b/packages/core/src/escrow/reduce-escrow.ts
@@ -13,7 +13,7 @@
 	createHolderState, dropEndedRights, getHeldAmount, setUsage, takeGrant, writeReport, type HolderState,
 } from './holder.js';
 import {
-	answerReport, beginEpoch, createHomeState, enterHolderUsage, enterReport, isInOffice, listHoldersToAsk,
+	answerReport, beginEpoch, createHomeState, enterHolderUsage, enterReport, hasSameItems, isInOffice, listHoldersToAsk,
 	setLentResources, tickHome, type HomeState,
 } from './home.js';
 import {
@@ -197,7 +197,9 @@
 			type: 'escrow/grant', epoch: home.epoch, reportId: message.reportId, items,
 		},
 	}, context);
-	const asked = askHolders(answered.state, context);
+	// Most reports only renew; what they leave as it was leaves nobody to ask.
+	const isRenewal = items.length === 0 && hasSameItems(state.home, entered, from);
+	const asked = isRenewal ? {state: answered.state, effects: []} : askHolders(answered.state, context);
 	return {state: asked.state, effects: [...answered.effects, ...asked.effects]};
 }
 
--- a/packages/core/src/escrow/types.ts
+++ b/packages/core/src/escrow/types.ts
@@ -57,7 +57,7 @@
 		readonly isLeaving: boolean;
 		readonly items: readonly ReportItem[];
 	}
-	/** The answer to a report: what the holder may use, for a lease that began when it sent the report. */
+	/** The answer to a report: the changes to what the holder reported to hold, and a lease on all of it. */
 	| {
 		readonly type: 'escrow/grant';
 		readonly epoch: number;
