--- a/packages/core/src/control/apply-control-command.test.ts
+++ b/packages/core/src/control/apply-control-command.test.ts
@@ -4,6 +4,7 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {applyControlCommand} from './apply-control-command.js';
+import {appliedChangeCount, appliedChangeSlack} from './constants.js';
 import {createControlState} from './create-control-state.js';
 import {
 	findKeyBySecretHash, getHistory, getPoolOf, getTeamLimit, getTeamWeight, getVersionedRecord, listPools,
@@ -104,6 +105,16 @@
 	expect(lost.answer).toEqual({type: 'notFound', kind: 'wave', id: 'none'});
 });
 
+test('a worker is not deleted while it is on its way to another pool', () => {
+	const {worker, pool} = {worker: exampleWorker.id, pool: toBrand<PoolId>('counters')};
+	const phase = {type: 'releasing', pool, to: toBrand<PoolId>('ledgers')} as const;
+	const {state} = applyControlCommand(createExampleState(), createDelete('a', 'wave', 'autumn'));
+	const moving = {...state, ownership: state.ownership.set(worker, {worker, epoch: 2, phase})};
+	expect(applyControlCommand(moving, createDelete('x', 'worker', worker)).answer).toEqual({
+		type: 'invalid', findings: [{path: '', message: 'worker w-1 is on its way from pool counters to pool ledgers'}],
+	});
+});
+
 test('a worker\'s new home is a known pool and leaves its present owner to a move', () => {
 	const order = {
 		type: 'control/setHomePool', changeId: toBrand<ChangeId>('go'), actor: 'ana', acceptedAtMs: toBrand<WallClockMs>(5), worker: exampleWorker.id,
@@ -115,6 +126,20 @@
 	expect(refused.answer).toEqual({type: 'invalid', findings: [{path: '/homePool', message: 'there is no pool nowhere'}]});
 });
 
+test('the answers of the latest changes are kept, within a bound', () => {
+	let state = createExampleState();
+	for (let index = 0; index < appliedChangeCount + (2 * appliedChangeSlack); index += 1) {
+		state = applyControlCommand(state, createPut(`pool-${index}`, createPool(index))).state;
+		expect(state.changes.size).toBeLessThan(appliedChangeCount + appliedChangeSlack);
+	}
+
+	const last = appliedChangeCount + (2 * appliedChangeSlack) - 1;
+	const oldestKept = last - appliedChangeCount + 1;
+	for (const index of [last, oldestKept]) {
+		expect(applyControlCommand(state, createPut(`pool-${index}`, createPool(index))).state).toBe(state);
+	}
+});
+
 test('shares and limits have defaults', () => {
 	const state = createExampleState();
 	expect([getTeamWeight(state, toBrand('olinda')), getTeamLimit(state, toBrand('olinda'))]).toEqual([3, 40]);
