Keep still when control changes leave a data centre's bounds as they were

Every applied command made each entry host report to all homes of its data centre. It now does so only if a bound changed.

--- a/packages/core/src/escrow/reduce-escrow.ts
+++ b/packages/core/src/escrow/reduce-escrow.ts
@@ -297,6 +297,18 @@
 	return {...state, waitingByPool, waitingByTeam};
 }
 
+function hasSameBounds({teamBounds}: EscrowState, bounds: readonly TeamBound[]): boolean {
+	return bounds.length === teamBounds.size && bounds.every(({team, amount, version, isRecalled}) => {
+		const known = teamBounds.get(team);
+		return known?.amount === amount && known.version === version && known.isRecalled === isRecalled;
+	});
+}
+
+function setTeamBounds(state: EscrowState, bounds: readonly TeamBound[], cfg: EscrowConfig): EscrowState {
+	const teamBounds = createMap(bounds.map((bound): [TeamId, TeamBound] => [bound.team, bound]));
+	return updateLentResources({...state, teamBounds}, cfg);
+}
+
 function updateMinions(state: EscrowState, minions: readonly KnownMinion[]): EscrowState {
 	const sources = minions.map(({minion, incarnation, pool, slots, condition}): [MinionId, SlotSource] => [minion, {
 		minion, incarnation, pool, slots: condition === 'leaving' ? 0 : slots,
@@ -332,8 +344,7 @@
 		}
 
 		case 'escrow/teamBoundsChanged': {
-			const teamBounds = createMap(event.bounds.map((bound): [TeamId, TeamBound] => [bound.team, bound]));
-			return reportToAll(updateLentResources({...state, teamBounds}, cfg), context);
+			return hasSameBounds(state, event.bounds) ? {state, effects: []} : reportToAll(setTeamBounds(state, event.bounds, cfg), context);
 		}
 
 		case 'minions/changed': {
