--- /dev/null
+++ b/packages/core/src/peer-link/reduce-peer-link.test.ts
@@ -0,0 +1,161 @@
+import process from 'node:process';
+import {
+	createSeededRandom, toBrand, type MonotonicMs, type NodeId,
+} from '@samphiremill/common';
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {defaultPeerLinkConfig} from './constants.js';
+import {createPeerLinkState, getUpConnection, reducePeerLink} from './reduce-peer-link.js';
+import type {ConnectionId, PeerLinkEffect, PeerLinkEvent} from './types.js';
+
+const seed = Number(process.env.SAMPHIREMILL_SEED ?? 1);
+const numberRuns = Number(process.env.SAMPHIREMILL_RUNS ?? 200);
+
+type End = 0 | 1;
+type Frame = 'hello' | 'challenge' | 'proof' | 'heartbeat' | 'closed';
+
+const ends: readonly End[] = [0, 1];
+const names = [toBrand<NodeId>('alpha'), toBrand<NodeId>('beta')] as const;
+
+/** Two ends of one link. Frames of a connection keep their order, those of two connections do not. */
+function createPair(isPermanent: boolean) {
+	let nowMs = 0;
+	let lastConnection = 0;
+	const getNow = () => toBrand<MonotonicMs>(nowMs);
+	const createFresh = () => {
+		lastConnection += 1;
+		return toBrand<ConnectionId>(lastConnection);
+	};
+
+	const states = ends.map(end => createPeerLinkState({
+		cfg: defaultPeerLinkConfig, self: names[end], peer: names[end === 0 ? 1 : 0], isPermanent, nowMs: getNow(),
+	}));
+	const receivedAtMs = [0, 0];
+	const sentAtMs = [0, 0];
+	const closed = ends.map(() => new Set<ConnectionId>());
+	let queues: ReadonlyArray<{readonly connection: ConnectionId; readonly to: End; readonly frames: readonly Frame[]}> = [];
+
+	const send = (from: End, connection: ConnectionId, frame: Frame) => {
+		const to = from === 0 ? 1 : 0;
+		sentAtMs[from] = nowMs;
+		const queue = queues.find(other => other.connection === connection && other.to === to);
+		const frames = [...queue?.frames ?? [], frame];
+		queues = [...queues.filter(other => other !== queue), {connection, to, frames}];
+	};
+
+	const close = (end: End, connection: ConnectionId) => {
+		if (!closed[end]?.has(connection)) {
+			closed[end]?.add(connection);
+			send(end, connection, 'closed');
+			dispatch(end, {
+				type: 'peerLink/closed', connection, nowMs: getNow(), chance: end * 0.7,
+			});
+		}
+	};
+
+	const frameOfEffect = {
+		'peerLink/dial': 'hello', 'peerLink/accept': 'challenge', 'peerLink/sendHeartbeat': 'heartbeat',
+	} as const;
+
+	const perform = (end: End, effect: PeerLinkEffect) => {
+		if (effect.type === 'peerLink/close') {
+			close(end, effect.connection);
+		} else if (effect.type !== 'peerLink/changed') {
+			send(end, effect.connection, frameOfEffect[effect.type]);
+		}
+	};
+
+	const dispatch = (end: End, event: PeerLinkEvent) => {
+		const state = states[end];
+		if (state !== undefined) {
+			const step = reducePeerLink(state, event);
+			states[end] = step.state;
+			for (const effect of step.effects) {
+				perform(end, effect);
+			}
+		}
+	};
+
+	const receive = (end: End, connection: ConnectionId, frame: Frame) => {
+		if (closed[end]?.has(connection)) {
+			return;
+		}
+
+		receivedAtMs[end] = nowMs;
+		if (frame === 'closed') {
+			close(end, connection);
+		} else if (frame === 'hello') {
+			dispatch(end, {type: 'peerLink/helloReceived', connection, nowMs: getNow()});
+		} else if (frame !== 'heartbeat') {
+			if (frame === 'challenge') {
+				send(end, connection, 'proof');
+			}
+
+			dispatch(end, {type: 'peerLink/established', connection, nowMs: getNow()});
+		}
+	};
+
+	return {
+		deliver(choice: number) {
+			const queue = queues[choice % Math.max(1, queues.length)];
+			if (queue !== undefined) {
+				const [frame, ...frames] = queue.frames;
+				queues = [...queues.filter(other => other !== queue), ...(frames.length > 0 ? [{...queue, frames}] : [])];
+				receive(queue.to, queue.connection, frame ?? 'heartbeat');
+			}
+		},
+		tick(end: End, passedMs: number) {
+			nowMs += passedMs;
+			dispatch(end, {
+				type: 'peerLink/tick',
+				nowMs: getNow(),
+				freshConnection: createFresh(),
+				chance: end * 0.7,
+				lastReceivedAtMs: toBrand<MonotonicMs>(receivedAtMs[end] ?? 0),
+				lastSentAtMs: toBrand<MonotonicMs>(sentAtMs[end] ?? 0),
+				lastUsedAtMs: getNow(),
+			});
+		},
+		want(end: End) {
+			dispatch(end, {type: 'peerLink/wanted', nowMs: getNow(), freshConnection: createFresh()});
+		},
+		hasFrames: () => queues.length > 0,
+		listUp: () => states.map(state => getUpConnection(state)),
+	};
+}
+
+test('whatever order frames, ticks and wants come in, both ends come to share one connection and keep it', () => {
+	const step = fc.record({type: fc.constantFrom('deliver', 'tick', 'want'), choice: fc.nat(9), passedMs: fc.nat(700)});
+	fc.assert(fc.property(fc.array(step, {maxLength: 60}), fc.boolean(), fc.integer(), (steps, isPermanent, orderSeed) => {
+		const pair = createPair(isPermanent);
+		const random = createSeededRandom(orderSeed);
+		for (const {type, choice, passedMs} of steps) {
+			const end = choice % 2 === 0 ? 0 : 1;
+			if (type === 'deliver') {
+				pair.deliver(choice);
+			} else if (type === 'tick') {
+				pair.tick(end, passedMs);
+			} else {
+				pair.want(end);
+			}
+		}
+
+		const runCalm = (durationMs: number) => {
+			for (let passedMs = 0; passedMs < durationMs; passedMs += 200) {
+				pair.tick(0, 100);
+				pair.tick(1, 100);
+				pair.want(0);
+				while (pair.hasFrames()) {
+					pair.deliver(Math.floor(random() * 10));
+				}
+			}
+		};
+
+		runCalm(15_000);
+		const [left, right] = pair.listUp();
+		expect(left).toBeDefined();
+		expect(right).toBe(left);
+		runCalm(5000);
+		expect(pair.listUp()).toEqual([left, left]);
+	}), {seed, numRuns: numberRuns, endOnFailure: true});
+});
