Free the key of a job that gave up before its start, and show five entry hosts as processes

Cause: a rolling restart of five processes left 18 of 200 jobs refused with ownerUnreachable for the whole minute that their callers went on. The jobs had timed out before their start; their refusal said 'maybe' for the sake of earlier sends, and was kept as the key's outcome. Ruled out: the hand-over between owners (views and epochs were equal) and escrow. Change: a refusal of a job whose start was never allowed gives the key back.

--- /dev/null
+++ b/bench/entry-host.ts
@@ -0,0 +1,187 @@
+/**
+ * The added latency and the throughput of one entry host against a direct call to the same stand-in
+ * minion in the same run, and the resident memory of the idle entry host process.
+ *
+ * Usage: node bench/dist/entry-host.js (after npm run build).
+ */
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {spawn} from 'node:child_process';
+import {
+	mkdtemp, rm, writeFile, readFile,
+} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {build, type Histogram} from 'hdr-histogram-js';
+import {Pool, request} from 'undici';
+
+const jobCount = 3000;
+const warmUpCount = 500;
+const concurrency = 8;
+const microsecondsPerMs = 1000;
+const idleSeconds = 10;
+
+type Target = {
+	readonly name: string;
+	readonly origin: string;
+	readonly path: (index: number) => string;
+	readonly headers: (index: number) => Record<string, string>;
+};
+
+const startMinion = async (): Promise<{readonly port: number; readonly close: () => void}> => {
+	const server = createServer((req, res) => {
+		req.resume();
+		req.on('end', () => {
+			res.writeHead(200, {'content-type': 'text/plain'});
+			res.end('done');
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+
+	return {
+		port: (server.address() as AddressInfo).port, close() {
+			server.close();
+		},
+	};
+};
+
+const createHistogram = (): Histogram => build({lowestDiscernibleValue: 1, highestTrackableValue: 60_000_000, numberOfSignificantValueDigits: 3});
+
+const run = async (target: Target, count: number, width: number) => {
+	const pool = new Pool(target.origin, {connections: width});
+	const histogram = createHistogram();
+	let next = 0;
+	let failed = 0;
+	const startedAtMs = performance.now();
+	await Promise.all(Array.from({length: width}, async () => {
+		for (let index = next; index < count; index = next) {
+			next += 1;
+			const sentAtMs = performance.now();
+			// eslint-disable-next-line no-await-in-loop -- one request after the other on each connection
+			const {statusCode, body} = await pool.request({
+				method: 'POST', path: target.path(index), headers: target.headers(index), body: '{}',
+			});
+			await body.dump(); // eslint-disable-line no-await-in-loop -- one request after the other on each connection
+			failed += statusCode === 200 ? 0 : 1;
+			histogram.recordValue(Math.round((performance.now() - sentAtMs) * microsecondsPerMs));
+		}
+	}));
+	const seconds = (performance.now() - startedAtMs) / 1000;
+	await pool.close();
+	return {
+		name: target.name,
+		width,
+		p50Us: histogram.getValueAtPercentile(50),
+		p99Us: histogram.getValueAtPercentile(99),
+		jobsPerSecond: Math.round(count / seconds),
+		failed,
+	};
+};
+
+const readProcess = async (pid: number) => {
+	const status = await readFile(`/proc/${pid}/status`, 'utf8');
+	const stat = await readFile(`/proc/${pid}/stat`, 'utf8');
+	const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+	return {
+		residentKb: Number(/VmRSS:\s+(?<kb>\d+)/v.exec(status)?.groups?.kb),
+		cpuTicks: Number(fields[11]) + Number(fields[12]),
+	};
+};
+
+const waitForReady = async (origin: string) => {
+	for (let tries = 0; tries < 200; tries += 1) {
+		try {
+			const {statusCode, body} = await request(`${origin}/v1/ready`); // eslint-disable-line no-await-in-loop -- polls
+			await body.dump(); // eslint-disable-line no-await-in-loop -- polls
+			if (statusCode === 200) {
+				return;
+			}
+		} catch {
+			// Not listening yet.
+		}
+
+		await delay(50); // eslint-disable-line no-await-in-loop -- polls
+	}
+};
+
+const main = async () => {
+	const folder = await mkdtemp(path.join(os.tmpdir(), 'samphiremill-bench-'));
+	const seed = path.join(import.meta.dirname, '..', '..', 'examples', 'seed-records.json');
+	const httpPort = 20_000 + Math.floor(Math.random() * 20_000);
+	const settingsFile = path.join(folder, 'settings.json');
+	await writeFile(settingsFile, JSON.stringify({
+		apiVersion: 'samphiremill/settings/v1',
+		node: 'entry-1',
+		dataCentre: 'recife',
+		region: 'nordeste',
+		listen: {http: {host: '127.0.0.1', port: httpPort}, peers: {host: '127.0.0.1', port: 0}},
+		voters: ['entry-1'],
+		dataFolder: path.join(folder, 'data'),
+		log: {level: 'warn', format: 'json'},
+		clusterSecret: 'a-secret-of-the-bench-cluster-only-here',
+		seedRecordsFile: seed,
+	}));
+	const daemonFile = path.join(import.meta.dirname, '..', '..', 'packages', 'daemon', 'dist', 'samphiremilld.mjs');
+	const child = spawn(process.execPath, [daemonFile, '--settings', settingsFile], {stdio: 'inherit'});
+	const origin = `http://127.0.0.1:${httpPort}`;
+	try {
+		await waitForReady(origin);
+		await delay(2000);
+		const before = await readProcess(child.pid ?? 0);
+		await delay(idleSeconds * 1000);
+		const idle = await readProcess(child.pid ?? 0);
+		const minion = await startMinion();
+		const announce = async () => request(`${origin}/v1/minions/cloth-counter-1`, {
+			method: 'PUT',
+			body: JSON.stringify({
+				incarnation: 1, worker: 'worker-1', pool: 'cloth-counter', dataCentre: 'recife', host: '127.0.0.1', port: minion.port, slots: 64, connections: 64,
+			}),
+		}).then(async ({body}) => body.dump());
+		await announce();
+		const renewal = setInterval(() => {
+			void announce();
+		}, 1000);
+		await delay(1000);
+		const direct: Target = {
+			name: 'direct to the minion', origin: `http://127.0.0.1:${minion.port}`, path: index => `/jobs/${index}`, headers: () => ({}),
+		};
+		const open: Target = {
+			name: 'entry host, open queue', origin, path: () => '/v1/queues/questions/jobs', headers: () => ({}),
+		};
+		const keyed: Target = {
+			name: 'entry host, key and idempotency key (claim synced to disk)',
+			origin,
+			path: () => '/v1/queues/reservations/jobs',
+			headers: index => ({authorization: 'Bearer costa-example-key', 'idempotency-key': `bench-${performance.now()}-${index}`}),
+		};
+		const results = [];
+		for (const target of [direct, open, keyed]) {
+			for (const width of [1, concurrency]) {
+				await run(target, warmUpCount, width); // eslint-disable-line no-await-in-loop -- one measurement after the other
+				results.push(await run(target, jobCount, width)); // eslint-disable-line no-await-in-loop -- one measurement after the other
+			}
+		}
+
+		clearInterval(renewal);
+		const loaded = await readProcess(child.pid ?? 0);
+		console.log('| path | connections | p50 µs | p99 µs | jobs/s | failed |\n|---|---|---|---|---|---|');
+		for (const {name, width, p50Us, p99Us, jobsPerSecond, failed} of results) {
+			console.log(`| ${name} | ${width} | ${p50Us} | ${p99Us} | ${jobsPerSecond} | ${failed} |`);
+		}
+
+		console.log(`\nidle resident memory: ${(idle.residentKb / 1024).toFixed(1)} MB; after the load: ${(loaded.residentKb / 1024).toFixed(1)} MB`);
+		console.log(`idle processor time: ${((idle.cpuTicks - before.cpuTicks) / idleSeconds).toFixed(2)} % of a core over ${idleSeconds} s`);
+		minion.close();
+	} finally {
+		child.kill('SIGTERM');
+		await once(child, 'exit');
+		await rm(folder, {recursive: true});
+	}
+};
+
+await main();
--- a/packages/core/src/claims/claimer.ts
+++ b/packages/core/src/claims/claimer.ts
@@ -3,6 +3,7 @@
  * start and for the keeping of the outcome, and asks again until it is answered.
  */
 import type {JobId, MonotonicMs, NodeId} from '@samphiremill/common';
+import type {JobOutcome} from '../jobs/types.js';
 import type {Step} from '../step.js';
 import {claimResendMs} from './constants.js';
 import {findOwnership} from './ownership.js';
@@ -64,7 +65,7 @@
 export function requestClaim(state: ClaimsState, event: ClaimWantedEvent): ClaimsStep {
 	const {job, name, bodyHash, isFirstSend, nowMs} = event;
 	return ask(state, {
-		job, name, bodyHash, isFirstSend, waitingFor: {type: 'claim', isInProgress: false}, sentAtMs: nowMs,
+		job, name, bodyHash, isFirstSend, hasStarted: false, waitingFor: {type: 'claim', isInProgress: false}, sentAtMs: nowMs,
 	});
 }
 
@@ -87,18 +88,25 @@
 	return ask(state, {...claim, waitingFor: {type: 'start', attempt, minion}, sentAtMs: nowMs});
 }
 
+// A refused job tells its caller `maybe` where an earlier send of the key may have run. If no byte of
+// its own was sent, its key must become free all the same, or every later resend gets this refusal.
+const getOutcomeForOwner = ({hasStarted}: ActiveClaim, outcome: JobOutcome): JobOutcome =>
+	outcome.type === 'refused' && !hasStarted ? {...outcome, ran: 'no'} : outcome;
+
 /**
  * @param state - The claims of this node.
  * @param event - The job that ended.
  * @returns The state with the outcome under way, and the report to the owner.
  */
 export function reportOutcome(state: ClaimsState, event: ClaimEndedEvent): ClaimsStep {
-	const {job, outcome, answer, nowMs} = event;
+	const {job, answer, nowMs} = event;
 	const claim = state.active.get(job);
 	if (claim === undefined) {
 		return {state, effects: []};
 	}
 
+	const outcome = getOutcomeForOwner(claim, event.outcome);
+
 	return ask(state, {
 		...claim,
 		waitingFor: {type: 'outcomeKept', outcome, ...(answer === undefined ? {} : {answer})},
--- a/packages/core/src/claims/claims.test.ts
+++ b/packages/core/src/claims/claims.test.ts
@@ -68,6 +68,22 @@
 	expect(getAnswers(cluster, resend)).toContain('unknown');
 });
 
+test('a job that gave up before its start leaves the key free for the next send', () => {
+	const cluster = createClaimsCluster({
+		nodeCount: 3, seed: 5, lossRate: 0, duplicateRate: 0,
+	});
+	cluster.setStarting(false);
+	const first = cluster.submit({node: 0, key: 'deposit-3', body: 'a'});
+	cluster.advance(500);
+	cluster.giveUpBeforeStart(0, first);
+	cluster.advance(500);
+	cluster.setStarting(true);
+	const second = cluster.submit({node: 1, key: 'deposit-3', body: 'a'});
+	cluster.advance(1000);
+	expect(getAnswers(cluster, second)).toEqual(['granted']);
+	expect(countDispatches(cluster)).toEqual([1]);
+});
+
 type Operation
 	= | {readonly type: 'submitEverywhere'; readonly key: number}
 		| {readonly type: 'advance'; readonly durationMs: number}
--- a/packages/core/src/claims/test-claims-cluster.ts
+++ b/packages/core/src/claims/test-claims-cluster.ts
@@ -38,6 +38,10 @@
 /** Drives the cluster as callers, the network and the leader do. */
 export type ClaimsCluster = {
 	readonly submit: (options: {readonly node: number; readonly key: string; readonly body: string}) => JobId;
+	/** A job that got its key ends before its start is asked for, as when no owner answered in time. */
+	readonly giveUpBeforeStart: (node: number, job: JobId) => void;
+	/** Whether granted jobs ask for their start. */
+	readonly setStarting: (isStarting: boolean) => void;
 	readonly advance: (durationMs: number) => void;
 	readonly setCutOff: (node: number, isCutOff: boolean) => void;
 	readonly crash: (node: number) => void;
@@ -62,6 +66,7 @@
 	const ids = Array.from({length: nodeCount}, (_, index) => toBrand<NodeId>(`node-${index}`));
 	let nowMs = 0;
 	let nextJob = 0;
+	let startsJobs = true;
 	let packets: readonly Packet[] = [];
 	let committed: ClaimView = {dataCentre, epoch: 1, members: ids};
 	let report: ClusterReport = {dispatches: [], answers: []};
@@ -112,7 +117,7 @@
 
 			case 'claims/answered': {
 				report = {...report, answers: [...report.answers, {job: effect.job, type: effect.answer.type}]};
-				if (effect.answer.type === 'granted') {
+				if (effect.answer.type === 'granted' && startsJobs) {
 					handle(id, {
 						type: 'claims/starting', job: effect.job, attempt: 1, minion: toBrand<MinionId>('minion-1'), nowMs: getNow(),
 					});
@@ -243,6 +248,15 @@
 			deliver();
 			return job;
 		},
+		giveUpBeforeStart(node, job) {
+			handle(idAt(node), {
+				type: 'claims/ended', job, outcome: {type: 'refused', reason: 'ownerUnreachable', ran: 'maybe'}, nowMs: getNow(),
+			});
+			deliver();
+		},
+		setStarting(isStarting) {
+			startsJobs = isStarting;
+		},
 		advance(durationMs) {
 			for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
 				step();
--- a/packages/core/src/claims/types.ts
+++ b/packages/core/src/claims/types.ts
@@ -63,6 +63,8 @@
 	readonly name: ClaimName;
 	readonly bodyHash: string;
 	readonly isFirstSend: boolean;
+	/** The owner has allowed the first byte of an attempt. */
+	readonly hasStarted: boolean;
 	/** What this node has asked the owner and not heard back. */
 	readonly waitingFor:
 		| {readonly type: 'nothing'}
--- a/packages/daemon/src/sessions/cluster-session.test.ts
+++ b/packages/daemon/src/sessions/cluster-session.test.ts
@@ -139,7 +139,7 @@
 }, 180_000);
 
 test('a rolling restart of all entry hosts loses no job', async () => {
-	const codes: Array<number | null> = []; // eslint-disable-line @typescript-eslint/no-restricted-types -- as the process module tells it
+	const codes: Array<number | undefined> = [];
 	const answers = await sendDuring(200, async () => {
 		for (const member of cluster.members) {
 			codes.push(await member.stop()); // eslint-disable-line no-await-in-loop -- one after the other
--- a/packages/daemon/src/sessions/test-processes.ts
+++ b/packages/daemon/src/sessions/test-processes.ts
@@ -36,7 +36,7 @@
 export type ProcessCluster = {
 	readonly members: readonly ClusterMember[];
 	readonly minions: readonly TestMinion[];
-	readonly operate: (member: ClusterMember, call: {readonly method: string; readonly path: string; readonly body?: string}) => Promise<{readonly status: number; readonly body: string}>;
+	readonly operate: (member: ClusterMember, call: {readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE'; readonly path: string; readonly body?: string}) => Promise<{readonly status: number; readonly body: string}>;
 	readonly close: () => Promise<void>;
 };
 
@@ -95,17 +95,17 @@
 	let log = '';
 	const origin = `http://127.0.0.1:${httpPort}`;
 	const isReady = async () => isReadyAt(origin);
-	const end = async (signal: 'SIGKILL' | 'SIGTERM') => {
+	const end = async (signal: 'SIGKILL' | 'SIGTERM'): Promise<number | undefined> => {
 		const running = child;
 		child = undefined;
 		if (running === undefined) {
-			return null;
+			return undefined;
 		}
 
 		const exit = once(running, 'exit');
 		running.kill(signal);
-		const [code] = await exit as [number | null]; // eslint-disable-line @typescript-eslint/no-restricted-types -- as the process module tells it
-		return code;
+		const [code] = await exit as unknown[];
+		return typeof code === 'number' ? code : undefined;
 	};
 
 	return {
@@ -148,7 +148,12 @@
 		await writeFile(file, JSON.stringify(createSettings(address, addresses, folder)));
 		return createMember(address, file);
 	}));
-	await Promise.all(members.map(async member => member.start()));
+	const started = await Promise.allSettled(members.map(async member => member.start()));
+	if (started.some(({status}) => status === 'rejected')) {
+		await Promise.all(members.map(async member => member.kill()));
+		throw new Error(`the cluster did not start:\n${members.map(member => member.getLog()).join('\n')}`);
+	}
+
 	const minions = await Promise.all([1, 2].map(async () => startTestMinion()));
 	let nextMember = 0;
 	const announce = async (minion: TestMinion, number: number) => {
@@ -180,7 +185,7 @@
 		minions,
 		async operate(member, {method, path: target, body}) {
 			const answer = await request(`${member.origin}${target}`, {
-				method: method as 'GET', headers: {authorization: `Bearer ${operatorToken}`}, ...(body === undefined ? {} : {body}),
+				method, headers: {authorization: `Bearer ${operatorToken}`}, ...(body === undefined ? {} : {body}),
 			});
 			return {status: answer.statusCode, body: await answer.body.text()};
 		},
