Keep every request for a confirmation, so that a node that asks often gets its answer

Only the newest request of each fed node was kept, and a confirmation that was older than it answered nothing; a node that asked often waited for good while its upstream was confirmed at each heartbeat. A voter with an emptied disk also fed others, which added a step.

Change: requests wait in a short list for each node, and a confirmation answers the newest that came before it. A voter without its vote answers no pulls. Renewals come each 400 ms, and a node that asks its upstream in turn waits 100 ms for further requests, not 250 ms.

--- a/packages/core/src/replica/confirmation.ts
+++ b/packages/core/src/replica/confirmation.ts
@@ -6,7 +6,7 @@
  */
 import type {NodeId} from '@samphiremill/common';
 import {Map as ImmutableMap} from 'immutable';
-import {maximumOpenPolls} from './constants.js';
+import {maximumOpenPolls, maximumWaitingRequests} from './constants.js';
 import {getLastIndex} from './log.js';
 import type {
 	AppendMessage, ConfirmedMessage, PollAnswerMessage, PollMessage,
@@ -17,7 +17,9 @@
 import {
 	chainSteps, createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
-import type {ConfirmationPoll, ReplicaState, WaitingAsker} from './types.js';
+import type {
+	ConfirmationPoll, ConfirmationState, ReplicaState, WaitingAsker,
+} from './types.js';
 import {getUpstream, noteUpstreamHeard} from './upstream.js';
 
 /** How far this node's configuration can be relied on. */
@@ -50,9 +52,17 @@
  */
 export function registerAsker<Command>(state: ReplicaState<Command>, from: NodeId, asker: WaitingAsker): ReplicaState<Command> {
 	const {confirmation} = state;
-	return {...state, confirmation: {...confirmation, waitingAskers: confirmation.waitingAskers.set(from, asker)}};
+	const requests = [...confirmation.waitingAskers.get(from) ?? [], asker].slice(-maximumWaitingRequests);
+	return {...state, confirmation: {...confirmation, waitingAskers: confirmation.waitingAskers.set(from, requests)}};
 }
 
+// Requests that came later than the confirmed time wait for the next confirmation. An older one is
+// answered all the same, or a node that asks often would never get an answer.
+const getNewestTokens = ({waitingAskers}: ConfirmationState, untilMs: number): ImmutableMap<NodeId, number> => {
+	const newest = waitingAskers.map(requests => requests.findLast(({askedAtMs}) => askedAtMs <= untilMs)?.token);
+	return ImmutableMap([...newest].flatMap(([node, token]) => token === undefined ? [] : [[node, token] as const]));
+};
+
 /**
  * Makes those polls effective whose index is applied by now, for this node and for those that asked
  * it. A node confirms to others only what it can also feed to them.
@@ -102,13 +112,12 @@
 	{sentAtMs, index}: {readonly sentAtMs: number; readonly index: number},
 ): ReplicaStep<Command> {
 	const {confirmation} = state;
-	const isAnswered = ({askedAtMs}: WaitingAsker) => askedAtMs <= sentAtMs;
 	const poll: ConfirmationPoll = {
 		round: confirmation.nextRound,
 		sentAtMs,
 		index,
 		answers: ImmutableMap(),
-		askers: confirmation.waitingAskers.filter(asker => isAnswered(asker)).map(({token}) => token),
+		askers: getNewestTokens(confirmation, sentAtMs),
 	};
 	return settleConfirmations({
 		...state,
@@ -116,7 +125,9 @@
 			...confirmation,
 			nextRound: confirmation.nextRound + 1,
 			polls: [...confirmation.polls, poll].slice(-maximumOpenPolls),
-			waitingAskers: confirmation.waitingAskers.filter(asker => !isAnswered(asker)),
+			waitingAskers: confirmation.waitingAskers
+				.map(requests => requests.filter(({askedAtMs}) => askedAtMs > sentAtMs))
+				.filter(requests => requests.length > 0),
 		},
 	});
 }
@@ -153,7 +164,7 @@
 	const {confirmation} = state;
 	const round = confirmation.nextRound;
 	const poll: ConfirmationPoll = {
-		round, sentAtMs: nowMs, index: undefined, answers: ImmutableMap(), askers: confirmation.waitingAskers.map(({token}) => token),
+		round, sentAtMs: nowMs, index: undefined, answers: ImmutableMap(), askers: getNewestTokens(confirmation, nowMs),
 	};
 	const next: ReplicaState<Command> = {
 		...state,
@@ -193,14 +204,16 @@
 	const {nextPollMs, lastPollMs, waitingAskers, confirmedAtMs = Number.NEGATIVE_INFINITY} = state.confirmation;
 	const {cfg, nowMs} = context;
 	// While a leader's heartbeats confirm, a voter needs no poll.
+	const isVoter = isVotingReplica(state, cfg);
 	const isConfirmedByLeader = state.voters.length > 1
-		&& isVotingReplica(state, cfg)
+		&& isVoter
 		&& nowMs - confirmedAtMs < cfg.limits.heartbeatConfirmationMs;
 	if (isConfirmedByLeader) {
 		return createStep(state);
 	}
 
-	const isAsked = !waitingAskers.isEmpty() && nowMs >= lastPollMs + cfg.limits.confirmationSpacingMs;
+	const spacingMs = isVoter ? cfg.limits.pollSpacingMs : cfg.limits.pullSpacingMs;
+	const isAsked = !waitingAskers.isEmpty() && nowMs >= lastPollMs + spacingMs;
 	return isAsked || nowMs >= nextPollMs ? startPoll(state, context) : createStep(state);
 }
 
--- a/packages/core/src/replica/constants.ts
+++ b/packages/core/src/replica/constants.ts
@@ -7,8 +7,9 @@
 	leaderLeaseMs: 750,
 	retransmitTimeoutMs: 500,
 	proposalTimeoutMs: 5000,
-	confirmationPeriodMs: 500,
-	confirmationSpacingMs: 250,
+	confirmationPeriodMs: 400,
+	pollSpacingMs: 250,
+	pullSpacingMs: 100,
 	configurationLeaseMs: 2000,
 	heartbeatConfirmationMs: 700,
 	upstreamTimeoutMs: 1200,
@@ -32,7 +33,10 @@
 export const snapshotStallMs = 2000;
 
 /** How many polls for a confirmation may be open at once. */
-export const maximumOpenPolls = 8;
+export const maximumOpenPolls = 32;
+
+/** How many requests for a confirmation one node may have open here. */
+export const maximumWaitingRequests = 16;
 
 /** How long a fed node stays subscribed after its last pull. */
 export const subscriptionMs = 3000;
--- a/packages/core/src/replica/feed.ts
+++ b/packages/core/src/replica/feed.ts
@@ -5,11 +5,12 @@
 import {acceptEntries} from './following.js';
 import {getEntries} from './log.js';
 import type {FeedMessage, PullMessage} from './messages.js';
+import {isVotingReplica} from './quorum.js';
 import {
 	chainSteps, createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
 import {enterTerm} from './roles.js';
-import type {ReplicaState} from './types.js';
+import type {ReplicaConfig, ReplicaState} from './types.js';
 import {getUpstream, noteUpstreamHeard} from './upstream.js';
 
 // Sends one batch; a subscriber that needs more asks for it, so a slow one is never flooded.
@@ -38,6 +39,11 @@
 	})]);
 };
 
+// A voter that lost its vote is fed by others itself. Those that it would feed do better to ask the
+// next voter, since each step on the way costs their configuration lease some of its length.
+const isVoterWithoutVote = <Command>(state: ReplicaState<Command>, cfg: ReplicaConfig) =>
+	state.voters.some(({node}) => node === cfg.self) && !isVotingReplica(state, cfg);
+
 /**
  * Takes an observer's pull: renews its subscription and sends what it lacks.
  *
@@ -52,6 +58,10 @@
 	{from, message}: {readonly from: NodeId; readonly message: PullMessage},
 ): ReplicaStep<Command> {
 	const {token, lastIndex} = message;
+	if (isVoterWithoutVote(state, context.cfg)) {
+		return createStep(state);
+	}
+
 	const subscribers = state.feed.subscribers.set(from, {sentIndex: lastIndex, renewedAtMs: context.nowMs});
 	const subscribed = {...state, feed: {...state.feed, subscribers}};
 	const next = token === undefined ? subscribed : registerAsker(subscribed, from, {token, askedAtMs: context.nowMs});
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -94,8 +94,10 @@
 	readonly proposalTimeoutMs: number;
 	/** How often a node renews its configuration lease. */
 	readonly confirmationPeriodMs: number;
-	/** Requests that come within this time of the last poll are answered by the next one. */
-	readonly confirmationSpacingMs: number;
+	/** Requests that come to a voter within this time of its last poll are answered by the next one. */
+	readonly pollSpacingMs: number;
+	/** The same for a node that asks its upstream in turn. */
+	readonly pullSpacingMs: number;
 	readonly configurationLeaseMs: number;
 	/** Age of a heartbeat's confirmation from which a voter polls the others itself. */
 	readonly heartbeatConfirmationMs: number;
@@ -270,7 +272,7 @@
 	readonly askers: ImmutableMap<NodeId, number>;
 };
 
-/** A node that waits for a confirmation. */
+/** One request of a node that waits for a confirmation. */
 export type WaitingAsker = {
 	readonly token: number;
 	readonly askedAtMs: number;
@@ -285,7 +287,8 @@
 	readonly lastPollMs: number;
 	/** Polls whose index isn't known or isn't applied yet. */
 	readonly polls: readonly ConfirmationPoll[];
-	readonly waitingAskers: ImmutableMap<NodeId, WaitingAsker>;
+	/** Oldest request first. */
+	readonly waitingAskers: ImmutableMap<NodeId, readonly WaitingAsker[]>;
 	/** Send time of the newest effective confirmation; absent before the first. */
 	readonly confirmedAtMs: number | undefined;
 };
