--- a/packages/core/src/replica/replica.test.ts
+++ b/packages/core/src/replica/replica.test.ts
@@ -200,3 +200,12 @@
 		expect(network.getFreshness('d1')).toBe('fresh');
 	}
 });
+
+test('a node that is fed through a relay over slow links stays fresh without a gap', () => {
+	const network = createTestNetwork({nodes: threeVoters, seed: 9, delayMs: {least: 1, most: 120}});
+	network.run(6000);
+	for (let step = 0; step < 400; step += 1) {
+		network.run(50);
+		expect(threeVoters.map(({name}) => network.getFreshness(name))).toEqual(threeVoters.map(() => 'fresh'));
+	}
+});
