Pin three rules of the log that the random model does not reach

Change: a fixed test for each; each was then seen to fail on its broken copy. The test network counts each life's time anew.

Tests: npx vitest run packages/core/src/replica: 20 passed in parts (commit, log, network, model).

--- a/packages/core/src/replica/commit.test.ts
+++ b/packages/core/src/replica/commit.test.ts
@@ -1,5 +1,6 @@
 import {toBrand, type DataCentreId, type NodeId} from '@samphiremill/common';
 import {expect, test} from 'vitest';
+import {getConfigurationFreshness} from './confirmation.js';
 import {defaultReplicaLimits} from './constants.js';
 import {createReplica} from './create-replica.js';
 import type {ReplicaMessage} from './messages.js';
@@ -100,3 +101,52 @@
 	});
 	expect(getEffects().flatMap(effect => effect.type === 'peer/send' ? [effect.message] : [])).toMatchObject([{type: 'replica/appended', matchIndex: 2}]);
 });
+
+test('a leader changes no voter before it has committed an entry of its own term', () => {
+	const {step, acknowledge, getEffects, getState} = startLeader();
+	const remove = (requestId: string) => {
+		step({
+			type: 'replica/changeVoters',
+			requestId: toBrand<RequestId>(requestId),
+			change: {type: 'remove', node: toBrand<NodeId>('c1')},
+			nowMs: 1010,
+		});
+	};
+
+	remove('early');
+	expect(getEffects()).toEqual([{
+		type: 'replica/proposalFailed',
+		requestId: 'early',
+		failure: {type: 'invalidVoterChange', reason: 'notReady'},
+		leader: 'a1',
+	}]);
+	step({type: 'replica/persisted', sequence: 2, nowMs: 1010});
+	acknowledge('b1', 'b1-disk', 3);
+	remove('later');
+	expect(getState().voters.map(({node}) => node)).toEqual(['a1', 'b1']);
+});
+
+test('a heartbeat confirms nothing that an earlier life of this process sent', () => {
+	const hardState = {term: 4, clusterId: toBrand<StoreId>('a1-disk')};
+	const lease = {leaseMs: defaultReplicaLimits.configurationLeaseMs, nowMs: 100};
+	const first = createReplica<string>({cfg: {...cfg, random: () => 0.5}, nowMs: 0}, {hardState, entries}).state;
+	const receiveEcho = (life: number, sentAtMs: number) => reduceReplica(first, {
+		type: 'peer/received',
+		from: toBrand<NodeId>('b1'),
+		message: {
+			type: 'replica/append',
+			clusterId: toBrand<StoreId>('a1-disk'),
+			term: 4,
+			round: 1,
+			previousIndex: 2,
+			previousTerm: 2,
+			entries: [],
+			commitIndex: 2,
+			confirms: {life, sentAtMs},
+		},
+		nowMs: 100,
+	}, cfg).state;
+	const {life} = first.confirmation;
+	expect(getConfigurationFreshness(receiveEcho(life + 1, 5000), lease)).toBe('starting');
+	expect(getConfigurationFreshness(receiveEcho(life, 50), lease)).toBe('fresh');
+});
--- /dev/null
+++ b/packages/core/src/replica/log.test.ts
@@ -0,0 +1,27 @@
+import {toBrand} from '@samphiremill/common';
+import {expect, test} from 'vitest';
+import {rememberedRequests} from './constants.js';
+import {
+	appendEntries, compactLog, createLog, getRequestsUpTo, truncateLog,
+} from './log.js';
+import type {LogEntry, RequestId} from './types.js';
+
+const createEntries = (from: number, until: number) => Array.from({length: until - from}, (_, place): LogEntry<string> => ({
+	index: from + place, term: 1, payload: {type: 'command', requestId: toBrand<RequestId>(`r${from + place}`), command: 'x'},
+}));
+
+const hasRequest = (log: ReturnType<typeof createLog<string>>, index: number) => log.requests.has(toBrand<RequestId>(`r${index}`));
+
+test('a proposal is still known after its entry was compacted and after a snapshot, up to a bound', () => {
+	const log = compactLog(appendEntries(createLog<string>({index: 0, term: 0}), createEntries(1, 21)), 15);
+	expect([1, 15, 16, 20].map(index => hasRequest(log, index))).toEqual([true, true, true, true]);
+	const installed = createLog<string>({index: 18, term: 1}, getRequestsUpTo(log, 18));
+	expect([1, 18, 19].map(index => hasRequest(installed, index))).toEqual([true, true, false]);
+	const longer = compactLog(appendEntries(log, createEntries(21, 21 + rememberedRequests)), 20 + rememberedRequests);
+	expect([1, 20, 21].map(index => hasRequest(longer, index))).toEqual([false, false, true]);
+});
+
+test('a proposal whose entry was replaced may be appended again', () => {
+	const log = truncateLog(appendEntries(createLog<string>({index: 0, term: 0}), createEntries(1, 6)), 4);
+	expect([3, 4, 5].map(index => hasRequest(log, index))).toEqual([true, false, false]);
+});
--- a/packages/core/src/replica/test-network.ts
+++ b/packages/core/src/replica/test-network.ts
@@ -59,6 +59,7 @@
 type ScheduledCall = {readonly atMs: number; readonly run: () => void};
 
 const tickMs = 50;
+const firstClockMs = 1000;
 const stalenessBoundMs = 3000;
 
 /** What a node has sent and received. */
@@ -159,9 +160,11 @@
 		return node;
 	};
 
+	// Each life of a process counts its time anew.
+	const startedAtMs = new Map<string, number>();
 	const getLocalMs = (name: string) => {
 		const clockRate = options.nodes.find(node => node.name === name)?.clockRate ?? 1;
-		return 1_000_000 + (nowMs * clockRate);
+		return firstClockMs + ((nowMs - (startedAtMs.get(name) ?? nowMs)) * clockRate);
 	};
 
 	const fail = (finding: string): never => {
@@ -351,6 +354,7 @@
 		const diskLife = disk === blankDisk ? life : diskLives.get(name) ?? life;
 		diskLives.set(name, diskLife);
 		const cfg = createCfg(description, diskLife);
+		startedAtMs.set(name, nowMs);
 		const recovered = description.kind === 'diskless' ? undefined : getRecoveredReplica(disk);
 		const {state, effects} = createReplica({cfg, nowMs: getLocalMs(name)}, recovered);
 		nodes.set(name, {
