--- a/bench/buffers.ts
+++ b/bench/buffers.ts
@@ -12,7 +12,12 @@
 } from '@samphiremill/core';
 
 /** How a queue's rate changes over time, as a multiple of its mean. */
-type Load = {readonly name: string; readonly getFactor: (desk: number, nowMs: number) => number};
+type Load = {
+	readonly name: string;
+	readonly getFactor: (desk: number, nowMs: number) => number;
+	/** Hosts of each desk that a maintenance wave holds aside. */
+	readonly countAside: (nowMs: number) => number;
+};
 
 /** How spare hosts are used. */
 type Policy = {readonly name: string; readonly cfg: MovesConfig | 'never' | 'spread'};
@@ -61,9 +66,16 @@
 };
 
 const surgeMs = 15 * 60 * secondMs;
+const waveStartMs = 20 * 60 * secondMs;
+const waveEndMs = 100 * 60 * secondMs;
 
 const loads: readonly Load[] = [
-	{name: 'bursts', getFactor: getBurstFactor},
+	{name: 'bursts', getFactor: getBurstFactor, countAside: () => 0},
+	{
+		name: 'bursts during a wave that holds one host of each desk aside for 80 of 120 minutes',
+		getFactor: getBurstFactor,
+		countAside: nowMs => nowMs >= waveStartMs && nowMs < waveEndMs ? 1 : 0,
+	},
 	{
 		name: 'bursts and a surge of 15 min at 2.4 times the mean on one desk each half hour',
 		getFactor(desk, nowMs) {
@@ -71,6 +83,7 @@
 			const isSurge = nowMs % (2 * surgeMs) < surgeMs && half % deskCount === desk;
 			return getBurstFactor(desk, nowMs) * (isSurge ? 2.4 : 1);
 		},
+		countAside: () => 0,
 	},
 ];
 
@@ -79,7 +92,7 @@
 const policies: readonly Policy[] = [
 	{name: 'spare held, never lent', cfg: 'never'},
 	{name: 'spare spread over the desks for good', cfg: 'spread'},
-	...[1, 10, 60].flatMap(smoothing => [0, 10, 20, 30, 60].flatMap(hold => [30, 300].map((back): Policy => ({
+	...[1, 10, 60].flatMap(smoothing => [0, 10, 30, 60].flatMap(hold => [30, 300].map((back): Policy => ({
 		name: `smoothing ${smoothing} s, lend after ${hold} s, take back after ${back} s`,
 		cfg: lend({smoothingMs: smoothing * secondMs, lendHoldMs: hold * secondMs, takeBackHoldMs: back * secondMs}),
 	})))),
@@ -121,6 +134,7 @@
 	let moveCount = 0;
 
 	const countHosts = (pool: PoolId) => [...owners.values()].filter(({phase}) => phase.type === 'member' && phase.pool === pool).length;
+	const countServing = (pool: PoolId, nowMs: number) => countHosts(pool) - load.countAside(nowMs);
 	const getRunMs = () => -Math.log(1 - random()) * meanRunMs;
 
 	const serve = (desk: Desk, index: number, nowMs: number) => {
@@ -132,7 +146,7 @@
 		}
 
 		desk.running = desk.running.filter(endMs => endMs > nowMs);
-		const slots = countHosts(desk.pool) * slotsPerHost;
+		const slots = countServing(desk.pool, nowMs) * slotsPerHost;
 		const started = desk.queue.splice(0, Math.max(0, slots - desk.running.length));
 		desk.running.push(...started.map(() => nowMs + getRunMs()));
 		startMs.push(...started.map(arrivedAtMs => nowMs - arrivedAtMs));
@@ -147,7 +161,7 @@
 			pools: desks.map(desk => ({
 				pool: desk.pool,
 				demandSlots: desk.running.length + desk.queue.length,
-				capacitySlots: countHosts(desk.pool) * slotsPerHost,
+				capacitySlots: countServing(desk.pool, nowMs) * slotsPerHost,
 			})),
 		}, plannerCfg);
 		releases = trackReleases({
--- a/bench/wave-world.ts
+++ b/bench/wave-world.ts
@@ -54,6 +54,7 @@
 const secondMs = 1000;
 const minuteMs = 60 * secondMs;
 const dayMs = 24 * 60 * minuteMs;
+const rackStride = 11;
 const failureMs = 120 * minuteMs;
 const restartMs = 5 * minuteMs;
 const operatorDelayMs = 10 * minuteMs;
@@ -67,7 +68,8 @@
 		kind: 'pool', id: toBrand(`pool-${String(index).padStart(2, '0')}`), maximumUnavailableHosts: budget, isSpare: false,
 	}));
 	const workerRecords = Array.from({length: workers}, (_, index): WorkerRecord => {
-		const rack = Math.floor(index / hostsPerRack);
+		// Ids say nothing of racks.
+		const rack = Math.floor(((index * rackStride) % workers) / hostsPerRack);
 		return {
 			kind: 'worker',
 			id: toBrand(`worker-${String(index).padStart(4, '0')}`),
