Leave alone the intakes that others closed, and test the platform's client on bad answers

Cause: the leader opened every closed intake that no wave or move asked for, also one that people at the platform had closed.

Change: intakes are closed under the name samphiremill, and only those are listed and opened. client.test.ts answers with a refusal, another form, nothing, and a broken body.

--- a/examples/stand-in-platform.ts
+++ b/examples/stand-in-platform.ts
@@ -36,7 +36,7 @@
 };
 
 type Reboot = {readonly id: string; readonly state: 'running' | 'finished' | 'failed'};
-type HostState = {readonly intake: 'open' | 'closed'; readonly tasks: readonly StandInTask[]; readonly reboot?: Reboot};
+type HostState = {readonly intake: 'open' | 'closed'; readonly closedBy?: string; readonly tasks: readonly StandInTask[]; readonly reboot?: Reboot};
 
 /** A running stand-in platform. */
 export type StandInPlatform = {
@@ -103,10 +103,10 @@
 	};
 
 	const setIntake = (host: string, document: unknown) => {
-		const isClosed = typeof document === 'object' && document !== null && 'intake' in document && document.intake === 'closed';
-		const intake = isClosed ? 'closed' : 'open';
+		const fields: Readonly<Record<string, unknown>> = typeof document === 'object' && document !== null ? {...document} : {};
+		const intake = fields.intake === 'closed' ? 'closed' : 'open';
 		if (hosts.get(host)?.intake !== intake) {
-			update(host, {intake});
+			update(host, {intake, closedBy: typeof fields.by === 'string' ? fields.by : ''});
 			options.onIntakeChanged?.(host, intake);
 		}
 	};
@@ -116,7 +116,9 @@
 		const [host = '', resource = '', name = '', verb = ''] = url.pathname.split('/').slice(3).map(part => decodeURIComponent(part));
 		const body = await readJson(req);
 		if (url.pathname === '/v1/hosts') {
-			const listed = [...hosts].filter(([, {intake}]) => intake === (url.searchParams.get('intake') ?? intake));
+			const {searchParams} = url;
+			const listed = [...hosts].filter(([, {intake, closedBy}]) => intake === (searchParams.get('intake') ?? intake)
+				&& closedBy === (searchParams.get('by') ?? closedBy));
 			sendJson(res, 200, {hosts: listed.map(([known, state]) => ({host: known, ...state}))});
 			return;
 		}
--- /dev/null
+++ b/packages/daemon/src/platform/client.test.ts
@@ -0,0 +1,73 @@
+import {createServer, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {toBrand, type WorkerId} from '@samphiremill/common';
+import {afterEach, expect, test} from 'vitest';
+import {createPlatformClient} from './client.js';
+
+const host = toBrand<WorkerId>('worker/1');
+const closers: Array<() => Promise<void>> = [];
+
+afterEach(async () => {
+	await Promise.all(closers.splice(0).map(async close => close()));
+});
+
+/** Starts a platform that answers every call the same way, and a client of it. */
+async function startPlatform(answer: (res: ServerResponse) => void) {
+	const calls: string[] = [];
+	const server = createServer((req, res) => {
+		calls.push(`${req.method} ${req.url}`);
+		answer(res);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- a TCP server that listens has this address
+	const {port} = server.address() as AddressInfo;
+	const client = createPlatformClient({url: `http://127.0.0.1:${port}`, timeoutMs: 200});
+	closers.push(async () => {
+		server.closeAllConnections();
+		server.close();
+		await client.close();
+	});
+	return {calls, client};
+}
+
+test('a refusal, an answer of another form, one that never comes and one that breaks off are told apart', async () => {
+	const refusing = await startPlatform(res => {
+		res.writeHead(409).end('busy');
+	});
+	const foreign = await startPlatform(res => {
+		res.end('{"host": "worker/1", "intake": "ajar", "tasks": []}');
+	});
+	const garbled = await startPlatform(res => {
+		res.end('<html>');
+	});
+	const silent = await startPlatform(() => undefined);
+	const breaking = await startPlatform(res => {
+		res.writeHead(200, {'content-length': '100'});
+		res.write('{');
+		res.socket?.destroy();
+	});
+	expect(await refusing.client.reboot(host, 'a:b:1')).toEqual({ok: false, err: {type: 'refused', status: 409, message: 'busy'}});
+	expect(await foreign.client.getHost(host)).toMatchObject({ok: false, err: {type: 'malformed', findings: [{path: '/intake'}]}});
+	expect(await garbled.client.listClosedHosts()).toMatchObject({ok: false, err: {type: 'malformed'}});
+	expect(await silent.client.setIntake(host, 'closed')).toMatchObject({ok: false, err: {type: 'noAnswer'}});
+	expect(await breaking.client.getHost(host)).toMatchObject({ok: false, err: {type: 'noAnswer'}});
+});
+
+test('names are escaped in paths, and unknown fields are ignored', async () => {
+	const {calls, client} = await startPlatform(res => {
+		res.end('{"host": "worker/1", "intake": "open", "tasks": [{"task": "t", "elapsedMs": 1, "x": 1}], "later": true}');
+	});
+	expect(await client.getHost(host)).toEqual({
+		ok: true,
+		value: {
+			host, intake: 'open', tasks: [{
+				task: 't', kind: '', elapsedMs: 1, canCheckpoint: false, checkpoint: 'none',
+			}],
+		},
+	});
+	await client.stopTask(host, 't 1');
+	await client.reboot(host, 'a/b:1');
+	expect(calls).toEqual(['GET /v1/hosts/worker%2F1', 'DELETE /v1/hosts/worker%2F1/tasks/t%201', 'PUT /v1/hosts/worker%2F1/reboots/a%2Fb%3A1']);
+});
--- a/packages/daemon/src/platform/client.ts
+++ b/packages/daemon/src/platform/client.ts
@@ -3,7 +3,9 @@
 } from '@samphiremill/common';
 import {Pool} from 'undici';
 import type {z} from 'zod';
-import {maximumPlatformAnswerBytes, platformConnectionCount, platformTimeoutMs} from './constants.js';
+import {
+	closedByName, maximumPlatformAnswerBytes, platformConnectionCount, platformTimeoutMs,
+} from './constants.js';
 import {hostListSchema, hostSchema} from './schema.js';
 import type {PlatformClient, PlatformError, PlatformHostState} from './types.js';
 
@@ -65,10 +67,10 @@
 			return result.ok ? createSuccess(createHostState(result.value)) : result;
 		},
 		async listClosedHosts() {
-			const result = await read('/v1/hosts?intake=closed', hostListSchema);
+			const result = await read(`/v1/hosts?intake=closed&by=${closedByName}`, hostListSchema);
 			return result.ok ? createSuccess(result.value.hosts.map(({host}) => toBrand<WorkerId>(host))) : result;
 		},
-		setIntake: async (host, intake) => command({method: 'PUT', path: `${getHostPath(host)}/intake`, body: {intake}}),
+		setIntake: async (host, intake) => command({method: 'PUT', path: `${getHostPath(host)}/intake`, body: {intake, by: closedByName}}),
 		reboot: async (host, id) => command({method: 'PUT', path: `${getHostPath(host)}/reboots/${encodeURIComponent(id)}`}),
 		checkpointTask: async (host, task) => command({method: 'PUT', path: `${getTaskPath(host, task)}/checkpoint`}),
 		throttleTask: async ({host, task, share}) =>
--- a/packages/daemon/src/platform/types.ts
+++ b/packages/daemon/src/platform/types.ts
@@ -36,7 +36,7 @@
 /** The platform's interface. Every call may be repeated without further effect. */
 export type PlatformClient = {
 	readonly getHost: (host: WorkerId) => PlatformResult<PlatformHostState>;
-	/** The hosts whose intake is closed, whoever closed it. */
+	/** The hosts whose intake this system closed, under whichever leader. */
 	readonly listClosedHosts: () => PlatformResult<readonly WorkerId[]>;
 	readonly setIntake: (host: WorkerId, intake: 'open' | 'closed') => PlatformResult<void>;
 	/** Reboots the host once for each id. */
