Reboot a host that the platform could not reboot in time once it can

Cause: a host whose reboot was never accepted within 15 min counted as failed, was asked for no more, and stayed failed for good with its intake closed.

Change: such hosts are still rebooted, once for their attempt, by the same id.

On a scratch copy without the change the new test fails (host stays failed).

--- a/examples/stand-in-platform.test.ts
+++ b/examples/stand-in-platform.test.ts
@@ -187,3 +187,20 @@
 	expect(session.getControl().ownership.get(toBrand('worker-0'))).toMatchObject({epoch: 3, phase: {type: 'member', pool: 'pool-1'}});
 	expect(session.transcript).toMatchSnapshot();
 });
+
+test('a host that the platform could not reboot in time is rebooted once it can', async () => {
+	const session = await startSession();
+	session.platform.setCanReboot(false);
+	session.write({...wave, workers: [toBrand<WorkerId>('worker-0')]});
+	const controller = session.startLeader();
+	const getHost = () => session.getControl().waves?.waves[0]?.hosts[0];
+	await run(session, controller, 40);
+	expect(getHost()?.phase).toBe('rebooting');
+	session.timers.advance(defaultWavesConfig.rebootTimeoutMs);
+	await run(session, controller, 4);
+	expect(getHost()).toMatchObject({phase: 'failed', failure: 'rebootTimeout'});
+	session.platform.setCanReboot(true);
+	await run(session, controller, 40);
+	expect(getHost()?.phase).toBe('returned');
+	expect(session.platform.getReboots()).toEqual(['worker-0 wave-0:worker-0:1']);
+});
--- a/examples/stand-in-platform.ts
+++ b/examples/stand-in-platform.ts
@@ -45,6 +45,8 @@
 	readonly getReboots: () => readonly string[];
 	readonly getIntake: (host: string) => 'open' | 'closed' | undefined;
 	readonly setTasks: (host: string, tasks: readonly StandInTask[]) => void;
+	/** While they cannot, the call for a reboot is answered with status 503 and has no effect. */
+	readonly setCanReboot: (canReboot: boolean) => void;
 	/** Lets a host that did not come back finish its reboot after all. */
 	readonly recoverHost: (host: string) => void;
 	readonly close: () => Promise<void>;
@@ -61,6 +63,7 @@
 	const random = createSeededRandom(options.seed ?? 1);
 	const hosts = new Map<string, HostState>(options.hosts.map(host => [host, {intake: 'open', tasks: []}]));
 	const reboots: string[] = [];
+	let canReboot = true;
 
 	const update = (host: string, change: Partial<HostState>) => {
 		const known = hosts.get(host);
@@ -115,6 +118,11 @@
 		const url = new URL(req.url ?? '/', 'http://platform');
 		const [host = '', resource = '', name = '', verb = ''] = url.pathname.split('/').slice(3).map(part => decodeURIComponent(part));
 		const body = await readJson(req);
+		if (!canReboot && resource === 'reboots') {
+			sendJson(res, 503, {title: 'no reboots now'});
+			return;
+		}
+
 		if (url.pathname === '/v1/hosts') {
 			const {searchParams} = url;
 			const listed = [...hosts].filter(([, {intake, closedBy}]) => intake === (searchParams.get('intake') ?? intake)
@@ -181,6 +189,9 @@
 		setTasks(host, tasks) {
 			update(host, {tasks});
 		},
+		setCanReboot(isPossible) {
+			canReboot = isPossible;
+		},
 		recoverHost: finishReboot,
 		async close() {
 			server.closeAllConnections();
--- a/packages/core/src/waves/availability.ts
+++ b/packages/core/src/waves/availability.ts
@@ -15,6 +15,17 @@
 	return asidePhases.has(host.phase);
 }
 
+/**
+ * A host whose reboot took too long may never have been asked for it, where the platform was out of
+ * reach, and comes back in no other way.
+ *
+ * @param host - One host of a wave.
+ * @returns Whether the platform is to reboot the host, once for its attempt.
+ */
+export function needsReboot({phase, failure}: WaveHost): boolean {
+	return phase === 'rebooting' || (phase === 'failed' && failure === 'rebootTimeout');
+}
+
 /**
  * @param input - The waves; with `wave`, only that one is read.
  * @returns The hosts that waves hold aside.
--- a/packages/core/src/waves/list-hosts-to-close.ts
+++ b/packages/core/src/waves/list-hosts-to-close.ts
@@ -1,5 +1,5 @@
 import type {WorkerId} from '@samphiremill/common';
-import {getBudgetLeft} from './availability.js';
+import {getBudgetLeft, needsReboot} from './availability.js';
 import {getRebootId} from './plan-host-steps.js';
 import type {
 	FleetRecords, PlatformHost, WaveHost, WavesState, WaveState,
@@ -37,8 +37,7 @@
 		return wave.phase === 'running' && pool !== undefined && getBudgetLeft({pool, state, records}) >= 0;
 	}
 
-	const isLost = host.phase === 'failed' && host.failure === 'rebootTimeout';
-	if (host.phase !== 'rebooting' && !isLost) {
+	if (!needsReboot(host)) {
 		return false;
 	}
 
--- a/packages/core/src/waves/test-wave-world.ts
+++ b/packages/core/src/waves/test-wave-world.ts
@@ -3,6 +3,7 @@
  */
 import {toBrand, type PoolId, type WorkerId} from '@samphiremill/common';
 import type {WaveRecord, WorkerRecord} from '../control/types.js';
+import {needsReboot} from './availability.js';
 import {applyWaveCommand} from './apply-wave-command.js';
 import {defaultWavesConfig} from './constants.js';
 import {listHostsToClose} from './list-hosts-to-close.js';
@@ -140,7 +141,7 @@
 			host.isIntakeOpen = !closed;
 		}
 
-		for (const {wave, host} of aside.filter(({host}) => host.phase === 'rebooting')) {
+		for (const {wave, host} of aside.filter(({host}) => needsReboot(host))) {
 			const id = getRebootId({wave: wave.wave, worker: host.worker, attempt: host.attempt});
 			const physical = this.hosts.get(host.worker);
 			if (physical !== undefined && !physical.reboots.includes(id)) {
--- a/packages/daemon/src/wave-controller/platform-work.ts
+++ b/packages/daemon/src/wave-controller/platform-work.ts
@@ -4,7 +4,7 @@
  */
 import type {WorkerId} from '@samphiremill/common';
 import {
-	createMovesState, createWavesState, decideTaskDrain, getFleetRecords, getRebootId, listHostsToClose, type ControlState, type PlatformHost, type WaveHost, type WaveState,
+	createMovesState, createWavesState, decideTaskDrain, getFleetRecords, getRebootId, listHostsToClose, needsReboot, type ControlState, type PlatformHost, type WaveHost, type WaveState,
 } from '@samphiremill/core';
 import type {PlatformHostState, PlatformTask} from '../platform/types.js';
 import {checkpointCostMs} from './constants.js';
@@ -77,7 +77,7 @@
 	const closed = getClosedHosts(state, seen);
 	await Promise.all([...closed].map(async host => closeIntake({options, host, seen: known.get(host)})));
 	await Promise.all(getHeldHosts(state)
-		.filter(({host}) => host.phase === 'rebooting')
+		.filter(({host}) => needsReboot(host))
 		.map(async held => startReboot({options, held, seen: known.get(held.host.worker)})));
 }
 
