--- a/examples/stand-in-platform.ts
+++ b/examples/stand-in-platform.ts
@@ -36,7 +36,7 @@
 };
 
 type Reboot = {readonly id: string; readonly state: 'running' | 'finished' | 'failed'};
-type HostState = {readonly intake: 'open' | 'closed'; readonly tasks: readonly StandInTask[]; readonly reboot?: Reboot};
+type HostState = {readonly intake: 'open' | 'closed'; readonly closedBy?: string; readonly tasks: readonly StandInTask[]; readonly reboot?: Reboot};
 
 /** A running stand-in platform. */
 export type StandInPlatform = {
@@ -45,6 +45,8 @@
 	readonly getReboots: () => readonly string[];
 	readonly getIntake: (host: string) => 'open' | 'closed' | undefined;
 	readonly setTasks: (host: string, tasks: readonly StandInTask[]) => void;
+	/** While they cannot, the call for a reboot is answered with status 503 and has no effect. */
+	readonly setCanReboot: (canReboot: boolean) => void;
 	/** Lets a host that did not come back finish its reboot after all. */
 	readonly recoverHost: (host: string) => void;
 	readonly close: () => Promise<void>;
@@ -61,6 +63,7 @@
 	const random = createSeededRandom(options.seed ?? 1);
 	const hosts = new Map<string, HostState>(options.hosts.map(host => [host, {intake: 'open', tasks: []}]));
 	const reboots: string[] = [];
+	let canReboot = true;
 
 	const update = (host: string, change: Partial<HostState>) => {
 		const known = hosts.get(host);
@@ -103,10 +106,10 @@
 	};
 
 	const setIntake = (host: string, document: unknown) => {
-		const isClosed = typeof document === 'object' && document !== null && 'intake' in document && document.intake === 'closed';
-		const intake = isClosed ? 'closed' : 'open';
+		const fields: Readonly<Record<string, unknown>> = typeof document === 'object' && document !== null ? {...document} : {};
+		const intake = fields.intake === 'closed' ? 'closed' : 'open';
 		if (hosts.get(host)?.intake !== intake) {
-			update(host, {intake});
+			update(host, {intake, closedBy: typeof fields.by === 'string' ? fields.by : ''});
 			options.onIntakeChanged?.(host, intake);
 		}
 	};
@@ -115,8 +118,15 @@
 		const url = new URL(req.url ?? '/', 'http://platform');
 		const [host = '', resource = '', name = '', verb = ''] = url.pathname.split('/').slice(3).map(part => decodeURIComponent(part));
 		const body = await readJson(req);
+		if (!canReboot && resource === 'reboots') {
+			sendJson(res, 503, {title: 'no reboots now'});
+			return;
+		}
+
 		if (url.pathname === '/v1/hosts') {
-			const listed = [...hosts].filter(([, {intake}]) => intake === (url.searchParams.get('intake') ?? intake));
+			const {searchParams} = url;
+			const listed = [...hosts].filter(([, {intake, closedBy}]) => intake === (searchParams.get('intake') ?? intake)
+				&& closedBy === (searchParams.get('by') ?? closedBy));
 			sendJson(res, 200, {hosts: listed.map(([known, state]) => ({host: known, ...state}))});
 			return;
 		}
@@ -179,6 +189,9 @@
 		setTasks(host, tasks) {
 			update(host, {tasks});
 		},
+		setCanReboot(isPossible) {
+			canReboot = isPossible;
+		},
 		recoverHost: finishReboot,
 		async close() {
 			server.closeAllConnections();
