--- a/bench/bursts.ts
+++ b/bench/bursts.ts
@@ -17,11 +17,12 @@
 }
 
 function listLosses(size: FleetSize): ReadonlyArray<{readonly name: string; readonly losses: readonly Loss[]}> {
+	// At that time the first pool and the pools of the seventh rack are in their bursts.
 	const first = createMinions(size)[0]?.minion ?? '';
 	return [
 		{name: 'none', losses: []},
 		{name: 'a worker at 5 s', losses: [{atMs: 5000, minions: new Set([first])}]},
-		{name: 'a rack at 5 s', losses: [{atMs: 5000, minions: listMinionsOf(size, rack => rack === 'rack-1')}]},
+		{name: 'a rack at 5 s', losses: [{atMs: 5000, minions: listMinionsOf(size, rack => rack === 'rack-6')}]},
 	];
 }
 
