--- a/packages/core/src/escrow/reduce-escrow.ts
+++ b/packages/core/src/escrow/reduce-escrow.ts
@@ -13,7 +13,7 @@
 	createHolderState, dropEndedRights, getHeldAmount, setUsage, takeGrant, writeReport, type HolderState,
 } from './holder.js';
 import {
-	answerReport, beginEpoch, createHomeState, enterHolderUsage, enterReport, isInOffice, listHoldersToAsk,
+	answerReport, beginEpoch, createHomeState, enterHolderUsage, enterReport, hasSameItems, isInOffice, listHoldersToAsk,
 	setLentResources, tickHome, type HomeState,
 } from './home.js';
 import {
@@ -197,7 +197,9 @@
 			type: 'escrow/grant', epoch: home.epoch, reportId: message.reportId, items,
 		},
 	}, context);
-	const asked = askHolders(answered.state, context);
+	// Most reports only renew; what they leave as it was leaves nobody to ask.
+	const isRenewal = items.length === 0 && hasSameItems(state.home, entered, from);
+	const asked = isRenewal ? {state: answered.state, effects: []} : askHolders(answered.state, context);
 	return {state: asked.state, effects: [...answered.effects, ...asked.effects]};
 }
 
@@ -295,6 +297,18 @@
 	return {...state, waitingByPool, waitingByTeam};
 }
 
+function hasSameBounds({teamBounds}: EscrowState, bounds: readonly TeamBound[]): boolean {
+	return bounds.length === teamBounds.size && bounds.every(({team, amount, version, isRecalled}) => {
+		const known = teamBounds.get(team);
+		return known?.amount === amount && known.version === version && known.isRecalled === isRecalled;
+	});
+}
+
+function setTeamBounds(state: EscrowState, bounds: readonly TeamBound[], cfg: EscrowConfig): EscrowState {
+	const teamBounds = createMap(bounds.map((bound): [TeamId, TeamBound] => [bound.team, bound]));
+	return updateLentResources({...state, teamBounds}, cfg);
+}
+
 function updateMinions(state: EscrowState, minions: readonly KnownMinion[]): EscrowState {
 	const sources = minions.map(({minion, incarnation, pool, slots, condition}): [MinionId, SlotSource] => [minion, {
 		minion, incarnation, pool, slots: condition === 'leaving' ? 0 : slots,
@@ -330,8 +344,7 @@
 		}
 
 		case 'escrow/teamBoundsChanged': {
-			const teamBounds = createMap(event.bounds.map((bound): [TeamId, TeamBound] => [bound.team, bound]));
-			return reportToAll(updateLentResources({...state, teamBounds}, cfg), context);
+			return hasSameBounds(state, event.bounds) ? {state, effects: []} : reportToAll(setTeamBounds(state, event.bounds, cfg), context);
 		}
 
 		case 'minions/changed': {
