Search holders to ask at reports and twice a second, not at each tick

A profile of the two-year size gave a third of the time to dividing bounds that nothing had changed. Homes now search when a report gives reason to and each 500 ms for what only time changes; held rights are compared only after a change.

--- a/packages/core/src/escrow/constants.ts
+++ b/packages/core/src/escrow/constants.ts
@@ -24,3 +24,6 @@
 
 /** How often the leader is told of all team limits, changed or not. */
 export const wholeLimitReportPeriodMs = 10_000;
+
+/** How often a home looks for holders to ask without a report that gives reason to. */
+export const holderSearchPeriodMs = 500;
--- a/packages/core/src/escrow/holder.ts
+++ b/packages/core/src/escrow/holder.ts
@@ -172,6 +172,7 @@
  * @returns The holder.
  */
 export function dropEndedRights(state: HolderState, nowMs: MonotonicMs): HolderState {
-	const rights = state.rights.filter(({leaseUntilMs}) => nowMs < leaseUntilMs);
-	return rights.size === state.rights.size ? state : {...state, rights};
+	return state.rights.some(({leaseUntilMs}) => nowMs >= leaseUntilMs)
+		? {...state, rights: state.rights.filter(({leaseUntilMs}) => nowMs < leaseUntilMs)}
+		: state;
 }
--- a/packages/core/src/escrow/reduce-escrow.ts
+++ b/packages/core/src/escrow/reduce-escrow.ts
@@ -8,7 +8,7 @@
 import {Map as createMap, type Map as ImmutableMap} from 'immutable';
 import type {KnownMinion} from '../membership/types.js';
 import type {Step} from '../step.js';
-import {minimumAskGapMs, minimumReportGapMs} from './constants.js';
+import {holderSearchPeriodMs, minimumAskGapMs, minimumReportGapMs} from './constants.js';
 import {
 	createHolderState, dropEndedRights, getHeldAmount, setUsage, takeGrant, writeReport, type HolderState,
 } from './holder.js';
@@ -55,6 +55,7 @@
 	readonly isLeaving: boolean;
 	readonly reportedAtMs: ImmutableMap<NodeId, MonotonicMs>;
 	readonly askedAtMs: ImmutableMap<NodeId, MonotonicMs>;
+	readonly searchedAtMs: MonotonicMs;
 	/** What `escrow/held` last told, by resource. */
 	readonly told: ImmutableMap<string, HeldRight>;
 };
@@ -79,6 +80,7 @@
 		isLeaving: false,
 		reportedAtMs: createMap(),
 		askedAtMs: createMap(),
+		searchedAtMs: nowMs,
 		told: createMap(),
 	};
 }
@@ -198,7 +200,8 @@
 		},
 	}, context);
 	// Most reports only renew; what they leave as it was leaves nobody to ask.
-	const isRenewal = items.length === 0 && hasSameItems(state.home, entered, from);
+	const isRenewal = items.length === 0 && hasSameItems(state.home, entered, from)
+		&& message.items.every(({wanted, held}) => wanted <= held);
 	const asked = isRenewal ? {state: answered.state, effects: []} : askHolders(answered.state, context);
 	return {state: asked.state, effects: [...answered.effects, ...asked.effects]};
 }
@@ -261,6 +264,13 @@
 	return chainSteps({state, effects: []}, homes, (current, home) => reportTo(current, home, context));
 }
 
+/** Looks now and then for what only time changes: leases that ran out, an epoch that settled. */
+function searchHolders(state: EscrowState, context: Context): EscrowStep {
+	return context.nowMs - state.searchedAtMs < holderSearchPeriodMs
+		? {state, effects: []}
+		: askHolders({...state, searchedAtMs: context.nowMs}, context);
+}
+
 function reportLimits(state: EscrowState, context: Context): EscrowStep {
 	const {state: limitReports, message} = writeLimitReport(state.limitReports, {
 		home: state.home, bounds: state.teamBounds.values(), ...context,
@@ -279,7 +289,7 @@
 	const due = listHomes(ticked).filter(home => hasWaited(ticked, home, context, context.cfg.timings.reportPeriodMs));
 	const reported = chainSteps({state: ticked, effects: []}, due, (current, home) => reportTo(current, home, context));
 	const wanted = reportWants(reported.state, context);
-	const asked = askHolders(wanted.state, context);
+	const asked = searchHolders(wanted.state, context);
 	const told = reportLimits(asked.state, context);
 	return {state: told.state, effects: [...reported.effects, ...wanted.effects, ...asked.effects, ...told.effects]};
 }
@@ -421,8 +431,7 @@
  */
 export function reduceEscrow(state: EscrowState, event: EscrowEvent, cfg: EscrowConfig): EscrowStep {
 	const step = reduce(state, event, {cfg, nowMs: event.nowMs});
-	const hasSameRights = step.state.holder.rights === state.holder.rights && event.type !== 'escrow/tick';
-	return hasSameRights ? step : tellRights(step, event.nowMs);
+	return step.state.holder.rights === state.holder.rights ? step : tellRights(step, event.nowMs);
 }
 
 /**
--- a/packages/core/src/peer-link/reduce-peer-link.test.ts
+++ b/packages/core/src/peer-link/reduce-peer-link.test.ts
@@ -53,15 +53,31 @@
 		}
 	};
 
-	const frameOfEffect = {
-		'peerLink/dial': 'hello', 'peerLink/accept': 'challenge', 'peerLink/sendHeartbeat': 'heartbeat',
-	} as const;
-
 	const perform = (end: End, effect: PeerLinkEffect) => {
-		if (effect.type === 'peerLink/close') {
-			close(end, effect.connection);
-		} else if (effect.type !== 'peerLink/changed') {
-			send(end, effect.connection, frameOfEffect[effect.type]);
+		// Nothing of the link itself depends on what is reported of it.
+		if (effect.type === 'peerLink/changed') {
+			return;
+		}
+
+		switch (effect.type) {
+			case 'peerLink/dial': {
+				send(end, effect.connection, 'hello');
+				return;
+			}
+
+			case 'peerLink/accept': {
+				send(end, effect.connection, 'challenge');
+				return;
+			}
+
+			case 'peerLink/sendHeartbeat': {
+				send(end, effect.connection, 'heartbeat');
+				return;
+			}
+
+			case 'peerLink/close': {
+				close(end, effect.connection);
+			}
 		}
 	};
 
