Confirm a call-back at the next tick, not in the turn that brought it

Inside a node the jobs part hears of a lowered right, and escrow of a job that has just started, only after the events already queued. A confirmation in the same turn could leave such a job out, and its unit would be lent twice. The test jobs now start under the rights from before the tick.

--- a/packages/core/src/escrow/reduce-escrow.ts
+++ b/packages/core/src/escrow/reduce-escrow.ts
@@ -214,9 +214,10 @@
 	const holder = takeGrant(state.holder, {
 		from, message, epoch: state.home.epoch, leaseMs: context.cfg.timings.leaseMs,
 	});
-	const next = {...state, holder};
-	// The home can lend on what it called back only once this node confirms that it has given it up.
-	return isCalledBack(state.holder, holder, context.nowMs) ? reportTo(next, from, context) : {state: next, effects: []};
+	// A call-back is confirmed at the next tick: a job that starts before the jobs part hears of it,
+	// within the same turn of the node, is then in the report.
+	const reportedAtMs = isCalledBack(state.holder, holder, context.nowMs) ? state.reportedAtMs.delete(from) : state.reportedAtMs;
+	return {state: {...state, holder, reportedAtMs}, effects: []};
 }
 
 function receiveMessage(state: EscrowState, {from, message}: {readonly from: NodeId; readonly message: EscrowMessage}, context: Context): EscrowStep {
--- a/packages/core/src/escrow/test-holders.ts
+++ b/packages/core/src/escrow/test-holders.ts
@@ -14,7 +14,7 @@
 } from './reduce-escrow.js';
 import {getResourceKey} from './resources.js';
 import type {
-	EscrowConfig, EscrowEvent, EscrowMessage, EscrowResource,
+	EscrowConfig, EscrowEvent, EscrowMessage, EscrowResource, HeldRight,
 } from './types.js';
 
 const stepMs = 10;
@@ -165,8 +165,8 @@
 		dispatch(node, {type: 'escrow/usage', usage: [{resource, running: countRunning(node, getResourceKey(resource))}]});
 	};
 
-	const startJobs = (node: NodeId) => {
-		for (const {resource, amount} of listHeldRights(get(node).state)) {
+	const startJobs = (node: NodeId, rights: readonly HeldRight[]) => {
+		for (const {resource, amount} of rights) {
 			const key = getResourceKey(resource);
 			if (get(node).waiting > 0 && countRunning(node, key) < amount && random() < 0.3) {
 				const endsAtMs = network.getNow() + (random() * testTimings.taskLeaseMs);
@@ -195,6 +195,8 @@
 			return;
 		}
 
+		// As in a node's queue of events, jobs hear of changed rights only after the tick that changed them.
+		const rights = listHeldRights(holder.state);
 		const sinceLogMs = network.getNow() - holder.toldLogAtMs;
 		if (!holder.isLogCut && sinceLogMs >= 500) {
 			tellLog(node);
@@ -208,7 +210,7 @@
 		}
 
 		if (isStartingJobs) {
-			startJobs(node);
+			startJobs(node, rights);
 		}
 	};
 
