Read platform answers and restored waves with the small build of zod

Cause: four files of waves, moves and the platform client used zod's large build, which brings every locale into the bundle. Change: zod/mini throughout; the daemon's first line asks V8 for small semi-spaces.

--- a/packages/core/src/moves/moves-state.ts
+++ b/packages/core/src/moves/moves-state.ts
@@ -1,7 +1,7 @@
 import {
 	createFailure, createSuccess, type Finding, type Result, type WorkerId,
 } from '@samphiremill/common';
-import {z} from 'zod';
+import * as z from 'zod/mini';
 import type {HostMove, MovesState} from './types.js';
 
 /** @returns The state in which no host moves. */
@@ -39,18 +39,18 @@
 	};
 }
 
-const id = z.string().min(1);
+const id = z.string().check(z.minLength(1));
 const stateSchema = z.object({
-	moves: z.array(z.object({
+	moves: z._default(z.array(z.object({
 		worker: id,
-		epoch: z.number().int().min(0),
+		epoch: z.int().check(z.minimum(0)),
 		from: id,
 		to: id,
-		reason: z.enum(['lend', 'takeBack', 'rehome']).default('rehome'),
-		isDrained: z.boolean().default(false),
+		reason: z._default(z.enum(['lend', 'takeBack', 'rehome']), 'rehome'),
+		isDrained: z._default(z.boolean(), false),
 		entryHosts: z.array(id),
 		startedAtMs: z.number(),
-	})).default([]),
+	})), []),
 });
 
 /**
--- a/packages/core/src/waves/restore-waves-state.ts
+++ b/packages/core/src/waves/restore-waves-state.ts
@@ -1,21 +1,21 @@
 import {
 	createFailure, createSuccess, type Finding, type Result,
 } from '@samphiremill/common';
-import {z} from 'zod';
+import * as z from 'zod/mini';
 import {createWavesState} from './waves-state.js';
 import type {WavesState} from './types.js';
 
-const id = z.string().min(1);
+const id = z.string().check(z.minLength(1));
 const timeMs = z.number();
 
 const hostSchema = z.object({
 	worker: id,
 	phase: z.enum(['pending', 'granted', 'draining', 'rebooting', 'returned', 'failed', 'removed']),
-	attempt: z.number().int().min(0),
+	attempt: z.int().check(z.minimum(0)),
 	changedAtMs: timeMs,
-	grantedAtMs: timeMs.optional(),
-	isRebootAccepted: z.boolean().default(false),
-	failure: z.enum(['rebootRefused', 'rebootTimeout', 'relapsed']).optional(),
+	grantedAtMs: z.optional(timeMs),
+	isRebootAccepted: z._default(z.boolean(), false),
+	failure: z.optional(z.enum(['rebootRefused', 'rebootTimeout', 'relapsed'])),
 });
 
 const pauseSchema = z.discriminatedUnion('type', [
@@ -23,8 +23,8 @@
 	z.object({
 		type: z.literal('correlatedFailure'),
 		workers: z.array(id),
-		rack: id.optional(),
-		dataCentre: id.optional(),
+		rack: z.optional(id),
+		dataCentre: z.optional(id),
 	}),
 ]);
 
@@ -32,17 +32,17 @@
 	wave: id,
 	phase: z.enum(['running', 'paused', 'aborting', 'completed', 'aborted']),
 	startedAtMs: timeMs,
-	endedAtMs: timeMs.optional(),
-	recordRevision: z.number().int().min(0),
-	pause: pauseSchema.optional(),
+	endedAtMs: z.optional(timeMs),
+	recordRevision: z.int().check(z.minimum(0)),
+	pause: z.optional(pauseSchema),
 	hosts: z.array(hostSchema),
-	recentResults: z.array(z.object({worker: id, isFailure: z.boolean()})).default([]),
+	recentResults: z._default(z.array(z.object({worker: id, isFailure: z.boolean()})), []),
 });
 
 const stateSchema = z.object({
-	waves: z.array(waveSchema).default([]),
-	unavailable: z.array(z.object({worker: id, condition: z.enum(['silent', 'unknown'])})).default([]),
-	observationRevision: z.number().int().min(0).default(0),
+	waves: z._default(z.array(waveSchema), []),
+	unavailable: z._default(z.array(z.object({worker: id, condition: z.enum(['silent', 'unknown'])})), []),
+	observationRevision: z._default(z.int().check(z.minimum(0)), 0),
 });
 
 /**
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-semi-space-size=1
 /**
  * `samphiremilld --settings FILE`: one entry host.
  */
--- a/packages/daemon/src/platform/client.ts
+++ b/packages/daemon/src/platform/client.ts
@@ -2,7 +2,7 @@
 	createFailure, createSuccess, toBrand, type Result, type WorkerId,
 } from '@samphiremill/common';
 import {Pool} from 'undici';
-import type {z} from 'zod';
+import type * as z from 'zod/mini';
 import {
 	closedByName, maximumPlatformAnswerBytes, platformConnectionCount, platformTimeoutMs,
 } from './constants.js';
@@ -56,7 +56,7 @@
 		return result.ok ? createSuccess(undefined) : result;
 	};
 
-	const read = async <Document>(path: string, schema: z.ZodType<Document>): Promise<Result<Document, PlatformError>> => {
+	const read = async <Document>(path: string, schema: z.ZodMiniType<Document>): Promise<Result<Document, PlatformError>> => {
 		const result = await call({method: 'GET', path});
 		return result.ok ? parseAnswer(result.value, schema) : result;
 	};
@@ -88,7 +88,7 @@
 	return `${getHostPath(host)}/tasks/${encodeURIComponent(task)}`;
 }
 
-function parseAnswer<Document>(text: string, schema: z.ZodType<Document>): Result<Document, PlatformError> {
+function parseAnswer<Document>(text: string, schema: z.ZodMiniType<Document>): Result<Document, PlatformError> {
 	const json = parseJsonText(text);
 	const parsed = schema.safeParse(json);
 	if (parsed.success) {
