--- a/bench/entry-host.ts
+++ b/bench/entry-host.ts
@@ -42,9 +42,11 @@
 	});
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
-
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- a TCP server that listens has this address
+	const {port} = server.address() as AddressInfo;
 	return {
-		port: (server.address() as AddressInfo).port, close() {
+		port,
+		close() {
 			server.close();
 		},
 	};
@@ -127,7 +129,7 @@
 		seedRecordsFile: seed,
 	}));
 	const daemonFile = path.join(import.meta.dirname, '..', '..', 'packages', 'daemon', 'dist', 'samphiremilld.mjs');
-	const child = spawn(process.execPath, [daemonFile, '--settings', settingsFile], {stdio: 'inherit'});
+	const child = spawn(process.execPath, ['--max-semi-space-size=1', daemonFile, '--settings', settingsFile], {stdio: 'inherit'});
 	const origin = `http://127.0.0.1:${httpPort}`;
 	try {
 		await waitForReady(origin);
--- a/packages/daemon/src/sessions/test-processes.ts
+++ b/packages/daemon/src/sessions/test-processes.ts
@@ -32,11 +32,18 @@
 	readonly getLog: () => string;
 };
 
+/** One request of an operator. */
+export type OperatorCall = {
+	readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE';
+	readonly path: string;
+	readonly body?: string;
+};
+
 /** Five entry hosts in two data centres, three of them voters, and minions in the first. */
 export type ProcessCluster = {
 	readonly members: readonly ClusterMember[];
 	readonly minions: readonly TestMinion[];
-	readonly operate: (member: ClusterMember, call: {readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE'; readonly path: string; readonly body?: string}) => Promise<{readonly status: number; readonly body: string}>;
+	readonly operate: (member: ClusterMember, call: OperatorCall) => Promise<{readonly status: number; readonly body: string}>;
 	readonly close: () => Promise<void>;
 };
 
