--- a/packages/daemon/src/runtime/node-engine.ts
+++ b/packages/daemon/src/runtime/node-engine.ts
@@ -14,24 +14,31 @@
 /** What the engine hands to the shell; messages of the node to itself stay inside. */
 export type ShellEffect = Exclude<NodeEffect, PeerSendEffect>;
 
+/** A gap between ticks after which leases may have ended unnoticed, in milliseconds. */
+const maximumTickGapMs = 200;
+
 /**
- * Creates the loop around the reducer. Events that effects bring about wait for their turn, so that
+ * Creates the loop around the reducer. A process that was frozen may see a request before the timer
+ * that ends its leases, so the time is told first wherever ticks are missing. Events that effects bring about wait for their turn, so that
  * the order in which the reducer sees them is the order in which they came about.
  *
  * @param options - The first state, the configuration, and who carries effects out.
  * @returns The engine.
  */
-export function createNodeEngine({self, initial, cfg, timers, send, carryOut}: {
+export function createNodeEngine({self, initial, cfg, timers, getIsFresh, send, carryOut}: {
 	readonly self: NodeId;
 	readonly initial: NodeState;
 	readonly cfg: NodeConfig;
 	readonly timers: TimerService;
+	/** Whether the configuration lease is fresh at this moment. */
+	readonly getIsFresh: () => boolean;
 	readonly send: (effect: PeerSendEffect) => void;
 	readonly carryOut: (effect: ShellEffect) => void;
 }): NodeEngine {
 	const waiting: NodeEvent[] = [];
 	let state = initial;
 	let isRunning = false;
+	let tickedAtMs: number = timers.getNow();
 
 	const handle = (effect: NodeEffect) => {
 		if (effect.type !== 'peer/send') {
@@ -52,6 +59,14 @@
 	return {
 		getState: () => state,
 		dispatch(event) {
+			const nowMs = timers.getNow();
+			if (event.type === 'node/tick') {
+				tickedAtMs = nowMs;
+			} else if (nowMs - tickedAtMs > maximumTickGapMs) {
+				tickedAtMs = nowMs;
+				waiting.push({type: 'node/freshnessChanged', isFresh: getIsFresh(), nowMs}, {type: 'node/tick', nowMs});
+			}
+
 			waiting.push(event);
 			if (isRunning) {
 				return;
--- /dev/null
+++ b/packages/daemon/src/runtime/open-disk.ts
@@ -0,0 +1,60 @@
+import {createSuccess, type Result} from '@samphiremill/common';
+import type {ClaimRecord, ControlCommand} from '@samphiremill/core';
+import {openClaimsJournal, type ClaimsJournal} from '../claims-journal/claims-journal.js';
+import {
+	openReplicaStore, storeFileSystem, type ReplicaStore, type StoreError,
+} from '../store/index.js';
+import {markRunning, unmarkRunning} from './running-marker.js';
+
+/** What an entry host keeps in its data folder. */
+export type Disk = {
+	readonly store: ReplicaStore<ControlCommand>;
+	readonly journal: ClaimsJournal;
+	/** An earlier process ended without a planned stop. */
+	readonly hasUnplannedEnd: boolean;
+	/** Ends a planned stop: nothing is in flight any more. */
+	readonly close: () => Promise<void>;
+};
+
+/**
+ * Opens the data folder.
+ *
+ * @param folder - The folder, absent on a host without a disk.
+ * @param listLiveRecords - The claims worth keeping when the journal is written anew.
+ * @returns The disk, nothing without a folder, or why the folder cannot be used.
+ */
+export const openDisk = async (folder: string | undefined, listLiveRecords: () => readonly ClaimRecord[]): Promise<Result<Disk | undefined, StoreError>> => {
+	if (folder === undefined) {
+		return createSuccess(undefined);
+	}
+
+	const store = await openReplicaStore<ControlCommand>({folder});
+	if (!store.ok) {
+		return store;
+	}
+
+	const journal = await openClaimsJournal({folder, fileSystem: storeFileSystem, listLiveRecords});
+	if (!journal.ok) {
+		await store.value.close();
+		return journal;
+	}
+
+	const marked = await markRunning({folder, fileSystem: storeFileSystem});
+	if (!marked.ok) {
+		await journal.value.close();
+		await store.value.close();
+		return marked;
+	}
+
+	return createSuccess({
+		store: store.value,
+		journal: journal.value,
+		hasUnplannedEnd: marked.value,
+		async close() {
+			await journal.value.close();
+			await unmarkRunning({folder, fileSystem: storeFileSystem});
+			await store.value.close();
+		},
+	});
+};
+
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -3,49 +3,39 @@
  */
 import {randomUUID} from 'node:crypto';
 import {
-	assertNever, createFailure, createSuccess, toBrand, type JobId, type RandomSource, type Result, type TimerService, type WallClockMs,
+	createFailure, createSuccess, toBrand, type JobId, type RandomSource, type Result, type TimerService, type WallClockMs,
 } from '@samphiremill/common';
 import {
-	createDefaultJobsCfg,
 	createNodeState,
-	defaultEscrowTimings,
-	defaultMembershipTimings,
-	minionForgetAfterMs,
-	minionLeaseMs,
-	minionRenewalPeriodMs,
 	type ClaimRecord,
 	type ControlCommand,
 	type JobsDecision,
-	type NodeAddress,
-	type NodeConfig,
-	type NodeMessage,
-	type ReplicaMessage,
 } from '@samphiremill/core';
-import {openClaimsJournal, type ClaimsJournal} from '../claims-journal/claims-journal.js';
 import {createMinionClient} from '../dispatch/index.js';
 import {createBodyBudget} from '../http/read-body.js';
 import {listRoutes} from '../http/routes.js';
 import {startHttpServer} from '../http/server.js';
 import {createPeerTransport} from '../peers/index.js';
 import type {Settings} from '../settings/index.js';
-import {
-	openReplicaStore, storeFileSystem, type ReplicaStore, type StoreError,
-} from '../store/index.js';
+import type {StoreError} from '../store/index.js';
 import {startWaveDuties} from '../wave-controller/index.js';
 import {
 	freshnessPeriodMs, leaveNoticeMs, nodeTickPeriodMs, taskLeasePeriodMs,
 } from './constants.js';
 import {startControlHost} from './control-host.js';
 import {listEndedTaskLeases} from './end-task-leases.js';
-import {createJobRegistry, type JobRegistry} from './job-registry.js';
+import {createJobRegistry} from './job-registry.js';
+import {createEffectHandler} from './effect-handler.js';
+import {createNodeConfig, getSelfAddress} from './node-config.js';
+import {openDisk} from './open-disk.js';
+import {isNodeMessage, isReplicaMessage} from './peer-messages.js';
 import {createDecisionHistory} from './decision-history.js';
 import {startLeaderDuties} from './leader-duties.js';
 import {logDecision} from './log-decision.js';
 import {createMetrics} from './metrics.js';
 import {createOperatorContext, createReportSource} from './operator-context.js';
 import {answerReportRequest} from './peer-reports.js';
-import {createNodeEngine, type ShellEffect} from './node-engine.js';
-import {markRunning, unmarkRunning} from './running-marker.js';
+import {createNodeEngine} from './node-engine.js';
 import type {DecisionLog, Metrics, Runtime} from './types.js';
 
 /** What a daemon is started with, besides its settings. */
@@ -68,122 +58,6 @@
 	readonly stop: () => Promise<void>;
 };
 
-const getSelfAddress = ({node, dataCentre, region, listen, isVoter}: Settings): NodeAddress => ({
-	node, dataCentre, region, host: listen.peers.host, peerPort: listen.peers.port, isVoter,
-});
-
-const createNodeConfig = ({settings, self, incarnation, random, mayHaveEarlierTasks}: {
-	readonly mayHaveEarlierTasks: boolean;
-	readonly settings: Settings;
-	readonly self: NodeAddress;
-	readonly incarnation: number;
-	readonly random: RandomSource;
-}): NodeConfig => ({
-	membership: {
-		membership: {
-			self, incarnation, addresses: [self, ...settings.peers], timings: defaultMembershipTimings,
-		},
-		minions: {
-			self: settings.node, leaseMs: minionLeaseMs, renewalPeriodMs: minionRenewalPeriodMs, forgetAfterMs: minionForgetAfterMs,
-		},
-	},
-	escrow: {
-		self: settings.node,
-		dataCentre: settings.dataCentre,
-		incarnation,
-		localNodes: [self, ...settings.peers].filter(({dataCentre}) => dataCentre === settings.dataCentre).map(({node}) => node),
-		earlierTasksMs: mayHaveEarlierTasks ? defaultEscrowTimings.taskLeaseMs : 0,
-		timings: defaultEscrowTimings,
-	},
-	claims: {hasStore: settings.dataFolder !== undefined},
-	jobs: createDefaultJobsCfg(random),
-});
-
-type Disk = {
-	readonly store: ReplicaStore<ControlCommand>;
-	readonly journal: ClaimsJournal;
-	/** An earlier process ended without a planned stop. */
-	readonly hasUnplannedEnd: boolean;
-};
-
-const openDisk = async (folder: string | undefined, listLiveRecords: () => readonly ClaimRecord[]): Promise<Result<Disk | undefined, StoreError>> => {
-	if (folder === undefined) {
-		return createSuccess(undefined);
-	}
-
-	const store = await openReplicaStore<ControlCommand>({folder});
-	if (!store.ok) {
-		return store;
-	}
-
-	const journal = await openClaimsJournal({folder, fileSystem: storeFileSystem, listLiveRecords});
-	if (!journal.ok) {
-		await store.value.close();
-		return journal;
-	}
-
-	const marked = await markRunning({folder, fileSystem: storeFileSystem});
-	if (!marked.ok) {
-		await journal.value.close();
-		await store.value.close();
-		return marked;
-	}
-
-	return createSuccess({store: store.value, journal: journal.value, hasUnplannedEnd: marked.value});
-};
-
-const createEffectHandler = ({getRegistry, persistClaim, recordDecision}: {
-	readonly recordDecision: (decision: JobsDecision) => void;
-	readonly getRegistry: () => JobRegistry;
-	readonly persistClaim: (record: ClaimRecord) => void;
-}) => (effect: ShellEffect): void => {
-	switch (effect.type) {
-		case 'jobs/dispatch': {
-			getRegistry().dispatchAttempt(effect);
-			return;
-		}
-
-		case 'jobs/cancelAttempt': {
-			getRegistry().cancelAttempt(effect);
-			return;
-		}
-
-		case 'node/replay': {
-			getRegistry().keepReplay(effect);
-			return;
-		}
-
-		case 'jobs/finish': {
-			getRegistry().finish(effect);
-			return;
-		}
-
-		case 'jobs/decision': {
-			recordDecision(effect.decision);
-			return;
-		}
-
-		case 'claims/persist': {
-			persistClaim(effect.record);
-			return;
-		}
-
-		case 'minions/probe': {
-			return;
-		}
-
-		default: {
-			assertNever(effect);
-		}
-	}
-};
-
-const isReplicaMessage = (message: unknown): message is ReplicaMessage<ControlCommand> =>
-	typeof message === 'object' && message !== null && 'type' in message && typeof message.type === 'string' && message.type.startsWith('replica/');
-
-const isNodeMessage = (message: unknown): message is NodeMessage =>
-	typeof message === 'object' && message !== null && 'type' in message && typeof message.type === 'string' && /^(?:claims|escrow|membership|minions)\//v.test(message.type);
-
 const countMetrics = (metrics: Metrics) => ({
 	onClientError() {
 		metrics.count('malformedRequests');
@@ -276,6 +150,7 @@
 		}),
 		cfg,
 		timers,
+		getIsFresh: () => controlHost.replica.getFreshness() === 'fresh',
 		send({to, message}) {
 			transport.send(to, message);
 		},
@@ -440,12 +315,7 @@
 		controlHost.replica.stop();
 		await client.close();
 		await transport.close();
-		await disk?.journal.close();
-		if (settings.dataFolder !== undefined) {
-			await unmarkRunning({folder: settings.dataFolder, fileSystem: storeFileSystem});
-		}
-
-		await disk?.store.close();
+		await disk?.close();
 	};
 
 	return createSuccess({
