Settle claims that their holder has forgotten, and take a new data folder for a first start

Cause 1: hosts that started together on new folders took each other for restarted ones, so every key without Samphiremill-First-Send was answered as unknown for an hour. Ruled out: slots and limits (jobs without a key were answered at once) and views. Change: a host whose data folder is new has lost nothing; a host that learns of its membership under a later view takes records over first. Cause 2: a record handed over after its claimer's restart was held by a job that nobody ran: 7 of 200 jobs got keyInProgress for a minute in the rolling restart. Change: the owner asks the holder when a key comes again; a holder that does not know the job gives it back. Also: a key whose outcome is unknown is refused as attemptLost, which says that coming back does not help.

--- a/packages/core/src/claims/claimer.ts
+++ b/packages/core/src/claims/claimer.ts
@@ -214,6 +214,22 @@
 	};
 }
 
+/**
+ * @param options - The claims of this node, the asking owner, the job and its name.
+ * @returns The answer where this node does not know the job; while it does, the owner hears of it anyway.
+ */
+export function answerQuery({state, from, job, name}: {
+	readonly state: ClaimsState;
+	readonly from: NodeId;
+	readonly job: JobId;
+	readonly name: ClaimName;
+}): ClaimsStep {
+	return {
+		state,
+		effects: state.active.has(job) ? [] : [{type: 'peer/send', to: from, message: {type: 'claims/notActive', job, name}}],
+	};
+}
+
 /**
  * @param state - The claims of this node.
  * @param job - The job whose outcome the owner keeps.
--- a/packages/core/src/claims/claims.test.ts
+++ b/packages/core/src/claims/claims.test.ts
@@ -1,8 +1,11 @@
 import process from 'node:process';
-import {assertNever} from '@samphiremill/common';
+import {
+	assertNever, toBrand, type MonotonicMs, type NodeId,
+} from '@samphiremill/common';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {createClaimsCluster, type ClaimsCluster} from './test-claims-cluster.js';
+import {createClaimsState, reduceClaims, type ClaimView} from './index.js';
 
 const countDispatches = (cluster: ClaimsCluster): number[] => {
 	const counts = new Map<string, number>();
@@ -84,6 +87,39 @@
 	expect(countDispatches(cluster)).toEqual([1]);
 });
 
+test.each([false, true])('a claim whose holder forgot the job is settled when the key comes again (started: %s)', isStarted => {
+	const cluster = createClaimsCluster({
+		nodeCount: 3, seed: 6, lossRate: 0, duplicateRate: 0,
+	});
+	cluster.setStarting(isStarted);
+	const first = cluster.submit({node: 0, key: 'deposit-4', body: 'a'});
+	cluster.advance(400);
+	cluster.forgetJob(0, first);
+	cluster.setStarting(true);
+	cluster.submit({node: 1, key: 'deposit-4', body: 'a'});
+	cluster.advance(2500);
+	const last = cluster.submit({node: 2, key: 'deposit-4', body: 'a'});
+	cluster.advance(1000);
+	expect(getAnswers(cluster, last)).toEqual([isStarted ? 'unknown' : 'replay']);
+	expect(countDispatches(cluster)).toEqual([1]);
+});
+
+test('a host that learns of its membership late takes its records over before it answers', () => {
+	const view = (epoch: number, members: readonly string[]): ClaimView => ({
+		dataCentre: toBrand('recife'), epoch, members: members.map(member => toBrand<NodeId>(member)),
+	});
+	const learn = (epoch: number, isRestart: boolean) => reduceClaims(
+		createClaimsState(toBrand('node-9'), toBrand('recife')),
+		{
+			type: 'claims/viewChanged', view: view(epoch, ['node-0', 'node-9']), isRestart, nowMs: toBrand<MonotonicMs>(10),
+		},
+		{hasStore: false},
+	);
+	expect(learn(1, false).state).toMatchObject({awaitedHandovers: [], isRecovering: false});
+	expect(learn(4, false).state).toMatchObject({awaitedHandovers: ['node-0'], isRecovering: false});
+	expect(learn(1, true).state).toMatchObject({awaitedHandovers: ['node-0'], isRecovering: true});
+});
+
 type Operation
 	= | {readonly type: 'submitEverywhere'; readonly key: number}
 		| {readonly type: 'advance'; readonly durationMs: number}
--- a/packages/core/src/claims/owner.ts
+++ b/packages/core/src/claims/owner.ts
@@ -2,7 +2,7 @@
  * The side of the entry host that owns a key: it decides who may run the job, records the start on a
  * second host before it allows the first byte, and keeps the outcome for resends.
  */
-import type {MonotonicMs, NodeId} from '@samphiremill/common';
+import type {JobId, MonotonicMs, NodeId} from '@samphiremill/common';
 import type {Step} from '../step.js';
 import {maximumStoredAnswerBytes} from './constants.js';
 import {secureCopy} from './copies.js';
@@ -67,6 +67,11 @@
 	};
 };
 
+// The claimer may have restarted, or ended the job under an owner that is gone since.
+const queryClaimer = ({name, job, claimer}: ClaimRecord): ClaimsEffect[] => [
+	{type: 'peer/send', to: claimer, message: {type: 'claims/query', job, name}},
+];
+
 /**
  * Decides who may run the job of a key. A node that may not answer stays silent, so that the asking
  * node asks again, by then perhaps the right owner.
@@ -87,7 +92,7 @@
 	if (record !== undefined) {
 		const answer = getAnswerToResend(record, message);
 		const next = answer.type === 'inProgress' ? addWaiter(input) : state;
-		return {state: next, effects: [answerRequest(input, answer)]};
+		return {state: next, effects: [answerRequest(input, answer), ...(answer.type === 'inProgress' ? queryClaimer(record) : [])]};
 	}
 
 	if (!isFirstSend && isQuarantined({state, name, nowMs})) {
@@ -229,6 +234,52 @@
 	return {state: secured.state, effects: [confirmOutcome(input), ...answered.effects, ...secured.effects]};
 }
 
+/**
+ * Settles a claim whose holder does not know the job any more: what was started is lost, what was only
+ * claimed is free again.
+ *
+ * @param options - The claims of this node, the name, the job and the time.
+ * @returns The next state, with the answers to waiting resends.
+ */
+export function receiveNotActive({state, name, job, nowMs}: {
+	readonly state: ClaimsState;
+	readonly name: string;
+	readonly job: JobId;
+	readonly nowMs: MonotonicMs;
+}): ClaimsStep {
+	const record = state.records.get(name);
+	return record?.job === job ? loseClaim({state, record, nowMs}) : {state, effects: []};
+}
+
+const loseClaim = ({state, record, nowMs}: {
+	readonly state: ClaimsState;
+	readonly record: ClaimRecord;
+	readonly nowMs: MonotonicMs;
+}): ClaimsStep => {
+	if (record.stage.type === 'claimed') {
+		return {state: {...state, records: state.records.delete(record.name)}, effects: []};
+	}
+
+	if (record.stage.type !== 'started') {
+		return {state, effects: []};
+	}
+
+	const lost: ClaimRecord = {
+		...record, stage: {type: 'lost'}, version: record.version + 1, changedAtMs: nowMs,
+	};
+	const effects = (state.waiters.get(record.name) ?? []).map(({node: to, job}): ClaimsEffect => ({
+		type: 'peer/send',
+		to,
+		message: {
+			type: 'claims/answer', job, name: record.name, answer: {type: 'unknown'},
+		},
+	}));
+	return {
+		state: {...state, records: state.records.set(record.name, lost), waiters: state.waiters.delete(record.name)},
+		effects,
+	};
+};
+
 /**
  * Marks the jobs of a lost entry host: what was started is lost, what was only claimed is free again.
  *
@@ -240,30 +291,12 @@
 	readonly node: NodeId;
 	readonly nowMs: MonotonicMs;
 }): ClaimsStep {
-	const affected = state.records.filter(({claimer}) => claimer === node);
 	let next = state;
 	const effects: ClaimsEffect[] = [];
-	for (const record of affected.values()) {
-		if (record.stage.type === 'claimed') {
-			next = {...next, records: next.records.delete(record.name)};
-			continue;
-		}
-
-		if (record.stage.type !== 'started') {
-			continue;
-		}
-
-		const lost: ClaimRecord = {
-			...record, stage: {type: 'lost'}, version: record.version + 1, changedAtMs: nowMs,
-		};
-		effects.push(...(next.waiters.get(record.name) ?? []).map(({node: to, job}): ClaimsEffect => ({
-			type: 'peer/send',
-			to,
-			message: {
-				type: 'claims/answer', job, name: record.name, answer: {type: 'unknown'},
-			},
-		})));
-		next = {...next, records: next.records.set(record.name, lost), waiters: next.waiters.delete(record.name)};
+	for (const record of state.records.filter(({claimer}) => claimer === node).values()) {
+		const step = loseClaim({state: next, record, nowMs});
+		next = step.state;
+		effects.push(...step.effects);
 	}
 
 	return {state: next, effects};
--- a/packages/core/src/claims/reduce-claims.ts
+++ b/packages/core/src/claims/reduce-claims.ts
@@ -4,6 +4,7 @@
 import {Map as ImmutableMap} from 'immutable';
 import type {Step} from '../step.js';
 import {
+	answerQuery,
 	receiveAnswer,
 	receiveOutcomeKept,
 	receiveStartAnswer,
@@ -17,7 +18,7 @@
 	confirmCopy, keepAll, receiveCopy, resendCopies,
 } from './copies.js';
 import {
-	markNodeLost, receiveOutcome, receiveRequest, receiveStart,
+	markNodeLost, receiveNotActive, receiveOutcome, receiveRequest, receiveStart,
 } from './owner.js';
 import type {
 	ClaimsConfig, ClaimsEffect, ClaimsEvent, ClaimsMessage, ClaimsState,
@@ -100,6 +101,14 @@
 			return confirmCopy({state, ...message});
 		}
 
+		case 'claims/query': {
+			return answerQuery({state, from, ...message});
+		}
+
+		case 'claims/notActive': {
+			return receiveNotActive({state, ...message, nowMs});
+		}
+
 		case 'claims/handoverRequest': {
 			return answerHandover({
 				state, from, epoch: message.epoch, cfg, nowMs,
--- a/packages/core/src/claims/test-claims-cluster.ts
+++ b/packages/core/src/claims/test-claims-cluster.ts
@@ -42,6 +42,8 @@
 	readonly submit: (options: {readonly node: number; readonly key: string; readonly body: string}) => JobId;
 	/** A job that got its key ends before its start is asked for, as when no owner answered in time. */
 	readonly giveUpBeforeStart: (node: number, job: JobId) => void;
+	/** The node loses its memory of a job without anybody being told. */
+	readonly forgetJob: (node: number, job: JobId) => void;
 	/** Whether granted jobs ask for their start. */
 	readonly setStarting: (isStarting: boolean) => void;
 	readonly advance: (durationMs: number) => void;
@@ -261,6 +263,10 @@
 			});
 			deliver();
 		},
+		forgetJob(node, job) {
+			const known = getNode(idAt(node));
+			nodes.set(known.id, {...known, running: [], state: {...known.state, active: known.state.active.delete(job)}});
+		},
 		setStarting(isStarting) {
 			startsJobs = isStarting;
 		},
--- a/packages/core/src/claims/types.ts
+++ b/packages/core/src/claims/types.ts
@@ -168,6 +168,10 @@
 		| {readonly type: 'claims/outcomeKept'; readonly job: JobId}
 		| {readonly type: 'claims/copy'; readonly epoch: number; readonly record: ClaimRecord}
 		| {readonly type: 'claims/copied'; readonly name: ClaimName; readonly version: number}
+		/** The owner asks the entry host that holds a claim whether it still knows the job. */
+		| {readonly type: 'claims/query'; readonly job: JobId; readonly name: ClaimName}
+		/** The sender does not run the job, and never will. */
+		| {readonly type: 'claims/notActive'; readonly job: JobId; readonly name: ClaimName}
 		| {readonly type: 'claims/handoverRequest'; readonly epoch: number}
 		| {
 			readonly type: 'claims/handover';
--- a/packages/core/src/claims/view-changes.ts
+++ b/packages/core/src/claims/view-changes.ts
@@ -59,6 +59,16 @@
 	};
 };
 
+// A node that never ran before lost nothing. Under the first view of its data centre nobody holds
+// anything; under a later one others may hold records of its ranges.
+const joinView = (state: ClaimsState, event: ClaimViewChangedEvent): ClaimsStep => {
+	if (event.isRestart) {
+		return startAfterRestart(state, event);
+	}
+
+	return event.view.epoch === 1 ? {state, effects: []} : takeOver({state, former: event.view, event});
+};
+
 const takeOver = ({state, former, event}: {
 	readonly state: ClaimsState;
 	readonly former: ClaimView;
@@ -93,7 +103,7 @@
 	readonly event: ClaimViewChangedEvent;
 	readonly cfg: ClaimsConfig;
 }): ClaimsStep {
-	const {view, isRestart, nowMs} = event;
+	const {view, nowMs} = event;
 	const former = state.views.get(view.dataCentre);
 	if (former !== undefined && former.epoch >= view.epoch) {
 		return {state, effects: []};
@@ -105,7 +115,7 @@
 	}
 
 	if (former === undefined) {
-		return isRestart ? startAfterRestart(known, event) : {state: known, effects: []};
+		return joinView(known, event);
 	}
 
 	const step = takeOver({state: known, former, event});
--- a/packages/core/src/jobs/admit-jobs.ts
+++ b/packages/core/src/jobs/admit-jobs.ts
@@ -156,7 +156,7 @@
 		}
 
 		case 'unknown': {
-			return refuseJob(state, {job, reason: 'ownerUnreachable', retryAfterMs: defaultRetryAfterMs});
+			return refuseJob(state, {job, reason: 'attemptLost'});
 		}
 
 		default: {
--- a/packages/daemon/src/runtime/open-disk.ts
+++ b/packages/daemon/src/runtime/open-disk.ts
@@ -10,12 +10,24 @@
 export type Disk = {
 	readonly store: ReplicaStore<ControlCommand>;
 	readonly journal: ClaimsJournal;
+	/** The folder was empty: no earlier process of this node can have held anything. */
+	readonly isFirstStart: boolean;
 	/** An earlier process ended without a planned stop. */
 	readonly hasUnplannedEnd: boolean;
 	/** Ends a planned stop: nothing is in flight any more. */
 	readonly close: () => Promise<void>;
 };
 
+const isUnused = async (folder: string): Promise<boolean> => {
+	try {
+		const files = await storeFileSystem.listFiles(folder);
+		return files.length === 0;
+	} catch {
+		// A folder that cannot be listed is reported when the store opens it.
+		return true;
+	}
+};
+
 /**
  * Opens the data folder.
  *
@@ -28,6 +40,7 @@
 		return createSuccess(undefined);
 	}
 
+	const isFirstStart = await isUnused(folder);
 	const store = await openReplicaStore<ControlCommand>({folder});
 	if (!store.ok) {
 		return store;
@@ -49,6 +62,7 @@
 	return createSuccess({
 		store: store.value,
 		journal: journal.value,
+		isFirstStart,
 		hasUnplannedEnd: marked.value,
 		async close() {
 			await journal.value.close();
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -196,7 +196,8 @@
 		const result = await controlHost.replica.read();
 		if (result.ok) {
 			isConfirmed = true;
-			announceControl(true);
+			// A host without a disk cannot know whether an earlier process of it held records.
+			announceControl(disk?.isFirstStart !== true);
 			return;
 		}
 
