Ask the other members for records before a new host answers

Cause: a host whose disk was emptied and that came back before the view changed would have answered for its keys at once, without what it had granted before. Change: whoever joins a view with others in it takes their records over first; a host alone answers at once. The model now forms its first view in the same way.

--- a/packages/core/src/claims/test-claims-cluster.ts
+++ b/packages/core/src/claims/test-claims-cluster.ts
@@ -12,6 +12,7 @@
 const stepMs = 50;
 const configurationLeaseMs = 2000;
 const runTimeMs = 400;
+const formationMs = 3500;
 const lostAttemptRate = 0.3;
 const dataCentre = toBrand<DataCentreId>('recife');
 
@@ -238,8 +239,9 @@
 
 	const idAt = (index: number) => ids[index % ids.length] ?? toBrand<NodeId>('none');
 
-	for (const id of ids) {
-		confirm(id);
+	// The members of a first view ask each other for records before they answer.
+	for (let passedMs = 0; passedMs < formationMs; passedMs += stepMs) {
+		step();
 	}
 
 	return {
--- a/packages/core/src/claims/view-changes.ts
+++ b/packages/core/src/claims/view-changes.ts
@@ -59,14 +59,15 @@
 	};
 };
 
-// A node that never ran before lost nothing. Under the first view of its data centre nobody holds
-// anything; under a later one others may hold records of its ranges.
+// A node that never ran before lost nothing, but others may hold records of its ranges: its folder may
+// have been emptied, or it learns late that it is a member.
 const joinView = (state: ClaimsState, event: ClaimViewChangedEvent): ClaimsStep => {
 	if (event.isRestart) {
 		return startAfterRestart(state, event);
 	}
 
-	return event.view.epoch === 1 ? {state, effects: []} : takeOver({state, former: event.view, event});
+	const isAlone = event.view.members.every(member => member === state.self);
+	return isAlone ? {state, effects: []} : takeOver({state, former: event.view, event});
 };
 
 const takeOver = ({state, former, event}: {
