--- a/packages/daemon/src/runtime/operator-context.ts
+++ b/packages/daemon/src/runtime/operator-context.ts
@@ -30,7 +30,6 @@
 	readonly transport: PeerTransport;
 	readonly history: DecisionHistory;
 	readonly getReplica: () => ReplicaState<unknown>;
-	readonly hasLeaderLease: () => boolean;
 };
 
 const getRoleName = (role: ReplicaRole): HostStatus['role'] => {
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -36,7 +36,7 @@
 import {createOperatorContext, createReportSource} from './operator-context.js';
 import {answerReportRequest} from './peer-reports.js';
 import {createNodeEngine} from './node-engine.js';
-import type {DecisionLog, Metrics, Runtime} from './types.js';
+import type {DecisionLog, Runtime} from './types.js';
 
 /** What a daemon is started with, besides its settings. */
 export type StartDaemonOptions = {
@@ -58,12 +58,6 @@
 	readonly stop: () => Promise<void>;
 };
 
-const countMetrics = (metrics: Metrics) => ({
-	onClientError() {
-		metrics.count('malformedRequests');
-	},
-});
-
 /**
  * Starts a daemon.
  *
@@ -246,7 +240,7 @@
 		metrics,
 	};
 	const source = {
-		runtime, transport, history, getReplica: controlHost.replica.getState, hasLeaderLease: controlHost.replica.hasLeaderLease,
+		runtime, transport, history, getReplica: controlHost.replica.getState,
 	};
 	const reports = createReportSource(source);
 
@@ -286,7 +280,9 @@
 		...settings.listen.http,
 		maximumConnections: settings.limits.maximumConnections,
 		routes: listRoutes(runtime, createOperatorContext(source)),
-		...countMetrics(metrics),
+		onClientError() {
+			metrics.count('malformedRequests');
+		},
 		onUnexpectedError(err) {
 			metrics.count('unexpectedErrors');
 			log.error('a request failed unexpectedly', {err: err instanceof Error ? err.stack : String(err)});
