Add a scheduler of job graphs, its control and entry hosts, and the platform's adapter

The product had one job, one attempt, on one minion's slot, and a static list of peers. The platform needs jobs of steps and tasks, leases and fencing tokens, and hosts that find each other by seeds. Upkeeps are now noted in the log before they are ordered, and count until the worker is back in another life.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,6 +14,7 @@
 export * from './peer-link/index.js';
 export * from './placement/index.js';
 export * from './replica/index.js';
+export * from './scheduler/index.js';
 export * from './shares/index.js';
 export type * from './step.js';
 export * from './waves/index.js';
--- a/packages/core/src/replica/index.ts
+++ b/packages/core/src/replica/index.ts
@@ -12,5 +12,5 @@
 export {
 	applyPersist, createPersistReplay, getRecoveredReplica, type PersistedWrite, type PersistReplay,
 } from './persist-replay.js';
-export {hasLeaderLease} from './leader-lease.js';
+export {getConfirmedSendMs, hasLeaderLease} from './leader-lease.js';
 export type {ReplicaContext, ReplicaStep} from './replica-step.js';
--- /dev/null
+++ b/packages/core/src/scheduler/actions/accept-job.ts
@@ -0,0 +1,25 @@
+import {createOccurrences} from '../ledger.js';
+import type {
+	AcceptedJob, Job, Ledger, LedgerOutcome,
+} from '../types.js';
+
+/**
+ * Stores an accepted job. A repetition changes nothing: an id is one job.
+ *
+ * @param ledger - The ledger.
+ * @param accepted - The job.
+ * @returns Whether it is new.
+ */
+export function acceptJob(ledger: Ledger, accepted: AcceptedJob): LedgerOutcome {
+	if (ledger.jobs.has(accepted.id)) {
+		return {type: 'ignored'};
+	}
+
+	const job: Job = {
+		...accepted, status: 'active', endedAtMs: undefined, hasStarted: false, occurrences: [], runCount: 0,
+	};
+	job.occurrences = createOccurrences(job);
+	ledger.jobs.set(job.id, job);
+	ledger.activeJobs.add(job);
+	return {type: 'applied'};
+}
--- /dev/null
+++ b/packages/core/src/scheduler/constants.ts
@@ -0,0 +1,35 @@
+/** How much slower than true time a minion's clock may run. */
+export const slowestClockRate = 0.98;
+
+/** What a lease is waited for beyond its end, for errors in reading the minion's clock. */
+export const leaseMarginMs = 150;
+
+/** Failures in a row, with nothing done between, after which a minion gets no more work for a while. */
+export const failuresToQuarantine = 3;
+
+/** First time without work after failures in a row; each further one doubles it. */
+export const firstQuarantineMs = 3000;
+
+/** Longest time without work after failures in a row. */
+export const longestQuarantineMs = 24_000;
+
+/** A run is overdue after this many times its estimate... */
+export const overdueFactor = 2.5;
+
+/** ...and this much more. */
+export const overdueMarginMs = 700;
+
+/** Part of its bound that a serving task's tail may reach before fillers beside it are slowed. */
+export const tailHeadroom = 0.75;
+
+/** Part of its bound under which fillers are given speed back. */
+export const tailComfort = 0.5;
+
+/** What a filler's pace is multiplied by when a tail comes near its bound. */
+export const fillerSlowdown = 0.5;
+
+/** What is added to a filler's pace when every tail is well under its bound, in percent. */
+export const fillerSpeedUpPercent = 15;
+
+/** After this time a worker that did not come back from its upkeep counts as lost, not as down for it. */
+export const longestUpkeepMs = 12_000;
--- /dev/null
+++ b/packages/core/src/scheduler/index.ts
@@ -0,0 +1,30 @@
+/**
+ * The scheduler: jobs of steps and tasks, kept in a ledger that every control host applies alike, and
+ * the decisions of the host that leads.
+ */
+export type * from './types.js';
+export {applyLedgerCommand} from './apply-ledger-command.js';
+export {
+	createLifeId, createTaskId, parseTaskId, type TaskIdParts,
+} from './ids.js';
+export {
+	countPendingJobs, createLedger, findQueue, findTask, getShownState, getStep, getStepProgress, isJobId,
+	type FoundQueue, type ShownJobState,
+} from './ledger.js';
+export {createLedgerSnapshot, listForgettableJobs, restoreLedger} from './snapshot.js';
+export {
+	getInheritedLeaseMs, getLeaseDeadline, isLeaseOver, type ClockReading,
+} from './minion-clock.js';
+export {
+	getRunBound, noteRunDone, noteRunFailed, unknownHealth, type MinionHealth,
+} from './minion-health.js';
+export {
+	admitJob, type Admission, type PoolLoad, type AdmissionRefusalReason,
+} from './admit-job.js';
+export {planStarts, type StartPlanInput, type UsableMinion} from './plan-starts.js';
+export {type ReadyStep} from './order-work.js';
+export {getFillerPace, type TailReading} from './pace-fillers.js';
+export {
+	isWaveCompleted, planUpkeep, type UpkeepPlan, type UpkeepPlanInput, type UpkeepRequest, type WorkerView,
+} from './plan-upkeep.js';
+export {getWorkLeft} from './estimates.js';
--- /dev/null
+++ b/packages/core/src/scheduler/plan-upkeep.ts
@@ -0,0 +1,157 @@
+/**
+ * Which workers of a maintenance wave are emptied, and which are handed to the platform, within the
+ * wave's bound and the disruption budgets of lasting steps.
+ */
+import type {WaveId, WorkerId} from '@samphiremill/common';
+import {longestUpkeepMs} from './constants.js';
+import {findTask, getStep, getStepProgress} from './ledger.js';
+import type {
+	Ledger, LifeId, LifeUse, StepProgress, Task, UpkeepOrder, UpkeepWave,
+} from './types.js';
+
+/** A worker as the leader sees it. */
+export type WorkerView = {
+	readonly worker: WorkerId;
+	readonly life: LifeId;
+	/** Whether its minion answers and accepts work. */
+	readonly isUp: boolean;
+};
+
+/** What a plan of upkeep rests on. */
+export type UpkeepPlanInput = {
+	readonly ledger: Ledger;
+	/** The Unix time in milliseconds. */
+	readonly nowMs: number;
+	readonly workers: ReadonlyMap<WorkerId, WorkerView>;
+	/** Workers that were being emptied; they stay chosen. */
+	readonly cordoned: ReadonlySet<WorkerId>;
+	/** Whether a task of a lasting step serves at this moment. */
+	readonly isServing: (task: Task) => boolean;
+};
+
+/** An upkeep to order, or to order again until the platform is known to have begun it. */
+export type UpkeepRequest = {
+	readonly wave: WaveId;
+	readonly worker: WorkerId;
+	readonly life: LifeId;
+};
+
+/** What the leader does for waves now. */
+export type UpkeepPlan = {
+	/** Workers that get no new work. */
+	readonly cordoned: ReadonlySet<WorkerId>;
+	/** Tasks to stop, so that they go on elsewhere. */
+	readonly evictions: readonly Task[];
+	/** Workers to hand to the platform. */
+	readonly requests: readonly UpkeepRequest[];
+};
+
+const listTasks = (ledger: Ledger, use: LifeUse | undefined): readonly Task[] => [...use?.runs.keys() ?? []]
+	.map(id => findTask(ledger, id))
+	.filter(task => task !== undefined);
+
+const isActiveLasting = (task: Task) => task.job.status === 'active' && getStep(task).isLasting;
+
+/** How many more tasks of each step may be made unavailable. */
+type Budgets = Map<StepProgress, number>;
+
+const getBudget = ({isServing}: UpkeepPlanInput, budgets: Budgets, task: Task): number => {
+	const progress = getStepProgress(task);
+	const allowed = getStep(task).disruptionBudget;
+	if (progress === undefined || allowed === undefined) {
+		return Number.POSITIVE_INFINITY;
+	}
+
+	const known = budgets.get(progress);
+	return known ?? allowed - progress.tasks.filter(other => !isServing(other)).length;
+};
+
+const takeFromBudget = (input: UpkeepPlanInput, budgets: Budgets, task: Task) => {
+	const progress = getStepProgress(task);
+	if (progress !== undefined) {
+		budgets.set(progress, getBudget(input, budgets, task) - 1);
+	}
+};
+
+const planEvictions = (input: UpkeepPlanInput, budgets: Budgets, tasks: readonly Task[]): readonly Task[] => {
+	const evictions: Task[] = [];
+	for (const task of tasks.filter(candidate => isActiveLasting(candidate))) {
+		if (!input.isServing(task) || getBudget(input, budgets, task) > 0) {
+			takeFromBudget(input, budgets, task);
+			evictions.push(task);
+		}
+	}
+
+	return evictions;
+};
+
+// An upkeep that was ordered counts until the worker is back in another life.
+const isDown = ({workers, nowMs}: UpkeepPlanInput, worker: WorkerId, order: UpkeepOrder) => {
+	const view = workers.get(worker);
+	const isBack = view !== undefined && view.isUp && view.life !== order.life;
+	return !isBack && (order.begunAtMs === undefined || nowMs - order.begunAtMs < longestUpkeepMs);
+};
+
+const listCandidates = ({ledger, workers, cordoned}: UpkeepPlanInput, wave: UpkeepWave) => wave.workers
+	.filter(worker => !wave.ordered.has(worker))
+	.flatMap(worker => {
+		const view = workers.get(worker);
+		return view?.isUp ? [{view, tasks: listTasks(ledger, ledger.lives.get(view.life))}] : [];
+	})
+	.toSorted((left, right) => Number(cordoned.has(right.view.worker)) - Number(cordoned.has(left.view.worker))
+		|| left.tasks.length - right.tasks.length);
+
+const planWave = (input: UpkeepPlanInput, budgets: Budgets, wave: UpkeepWave): UpkeepPlan => {
+	const cordoned = new Set<WorkerId>();
+	const evictions: Task[] = [];
+	const unconfirmed = [...wave.ordered]
+		.filter(([, {begunAtMs}]) => begunAtMs === undefined)
+		.map(([worker, {life}]) => ({wave: wave.wave, worker, life}));
+	const requests: UpkeepRequest[] = [...unconfirmed];
+	for (const {worker} of unconfirmed) {
+		cordoned.add(worker);
+	}
+
+	let room = wave.maximumAtOnce - [...wave.ordered].filter(([worker, order]) => isDown(input, worker, order)).length;
+	for (const {view, tasks} of listCandidates(input, wave)) {
+		if (room <= 0) {
+			break;
+		}
+
+		room -= 1;
+		cordoned.add(view.worker);
+		if (tasks.length === 0) {
+			requests.push({wave: wave.wave, worker: view.worker, life: view.life});
+		} else {
+			evictions.push(...planEvictions(input, budgets, tasks));
+		}
+	}
+
+	return {cordoned, evictions, requests};
+};
+
+/**
+ * @param wave - A wave.
+ * @returns Whether the upkeep of each of its workers has begun.
+ */
+export function isWaveCompleted(wave: UpkeepWave): boolean {
+	return wave.workers.every(worker => wave.ordered.get(worker)?.begunAtMs !== undefined);
+}
+
+/**
+ * Plans the next moves of all waves.
+ *
+ * @param input - The ledger, the time, and how workers and tasks stand.
+ * @returns What to do now.
+ */
+export function planUpkeep(input: UpkeepPlanInput): UpkeepPlan {
+	const budgets: Budgets = new Map();
+	const plans = [...input.ledger.waves.values()]
+		.filter(wave => !isWaveCompleted(wave))
+		.map(wave => planWave(input, budgets, wave));
+	return {
+		cordoned: new Set(plans.flatMap(({cordoned}) => [...cordoned])),
+		evictions: plans.flatMap(({evictions}) => evictions),
+		requests: plans.flatMap(({requests}) => requests),
+	};
+}
--- /dev/null
+++ b/packages/core/src/scheduler/snapshot.ts
@@ -0,0 +1,144 @@
+/**
+ * The ledger as text. Jobs that are over keep only their status.
+ */
+import type {JobId, WorkerId} from '@samphiremill/common';
+import {replaceConfiguration} from './actions/replace-configuration.js';
+import {
+	addRun, createLedger, createOccurrences, findTask, replaceTask,
+} from './ledger.js';
+import {createResources} from './resources.js';
+import type {
+	AcceptedJob, ControlHostRecord, Job, JobStatus, Ledger, MinionRecord, ParseConfiguration, Task, TaskId, TaskRun, UpkeepOrder, UpkeepWave,
+} from './types.js';
+
+type SavedTask = Pick<Task, 'lastRunNumber' | 'failures' | 'checkpoint' | 'isDone'> & {
+	readonly id: TaskId;
+	readonly runs: readonly TaskRun[];
+};
+
+type SavedJob = {
+	readonly job: AcceptedJob;
+	readonly status: JobStatus;
+	readonly endedAtMs: number | undefined;
+	readonly hasStarted: boolean;
+	/** Tasks that ever ran; absent once the job is over and nothing of it runs. */
+	readonly tasks: readonly SavedTask[] | undefined;
+};
+
+type SavedLedger = {
+	readonly format: 1;
+	readonly term: number;
+	readonly document: string | undefined;
+	readonly jobs: readonly SavedJob[];
+	readonly minions: readonly MinionRecord[];
+	readonly waves: ReadonlyArray<Omit<UpkeepWave, 'ordered'> & {readonly ordered: ReadonlyArray<readonly [WorkerId, UpkeepOrder]>}>;
+	readonly controlHosts: readonly ControlHostRecord[];
+};
+
+const saveTask = ({id, runs, lastRunNumber, failures, checkpoint, isDone}: Task): SavedTask => ({
+	id, runs, lastRunNumber, failures, checkpoint, isDone,
+});
+
+const listTasks = (job: Job) => job.occurrences.flatMap(({steps}) => steps.flatMap(({tasks}) => tasks));
+
+const saveJob = (job: Job): SavedJob => {
+	const {status, endedAtMs, hasStarted, occurrences: _, runCount: __, ...accepted} = job;
+	const isOver = job.occurrences.length === 0;
+	return {
+		job: isOver ? {...accepted, specification: {payload: '', steps: [], schedule: undefined}} : accepted,
+		status,
+		endedAtMs,
+		hasStarted,
+		tasks: isOver ? undefined : listTasks(job).filter(task => task.lastRunNumber > 0).map(task => saveTask(task)),
+	};
+};
+
+/**
+ * @param ledger - The ledger.
+ * @returns Its text.
+ */
+export function createLedgerSnapshot(ledger: Ledger): string {
+	const saved: SavedLedger = {
+		format: 1,
+		term: ledger.term,
+		document: ledger.configuration?.document,
+		jobs: [...ledger.jobs.values()].map(job => saveJob(job)),
+		minions: [...ledger.lives.values()].map(({record}) => record),
+		waves: [...ledger.waves.values()].map(wave => ({...wave, ordered: [...wave.ordered]})),
+		controlHosts: [...ledger.controlHosts.values()],
+	};
+	return JSON.stringify(saved);
+}
+
+const restoreTask = (ledger: Ledger, {id, runs, ...saved}: SavedTask) => {
+	const blank = findTask(ledger, id);
+	if (blank !== undefined) {
+		let task = replaceTask(blank, saved);
+		for (const run of runs) {
+			task = addRun(ledger, task, run);
+		}
+	}
+};
+
+const restoreJob = (ledger: Ledger, {job: accepted, tasks, ...saved}: SavedJob) => {
+	const job: Job = {
+		...accepted, status: saved.status, endedAtMs: saved.endedAtMs, hasStarted: saved.hasStarted, occurrences: [], runCount: 0,
+	};
+	ledger.jobs.set(job.id, job);
+	if (job.status === 'active') {
+		ledger.activeJobs.add(job);
+	}
+
+	if (tasks === undefined) {
+		return;
+	}
+
+	job.occurrences = createOccurrences(job);
+	for (const task of tasks) {
+		restoreTask(ledger, task);
+	}
+};
+
+/**
+ * @param text - What `createLedgerSnapshot` wrote on some host.
+ * @param parse - Reads a configuration's text.
+ * @returns The ledger.
+ */
+export function restoreLedger(text: string, parse: ParseConfiguration): Ledger {
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- written above, kept under the log's checksums
+	const saved = JSON.parse(text) as SavedLedger;
+	const ledger = createLedger();
+	ledger.term = saved.term;
+	if (saved.document !== undefined) {
+		replaceConfiguration(ledger, saved.document, parse);
+	}
+
+	for (const record of saved.minions) {
+		ledger.lives.set(record.life, {record, runs: new Map(), used: createResources()});
+	}
+
+	for (const job of saved.jobs) {
+		restoreJob(ledger, job);
+	}
+
+	for (const wave of saved.waves) {
+		ledger.waves.set(wave.wave, {...wave, ordered: new Map(wave.ordered)});
+	}
+
+	for (const record of saved.controlHosts) {
+		ledger.controlHosts.set(record.node, record);
+	}
+
+	return ledger;
+}
+
+/**
+ * @param ledger - The ledger.
+ * @param retention - The present Unix time, and how long a job's end is told after it, both in milliseconds.
+ * @returns Jobs that need no longer be known.
+ */
+export function listForgettableJobs(ledger: Ledger, {nowMs, retentionMs}: {readonly nowMs: number; readonly retentionMs: number}): readonly JobId[] {
+	return [...ledger.jobs.values()]
+		.filter(({endedAtMs, runCount}) => endedAtMs !== undefined && runCount === 0 && endedAtMs + retentionMs < nowMs)
+		.map(({id}) => id);
+}
--- a/packages/daemon/src/peers/transport.ts
+++ b/packages/daemon/src/peers/transport.ts
@@ -64,6 +64,32 @@
 		return toBrand<ConnectionId>(nextConnection);
 	};
 
+	const addLink = (address: NodeAddress) => {
+		if (address.node === self.node) {
+			return;
+		}
+
+		const state = createPeerLinkState({
+			cfg,
+			self: self.node,
+			peer: address.node,
+			isPermanent: isPermanentLink(self, address),
+			nowMs: timers.getNow(),
+		});
+		links.set(address.node, {
+			address, state, waiting: [], incarnation: undefined,
+		});
+	};
+
+	const findLink = (peer: NodeId): Link | undefined => {
+		const address = links.has(peer) ? undefined : options.resolvePeer?.(peer);
+		if (address !== undefined) {
+			addLink(address);
+		}
+
+		return links.get(peer);
+	};
+
 	const updateLink = (peer: NodeId, change: Partial<Link>) => {
 		const link = links.get(peer);
 		if (link !== undefined) {
@@ -107,7 +133,7 @@
 			getNow: timers.getNow,
 			counters,
 			onHello(from) {
-				if (!links.has(from)) {
+				if (!findLink(from)) {
 					counters.add('rejectedHandshakes');
 					connection.destroy();
 					return;
@@ -228,7 +254,7 @@
 	};
 
 	const sendPayload = (to: NodeId, payload: JSONRPCRequest): boolean => {
-		const link = links.get(to);
+		const link = findLink(to);
 		if (link === undefined || isClosed) {
 			counters.add('droppedMessages');
 			return false;
@@ -302,18 +328,7 @@
 	};
 
 	for (const address of options.peers) {
-		if (address.node !== self.node) {
-			const state = createPeerLinkState({
-				cfg,
-				self: self.node,
-				peer: address.node,
-				isPermanent: isPermanentLink(self, address),
-				nowMs: timers.getNow(),
-			});
-			links.set(address.node, {
-				address, state, waiting: [], incarnation: undefined,
-			});
-		}
+		addLink(address);
 	}
 
 	const server = createServer(accept);
--- a/packages/daemon/src/peers/types.ts
+++ b/packages/daemon/src/peers/types.ts
@@ -48,6 +48,8 @@
 	readonly incarnation: number;
 	/** Every entry host; this one may be among them. */
 	readonly peers: readonly NodeAddress[];
+	/** Finds the address of a node that is not among the peers; without it such nodes are strangers. */
+	readonly resolvePeer?: (node: NodeId) => NodeAddress | undefined;
 	/** The cluster's secret, the same in every entry host's settings. */
 	readonly secret: string;
 	readonly timers: TimerService;
--- a/packages/daemon/src/replica-host.ts
+++ b/packages/daemon/src/replica-host.ts
@@ -7,6 +7,7 @@
 import {
 	createReplica,
 	getConfigurationFreshness,
+	getConfirmedSendMs,
 	hasLeaderLease,
 	reduceReplica,
 	type ConfigurationFreshness,
@@ -74,6 +75,10 @@
 	readonly getFreshness: () => ConfigurationFreshness;
 	/** Whether this node leads and no other can; only then may it plan. */
 	readonly hasLeaderLease: () => boolean;
+	/** Whether a majority heard from this leader after that monotonic time. */
+	readonly wasConfirmedSince: (sinceMs: number) => boolean;
+	/** Replaces the nodes that are known to take part. Voters come from the log. */
+	readonly setNodes: (nodes: ReplicaConfig['nodes']) => void;
 	readonly getState: () => ReplicaState<Command>;
 	/** Ends the ticks. Open promises fail as `unknown`. The store stays the caller's to close. */
 	readonly stop: () => void;
@@ -90,7 +95,7 @@
  */
 export function createReplicaHost<Command, Outcome>(options: ReplicaHostOptions<Command, Outcome>): ReplicaHost<Command, Outcome> {
 	const {store, timers, send} = options;
-	const cfg: ReplicaConfig = {...options.cfg, ...(store !== undefined && {storeId: store.storeId})};
+	let cfg: ReplicaConfig = {...options.cfg, ...(store !== undefined && {storeId: store.storeId})};
 	const pending = new Map<RequestId, Settle>();
 	const outcomes = new Map<RequestId, Outcome>();
 	const events: Array<ReplicaEvent<Command>> = [];
@@ -254,6 +259,10 @@
 		},
 		getFreshness: () => getConfigurationFreshness(state, {nowMs: timers.getNow(), leaseMs: cfg.limits.configurationLeaseMs}),
 		hasLeaderLease: () => hasLeaderLease(state, {cfg, nowMs: timers.getNow()}),
+		wasConfirmedSince: sinceMs => getConfirmedSendMs(state, {cfg, nowMs: timers.getNow()}) > sinceMs,
+		setNodes(nodes) {
+			cfg = {...cfg, nodes};
+		},
 		getState: () => state,
 		stop() {
 			isStopped = true;
--- /dev/null
+++ b/packages/daemon/src/scheduler/advice-desk.ts
@@ -0,0 +1,109 @@
+/**
+ * Tickets of the advice service, asked once for each step and kept while they hold.
+ */
+import type {MinionId, TimerService} from '@samphiremill/common';
+import type {
+	LifeId, MinionRecord, ReadyStep, Ticket,
+} from '@samphiremill/core';
+import type {DecisionLog} from '../runtime/types.js';
+import {
+	advisedMinions, adviceRetryMs, adviceSlackMs, ticketMarginMs,
+} from './constants.js';
+import type {AdvicePort, AdvisedMinion} from './types.js';
+
+type StepAdvice = {
+	readonly tickets: ReadonlyMap<LifeId, Ticket>;
+	readonly validUntilMs: number;
+	readonly isAsked: boolean;
+	readonly askAgainAtMs: number;
+};
+
+/** Keeps the tickets of steps. */
+export type AdviceDesk = {
+	/** Whether a step may run on a life now. Asks for advice where there is none. */
+	readonly isAllowed: (step: ReadyStep, life: LifeId) => boolean;
+	readonly getTicket: (step: string, life: LifeId) => Ticket | undefined;
+	/** Drops a ticket that a minion did not take. */
+	readonly dropTicket: (step: string, life: LifeId) => void;
+};
+
+/**
+ * @param step - A step of an occurrence.
+ * @returns Its id, in the form `JOB.OCCURRENCE.STEP`.
+ */
+export function createStepId({job, occurrence, step}: {readonly job: {readonly id: string}; readonly occurrence: number; readonly step: number}): string {
+	return `${job.id}.${occurrence}.${step}`;
+}
+
+/**
+ * @param options - The service, the time, the minions of a pool, and whom to tell of new tickets.
+ * @returns The desk.
+ */
+export function createAdviceDesk({advice, timers, log, listMinions, onAdvised}: {
+	readonly advice: AdvicePort;
+	readonly timers: TimerService;
+	readonly log: DecisionLog;
+	readonly listMinions: (pool: MinionRecord['pool']) => readonly MinionRecord[];
+	readonly onAdvised: () => void;
+}): AdviceDesk {
+	const steps = new Map<string, StepAdvice>();
+
+	const toTickets = (asked: readonly MinionRecord[], advised: readonly AdvisedMinion[]) => {
+		const lives = new Map<MinionId, LifeId>(asked.map(({minion, life}) => [minion, life]));
+		return new Map(advised.flatMap(({minion, ticket}) => {
+			const life = lives.get(minion);
+			return life === undefined ? [] : [[life, ticket] as const];
+		}));
+	};
+
+	const ask = async (id: string, {job}: ReadyStep) => {
+		const asked = listMinions(job.pool).slice(0, advisedMinions);
+		const policy = job.advice;
+		if (policy === undefined || asked.length === 0) {
+			return;
+		}
+
+		steps.set(id, {
+			tickets: new Map(), validUntilMs: 0, isAsked: true, askAgainAtMs: 0,
+		});
+		const askedAtMs = timers.getNow();
+		const timeoutMs = policy.decisionMs + (policy.perWorkerMs * asked.length) + adviceSlackMs;
+		const result = await advice.advise({step: id, minions: asked.map(({minion}) => minion), timeoutMs});
+		const tickets = result.ok ? toTickets(asked, result.value) : new Map<LifeId, Ticket>();
+		log.info(`advice for step ${id}: ${result.ok ? `${tickets.size} of ${asked.length} minions` : result.err}`, {
+			id: job.id, step: id, askedMinions: asked.length, allowedMinions: tickets.size, tookMs: Math.round(timers.getNow() - askedAtMs),
+		});
+		steps.set(id, {
+			tickets,
+			validUntilMs: askedAtMs + policy.validityMs - ticketMarginMs,
+			isAsked: false,
+			askAgainAtMs: timers.getNow() + adviceRetryMs,
+		});
+		onAdvised();
+	};
+
+	return {
+		isAllowed(step, life) {
+			if (step.job.advice === undefined) {
+				return true;
+			}
+
+			const id = createStepId(step);
+			const known = steps.get(id);
+			const nowMs = timers.getNow();
+			const isHeld = known !== undefined && nowMs < known.validUntilMs && known.tickets.size > 0;
+			if (!isHeld && !known?.isAsked && nowMs >= (known?.askAgainAtMs ?? 0)) {
+				void ask(id, step);
+			}
+
+			return isHeld && known.tickets.has(life);
+		},
+		getTicket: (step, life) => steps.get(step)?.tickets.get(life),
+		dropTicket(step, life) {
+			const known = steps.get(step);
+			if (known !== undefined) {
+				steps.set(step, {...known, tickets: new Map([...known.tickets].filter(([other]) => other !== life))});
+			}
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -0,0 +1,75 @@
+/** How long a control host waits for an answer of a peer before it asks another. */
+export const callAttemptTimeoutMs = 1200;
+
+/** Pause between two rounds through the control hosts. */
+export const callRetryMs = 100;
+
+/** How long a caller waits for a leader before it is told to come back. */
+export const leaderWaitMs = 900;
+
+/** Length of a lease on a minion, at most; long enough to outlast a change of leader. */
+export const longestLeaseMs = 4500;
+
+/** The part of the platform's longest lease that is used, at most. */
+export const leaseShare = 0.75;
+
+/** How long a hold waits for an end. */
+export const holdWaitMs = 1000;
+
+/** How long a hold waits while a lasting task there does not serve yet. */
+export const warmUpWaitMs = 300;
+
+/** What a hold may take beyond its wait. */
+export const holdSlackMs = 500;
+
+/** How long a start, stop or pace may take. */
+export const orderTimeoutMs = 450;
+
+/** Pause before an unanswered order is repeated. */
+export const orderRetryMs = 100;
+
+/** Pause after a hold that could not be sent. */
+export const holdRetryMs = 250;
+
+/** How often the leader looks for what time alone brings about. */
+export const leaderTickMs = 100;
+
+/** The least time between two plans. */
+export const planGapMs = 8;
+
+/** How often control hosts announce themselves until the ledger names them, and after that. */
+export const joinRetryMs = 500;
+export const joinRefreshMs = 3000;
+
+/** How often the leader looks after the set of voters. */
+export const voterCheckMs = 500;
+
+/** How long a voter may be out of reach before another host takes its place. */
+export const voterAbsenceMs = 6000;
+
+/** A difference between both clocks that means the process or the time of day stood still or jumped. */
+export const clockJumpMs = 150;
+
+/** A minion that has neither reported nor answered for this long is forgotten once nothing runs on it. */
+export const minionAbsenceMs = 12_000;
+
+/** Minions that one request for advice names, at most. */
+export const advisedMinions = 30;
+
+/** How long before its end a ticket is no longer used. */
+export const ticketMarginMs = 500;
+
+/** Pause before advice is asked again. */
+export const adviceRetryMs = 300;
+
+/** What an advice call may take beyond the announced time. */
+export const adviceSlackMs = 1500;
+
+/** How often an order for a worker is repeated while the platform does not carry it out. */
+export const workerOrderRetryMs = 700;
+
+/** How long after its start a leader gives its first order for a worker. */
+export const workerOrderDelayMs = 3300;
+
+/** How often finished jobs are looked through for ones to forget. */
+export const forgetPeriodMs = 10_000;
--- a/packages/daemon/src/store/open-replica-store.ts
+++ b/packages/daemon/src/store/open-replica-store.ts
@@ -24,6 +24,8 @@
 	/** The node's data folder. It is created where it is missing. */
 	readonly folder: string;
 	readonly fileSystem?: StoreFileSystem;
+	/** Locks the folder against a second process. Needs hard links, which some file systems lack. */
+	readonly isLocked?: boolean;
 };
 
 type Folder = {
@@ -181,11 +183,11 @@
  * @returns The store, or why it can't be opened. A damaged folder is left as it is.
  */
 export async function openReplicaStore<Command>(options: OpenReplicaStoreOptions): Promise<Result<ReplicaStore<Command>, StoreError>> {
-	const {folder, fileSystem = storeFileSystem} = options;
+	const {folder, fileSystem = storeFileSystem, isLocked = true} = options;
 	const place = {folder, fileSystem};
 	const locked = await tryFileOperation({file: folder, operation: 'lock'}, async () => {
 		await fileSystem.createFolder(folder);
-		return lockFolder(folder);
+		return isLocked ? lockFolder(folder) : createSuccess(async () => undefined);
 	});
 	if (!locked.ok) {
 		return locked;
--- /dev/null
+++ b/scripts/undici-plugin.js
@@ -0,0 +1,25 @@
+import path from 'node:path';
+
+/** Bundles the part of undici that the programs use. */
+export const undiciClient = {
+	name: 'undici-client',
+	setup(plugin) {
+		const filter = /^undici$/; // eslint-disable-line require-unicode-regexp -- esbuild reads the pattern itself
+		plugin.onResolve({filter}, () => ({path: path.resolve('scripts/undici-client.js')}));
+	},
+};
+
+/** How every program is bundled. */
+export const bundleOptions = {
+	bundle: true,
+	minify: true,
+	keepNames: true,
+	platform: 'node',
+	target: 'node20',
+	format: 'esm',
+	plugins: [undiciClient],
+	banner: {
+		js: 'import {createRequire as __createRequire} from \'node:module\';const require=__createRequire(import.meta.url);',
+	},
+	logLevel: 'warning',
+};
