--- a/packages/core/src/scheduler/actions/change-waves.ts
+++ b/packages/core/src/scheduler/actions/change-waves.ts
@@ -43,7 +43,7 @@
  * @param ordered - The wave, the worker, and the life that the upkeep ends.
  * @returns Whether it is new.
  */
-export function noteUpkeepOrdered(ledger: Ledger, ordered: UpkeepReference & {readonly life: LifeId}): LedgerOutcome {
+export function noteUpkeepOrdered(ledger: Ledger, ordered: UpkeepReference & {readonly life: LifeId | undefined}): LedgerOutcome {
 	const isKnown = ledger.waves.get(ordered.wave)?.ordered.has(ordered.worker) ?? true;
 	return isKnown ? {type: 'ignored'} : replaceOrder(ledger, ordered, {life: ordered.life, begunAtMs: undefined});
 }
@@ -61,6 +61,9 @@
 		return {type: 'ignored'};
 	}
 
-	removeMinion(ledger, order.life);
+	if (order.life !== undefined) {
+		removeMinion(ledger, order.life);
+	}
+
 	return replaceOrder(ledger, begun, {...order, begunAtMs: begun.atMs});
 }
--- a/packages/core/src/scheduler/constants.ts
+++ b/packages/core/src/scheduler/constants.ts
@@ -33,3 +33,9 @@
 
 /** After this time a worker that did not come back from its upkeep counts as lost, not as down for it. */
 export const longestUpkeepMs = 12_000;
+
+/** The same for a worker that is switched off, of which nothing is heard. */
+export const switchedOffUpkeepMs = 3500;
+
+/** What emptying some workers and their upkeep take together. */
+export const upkeepRoundMs = 5500;
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -27,4 +27,7 @@
 export {
 	isWaveCompleted, planUpkeep, type UpkeepPlan, type UpkeepPlanInput, type UpkeepRequest, type WorkerView,
 } from './plan-upkeep.js';
-export {getWorkLeft} from './estimates.js';
+export {
+	planWorkerMoves, type MovableWorker, type WorkerMoveInput, type PoolPressure, type WorkerMove,
+} from './plan-worker-moves.js';
+export {getWork, getWorkLeft} from './estimates.js';
--- a/packages/core/src/scheduler/plan-upkeep.ts
+++ b/packages/core/src/scheduler/plan-upkeep.ts
@@ -3,7 +3,7 @@
  * wave's bound and the disruption budgets of lasting steps.
  */
 import type {WaveId, WorkerId} from '@samphiremill/common';
-import {longestUpkeepMs} from './constants.js';
+import {longestUpkeepMs, switchedOffUpkeepMs, upkeepRoundMs} from './constants.js';
 import {findTask, getStep, getStepProgress} from './ledger.js';
 import type {
 	Ledger, LifeId, LifeUse, StepProgress, Task, UpkeepOrder, UpkeepWave,
@@ -23,6 +23,10 @@
 	/** The Unix time in milliseconds. */
 	readonly nowMs: number;
 	readonly workers: ReadonlyMap<WorkerId, WorkerView>;
+	/** Workers that are switched off, and run nothing. */
+	readonly switchedOff: ReadonlySet<WorkerId>;
+	/** Whether tasks wait for room in the worker's pool. */
+	readonly isPressed: (worker: WorkerView) => boolean;
 	/** Workers that were being emptied; they stay chosen. */
 	readonly cordoned: ReadonlySet<WorkerId>;
 	/** Whether a task of a lasting step serves at this moment. */
@@ -33,7 +37,7 @@
 export type UpkeepRequest = {
 	readonly wave: WaveId;
 	readonly worker: WorkerId;
-	readonly life: LifeId;
+	readonly life: LifeId | undefined;
 };
 
 /** What the leader does for waves now. */
@@ -89,17 +93,32 @@
 const isDown = ({workers, nowMs}: UpkeepPlanInput, worker: WorkerId, order: UpkeepOrder) => {
 	const view = workers.get(worker);
 	const isBack = view !== undefined && view.isUp && view.life !== order.life;
-	return !isBack && (order.begunAtMs === undefined || nowMs - order.begunAtMs < longestUpkeepMs);
+	const boundMs = order.life === undefined ? switchedOffUpkeepMs : longestUpkeepMs;
+	return !isBack && (order.begunAtMs === undefined || nowMs - order.begunAtMs < boundMs);
+};
+
+// A pool in which tasks wait keeps its workers, as long as the wave can still be done in time.
+const isHurried = ({nowMs}: UpkeepPlanInput, wave: UpkeepWave) => {
+	const rounds = Math.ceil((wave.workers.length - wave.ordered.size) / Math.max(1, wave.maximumAtOnce));
+	return wave.dueAtMs - nowMs < (rounds + 1) * upkeepRoundMs;
 };
 
-const listCandidates = ({ledger, workers, cordoned}: UpkeepPlanInput, wave: UpkeepWave) => wave.workers
-	.filter(worker => !wave.ordered.has(worker))
-	.flatMap(worker => {
-		const view = workers.get(worker);
-		return view?.isUp ? [{view, tasks: listTasks(ledger, ledger.lives.get(view.life))}] : [];
-	})
-	.toSorted((left, right) => Number(cordoned.has(right.view.worker)) - Number(cordoned.has(left.view.worker))
-		|| left.tasks.length - right.tasks.length);
+const listSwitchedOff = ({switchedOff}: UpkeepPlanInput, wave: UpkeepWave) => wave.workers
+	.filter(worker => !wave.ordered.has(worker) && switchedOff.has(worker));
+
+const listCandidates = (input: UpkeepPlanInput, wave: UpkeepWave) => {
+	const {ledger, workers, cordoned} = input;
+	const canWait = !isHurried(input, wave);
+	return wave.workers
+		.filter(worker => !wave.ordered.has(worker))
+		.flatMap(worker => {
+			const view = workers.get(worker);
+			const mayWait = view !== undefined && canWait && !cordoned.has(worker) && input.isPressed(view);
+			return view?.isUp && !mayWait ? [{view, tasks: listTasks(ledger, ledger.lives.get(view.life))}] : [];
+		})
+		.toSorted((left, right) => Number(cordoned.has(right.view.worker)) - Number(cordoned.has(left.view.worker))
+			|| left.tasks.length - right.tasks.length);
+};
 
 const planWave = (input: UpkeepPlanInput, budgets: Budgets, wave: UpkeepWave): UpkeepPlan => {
 	const cordoned = new Set<WorkerId>();
@@ -113,6 +132,13 @@
 	}
 
 	let room = wave.maximumAtOnce - [...wave.ordered].filter(([worker, order]) => isDown(input, worker, order)).length;
+	for (const worker of listSwitchedOff(input, wave)) {
+		if (room > 0) {
+			room -= 1;
+			requests.push({wave: wave.wave, worker, life: undefined});
+		}
+	}
+
 	for (const {view, tasks} of listCandidates(input, wave)) {
 		if (room <= 0) {
 			break;
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -243,8 +243,8 @@
 
 /** An order to the platform to begin the upkeep of a worker. It is noted before it is sent. */
 export type UpkeepOrder = {
-	/** The life that the upkeep ends. */
-	readonly life: LifeId;
+	/** The life that the upkeep ends; absent for a worker that is switched off. */
+	readonly life: LifeId | undefined;
 	/** When the platform was known to have begun it, as Unix time in milliseconds. */
 	readonly begunAtMs: number | undefined;
 };
@@ -317,7 +317,7 @@
 		| {readonly type: 'minion/joined'; readonly term: number; readonly record: MinionRecord}
 		| {readonly type: 'minion/left'; readonly term: number; readonly life: LifeId}
 		| {readonly type: 'wave/started'; readonly wave: Omit<UpkeepWave, 'ordered'>}
-		| {readonly type: 'wave/workerOrdered'; readonly term: number; readonly wave: WaveId; readonly worker: WorkerId; readonly life: LifeId}
+		| {readonly type: 'wave/workerOrdered'; readonly term: number; readonly wave: WaveId; readonly worker: WorkerId; readonly life: LifeId | undefined}
 	/** The life that ran on the worker is over. */
 		| {readonly type: 'wave/workerBegun'; readonly term: number; readonly wave: WaveId; readonly worker: WorkerId; readonly atMs: number}
 		| {readonly type: 'controlHost/joined'; readonly record: ControlHostRecord}
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -71,5 +71,14 @@
 /** How long after its start a leader gives its first order for a worker. */
 export const workerOrderDelayMs = 3300;
 
+/** How often the platform's list of workers is read. */
+export const listPeriodMs = 4000;
+
+/** How long a worker that is to be moved is left alone first, for assignments on their way. */
+export const moveSettleMs = 60;
+
+/** After this time a moved worker that has not come back counts as lost. */
+export const longestMoveMs = 6000;
+
 /** How often finished jobs are looked through for ones to forget. */
 export const forgetPeriodMs = 10_000;
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -6,18 +6,21 @@
 	NodeId, PoolId, TimerService, WorkerId,
 } from '@samphiremill/common';
 import {
-	admitJob, countPendingJobs, findQueue, findTask, getFillerPace, getShownState, getStep, getWorkLeft, isJobId, isWaveCompleted, listForgettableJobs, planStarts, planUpkeep,
+	admitJob, countPendingJobs, findQueue, findTask, getFillerPace, getShownState, getStep, getWork, getWorkLeft, isJobId, isWaveCompleted, listForgettableJobs, planStarts, planUpkeep,
 	type AcceptedJob, type ActiveConfiguration, type FoundQueue, type Job, type JobSpecification, type Ledger, type LedgerCommand, type LedgerOutcome, type LifeId, type PoolLoad, type QueueDefinition, type Resources, type RunAssignment, type Task, type TeamDefinition, type UpkeepRequest, type WorkerView,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
 import {createAdviceDesk, createStepId} from './advice-desk.js';
 import {
-	forgetPeriodMs, leaderTickMs, minionAbsenceMs, planGapMs, workerOrderDelayMs, workerOrderRetryMs,
+	forgetPeriodMs, leaderTickMs, minionAbsenceMs, planGapMs,
 } from './constants.js';
+import {createDemandMeter} from './demand-meter.js';
 import {openMinionSession, type MinionSession, type SessionContext} from './minion-session.js';
 import type {
 	AdvicePort, CallerTarget, ClusterAnswer, ClusterCall, ConfigurationFinding, MinionPort, MinionReport, WorkerPort,
 } from './types.js';
+import {createWorkerMoves} from './worker-moves.js';
+import {createWorkerOrders} from './worker-orders.js';
 
 /** Periods and bounds of the scheduler. */
 export type SchedulerLimits = {
@@ -66,6 +69,10 @@
 	= | {readonly type: 'granted'; readonly found: FoundQueue; readonly team: TeamDefinition | undefined; readonly configuration: ActiveConfiguration}
 		| {readonly type: 'denied'; readonly answer: ClusterAnswer};
 
+// A pool whose work would take this long, or that is asked for this part of its processors, keeps its workers.
+const pressedPoolMs = 500;
+const pressedShare = 0.5;
+
 const deny = (answer: ClusterAnswer): Access => ({type: 'denied', answer});
 
 const getAccess = (ledger: Ledger, target: CallerTarget): Access => {
@@ -131,8 +138,12 @@
 	let isPlanning = false;
 	let isPlanWanted = false;
 	let cordoned: ReadonlySet<WorkerId> = new Set();
-	const orderedWorkers = new Map<WorkerId, number>();
-	let areWorkerOrdersFenced = false;
+	let planBeganAtMs: number | undefined;
+	const cordonedSince = new Map<WorkerId, number>();
+	const orders = createWorkerOrders({
+		self, term, timers, canAct: () => !isStopped && canAct(),
+	});
+	const demand = createDemandMeter(timers);
 
 	const isAtWork = () => !isStopped;
 
@@ -196,7 +207,7 @@
 		minions.retain(new Set([...sessions.values()].map(({record}) => record.address)));
 	};
 
-	const isPlaceable = (session: MinionSession) => session.isUsable() && !cordoned.has(session.record.worker);
+	const isPlaceable = ({record: {worker}, isUsable}: MinionSession) => isUsable() && !cordoned.has(worker) && !moves.isCordoned(worker);
 
 	const logAssignments = (runs: readonly RunAssignment[]) => {
 		const byJob = new Map<string, RunAssignment[]>();
@@ -221,7 +232,7 @@
 			ledger: getLedger(),
 			nowMs: getWallClock(),
 			minions: [...sessions.values()].filter(session => isPlaceable(session)).map(session => ({
-				record: session.record, runBound: session.getRunBound(), isLeavingSoon: due.has(session.record.worker), isSuspect: false,
+				record: session.record, runBound: session.getRunBound(), isLeavingSoon: due.has(session.record.worker) || moves.isLoaned(session.record.worker), isSuspect: false,
 			})),
 			isAllowed: desk.isAllowed,
 		});
@@ -229,7 +240,9 @@
 			return;
 		}
 
+		planBeganAtMs = timers.getNow();
 		const decision = await propose({type: 'runs/assigned', term, runs});
+		planBeganAtMs = undefined;
 		if (decision.type !== 'applied' || decision.outcome?.type !== 'assigned' || isStopped) {
 			return;
 		}
@@ -291,28 +304,30 @@
 		return views;
 	};
 
+	// Whether no plan that was begun before that moment is still on its way into the log.
+	const isSettledSince = (sinceMs: number) => planBeganAtMs === undefined || planBeganAtMs > sinceMs;
+
 	const orderUpkeep = async ({wave, worker, life}: UpkeepRequest) => {
-		const nowMs = timers.getNow();
-		const dueAtMs = orderedWorkers.get(worker) ?? beganAtMs + workerOrderDelayMs;
-		if (nowMs < dueAtMs || areWorkerOrdersFenced) {
+		const isKnown = getLedger().waves.get(wave)?.ordered.has(worker) ?? false;
+		if (!orders.isOpen() || (!isKnown && !isSettledSince(cordonedSince.get(worker) ?? timers.getNow()))) {
 			return;
 		}
 
-		orderedWorkers.set(worker, nowMs + workerOrderRetryMs);
-		const isNoted = await decide({
+		const isNoted = isKnown || await decide({
 			type: 'wave/workerOrdered', term, wave, worker, life,
 		});
-		if (!isNoted || !canAct()) {
+		if (!isNoted) {
+			return;
+		}
+
+		const result = await orders.send(worker, `upkeep in wave ${wave}`, async authority => workers.beginUpkeep({...authority, worker, wave}));
+		if (result === 'waiting') {
 			return;
 		}
 
-		const result = await workers.beginUpkeep({
-			worker, wave, holder: self, fencingToken: term,
-		});
 		log.info(`upkeep of worker ${worker} in wave ${wave}: ${result}`, {
 			worker, wave, life, result,
 		});
-		areWorkerOrdersFenced ||= result === 'fenced';
 		if (result === 'done' || result === 'notDue' || result === 'unknown') {
 			await decide({
 				type: 'wave/workerBegun', term, wave, worker, atMs: getWallClock(),
@@ -321,6 +336,31 @@
 		}
 	};
 
+	const noteCordons = (workersNow: ReadonlySet<WorkerId>) => {
+		for (const worker of workersNow) {
+			if (!cordonedSince.has(worker)) {
+				cordonedSince.set(worker, timers.getNow());
+			}
+		}
+
+		for (const worker of cordonedSince.keys()) {
+			if (!workersNow.has(worker)) {
+				cordonedSince.delete(worker);
+			}
+		}
+
+		cordoned = workersNow;
+	};
+
+	const isPoolPressed = (pool: PoolId | undefined) => {
+		if (pool === undefined) {
+			return false;
+		}
+
+		const {workLeft, cpuMillicores} = getPoolLoad(pool, undefined);
+		return workLeft > cpuMillicores * pressedPoolMs || demand.getRate(pool) > cpuMillicores * pressedShare;
+	};
+
 	const runWaves = () => {
 		const ledger = getLedger();
 		if (ledger.waves.size === 0 || !limits.hasWorkerOrders) {
@@ -328,9 +368,15 @@
 		}
 
 		const upkeep = planUpkeep({
-			ledger, nowMs: getWallClock(), workers: getWorkerViews(), cordoned, isServing,
+			ledger,
+			nowMs: getWallClock(),
+			workers: getWorkerViews(),
+			switchedOff: new Set(moves.listSwitchedOff().map(({worker}) => worker)),
+			isPressed: ({life}) => isPoolPressed(sessions.get(life)?.record.pool),
+			cordoned,
+			isServing,
 		});
-		cordoned = upkeep.cordoned;
+		noteCordons(upkeep.cordoned);
 		for (const task of upkeep.evictions) {
 			for (const {life} of task.runs) {
 				sessions.get(life)?.stop(task.id, 'its worker is due for upkeep');
@@ -371,6 +417,32 @@
 		}
 	};
 
+	const moves = createWorkerMoves({
+		timers,
+		log,
+		workers,
+		orders,
+		isSettledSince,
+		listRunning: () => [...sessions.values()].map(({record, isUsable}) => ({
+			worker: record.worker,
+			life: record.life,
+			pool: record.pool,
+			millicores: record.capacity.cpuMillicores,
+			runCount: getLedger().lives.get(record.life)?.runs.size ?? 0,
+			isMovable: isUsable() && !cordoned.has(record.worker),
+		})),
+		getDemands: () => (getLedger().configuration?.pools ?? []).map(({pool, isStandby}) => {
+			const {cpuMillicores, workLeft} = getPoolLoad(pool, undefined);
+			return {
+				pool, isStandby, millicores: cpuMillicores + moves.getIncomingMillicores(pool), workLeft, inflowMillicores: demand.getRate(pool),
+			};
+		}),
+		async onLeft(life) {
+			await decide({type: 'minion/left', term, life});
+			sessionContext.onChanged();
+		},
+	});
+
 	const tick = () => {
 		if (!canAct()) {
 			return;
@@ -382,6 +454,10 @@
 
 		stopNeedless();
 		runWaves();
+		if (limits.hasWorkerOrders) {
+			moves.tick();
+		}
+
 		dropAbsentMinions();
 		wantPlan();
 	};
@@ -434,6 +510,7 @@
 			return {type: 'accepted'};
 		}
 
+		demand.note(queue.pool, {id, work: getWork(specification)});
 		const load = getPoolLoad(queue.pool, team);
 		const admission = admitJob(specification, queue, load);
 		const inputs = {
--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -2,7 +2,7 @@
  * What the scheduler's processes say to each other, and what they need of the world outside.
  */
 import type {
-	JobId, MinionId, NodeId, PoolId, RackId, Result, WaveId, WorkerId,
+	JobId, MinionId, NodeId, PoolId, Result, WaveId, WorkerId,
 } from '@samphiremill/common';
 import type {
 	AdmissionRefusalReason, JobSpecification, LifeId, MinionRecord, RequestLimits, RunEnding, ShownJobState, StoreId, TaskId, Ticket, UpkeepWave,
@@ -190,12 +190,14 @@
 	readonly worker: WorkerId;
 	readonly pool: PoolId;
 	readonly state: 'up' | 'moving' | 'upkeep' | 'down';
-	readonly rack: RackId | undefined;
+	readonly millicores: number;
 };
 
 /** Orders to the platform about workers. */
 export type WorkerPort = {
 	readonly beginUpkeep: (order: WorkerOrderAuthority & {readonly worker: WorkerId; readonly wave: WaveId}) => Promise<WorkerOrderResult>;
+	/** All workers of the fleet, or why they can't be listed. */
+	readonly list: () => Promise<Result<readonly ListedWorker[], 'throttled' | 'noAnswer' | 'invalid'>>;
 	readonly moveToPool: (order: WorkerOrderAuthority & {readonly worker: WorkerId; readonly pool: PoolId}) => Promise<WorkerOrderResult>;
 };
 
--- /dev/null
+++ b/packages/daemon/src/scheduler/worker-moves.ts
@@ -0,0 +1,226 @@
+/**
+ * Workers that change their pool: emptied, handed over, and awaited in the new pool.
+ */
+import type {PoolId, TimerService, WorkerId} from '@samphiremill/common';
+import {
+	planWorkerMoves, type LifeId, type PoolPressure, type WorkerMove,
+} from '@samphiremill/core';
+import type {DecisionLog} from '../runtime/types.js';
+import {listPeriodMs, longestMoveMs, moveSettleMs} from './constants.js';
+import type {ListedWorker, WorkerPort} from './types.js';
+import type {WorkerOrders} from './worker-orders.js';
+
+/** A worker of a pool that is on, as the leader sees it. */
+export type RunningWorker = {
+	readonly worker: WorkerId;
+	readonly life: LifeId;
+	readonly pool: PoolId;
+	readonly millicores: number;
+	readonly runCount: number;
+	/** Whether it is free to be moved, as far as waves and drains go. */
+	readonly isMovable: boolean;
+};
+
+/** What the moves need of the leader. */
+export type WorkerMovesOptions = {
+	readonly timers: TimerService;
+	readonly log: DecisionLog;
+	readonly workers: WorkerPort;
+	readonly orders: WorkerOrders;
+	readonly listRunning: () => readonly RunningWorker[];
+	readonly getDemands: () => readonly PoolPressure[];
+	/** Whether no assignment that was planned before that moment is still on its way. */
+	readonly isSettledSince: (sinceMs: number) => boolean;
+	/** The life on the worker is over. */
+	readonly onLeft: (life: LifeId) => Promise<void>;
+};
+
+/** The moves of one leader. */
+export type WorkerMoves = {
+	readonly tick: () => void;
+	/** Workers that get no work, since they are about to be moved. */
+	readonly isCordoned: (worker: WorkerId) => boolean;
+	/** Workers that a pool has for a while only. */
+	readonly isLoaned: (worker: WorkerId) => boolean;
+	/** Workers of the fleet without a minion, as the platform lists them. */
+	readonly listSwitchedOff: () => readonly ListedWorker[];
+	/** Processors on their way to a pool. */
+	readonly getIncomingMillicores: (pool: PoolId) => number;
+};
+
+type ActiveMove = WorkerMove & {
+	readonly millicores: number;
+	readonly beganAtMs: number;
+	readonly life: LifeId | undefined;
+	readonly confirmedAtMs: number | undefined;
+};
+
+/**
+ * @param options - What the moves need.
+ * @returns The moves.
+ */
+export function createWorkerMoves({timers, log, workers, orders, listRunning, getDemands, isSettledSince, onLeft}: WorkerMovesOptions): WorkerMoves {
+	const active = new Map<WorkerId, ActiveMove>();
+	const loaned = new Set<WorkerId>();
+	const idleSince = new Map<WorkerId, number>();
+	let listed: readonly ListedWorker[] = [];
+	let isListing = false;
+	let listAtMs = Number.NEGATIVE_INFINITY;
+
+	const isSwitchedOn = () => new Set(listRunning().map(({worker}) => worker));
+
+	const listSwitchedOff = () => {
+		const on = isSwitchedOn();
+		const standby = new Set(getDemands().filter(({isStandby}) => isStandby).map(({pool}) => pool));
+		return listed.filter(({worker, pool, state}) => standby.has(pool) && state === 'up' && !on.has(worker));
+	};
+
+	const refreshList = async () => {
+		isListing = true;
+		const found = await workers.list();
+		isListing = false;
+		listAtMs = timers.getNow();
+		if (found.ok) {
+			listed = found.value;
+		} else {
+			log.warn(`the platform's list of workers can't be read: ${found.err}`, {known: listed.length});
+		}
+	};
+
+	const noteIdle = (running: readonly RunningWorker[]) => {
+		const nowMs = timers.getNow();
+		for (const {worker, runCount} of running) {
+			if (runCount > 0) {
+				idleSince.delete(worker);
+			} else if (!idleSince.has(worker)) {
+				idleSince.set(worker, nowMs);
+			}
+		}
+	};
+
+	const begin = ({worker, from, to}: WorkerMove, running: ReadonlyMap<WorkerId, RunningWorker>) => {
+		const known = running.get(worker);
+		log.info(`worker ${worker} moves from pool ${from} to ${to}`, {
+			worker, from, to, life: known?.life,
+		});
+		active.set(worker, {
+			worker,
+			from,
+			to,
+			millicores: known?.millicores ?? listed.find(row => row.worker === worker)?.millicores ?? 0,
+			beganAtMs: timers.getNow(),
+			life: known?.life,
+			confirmedAtMs: undefined,
+		});
+	};
+
+	const confirm = async (move: ActiveMove) => {
+		active.set(move.worker, {...move, confirmedAtMs: timers.getNow()});
+		listed = listed.map(row => row.worker === move.worker ? {...row, pool: move.to} : row);
+		idleSince.delete(move.worker);
+		if (getDemands().find(({pool}) => pool === move.to)?.isStandby) {
+			loaned.delete(move.worker);
+		} else {
+			loaned.add(move.worker);
+		}
+
+		if (move.life !== undefined) {
+			await onLeft(move.life);
+		}
+	};
+
+	const carryOn = async (move: ActiveMove) => {
+		const result = await orders.send(move.worker, `move to ${move.to} at ${move.beganAtMs}`, async authority => workers.moveToPool({...authority, worker: move.worker, pool: move.to}));
+		switch (result) {
+			case 'done': {
+				await confirm(move);
+				break;
+			}
+
+			case 'waiting':
+			case 'noAnswer':
+			case 'throttled': {
+				break;
+			}
+
+			case 'fenced':
+			case 'busy':
+			case 'notDue':
+			case 'unknown': {
+				log.info(`worker ${move.worker} is not moved: ${result}`, {worker: move.worker, to: move.to, result});
+				active.delete(move.worker);
+				break;
+			}
+		}
+	};
+
+	const tickMove = (move: ActiveMove, running: ReadonlyMap<WorkerId, RunningWorker>) => {
+		const nowMs = timers.getNow();
+		const present = running.get(move.worker);
+		if (move.confirmedAtMs !== undefined) {
+			const hasArrived = present !== undefined && present.life !== move.life && present.pool === move.to;
+			if (hasArrived || nowMs - move.confirmedAtMs > longestMoveMs) {
+				active.delete(move.worker);
+			}
+
+			return;
+		}
+
+		if (nowMs - move.beganAtMs < moveSettleMs || !isSettledSince(move.beganAtMs)) {
+			return;
+		}
+
+		// An assignment was on its way when the worker was chosen.
+		if ((present?.runCount ?? 0) > 0 && present?.life === move.life) {
+			active.delete(move.worker);
+			return;
+		}
+
+		void carryOn(move);
+	};
+
+	return {
+		tick() {
+			const demands = getDemands();
+			if (!orders.isOpen() || demands.every(({isStandby}) => !isStandby)) {
+				return;
+			}
+
+			if (!isListing && timers.getNow() - listAtMs > listPeriodMs) {
+				void refreshList();
+			}
+
+			const running = listRunning();
+			noteIdle(running);
+			const runningByWorker = new Map(running.map(worker => [worker.worker, worker]));
+			for (const move of active.values()) {
+				tickMove(move, runningByWorker);
+			}
+
+			const movable = running
+				.filter(({worker, isMovable}) => isMovable && !active.has(worker))
+				.map(({worker, pool, millicores}) => ({
+					worker, pool, millicores, idleMs: idleSince.has(worker) ? timers.getNow() - (idleSince.get(worker) ?? 0) : 0,
+				}));
+			const switchedOff = listSwitchedOff()
+				.filter(({worker}) => !active.has(worker))
+				.map(({worker, pool, millicores}) => ({
+					worker, pool, millicores, idleMs: Number.POSITIVE_INFINITY,
+				}));
+			for (const move of planWorkerMoves({pools: demands, workers: [...movable, ...switchedOff]})) {
+				begin(move, runningByWorker);
+			}
+		},
+		isCordoned: worker => active.has(worker) && active.get(worker)?.confirmedAtMs === undefined,
+		isLoaned: worker => loaned.has(worker),
+		listSwitchedOff,
+		getIncomingMillicores(pool) {
+			let sum = 0;
+			for (const {to, millicores} of active.values()) {
+				sum += to === pool ? millicores : 0;
+			}
+
+			return sum;
+		},
+	};
+}
