--- a/packages/core/src/scheduler/estimates.ts
+++ b/packages/core/src/scheduler/estimates.ts
@@ -65,23 +65,6 @@
 	return getLongestChainMs(job.specification.steps, bound, step => isStepLeft(occurrence, step));
 }
 
-/**
- * @param job - A job.
- * @param occurrence - One of its occurrences.
- * @returns The work of its tasks that are not done, in millicore milliseconds.
- */
-export function getWorkLeft(job: Job, occurrence: Occurrence): number {
-	let work = 0;
-	for (const [index, {request, estimateMs, isLasting}] of job.specification.steps.entries()) {
-		const progress = occurrence.steps[index];
-		if (progress !== undefined && !isLasting) {
-			work += (progress.tasks.length - progress.doneCount) * request.cpuMillicores * estimateMs;
-		}
-	}
-
-	return work;
-}
-
 /** What of a queue's policy sets a job's objective. */
 export type ObjectivePolicy = Pick<Job, 'stretchFactor' | 'startLatencyMs'>;
 
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -30,4 +30,5 @@
 export {
 	planWorkerMoves, type MovableWorker, type WorkerMoveInput, type PoolPressure, type WorkerMove,
 } from './plan-worker-moves.js';
-export {getWork, getWorkLeft} from './estimates.js';
+export {idlePool, measurePools, type PoolMeasure} from './measure-pools.js';
+export {getWork} from './estimates.js';
--- /dev/null
+++ b/packages/core/src/scheduler/measure-pools.ts
@@ -0,0 +1,76 @@
+/**
+ * What each pool is asked for at this moment.
+ */
+import type {PoolId} from '@samphiremill/common';
+import {getDueMs} from './estimates.js';
+import {getStepProgress} from './ledger.js';
+import type {Job, Ledger, StepProgress} from './types.js';
+
+/** The demand on one pool, lasting tasks apart. */
+export type PoolMeasure = {
+	/** Processors that lasting tasks take or wait for. */
+	readonly lastingMillicores: number;
+	/** Processors that other tasks use. */
+	readonly runningMillicores: number;
+	/** Processors that tasks wait for which could start now. */
+	readonly readyMillicores: number;
+	/** The work that is still to be done, in millicore milliseconds. */
+	readonly workLeft: number;
+};
+
+/** A pool that nothing is asked of. */
+export const idlePool: PoolMeasure = {
+	lastingMillicores: 0, runningMillicores: 0, readyMillicores: 0, workLeft: 0,
+};
+
+// A task that runs is half done, for all that is known.
+const shareLeftOfRunning = 0.5;
+
+const isReady = (job: Job, occurrence: number, dependsOn: readonly number[]) => dependsOn.every(step => {
+	const progress = getStepProgress({job, occurrence, step});
+	return progress !== undefined && progress.doneCount === progress.tasks.length;
+});
+
+const countRunning = ({tasks, doneCount, idleCount}: StepProgress) => tasks.length - doneCount - idleCount;
+
+const measureJob = (job: Job, nowMs: number, before: PoolMeasure): PoolMeasure => {
+	let {lastingMillicores, runningMillicores, readyMillicores, workLeft} = before;
+	for (const [occurrence, {steps}] of job.occurrences.entries()) {
+		const isDue = job.specification.schedule === undefined || getDueMs(job, occurrence) <= nowMs;
+		for (const [index, progress] of steps.entries()) {
+			const step = job.specification.steps[index];
+			if (step === undefined || step.isFiller || !isDue) {
+				continue;
+			}
+
+			const {request: {cpuMillicores}, estimateMs, dependsOn} = step;
+			if (step.isLasting) {
+				lastingMillicores += cpuMillicores * progress.tasks.length;
+				continue;
+			}
+
+			const running = countRunning(progress);
+			runningMillicores += running * cpuMillicores;
+			workLeft += (progress.idleCount + (running * shareLeftOfRunning)) * cpuMillicores * estimateMs;
+			readyMillicores += isReady(job, occurrence, dependsOn) ? progress.idleCount * cpuMillicores : 0;
+		}
+	}
+
+	return {
+		lastingMillicores, runningMillicores, readyMillicores, workLeft,
+	};
+};
+
+/**
+ * @param ledger - The ledger.
+ * @param nowMs - The Unix time in milliseconds.
+ * @returns The demand on each pool that has jobs.
+ */
+export function measurePools(ledger: Ledger, nowMs: number): ReadonlyMap<PoolId, PoolMeasure> {
+	const byPool = new Map<PoolId, PoolMeasure>();
+	for (const job of ledger.activeJobs) {
+		byPool.set(job.pool, measureJob(job, nowMs, byPool.get(job.pool) ?? idlePool));
+	}
+
+	return byPool;
+}
--- a/packages/core/src/scheduler/plan-worker-moves.ts
+++ b/packages/core/src/scheduler/plan-worker-moves.ts
@@ -12,8 +12,8 @@
 	readonly isStandby: boolean;
 	/** Processors of its workers, those on their way to it included, that lasting tasks leave. */
 	readonly millicores: number;
-	/** Work of accepted jobs that is still to be done, in millicore milliseconds. */
-	readonly workLeft: number;
+	/** Processors that tasks use, and that tasks wait for which could start now. */
+	readonly runnableMillicores: number;
 	/** Work that was handed in lately, accepted or not, in millicore milliseconds a millisecond. */
 	readonly inflowMillicores: number;
 };
@@ -25,6 +25,8 @@
 	readonly millicores: number;
 	/** For how long nothing has run on it, in milliseconds; 0 if something does. */
 	readonly idleMs: number;
+	/** Belongs to the standby pool, and serves another for a while. */
+	readonly isLoaned: boolean;
 };
 
 /** A worker and where it goes. */
@@ -41,15 +43,13 @@
 	readonly workers: readonly MovableWorker[];
 };
 
-// Queued work is to be done within this time.
-const drainTargetMs = 1200;
 // A pool is short when it wants this much more than it has.
-const shortageFactor = 1.15;
-const idleBeforeReturnMs = 2500;
+const shortageFactor = 1.1;
+const idleBeforeReturnMs = 1000;
 // A pool that gives a worker back keeps this many times what it wants.
-const reserveFactor = 1.5;
+const reserveFactor = 1.3;
 
-const getWantedMillicores = ({workLeft, inflowMillicores}: PoolPressure) => Math.max(workLeft / drainTargetMs, inflowMillicores);
+const getWantedMillicores = ({runnableMillicores, inflowMillicores}: PoolPressure) => Math.max(runnableMillicores, inflowMillicores);
 
 const getWorkerMillicores = (workers: readonly MovableWorker[]) => workers.reduce((sum, {millicores}) => sum + millicores, 0) / Math.max(1, workers.length);
 
@@ -63,7 +63,7 @@
 	.filter(({isStandby}) => !isStandby)
 	.flatMap(demand => {
 		let spare = demand.millicores - (getWantedMillicores(demand) * reserveFactor);
-		const idle = workers.filter(({pool, idleMs}) => pool === demand.pool && idleMs >= idleBeforeReturnMs);
+		const idle = workers.filter(({pool, idleMs, isLoaned}) => pool === demand.pool && isLoaned && idleMs >= idleBeforeReturnMs);
 		return idle.flatMap(({worker, pool, millicores}) => {
 			spare -= millicores;
 			return spare > 0 ? [{worker, from: pool, to: standby.pool}] : [];
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -6,8 +6,8 @@
 	NodeId, PoolId, TimerService, WorkerId,
 } from '@samphiremill/common';
 import {
-	admitJob, countPendingJobs, findQueue, findTask, getFillerPace, getShownState, getStep, getWork, getWorkLeft, isJobId, isWaveCompleted, listForgettableJobs, planStarts, planUpkeep,
-	type AcceptedJob, type ActiveConfiguration, type FoundQueue, type Job, type JobSpecification, type Ledger, type LedgerCommand, type LedgerOutcome, type LifeId, type PoolLoad, type QueueDefinition, type Resources, type RunAssignment, type Task, type TeamDefinition, type UpkeepRequest, type WorkerView,
+	admitJob, countPendingJobs, findQueue, findTask, getFillerPace, getShownState, getStep, getWork, idlePool, isJobId, isWaveCompleted, listForgettableJobs, measurePools, planStarts, planUpkeep,
+	type AcceptedJob, type ActiveConfiguration, type FoundQueue, type Job, type JobSpecification, type Ledger, type LedgerCommand, type LedgerOutcome, type LifeId, type PoolLoad, type PoolPressure, type QueueDefinition, type Resources, type RunAssignment, type Task, type TeamDefinition, type UpkeepRequest, type WorkerView,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
 import {createAdviceDesk, createStepId} from './advice-desk.js';
@@ -69,9 +69,10 @@
 	= | {readonly type: 'granted'; readonly found: FoundQueue; readonly team: TeamDefinition | undefined; readonly configuration: ActiveConfiguration}
 		| {readonly type: 'denied'; readonly answer: ClusterAnswer};
 
-// A pool whose work would take this long, or that is asked for this part of its processors, keeps its workers.
-const pressedPoolMs = 500;
-const pressedShare = 0.5;
+// A pool of which this part of its processors is wanted keeps its workers.
+const pressedShare = 0.6;
+
+const sumMillicores = (capacities: readonly Resources[]) => capacities.reduce((sum, {cpuMillicores}) => sum + cpuMillicores, 0);
 
 const deny = (answer: ClusterAnswer): Access => ({type: 'denied', answer});
 
@@ -232,7 +233,7 @@
 			ledger: getLedger(),
 			nowMs: getWallClock(),
 			minions: [...sessions.values()].filter(session => isPlaceable(session)).map(session => ({
-				record: session.record, runBound: session.getRunBound(), isLeavingSoon: due.has(session.record.worker) || moves.isLoaned(session.record.worker), isSuspect: false,
+				record: session.record, runBound: session.getRunBound(), isLeavingSoon: due.has(session.record.worker) || getLedger().loans.has(session.record.worker), isSuspect: false,
 			})),
 			isAllowed: desk.isAllowed,
 		});
@@ -352,27 +353,43 @@
 		cordoned = workersNow;
 	};
 
-	const isPoolPressed = (pool: PoolId | undefined) => {
-		if (pool === undefined) {
-			return false;
-		}
+	const listPlaceable = (pool: PoolId) => [...sessions.values()].filter(session => session.record.pool === pool && isPlaceable(session));
 
-		const {workLeft, cpuMillicores} = getPoolLoad(pool, undefined);
-		return workLeft > cpuMillicores * pressedPoolMs || demand.getRate(pool) > cpuMillicores * pressedShare;
+	const listPressures = (): readonly PoolPressure[] => {
+		const measures = measurePools(getLedger(), getWallClock());
+		return (getLedger().configuration?.pools ?? []).map(({pool, isStandby}) => {
+			const {lastingMillicores, runningMillicores, readyMillicores} = measures.get(pool) ?? idlePool;
+			const cpuMillicores = sumMillicores(listPlaceable(pool).map(({record}) => record.capacity));
+			return {
+				pool,
+				isStandby,
+				millicores: cpuMillicores + moves.getIncomingMillicores(pool) - lastingMillicores,
+				runnableMillicores: runningMillicores + readyMillicores,
+				inflowMillicores: demand.getRate(pool),
+			};
+		});
 	};
 
+	const listPressedPools = () => new Set(listPressures()
+		.filter(({millicores, runnableMillicores, inflowMillicores}) => Math.max(runnableMillicores, inflowMillicores) > millicores * pressedShare)
+		.map(({pool}) => pool));
+
 	const runWaves = () => {
 		const ledger = getLedger();
 		if (ledger.waves.size === 0 || !limits.hasWorkerOrders) {
 			return;
 		}
 
+		const pressed = listPressedPools();
 		const upkeep = planUpkeep({
 			ledger,
 			nowMs: getWallClock(),
 			workers: getWorkerViews(),
 			switchedOff: new Set(moves.listSwitchedOff().map(({worker}) => worker)),
-			isPressed: ({life}) => isPoolPressed(sessions.get(life)?.record.pool),
+			isPressed({life}) {
+				const pool = sessions.get(life)?.record.pool;
+				return pool !== undefined && pressed.has(pool);
+			},
 			cordoned,
 			isServing,
 		});
@@ -431,16 +448,11 @@
 			runCount: getLedger().lives.get(record.life)?.runs.size ?? 0,
 			isMovable: isUsable() && !cordoned.has(record.worker),
 		})),
-		getDemands: () => (getLedger().configuration?.pools ?? []).map(({pool, isStandby}) => {
-			const {cpuMillicores, workLeft} = getPoolLoad(pool, undefined);
-			return {
-				pool, isStandby, millicores: cpuMillicores + moves.getIncomingMillicores(pool), workLeft, inflowMillicores: demand.getRate(pool),
-			};
-		}),
-		async onLeft(life) {
-			await decide({type: 'minion/left', term, life});
-			sessionContext.onChanged();
-		},
+		listPressures,
+		getLoans: () => getLedger().loans,
+		decide,
+		term,
+		onChanged: sessionContext.onChanged,
 	});
 
 	const tick = () => {
@@ -470,28 +482,14 @@
 	};
 
 	const getPoolLoad = (pool: PoolId, team: TeamDefinition | undefined): PoolLoad => {
-		const ledger = getLedger();
-		const usable = [...sessions.values()].filter(session => session.record.pool === pool && isPlaceable(session));
-		let workLeft = 0;
-		let lastingCpu = 0;
-		for (const job of ledger.activeJobs) {
-			if (job.pool === pool) {
-				for (const occurrence of job.occurrences) {
-					workLeft += getWorkLeft(job, occurrence);
-				}
-
-				for (const step of job.specification.steps) {
-					lastingCpu += step.isLasting && !step.isFiller ? step.count * step.request.cpuMillicores : 0;
-				}
-			}
-		}
-
-		const cpu = usable.reduce((sum, {record}) => sum + record.capacity.cpuMillicores, 0);
+		const {lastingMillicores, workLeft} = measurePools(getLedger(), getWallClock()).get(pool) ?? idlePool;
+		const capacities = listPlaceable(pool).map(({record}) => record.capacity);
+		const cpuMillicores = sumMillicores(capacities);
 		return {
-			cpuMillicores: Math.max(0, cpu - lastingCpu),
-			bound: {poolMillicores: cpu, teamMillicores: team?.maximum.cpuMillicores ?? 0},
+			cpuMillicores: Math.max(0, cpuMillicores + moves.getIncomingMillicores(pool) - lastingMillicores),
+			bound: {poolMillicores: cpuMillicores, teamMillicores: team?.maximum.cpuMillicores ?? 0},
 			workLeft,
-			largestMinion: getLargest(usable.map(({record}) => record.capacity)),
+			largestMinion: getLargest(capacities),
 		};
 	};
 
--- a/packages/daemon/src/scheduler/worker-moves.ts
+++ b/packages/daemon/src/scheduler/worker-moves.ts
@@ -3,7 +3,7 @@
  */
 import type {PoolId, TimerService, WorkerId} from '@samphiremill/common';
 import {
-	planWorkerMoves, type LifeId, type PoolPressure, type WorkerMove,
+	planWorkerMoves, type LedgerCommand, type LifeId, type PoolPressure, type WorkerMove,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
 import {listPeriodMs, longestMoveMs, moveSettleMs} from './constants.js';
@@ -28,11 +28,14 @@
 	readonly workers: WorkerPort;
 	readonly orders: WorkerOrders;
 	readonly listRunning: () => readonly RunningWorker[];
-	readonly getDemands: () => readonly PoolPressure[];
+	readonly listPressures: () => readonly PoolPressure[];
+	/** Workers that serve another pool for a while, and the pool that they belong to. */
+	readonly getLoans: () => ReadonlyMap<WorkerId, PoolId>;
 	/** Whether no assignment that was planned before that moment is still on its way. */
 	readonly isSettledSince: (sinceMs: number) => boolean;
-	/** The life on the worker is over. */
-	readonly onLeft: (life: LifeId) => Promise<void>;
+	readonly term: number;
+	readonly decide: (command: LedgerCommand) => Promise<boolean>;
+	readonly onChanged: () => void;
 };
 
 /** The moves of one leader. */
@@ -40,8 +43,6 @@
 	readonly tick: () => void;
 	/** Workers that get no work, since they are about to be moved. */
 	readonly isCordoned: (worker: WorkerId) => boolean;
-	/** Workers that a pool has for a while only. */
-	readonly isLoaned: (worker: WorkerId) => boolean;
 	/** Workers of the fleet without a minion, as the platform lists them. */
 	readonly listSwitchedOff: () => readonly ListedWorker[];
 	/** Processors on their way to a pool. */
@@ -59,9 +60,8 @@
  * @param options - What the moves need.
  * @returns The moves.
  */
-export function createWorkerMoves({timers, log, workers, orders, listRunning, getDemands, isSettledSince, onLeft}: WorkerMovesOptions): WorkerMoves {
+export function createWorkerMoves({timers, log, workers, orders, listRunning, listPressures, getLoans, isSettledSince, term, decide, onChanged}: WorkerMovesOptions): WorkerMoves {
 	const active = new Map<WorkerId, ActiveMove>();
-	const loaned = new Set<WorkerId>();
 	const idleSince = new Map<WorkerId, number>();
 	let listed: readonly ListedWorker[] = [];
 	let isListing = false;
@@ -71,7 +71,7 @@
 
 	const listSwitchedOff = () => {
 		const on = isSwitchedOn();
-		const standby = new Set(getDemands().filter(({isStandby}) => isStandby).map(({pool}) => pool));
+		const standby = new Set(listPressures().filter(({isStandby}) => isStandby).map(({pool}) => pool));
 		return listed.filter(({worker, pool, state}) => standby.has(pool) && state === 'up' && !on.has(worker));
 	};
 
@@ -118,18 +118,30 @@
 		active.set(move.worker, {...move, confirmedAtMs: timers.getNow()});
 		listed = listed.map(row => row.worker === move.worker ? {...row, pool: move.to} : row);
 		idleSince.delete(move.worker);
-		if (getDemands().find(({pool}) => pool === move.to)?.isStandby) {
-			loaned.delete(move.worker);
-		} else {
-			loaned.add(move.worker);
+		if (move.life !== undefined) {
+			await decide({type: 'minion/left', term, life: move.life});
 		}
 
-		if (move.life !== undefined) {
-			await onLeft(move.life);
+		if (getLoans().get(move.worker) === move.to) {
+			await decide({type: 'loan/ended', term, worker: move.worker});
 		}
+
+		onChanged();
+	};
+
+	// A later leader has to know which workers are to go back.
+	const noteLoan = async ({worker, from, to}: ActiveMove): Promise<boolean> => {
+		const loans = getLoans();
+		return loans.has(worker) || loans.get(worker) === to || decide({
+			type: 'loan/begun', term, worker, home: from,
+		});
 	};
 
 	const carryOn = async (move: ActiveMove) => {
+		if (!await noteLoan(move)) {
+			return;
+		}
+
 		const result = await orders.send(move.worker, `move to ${move.to} at ${move.beganAtMs}`, async authority => workers.moveToPool({...authority, worker: move.worker, pool: move.to}));
 		switch (result) {
 			case 'done': {
@@ -181,7 +193,7 @@
 
 	return {
 		tick() {
-			const demands = getDemands();
+			const demands = listPressures();
 			if (!orders.isOpen() || demands.every(({isStandby}) => !isStandby)) {
 				return;
 			}
@@ -200,19 +212,22 @@
 			const movable = running
 				.filter(({worker, isMovable}) => isMovable && !active.has(worker))
 				.map(({worker, pool, millicores}) => ({
-					worker, pool, millicores, idleMs: idleSince.has(worker) ? timers.getNow() - (idleSince.get(worker) ?? 0) : 0,
+					worker,
+					pool,
+					millicores,
+					idleMs: idleSince.has(worker) ? timers.getNow() - (idleSince.get(worker) ?? 0) : 0,
+					isLoaned: getLoans().has(worker),
 				}));
 			const switchedOff = listSwitchedOff()
 				.filter(({worker}) => !active.has(worker))
 				.map(({worker, pool, millicores}) => ({
-					worker, pool, millicores, idleMs: Number.POSITIVE_INFINITY,
+					worker, pool, millicores, idleMs: Number.POSITIVE_INFINITY, isLoaned: false,
 				}));
 			for (const move of planWorkerMoves({pools: demands, workers: [...movable, ...switchedOff]})) {
 				begin(move, runningByWorker);
 			}
 		},
 		isCordoned: worker => active.has(worker) && active.get(worker)?.confirmedAtMs === undefined,
-		isLoaned: worker => loaned.has(worker),
 		listSwitchedOff,
 		getIncomingMillicores(pool) {
 			let sum = 0;
