--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -117,9 +117,11 @@
 	let heardAtMs: number = timers.getNow();
 	let unhealthyUntilMs = 0;
 	let sequence = -1;
-	let lapseDecidedAtMs: number | undefined;
-	// Leases that an earlier leader granted may still run.
-	let inheritsRuns = (context.getLedger().lives.get(record.life)?.runs.size ?? 0) > 0;
+	let isLapsing = false;
+	/** The last look got no answer. */
+	let isSilent = false;
+	// Leases that an earlier leader granted may still run from here on.
+	const unknownSinceMs = context.termBeganAtMs;
 
 	const isOpen = () => !isClosed;
 
@@ -157,7 +159,12 @@
 		}
 	};
 
+	// A look without an answer may have been carried out, so a silent minion is granted no more time.
 	const grantDeadline = (reading: ClockReading): number => {
+		if (isSilent) {
+			return latestDeadlineMs;
+		}
+
 		const deadlineMs = getLeaseDeadline(reading, {nowMs: timers.getNow(), leaseMs});
 		latestDeadlineMs = Math.max(latestDeadlineMs, deadlineMs);
 		return deadlineMs;
@@ -448,7 +455,6 @@
 
 		const wasSynced = isSynced;
 		isSynced = true;
-		lapseDecidedAtMs = undefined;
 		for (const entry of report.running) {
 			noteRunning(entry);
 		}
@@ -482,7 +488,7 @@
 			target,
 			fencingToken,
 			lastSeen,
-			deadlineMs: clock === undefined || !isSynced ? undefined : grantDeadline(clock),
+			deadlineMs: clock === undefined || !isSynced || isSilent ? undefined : grantDeadline(clock),
 			waitMs,
 			timeoutMs: waitMs + holdSlackMs,
 		});
@@ -491,6 +497,7 @@
 		}
 
 		noteHeard(answer);
+		isSilent = answer.type !== 'answered';
 		if (answer.type === 'otherLife') {
 			await leave('another life answers at its address');
 			return 'pause';
@@ -521,23 +528,23 @@
 	const hasLapsed = () => {
 		const nowMs = timers.getNow();
 		if (clock === undefined || latestDeadlineMs === 0) {
-			return inheritsRuns && !isSynced && nowMs - context.termBeganAtMs > getInheritedLeaseMs(leaseMs);
+			return !isSynced && nowMs - unknownSinceMs > getInheritedLeaseMs(leaseMs);
 		}
 
 		return isLeaseOver(clock, {nowMs, deadlineMs: latestDeadlineMs});
 	};
 
 	const lapse = async () => {
-		lapseDecidedAtMs = timers.getNow();
+		isLapsing = true;
 		isSynced = false;
 		clock = undefined;
 		latestDeadlineMs = 0;
-		inheritsRuns = false;
 		const runs = [...context.getLedger().lives.get(record.life)?.runs ?? []];
 		log.warn(`the lease on minion ${record.minion} ran out with ${runs.length} runs`, {
 			minion: record.minion, life: record.life, silentMs: Math.round(timers.getNow() - heardAtMs), tasks: runs.map(([task]) => task),
 		});
 		await endRuns(runs.map(([task, number]) => createEnd({task, run: number, life: record.life}, 'lapsed')));
+		isLapsing = false;
 	};
 
 	for (const [task, number] of context.getLedger().lives.get(record.life)?.runs ?? []) {
@@ -614,7 +621,7 @@
 			}
 
 			const hasRuns = (context.getLedger().lives.get(record.life)?.runs.size ?? 0) > 0;
-			if (hasRuns && lapseDecidedAtMs === undefined && hasLapsed() && context.canAct()) {
+			if (hasRuns && !isLapsing && hasLapsed() && context.canAct()) {
 				void lapse();
 			}
 		},
