--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -612,6 +612,11 @@
 		},
 		tick() {
 			for (const control of controls.values()) {
+				// The stop was asked for before a look had shown the run.
+				if (control.isStopWanted && control.phase === 'running') {
+					void stopControl(control);
+				}
+
 				const isLost = control.phase === 'stopping' && control.stopAckedAtMs !== undefined && timers.getNow() - control.stopAckedAtMs > leaseMs;
 				if (isLost) {
 					control.phase = 'running';
