Count a task on a silent minion as away before another of its step is stopped

The new test fails without the change. Also a world in virtual time, with minions that keep leases, fences and lists, checks each start over random troubles.

--- /dev/null
+++ b/packages/daemon/src/scheduler/leader.test.ts
@@ -0,0 +1,158 @@
+import process from 'node:process';
+import type {JobId} from '@samphiremill/common';
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {createTestWorld, type TestWorld} from './test-world.js';
+
+const settleMs = 1500;
+const runs = Number(process.env['SAMPHIREMILL_RUNS'] ?? 12);
+
+const start = async (options: Parameters<typeof createTestWorld>[0]) => {
+	const world = createTestWorld(options);
+	await world.advance(settleMs);
+	return world;
+};
+
+test('a job of dependent steps is placed, run and shown as completed', async () => {
+	const world = await start({seed: 1});
+	const {id, answer} = world.submit([{count: 6}, {count: 3, dependsOn: [0]}]);
+	await world.advance(100);
+	expect(await answer).toEqual({type: 'accepted'});
+	await world.advance(4000);
+	expect(world.getState(id)).toBe('completed');
+	expect(world.listBroken()).toEqual([]);
+});
+
+test('a lasting task on a minion that falls silent for good is started elsewhere', async () => {
+	const world = await start({seed: 2});
+	const {id} = world.submit([{count: 4, isLasting: true, maximumPerMinion: 1}]);
+	await world.advance(1000);
+	expect(world.countRuns(id)).toBe(4);
+	world.crash(0);
+	await world.advance(9000);
+	expect(world.countRuns(id)).toBe(4);
+	expect(world.listBroken()).toEqual([]);
+});
+
+test('a cancel between an election and the first look still stops what runs', async () => {
+	const world = await start({seed: 3});
+	const {id} = world.submit([{count: 3, isLasting: true}]);
+	await world.advance(1000);
+	await world.changeLeader();
+	const cancelled = world.cancel(id);
+	await world.advance(1500);
+	expect(await cancelled).toEqual({type: 'done'});
+	expect(world.countRuns(id)).toBe(0);
+});
+
+test('spare workers come to a pool that is short, and go back', async () => {
+	const world = await start({seed: 4, minionCount: 2, standbyWorkers: 2});
+	await world.advance(4000);
+	for (let index = 0; index < 5; index += 1) {
+		world.submit([{count: 10, estimateMs: 500}]);
+	}
+
+	await world.advance(9000);
+	expect(world.listMoves()).toEqual(['spare-0 to counter', 'spare-1 to counter', 'spare-0 to reserve', 'spare-1 to reserve']);
+	expect(world.listBroken()).toEqual([]);
+});
+
+test('a wave empties and services every worker within its bound and the disruption budgets', async () => {
+	const world = await start({seed: 5, minionCount: 5, standbyWorkers: 1});
+	world.submit([{
+		count: 3, isLasting: true, maximumPerMinion: 1, disruptionBudget: 1,
+	}]);
+	await world.advance(4000);
+	const started = world.startWave(4, 2);
+	await world.advance(16_000);
+	expect(await started).toEqual({type: 'done'});
+	expect(await world.isWaveCompleted()).toBe(true);
+	expect(world.listBroken()).toEqual([]);
+});
+
+test.each([0, 150, 300, 450, 600, 750, 900])('a wave stops no task of a step while another of it is on a silent minion (phase %i ms)', async phaseMs => {
+	const world = await start({seed: 6, minionCount: 4, standbyWorkers: 1});
+	world.submit([{
+		count: 4, isLasting: true, maximumPerMinion: 1, disruptionBudget: 1,
+	}]);
+	await world.advance(4000 + phaseMs);
+	world.silence(1, 20_000);
+	// Longer than a step may be short of a task unnoticed, shorter than the silent minion's lease.
+	await world.advance(4450);
+	const started = world.startWave(1, 2);
+	await world.advance(8000);
+	expect(await started).toEqual({type: 'done'});
+	expect(world.listBroken()).toEqual([]);
+});
+
+type Trouble = {
+	readonly atMs: number;
+	readonly kind: 'submit' | 'submitLasting' | 'cancel' | 'silence' | 'crash' | 'changeLeader';
+	readonly index: number;
+	readonly forMs: number;
+};
+
+const troubles = fc.array(fc.record({
+	atMs: fc.integer({min: 0, max: 12_000}),
+	kind: fc.constantFrom('submit' as const, 'submit' as const, 'submitLasting' as const, 'cancel' as const, 'silence' as const, 'crash' as const, 'changeLeader' as const),
+	index: fc.integer({min: 0, max: 3}),
+	forMs: fc.integer({min: 100, max: 8000}),
+}), {minLength: 4, maxLength: 24});
+
+const carryOut = async (world: TestWorld, {kind, index, forMs}: Trouble, jobs: JobId[]) => {
+	switch (kind) {
+		case 'submit': {
+			jobs.push(world.submit([{count: 1 + (index * 3)}, {count: 2, dependsOn: [0], allowsCopies: index === 3}]).id);
+			break;
+		}
+
+		case 'submitLasting': {
+			jobs.push(world.submit([{count: 2, isLasting: true, maximumPerMinion: 1}]).id);
+			break;
+		}
+
+		case 'cancel': {
+			const job = jobs[index];
+			if (job !== undefined) {
+				void world.cancel(job);
+			}
+
+			break;
+		}
+
+		case 'silence': {
+			world.silence(index, forMs);
+			break;
+		}
+
+		case 'crash': {
+			world.crash(index);
+			break;
+		}
+
+		case 'changeLeader': {
+			await world.changeLeader();
+			break;
+		}
+	}
+};
+
+test('no task runs twice, over its room or its team\'s maximum, whatever fails; all jobs end', async () => {
+	await fc.assert(fc.asyncProperty(fc.integer({min: 1, max: 1_000_000}), troubles, async (seed, planned) => {
+		const world = await start({
+			seed, lossChance: 0.06, failureChance: 0.02, teamMaximumMillicores: 20_000, hasAdvice: seed % 3 === 0,
+		});
+		const jobs: JobId[] = [];
+		let nowMs = 0;
+		for (const trouble of planned.toSorted((left, right) => left.atMs - right.atMs)) {
+			await world.advance(trouble.atMs - nowMs); // eslint-disable-line no-await-in-loop -- one trouble after the other
+			nowMs = trouble.atMs;
+			await carryOut(world, trouble, jobs); // eslint-disable-line no-await-in-loop -- one trouble after the other
+		}
+
+		await world.advance(30_000);
+		expect(world.listBroken()).toEqual([]);
+		const open = [...world.getLedger().activeJobs].filter(({specification}) => specification.steps.every(({isLasting}) => !isLasting));
+		expect(open.map(({id}) => id)).toEqual([]);
+	}), {numRuns: runs, seed: 20_261_204, endOnFailure: true});
+}, 600_000);
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -290,9 +290,11 @@
 		}
 	};
 
+	// What a silent minion showed last says nothing of the present.
 	const isServing = (task: Task) => task.runs.some(({life}) => {
-		const run = sessions.get(life)?.getRun(task.id);
-		return run?.servingSinceMs !== undefined && run.phase === 'running';
+		const session = sessions.get(life);
+		const run = session?.getRun(task.id);
+		return session !== undefined && session.isAnswering() && run?.servingSinceMs !== undefined && run.phase === 'running';
 	});
 
 	const getWorkerViews = () => {
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -80,6 +80,8 @@
 	readonly setPace: (task: TaskId, percent: number) => void;
 	readonly takeReport: (report: MinionReport) => void;
 	readonly tick: () => void;
+	/** Whether it answered a moment ago. */
+	readonly isAnswering: () => boolean;
 	/** Whether it answers, is ready, and may be given work. */
 	readonly isUsable: () => boolean;
 	readonly isDraining: () => boolean;
@@ -125,6 +127,8 @@
 
 	const isOpen = () => !isClosed;
 
+	const isAnswering = () => isSynced && !isSilent && timers.getNow() - heardAtMs < holdWaitMs + holdSlackMs;
+
 	const pause = async (delayMs: number) => new Promise<void>(resolve => {
 		timers.scheduleOnce(delayMs, resolve);
 	});
@@ -630,8 +634,8 @@
 				void lapse();
 			}
 		},
-		isUsable: () => isSynced && !isDraining && !isClosed && timers.getNow() >= unhealthyUntilMs
-			&& timers.getNow() - heardAtMs < holdWaitMs + holdSlackMs,
+		isUsable: () => isAnswering() && !isDraining && !isClosed && timers.getNow() >= unhealthyUntilMs,
+		isAnswering,
 		isDraining: () => isDraining,
 		getRunBound: () => getRunBound(health, timers.getNow()),
 		getRun(task) {
--- /dev/null
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -0,0 +1,614 @@
+/**
+ * One leader at a time over a real ledger, with minions that keep leases, fences and lists as real ones
+ * do, in virtual time. Orders get lost or come late, minions fall silent, leaders change. Every start is
+ * checked against the promises to callers.
+ */
+import {
+	createFailure, createSeededRandom, createSuccess, createVirtualTimerService, toBrand, type DataCentreId, type JobId, type MinionId, type NodeId, type PoolId, type QueueId, type RackId, type RandomSource, type TeamId, type WorkerId,
+} from '@samphiremill/common';
+import {
+	applyLedgerCommand, createLedger, createLedgerSnapshot, createLifeId, findTask, getStep, getStepProgress, parseTaskId, restoreLedger,
+	type FleetConfiguration, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord, type RunEnding, type StepSpecification, type TaskId, type Ticket,
+} from '@samphiremill/core';
+import type {DecisionLog} from '../runtime/types.js';
+import {startLeader, type Decision, type Leader} from './leader.js';
+import type {
+	ClusterAnswer, FinishedEntry, HoldReport, MinionAnswer, MinionPort, StartResult, WorkerPort,
+} from './types.js';
+
+/** How a world is set up. */
+export type TestWorldOptions = {
+	readonly seed: number;
+	readonly minionCount?: number;
+	/** Chance that an order gets no answer; half of these are carried out seconds later. */
+	readonly lossChance?: number;
+	/** Chance that a run fails. */
+	readonly failureChance?: number;
+	readonly teamMaximumMillicores?: number;
+	readonly standbyWorkers?: number;
+	/** Whether the queue asks an advice service. */
+	readonly hasAdvice?: boolean;
+};
+
+type FakeRun = {
+	readonly run: number;
+	readonly startedAtMs: number;
+	readonly endsAtMs: number;
+	readonly ending: RunEnding;
+	stopAtMs: number;
+};
+
+type FakeMinion = {
+	readonly record: MinionRecord;
+	readonly clockRate: number;
+	readonly bornAtMs: number;
+	readonly runs: Map<string, FakeRun>;
+	readonly highestRuns: Map<string, number>;
+	finished: FinishedEntry[];
+	nextNumber: number;
+	fencingToken: number;
+	deadlineMs: number;
+	isSilent: boolean;
+	isGone: boolean;
+	lastLapseNumber: number;
+};
+
+/** A running world. */
+export type TestWorld = {
+	readonly pool: PoolId;
+	readonly advance: (durationMs: number) => Promise<void>;
+	readonly submit: (steps: ReadonlyArray<Partial<StepSpecification>>) => {readonly id: JobId; readonly answer: Promise<ClusterAnswer>};
+	readonly cancel: (id: JobId) => Promise<ClusterAnswer>;
+	readonly getState: (id: JobId) => string | undefined;
+	/** Another host leads; the old one notices nothing but that its orders are refused. */
+	readonly changeLeader: () => Promise<void>;
+	readonly silence: (index: number, durationMs: number) => void;
+	readonly crash: (index: number) => void;
+	readonly countRuns: (id: JobId) => number;
+	readonly listBroken: () => readonly string[];
+	readonly listMoves: () => readonly string[];
+	readonly startWave: (workerCount: number, maximumAtOnce: number) => Promise<ClusterAnswer>;
+	readonly isWaveCompleted: () => Promise<boolean>;
+	readonly getLedger: () => Ledger;
+	readonly countStarts: () => number;
+};
+
+const pool = toBrand<PoolId>('counter');
+const standbyPool = toBrand<PoolId>('reserve');
+const queue = toBrand<QueueId>('reservations');
+const team = toBrand<TeamId>('parish');
+const host = 'parish.example';
+const pathPrefix = '/reservations/';
+const key = 'key-1';
+const leaseMs = 4500;
+const longestStopMs = 300;
+const commitMs = 8;
+const stepMs = 5;
+const upkeepMs = 2000;
+const workingAfterMs = 100;
+const noticeMs = 4500;
+const startOfDayMs = 1_700_000_000_000;
+
+const silentLog: DecisionLog = {
+	debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined,
+};
+
+const createConfiguration = ({teamMaximumMillicores = 0, hasAdvice = false}: TestWorldOptions): FleetConfiguration => ({
+	version: 1,
+	queues: [{
+		queue, host, pathPrefix, pool, priority: 0, maximumAttempts: 4, stretchFactor: 2, startLatencyMs: 600, timeoutMs: 3000, isOpen: false, advice: hasAdvice ? {decisionMs: 20, perWorkerMs: 1, validityMs: 5000} : undefined,
+	}],
+	pools: [{pool, guardsCapacity: false, isStandby: false}, {pool: standbyPool, guardsCapacity: false, isStandby: true}],
+	teams: [{
+		team, keys: [key], weight: 1, maximum: {cpuMillicores: teamMaximumMillicores, memoryMb: 0, gpus: 0},
+	}],
+	limits: {
+		maximumHeaderBytes: 16_384, maximumBodyBytes: 262_144, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+});
+
+const plainStep: StepSpecification = {
+	count: 1,
+	request: {cpuMillicores: 1000, memoryMb: 512, gpus: 0},
+	estimateMs: 500,
+	dependsOn: [],
+	hasCheckpoints: false,
+	isGang: false,
+	isRackLocal: false,
+	requiredLabel: undefined,
+	dataRack: undefined,
+	maximumPerMinion: undefined,
+	allowsCopies: false,
+	isLasting: false,
+	image: '',
+	tailBoundMs: undefined,
+	isFiller: false,
+	disruptionBudget: undefined,
+};
+
+/**
+ * @param options - The size and the troubles.
+ * @returns The world, with a first leader.
+ */
+export function createTestWorld(options: TestWorldOptions): TestWorld {
+	const {
+		seed, minionCount = 4, lossChance = 0, failureChance = 0, standbyWorkers = 0,
+	} = options;
+	const random: RandomSource = createSeededRandom(seed);
+	const timers = createVirtualTimerService(1000);
+	const broken: string[] = [];
+	const moves: string[] = [];
+	const minions = new Map<string, FakeMinion>();
+	const standby = Array.from({length: standbyWorkers}, (_, index) => toBrand<WorkerId>(`spare-${index}`));
+	const poolOfSpare = new Map<WorkerId, PoolId>(standby.map(worker => [worker, standbyPool]));
+	const configuration = createConfiguration(options);
+	const parse = () => configuration;
+	let ledger = createLedger();
+	let term = 0;
+	let leader: Leader | undefined;
+	let nextJob = 1;
+	let nextLife = 1;
+	let startCount = 0;
+	const noted = new Set<string>();
+	const stopped = new Set<string>();
+	const lastAtWorkMs = new Map<string, number>();
+	const upkeeps = new Map<WorkerId, number>();
+
+	const getWallClock = () => startOfDayMs + timers.getNow();
+
+	const flush = async () => new Promise<void>(resolve => {
+		setImmediate(resolve);
+	});
+
+	const pause = async (delayMs: number) => new Promise<void>(resolve => {
+		timers.scheduleOnce(delayMs, resolve);
+	});
+
+	const createMinion = (worker: WorkerId, inPool: PoolId): FakeMinion => {
+		const minion = toBrand<MinionId>(`i-${nextLife}`);
+		const bornAtMs = Math.floor(getWallClock());
+		const record: MinionRecord = {
+			life: createLifeId(minion, bornAtMs),
+			minion,
+			bornAtMs,
+			address: `10.0.0.${nextLife}:80`,
+			worker,
+			pool: inPool,
+			dataCentre: toBrand<DataCentreId>('dc-1'),
+			rack: toBrand<RackId>(`r${nextLife % 3}`),
+			labels: [],
+			capacity: {cpuMillicores: 8000, memoryMb: 32_768, gpus: 0},
+		};
+		nextLife += 1;
+		const created: FakeMinion = {
+			record, clockRate: 0.98 + (random() * 0.02), bornAtMs: timers.getNow(), runs: new Map(), highestRuns: new Map(), finished: [], nextNumber: 1, fencingToken: 0, deadlineMs: 0, isSilent: false, isGone: false, lastLapseNumber: 0,
+		};
+		minions.set(record.address, created);
+		return created;
+	};
+
+	const getClock = (minion: FakeMinion) => Math.floor((timers.getNow() - minion.bornAtMs) * minion.clockRate);
+
+	const finish = (minion: FakeMinion, id: string, {ending, saved}: {readonly ending: RunEnding; readonly saved: string}) => {
+		const run = minion.runs.get(id);
+		if (run !== undefined) {
+			minion.runs.delete(id);
+			minion.finished.push({
+				number: minion.nextNumber, task: toBrand<TaskId>(id), run: run.run, ending, checkpoint: saved,
+			});
+			minion.nextNumber += 1;
+		}
+	};
+
+	const settle = (minion: FakeMinion) => {
+		if (minion.isGone) {
+			return;
+		}
+
+		if (minion.runs.size > 0 && getClock(minion) > minion.deadlineMs) {
+			minion.lastLapseNumber = minion.nextNumber;
+			for (const id of minion.runs.keys()) {
+				finish(minion, id, {ending: 'lapsed', saved: ''});
+			}
+		}
+
+		for (const [id, run] of minion.runs) {
+			if (timers.getNow() >= run.stopAtMs) {
+				finish(minion, id, {ending: 'stopped', saved: ''});
+			} else if (timers.getNow() >= run.endsAtMs) {
+				finish(minion, id, {ending: run.ending, saved: ''});
+			}
+		}
+	};
+
+	const listRunning = () => [...minions.values()].filter(({isGone}) => !isGone).flatMap(minion => [...minion.runs].map(([id, run]) => ({minion, id, run})));
+
+	const report = (rule: string, detail: string) => {
+		broken.push(`${rule} at ${Math.round(timers.getNow())} ms in term ${term}: ${detail}`);
+	};
+
+	const checkStart = (minion: FakeMinion, {task: id, run}: {readonly task: TaskId; readonly run: number}) => {
+		const task = findTask(ledger, id);
+		const parts = parseTaskId(id);
+		if (task === undefined || parts === undefined) {
+			return;
+		}
+
+		const step = getStep(task);
+		const elsewhere = listRunning().filter(other => other.id === id);
+		if (elsewhere.length > 0 && !step.allowsCopies) {
+			report('twice', `${id} run ${run} on ${minion.record.minion} beside ${elsewhere.map(({minion: {record}}) => record.minion).join(', ')}`);
+		}
+
+		if (noted.has(id) && !step.allowsCopies) {
+			report('afterDone', `${id} run ${run}`);
+		}
+
+		const isBlocked = step.dependsOn.some(earlier => {
+			const progress = getStepProgress({...parts, job: task.job, step: earlier});
+			return progress !== undefined && progress.doneCount < progress.tasks.length;
+		});
+		if (isBlocked) {
+			report('order', id);
+		}
+
+		const used = [...minion.runs.keys()].reduce((sum, other) => {
+			const running = findTask(ledger, other);
+			return sum + (running === undefined || getStep(running).isFiller ? 0 : getStep(running).request.cpuMillicores);
+		}, 0);
+		if (!step.isFiller && used + step.request.cpuMillicores > minion.record.capacity.cpuMillicores) {
+			report('room', `${id} on ${minion.record.minion}`);
+		}
+
+		const maximum = options.teamMaximumMillicores ?? 0;
+		const usedByTeam = listRunning().reduce((sum, {id: other}) => {
+			const running = findTask(ledger, other);
+			return sum + (running === undefined ? 0 : getStep(running).request.cpuMillicores);
+		}, 0);
+		if (maximum > 0 && usedByTeam + step.request.cpuMillicores > maximum) {
+			report('teamMaximum', `${id}: ${usedByTeam + step.request.cpuMillicores}`);
+		}
+	};
+
+	const isAtWork = (id: string) => listRunning().some(({id: other, minion, run}) => other === id && !minion.isSilent && timers.getNow() - run.startedAtMs > workingAfterMs);
+
+	const noteWork = () => {
+		for (const {id} of listRunning()) {
+			if (isAtWork(id)) {
+				lastAtWorkMs.set(id, timers.getNow());
+				stopped.delete(id);
+			}
+		}
+	};
+
+	const checkStop = (minion: FakeMinion, id: TaskId) => {
+		const task = findTask(ledger, id);
+		const budget = task && getStep(task).disruptionBudget;
+		if (task?.job.status !== 'active' || budget === undefined || !isAtWork(id)) {
+			return;
+		}
+
+		const away = (getStepProgress(task)?.tasks ?? []).filter(other => other.id !== id
+			&& (stopped.has(other.id) || timers.getNow() - (lastAtWorkMs.get(other.id) ?? 0) > noticeMs));
+		if (away.length >= budget) {
+			report('budget', `${id} is stopped on ${minion.record.minion} while ${away.map(other => other.id).join(', ')} are away`);
+		}
+
+		stopped.add(id);
+	};
+
+	const answer = <Value>(minion: FakeMinion, value: Value): MinionAnswer<Value> => ({type: 'answered', value, clockMs: getClock(minion)});
+
+	const noteEnds = (minion: FakeMinion, lastSeen: number) => {
+		for (const {number, task, ending} of minion.finished) {
+			// An end from before a lapse stands for nothing after it.
+			if (number <= lastSeen && ending === 'done' && number > minion.lastLapseNumber) {
+				noted.add(task);
+			}
+		}
+
+		minion.finished = minion.finished.filter(({number}) => number > lastSeen);
+	};
+
+	// Carries an order out now or late, or loses it; a lost one is answered by the caller's own timeout.
+	const deliver = async <Value>(address: string, timeoutMs: number, carryOut: (minion: FakeMinion) => Promise<MinionAnswer<Value>> | MinionAnswer<Value>): Promise<MinionAnswer<Value>> => {
+		await pause(1);
+		const minion = minions.get(address);
+		const isLost = random() < lossChance;
+		if (minion === undefined || minion.isGone || minion.isSilent || isLost) {
+			if (isLost && minion !== undefined && random() < 0.5) {
+				timers.scheduleOnce(2000 + (random() * 10_000), () => {
+					if (!minion.isGone) {
+						settle(minion);
+						void carryOut(minion);
+					}
+				});
+			}
+
+			await pause(timeoutMs);
+			return {type: 'noAnswer'};
+		}
+
+		settle(minion);
+		const result = await carryOut(minion);
+		await pause(1);
+		return minion.isGone || minion.isSilent ? {type: 'noAnswer'} : result;
+	};
+
+	const isFenced = (minion: FakeMinion, fencingToken: number) => {
+		if (fencingToken < minion.fencingToken) {
+			return true;
+		}
+
+		minion.fencingToken = fencingToken;
+		return false;
+	};
+
+	const port: MinionPort = {
+		hold: async order => deliver<HoldReport | 'fenced'>(order.target.address, order.timeoutMs, async minion => {
+			if (isFenced(minion, order.fencingToken)) {
+				return answer(minion, 'fenced' as const);
+			}
+
+			if (order.deadlineMs !== undefined) {
+				minion.deadlineMs = Math.max(minion.deadlineMs, order.deadlineMs);
+			}
+
+			noteEnds(minion, order.lastSeen);
+			const untilMs = timers.getNow() + order.waitMs;
+			while (minion.finished.length === 0 && timers.getNow() < untilMs && !minion.isGone) {
+				await pause(stepMs); // eslint-disable-line no-await-in-loop -- waits for an end
+				settle(minion);
+			}
+
+			return answer(minion, {
+				bornAtMs: minion.record.bornAtMs,
+				running: [...minion.runs].map(([id, {run, startedAtMs}]) => ({
+					task: toBrand<TaskId>(id), run, checkpoint: '', percent: timers.getNow() - startedAtMs > workingAfterMs ? 100 : 50, gauge: 0,
+				})),
+				finished: [...minion.finished],
+			});
+		}),
+		start: async order => deliver<StartResult>(order.target.address, order.timeoutMs, minion => {
+			if (isFenced(minion, order.fencingToken)) {
+				return answer(minion, {type: 'refused' as const, reason: 'fenced' as const});
+			}
+
+			if (minion.runs.get(order.task)?.run === order.run) {
+				return answer(minion, {type: 'started' as const});
+			}
+
+			if (order.run <= (minion.highestRuns.get(order.task) ?? 0)) {
+				return answer(minion, {type: 'refused' as const, reason: 'oldRun' as const});
+			}
+
+			if (order.deadlineMs <= getClock(minion)) {
+				return answer(minion, {type: 'refused' as const, reason: 'lateDeadline' as const});
+			}
+
+			checkStart(minion, order);
+			startCount += 1;
+			minion.deadlineMs = Math.max(minion.deadlineMs, order.deadlineMs);
+			minion.highestRuns.set(order.task, order.run);
+			const task = findTask(ledger, order.task);
+			const isLasting = task !== undefined && getStep(task).isLasting;
+			const isFailure = random() < failureChance;
+			minion.runs.set(order.task, {
+				run: order.run,
+				startedAtMs: timers.getNow(),
+				endsAtMs: isLasting ? Number.POSITIVE_INFINITY : timers.getNow() + (300 + (random() * 500)),
+				ending: isFailure ? 'failed' : 'done',
+				stopAtMs: Number.POSITIVE_INFINITY,
+			});
+			return answer(minion, {type: 'started' as const});
+		}),
+		stop: async order => deliver<'stopping' | 'fenced'>(order.target.address, order.timeoutMs, minion => {
+			if (isFenced(minion, order.fencingToken)) {
+				return answer(minion, 'fenced' as const);
+			}
+
+			const run = minion.runs.get(order.task);
+			if (run !== undefined) {
+				checkStop(minion, order.task);
+			}
+
+			minion.highestRuns.set(order.task, Math.max(order.run, minion.highestRuns.get(order.task) ?? 0));
+			if (run !== undefined && run.run <= order.run) {
+				run.stopAtMs = Math.min(run.stopAtMs, timers.getNow() + (random() * longestStopMs));
+			}
+
+			return answer(minion, 'stopping' as const);
+		}),
+		pace: async order => deliver<'paced' | 'fenced'>(order.target.address, order.timeoutMs, minion => answer(minion, isFenced(minion, order.fencingToken) ? 'fenced' as const : 'paced' as const)),
+		retain: () => undefined,
+	};
+
+	const replaceLife = (worker: WorkerId, inPool: PoolId, delayMs: number) => {
+		for (const minion of minions.values()) {
+			if (minion.record.worker === worker && !minion.isGone) {
+				minion.isGone = true;
+				for (const [id] of minion.runs) {
+					const task = findTask(ledger, id);
+					if (task !== undefined && getStep(task).disruptionBudget !== undefined) {
+						report('evicted', `${id} by an order for its worker`);
+					}
+				}
+			}
+		}
+
+		timers.scheduleOnce(delayMs, () => {
+			if (inPool !== standbyPool) {
+				createMinion(worker, inPool);
+			}
+		});
+	};
+
+	const workers: WorkerPort = {
+		async beginUpkeep({worker}) {
+			await pause(2);
+			if (!upkeeps.has(worker)) {
+				const down = [...upkeeps.values()].filter(atMs => timers.getNow() - atMs < upkeepMs).length;
+				if (down >= waveMaximum) {
+					report('waveBound', worker);
+				}
+
+				upkeeps.set(worker, timers.getNow());
+				const inPool = poolOfSpare.get(worker) ?? pool;
+				replaceLife(worker, inPool, upkeepMs);
+			}
+
+			return 'done';
+		},
+		async moveToPool({worker, pool: to}) {
+			await pause(2);
+			if ((poolOfSpare.get(worker) ?? pool) !== to) {
+				moves.push(`${worker} to ${to}`);
+				poolOfSpare.set(worker, to);
+				replaceLife(worker, to, 1500);
+			}
+
+			return 'done';
+		},
+		async list() {
+			await pause(2);
+			return createSuccess([...poolOfSpare].map(([worker, inPool]) => ({
+				worker, pool: inPool, state: 'up' as const, millicores: 8000,
+			})));
+		},
+	};
+
+	let waveMaximum = 0;
+
+	const propose = async (command: LedgerCommand, ofTerm: number): Promise<Decision> => {
+		await pause(commitMs);
+		// A deposed leader's proposals may still reach the log.
+		if (ofTerm !== term && random() < 0.5) {
+			return {type: 'unknown'};
+		}
+
+		const outcome = applyLedgerCommand(ledger, command, parse);
+		return ofTerm === term ? {type: 'applied', outcome} : {type: 'unknown'};
+	};
+
+	const lead = () => {
+		term += 1;
+		const ofTerm = term;
+		applyLedgerCommand(ledger, {type: 'term/begun', term}, parse);
+		leader = startLeader({
+			self: toBrand<NodeId>(`host-${term}`),
+			term,
+			limits: {leaseMs, retentionMs: 120_000, hasWorkerOrders: standbyWorkers > 0},
+			timers,
+			log: silentLog,
+			getWallClock,
+			getLedger: () => ledger,
+			canAct: () => term === ofTerm,
+			propose: async command => propose(command, ofTerm),
+			onFenced: () => undefined,
+			minions: port,
+			advice: {
+				async advise({minions: asked}) {
+					await pause(20);
+					return random() < lossChance
+						? createFailure('busy' as const)
+						: createSuccess(asked.map(minion => ({minion, ticket: toBrand<Ticket>(`t-${minion}`)})));
+				},
+			},
+			workers,
+			checkConfiguration: () => [],
+		});
+	};
+
+	const sendReports = () => {
+		for (const {record, isGone, isSilent} of minions.values()) {
+			if (!isGone && !isSilent) {
+				void leader?.answer({
+					type: 'minion/report',
+					report: {
+						record, sequence: timers.getNow(), isDraining: false, remainingMs: undefined,
+					},
+				});
+			}
+		}
+	};
+
+	applyLedgerCommand(ledger, {type: 'configuration/replaced', document: '{}'}, parse);
+	for (let index = 0; index < minionCount; index += 1) {
+		createMinion(toBrand<WorkerId>(`worker-${index}`), pool);
+	}
+
+	lead();
+	timers.scheduleEvery(500, sendReports);
+	timers.scheduleEvery(50, noteWork);
+	timers.scheduleEvery(stepMs, () => {
+		for (const minion of minions.values()) {
+			settle(minion);
+		}
+	});
+
+	const getTarget = (id: JobId) => ({host, path: `${pathPrefix}${id}`, key});
+	const findMinion = (index: number) => [...minions.values()].filter(({isGone}) => !isGone)[index];
+
+	return {
+		pool,
+		async advance(durationMs) {
+			for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
+				timers.advance(stepMs);
+				await flush(); // eslint-disable-line no-await-in-loop -- time moves on step by step
+			}
+		},
+		submit(steps) {
+			const id = toBrand<JobId>(nextJob.toString(16).padStart(16, '0'));
+			nextJob += 1;
+			const specification: JobSpecification = {payload: 'x', steps: steps.map(step => ({...plainStep, ...step})), schedule: undefined};
+			const submitted = leader?.answer({type: 'job/submit', target: getTarget(id), specification});
+			return {id, answer: submitted ?? Promise.resolve({type: 'unavailable'})};
+		},
+		cancel: async id => leader?.answer({type: 'job/cancel', target: getTarget(id)}) ?? {type: 'unavailable'},
+		getState: id => ledger.jobs.get(id)?.status,
+		async changeLeader() {
+			const old = leader;
+			// What the next leader knows has gone through the log and its snapshots.
+			ledger = restoreLedger(createLedgerSnapshot(ledger), parse);
+			lead();
+			await flush();
+			timers.scheduleOnce(700, () => {
+				old?.stop();
+			});
+		},
+		silence(index, durationMs) {
+			const minion = findMinion(index);
+			if (minion !== undefined) {
+				minion.isSilent = true;
+				timers.scheduleOnce(durationMs, () => {
+					minion.isSilent = false;
+				});
+			}
+		},
+		crash(index) {
+			const minion = findMinion(index);
+			if (minion !== undefined) {
+				minion.isGone = true;
+				timers.scheduleOnce(3000, () => {
+					createMinion(minion.record.worker, minion.record.pool);
+				});
+			}
+		},
+		countRuns: id => listRunning().filter(({id: task}) => task.startsWith(id)).length,
+		listBroken: () => broken,
+		listMoves: () => moves,
+		async startWave(workerCount, maximumAtOnce) {
+			waveMaximum = maximumAtOnce;
+			const members = [...minions.values()].slice(0, workerCount).map(({record}) => record.worker);
+			return leader?.answer({
+				type: 'wave/start', wave: {wave: toBrand('1'), workers: [...members, ...standby], maximumAtOnce}, durationMs: 20_000,
+			}) ?? {type: 'unavailable'};
+		},
+		async isWaveCompleted() {
+			const state = await leader?.answer({type: 'wave/read', wave: toBrand('1')});
+			return state?.type === 'waveState' && state.isCompleted;
+		},
+		getLedger: () => ledger,
+		countStarts: () => startCount,
+	};
+}
