Shorten leases, looks and elections, and see bursts sooner

Cause: work on a cut-off worker waited 4.5 s for its lease, a restart of all hosts 3 s for a leader, and a pool short by half was seen after a second.

--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -8,19 +8,19 @@
 export const leaderWaitMs = 900;
 
 /** Length of a lease on a minion, at most; long enough to outlast a change of leader. */
-export const longestLeaseMs = 4500;
+export const longestLeaseMs = 3200;
 
 /** The part of the platform's longest lease that is used, at most. */
-export const leaseShare = 0.75;
+export const leaseShare = 0.6;
 
 /** How long a hold waits for an end. */
-export const holdWaitMs = 1000;
+export const holdWaitMs = 700;
 
 /** How long a hold waits while a lasting task there does not serve yet. */
 export const warmUpWaitMs = 300;
 
 /** What a hold may take beyond its wait. */
-export const holdSlackMs = 500;
+export const holdSlackMs = 400;
 
 /** How long a start, stop or pace may take. */
 export const orderTimeoutMs = 450;
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -77,9 +77,9 @@
 /** Limits for hosts a few milliseconds apart. */
 const replicaLimits: ReplicaLimits = {
 	...defaultReplicaLimits,
-	heartbeatPeriodMs: 150,
-	electionTimeoutMs: 900,
-	leaderLeaseMs: 700,
+	heartbeatPeriodMs: 100,
+	electionTimeoutMs: 600,
+	leaderLeaseMs: 450,
 	snapshotEveryEntries: 3000,
 	trailingEntries: 1500,
 };
--- a/packages/daemon/src/scheduler/demand-meter.ts
+++ b/packages/daemon/src/scheduler/demand-meter.ts
@@ -18,6 +18,9 @@
 };
 
 const windowMs = 1000;
+// The beginning of a burst shows sooner in a shorter window, if enough jobs fall into it.
+const shortWindowMs = 400;
+const leastBurstArrivals = 4;
 
 /**
  * @param timers - The time.
@@ -26,6 +29,10 @@
 export function createDemandMeter(timers: TimerService): DemandMeter {
 	const arrivals = new Map<PoolId, readonly Arrival[]>();
 
+	const getRate = (recent: readonly Arrival[], lengthMs: number) => recent
+		.filter(({atMs}) => timers.getNow() - atMs < lengthMs)
+		.reduce((sum, {work}) => sum + work, 0) / lengthMs;
+
 	const getRecent = (pool: PoolId) => (arrivals.get(pool) ?? []).filter(({atMs}) => timers.getNow() - atMs < windowMs);
 
 	return {
@@ -33,6 +40,10 @@
 			const recent = getRecent(pool);
 			arrivals.set(pool, recent.some(arrival => arrival.id === id) ? recent : [...recent, {id, atMs: timers.getNow(), work}]);
 		},
-		getRate: pool => getRecent(pool).reduce((sum, {work}) => sum + work, 0) / windowMs,
+		getRate(pool) {
+			const recent = getRecent(pool);
+			const isBurst = recent.filter(({atMs}) => timers.getNow() - atMs < shortWindowMs).length >= leastBurstArrivals;
+			return Math.max(getRate(recent, windowMs), isBurst ? getRate(recent, shortWindowMs) : 0);
+		},
 	};
 }
