Copy or restart overdue tasks, avoid where a task failed, and keep log and metrics off the loop

Cause: tasks that stand still or crawl held their job for good; a minion that fails everything drew the same task again. Overdue is 2.5 times the estimate and 0.7 s. Log lines are written by a bounded writer in the background (a reader that stops left the process waiting before); counters and latency histograms are served in Prometheus text.

--- a/bench/job-graphs.ts
+++ b/bench/job-graphs.ts
@@ -212,6 +212,8 @@
 				record, runBound: Number.POSITIVE_INFINITY, isLeavingSoon: false, isSuspect: false,
 			})),
 			isAllowed: () => true,
+			isAvoided: () => false,
+			copies: [],
 			compare: policy.compare,
 		});
 		applyLedgerCommand(ledger, {type: 'runs/assigned', term: 0, runs}, () => undefined);
--- a/packages/core/src/scheduler/constants.ts
+++ b/packages/core/src/scheduler/constants.ts
@@ -5,7 +5,7 @@
 export const leaseMarginMs = 150;
 
 /** Failures in a row, with nothing done between, after which a minion gets no more work for a while. */
-export const failuresToQuarantine = 3;
+export const failuresToQuarantine = 2;
 
 /** First time without work after failures in a row; each further one doubles it. */
 export const firstQuarantineMs = 3000;
@@ -39,3 +39,12 @@
 
 /** What emptying some workers and their upkeep take together. */
 export const upkeepRoundMs = 5500;
+
+/** How much of a minion's slowness an ended run leaves as it was. */
+export const paceMemory = 0.7;
+
+/** Slowness from which a minion is suspected. */
+export const slowPace = 2;
+
+/** How long a suspicion lasts without a new sign. */
+export const suspicionMs = 6000;
--- /dev/null
+++ b/packages/core/src/scheduler/decisions.test.ts
@@ -0,0 +1,251 @@
+import {
+	toBrand, type JobId, type MinionId, type PoolId, type QueueId, type WorkerId,
+} from '@samphiremill/common';
+import {expect, test} from 'vitest';
+import {
+	admitJob, applyLedgerCommand, createLedger, createLedgerSnapshot, createLifeId, findTask, getFillerPace, isOverdue, isSuspectedSlow, measurePools, notePace, planStarts, planWorkerMoves, restoreLedger, unknownPace,
+	type JobSpecification, type Ledger, type MinionRecord, type StepSpecification, type Task, type UsableMinion,
+} from './index.js';
+
+const pool = toBrand<PoolId>('counter');
+const nowMs = 1_700_000_000_000;
+const parse = () => undefined;
+
+const createStep = (step: Partial<StepSpecification>): StepSpecification => ({
+	count: 1,
+	request: {cpuMillicores: 2000, memoryMb: 100, gpus: 0},
+	estimateMs: 1000,
+	dependsOn: [],
+	hasCheckpoints: false,
+	isGang: false,
+	isRackLocal: false,
+	requiredLabel: undefined,
+	dataRack: undefined,
+	maximumPerMinion: undefined,
+	allowsCopies: false,
+	isLasting: false,
+	image: '',
+	tailBoundMs: undefined,
+	isFiller: false,
+	disruptionBudget: undefined,
+	...step,
+});
+
+const createSpecification = (...steps: ReadonlyArray<Partial<StepSpecification>>): JobSpecification => ({
+	payload: '', schedule: undefined, steps: steps.map(step => createStep(step)),
+});
+
+const accept = (ledger: Ledger, name: string, {specification, acceptedAtMs = nowMs}: {readonly specification: JobSpecification; readonly acceptedAtMs?: number}) => {
+	const id = toBrand<JobId>(name.padStart(16, '0'));
+	applyLedgerCommand(ledger, {
+		type: 'job/accepted',
+		job: {
+			id, queue: toBrand<QueueId>('q'), pool, team: undefined, priority: 0, maximumAttempts: 3, stretchFactor: 1.6, startLatencyMs: 600, advice: undefined, specification, acceptedAtMs,
+		},
+	}, parse);
+	return id;
+};
+
+const join = (ledger: Ledger, name: string): UsableMinion => {
+	const minion = toBrand<MinionId>(name);
+	const record: MinionRecord = {
+		life: createLifeId(minion, 1), minion, bornAtMs: 1, address: `${name}:80`, worker: toBrand<WorkerId>(`worker-${name}`), pool, dataCentre: toBrand('dc'), rack: undefined, labels: [], capacity: {cpuMillicores: 8000, memoryMb: 10_000, gpus: 0},
+	};
+	applyLedgerCommand(ledger, {type: 'minion/joined', term: 0, record}, parse);
+	return {
+		record, runBound: Number.POSITIVE_INFINITY, isLeavingSoon: false, isSuspect: false,
+	};
+};
+
+const plan = (ledger: Ledger, minions: readonly UsableMinion[], copies: readonly Task[] = []) => planStarts({
+	ledger, nowMs, minions, isAllowed: () => true, isAvoided: () => false, copies,
+});
+
+const assign = (ledger: Ledger, minions: readonly UsableMinion[]) => {
+	const runs = plan(ledger, minions);
+	applyLedgerCommand(ledger, {type: 'runs/assigned', term: 0, runs}, parse);
+	return runs;
+};
+
+test('a burst beyond the pool: begun work first, then the smallest, what is late last', () => {
+	const ledger = createLedger();
+	const minions = [join(ledger, 'i-1'), join(ledger, 'i-2')];
+	accept(ledger, 'b', {specification: createSpecification({count: 6}, {count: 4, dependsOn: [0]})});
+	assign(ledger, minions);
+	accept(ledger, 'c', {specification: createSpecification({count: 8})});
+	accept(ledger, 'd', {specification: createSpecification({count: 2})});
+	accept(ledger, 'e', {specification: createSpecification({count: 1}), acceptedAtMs: nowMs - 10_000});
+	expect(assign(ledger, minions).map(({task}) => task)).toEqual(['000000000000000d.0.0.0', '000000000000000d.0.0.1']);
+	const begun = [...ledger.lives.values()].flatMap(({runs, record}) => [...runs].map(([task, run]) => ({task, run, life: record.life})));
+	applyLedgerCommand(ledger, {
+		type: 'runs/ended', term: 0, atMs: nowMs, ends: begun.filter(({task}) => task.startsWith('000000000000000b')).map(end => ({...end, ending: 'done', checkpoint: ''})),
+	}, parse);
+	expect(assign(ledger, minions).map(({task}) => task)).toEqual([
+		'000000000000000b.0.1.0', '000000000000000b.0.1.1', '000000000000000b.0.1.2', '000000000000000b.0.1.3', '000000000000000c.0.0.0', '000000000000000c.0.0.1',
+	]);
+});
+
+test('room counts what is being stopped, and a second run needs the first to end', () => {
+	const ledger = createLedger();
+	const minions = [join(ledger, 'i-1')];
+	const id = accept(ledger, 'a', {specification: createSpecification({count: 4})});
+	assign(ledger, minions);
+	accept(ledger, 'b', {specification: createSpecification({count: 1})});
+	applyLedgerCommand(ledger, {type: 'job/cancelled', id, atMs: nowMs}, parse);
+	expect(plan(ledger, minions)).toEqual([]);
+});
+
+test('an overdue task gets its copy on another minion only', () => {
+	const ledger = createLedger();
+	const minions = [join(ledger, 'i-1'), join(ledger, 'i-2')];
+	accept(ledger, 'a', {specification: createSpecification({allowsCopies: true})});
+	const [first] = assign(ledger, minions);
+	const task = findTask(ledger, first?.task ?? '');
+	expect(task === undefined ? [] : plan(ledger, minions, [task]).map(({run, life}) => ({run, isElsewhere: life !== first?.life}))).toEqual([{run: 2, isElsewhere: true}]);
+});
+
+test('a snapshot gives the same ledger back', () => {
+	const ledger = createLedger();
+	const minions = [join(ledger, 'i-1')];
+	accept(ledger, 'a', {specification: createSpecification({count: 3}, {count: 1, dependsOn: [0]})});
+	const runs = assign(ledger, minions);
+	applyLedgerCommand(ledger, {
+		type: 'runs/ended', term: 0, atMs: nowMs, ends: runs.slice(0, 1).map(run => ({...run, ending: 'failed', checkpoint: 'half'})),
+	}, parse);
+	const text = createLedgerSnapshot(ledger);
+	const restored = restoreLedger(text, parse);
+	expect(createLedgerSnapshot(restored)).toBe(text);
+	expect(measurePools(restored, nowMs)).toEqual(measurePools(ledger, nowMs));
+	expect(plan(restored, minions)).toEqual(plan(ledger, minions));
+});
+
+test('decisions of a leader that was replaced are void', () => {
+	const ledger = createLedger();
+	const minions = [join(ledger, 'i-1')];
+	accept(ledger, 'a', {specification: createSpecification({})});
+	const runs = plan(ledger, minions);
+	applyLedgerCommand(ledger, {type: 'term/begun', term: 2}, parse);
+	expect(applyLedgerCommand(ledger, {type: 'runs/assigned', term: 1, runs}, parse)).toEqual({type: 'ignored'});
+	expect(applyLedgerCommand(ledger, {type: 'runs/assigned', term: 2, runs}, parse)).toEqual({type: 'assigned', runs});
+});
+
+test('a job is refused only where it would come too late to be of use, with a time to come back', () => {
+	const policy = {stretchFactor: 1.6, startLatencyMs: 600};
+	const bound = {poolMillicores: 64_000, teamMillicores: 0};
+	const admit = (workAhead: number, specification = createSpecification({})) => admitJob(specification, policy, {
+		cpuMillicores: 64_000, bound, workAhead, largestMinion: {cpuMillicores: 8000, memoryMb: 10_000, gpus: 0},
+	});
+	expect([
+		admit(0),
+		admit(64_000 * 5000),
+		admit(64_000 * 9000),
+		admit(0, createSpecification({request: {cpuMillicores: 9000, memoryMb: 1, gpus: 0}})),
+		admit(64_000 * 9000, createSpecification({isLasting: true})),
+	]).toMatchInlineSnapshot(`
+		[
+		  {
+		    "expectedMs": 1000,
+		    "type": "accepted",
+		  },
+		  {
+		    "expectedMs": 6000,
+		    "type": "accepted",
+		  },
+		  {
+		    "expectedMs": 10000,
+		    "reason": "poolFull",
+		    "retryAfterMs": 7800,
+		    "type": "refused",
+		  },
+		  {
+		    "expectedMs": Infinity,
+		    "reason": "tooLarge",
+		    "retryAfterMs": 10000,
+		    "type": "refused",
+		  },
+		  {
+		    "expectedMs": 0,
+		    "type": "accepted",
+		  },
+		]
+	`);
+});
+
+test('spare workers go to the pool that is shortest, and loaned ones back once idle', () => {
+	const standby = toBrand<PoolId>('reserve');
+	const pressures = (runnableMillicores: number) => [
+		{
+			pool, isStandby: false, millicores: 64_000, runnableMillicores, inflowMillicores: 0,
+		},
+		{
+			pool: standby, isStandby: true, millicores: 0, runnableMillicores: 0, inflowMillicores: 0,
+		},
+	];
+	const worker = (name: string, inPool: PoolId, isLoaned: boolean) => ({
+		worker: toBrand<WorkerId>(name), pool: inPool, millicores: 32_000, idleMs: 2000, isLoaned,
+	});
+	const spare = [worker('spare-1', standby, false), worker('spare-2', standby, false), worker('spare-3', standby, false)];
+	expect({
+		enough: planWorkerMoves({pools: pressures(60_000), workers: spare}),
+		short: planWorkerMoves({pools: pressures(120_000), workers: spare}),
+		lull: planWorkerMoves({pools: pressures(4000), workers: [worker('home-1', pool, false), worker('loaned-1', pool, true)]}),
+		stillBusy: planWorkerMoves({pools: pressures(40_000), workers: [worker('loaned-1', pool, true)]}),
+	}).toMatchInlineSnapshot(`
+		{
+		  "enough": [],
+		  "lull": [
+		    {
+		      "from": "counter",
+		      "to": "reserve",
+		      "worker": "loaned-1",
+		    },
+		  ],
+		  "short": [
+		    {
+		      "from": "reserve",
+		      "to": "counter",
+		      "worker": "spare-1",
+		    },
+		    {
+		      "from": "reserve",
+		      "to": "counter",
+		      "worker": "spare-2",
+		    },
+		  ],
+		  "stillBusy": [],
+		}
+	`);
+});
+
+test('a filler slows before a tail reaches its bound, and speeds up in small steps', () => {
+	const paces: number[] = [];
+	let percent = 100;
+	for (const tailMs of [10, 60, 80, 90, 100, 70, 40, 30, 20]) {
+		percent = getFillerPace([{tailMs, boundMs: 100}], percent);
+		paces.push(percent);
+	}
+
+	expect(paces).toMatchInlineSnapshot(`
+		[
+		  100,
+		  100,
+		  50,
+		  25,
+		  0,
+		  0,
+		  15,
+		  30,
+		  45,
+		]
+	`);
+});
+
+test('a run is overdue well after its estimate, and a minion of such runs is suspected for a while', () => {
+	expect([900, 3100, 3300].map(elapsedMs => isOverdue({elapsedMs, estimateMs: 1000}))).toEqual([false, false, true]);
+	let pace = unknownPace;
+	for (const atMs of [0, 100, 200]) {
+		pace = notePace(pace, {elapsedMs: 5000, estimateMs: 1000, nowMs: atMs});
+	}
+
+	expect([300, 6300].map(atMs => isSuspectedSlow(pace, atMs))).toEqual([true, false]);
+});
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -21,6 +21,9 @@
 export {
 	admitJob, type Admission, type PoolLoad, type AdmissionRefusalReason,
 } from './admit-job.js';
+export {
+	isOverdue, isSuspectedSlow, notePace, unknownPace, type MinionPace,
+} from './judge-runs.js';
 export {planStarts, type StartPlanInput, type UsableMinion} from './plan-starts.js';
 export {type CompareReadySteps, type ReadyStep} from './order-work.js';
 export {getFillerPace, type TailReading} from './pace-fillers.js';
@@ -30,5 +33,7 @@
 export {
 	planWorkerMoves, type MovableWorker, type WorkerMoveInput, type PoolPressure, type WorkerMove,
 } from './plan-worker-moves.js';
-export {idlePool, measurePools, measureWorkAhead, type PoolMeasure} from './measure-pools.js';
+export {
+	idlePool, measurePools, measureWorkAhead, type PoolMeasure,
+} from './measure-pools.js';
 export {getLongestChainMs, getObjectiveMs, getWork} from './estimates.js';
--- a/packages/core/src/scheduler/plan-starts.ts
+++ b/packages/core/src/scheduler/plan-starts.ts
@@ -2,7 +2,7 @@
  * Which waiting tasks start on which minions.
  */
 import type {PoolId, RackId, TeamId} from '@samphiremill/common';
-import {getStepProgress} from './ledger.js';
+import {getStep, getStepProgress} from './ledger.js';
 import {orderReadySteps, type CompareReadySteps, type ReadyStep} from './order-work.js';
 import {
 	addResources, createResources, fitsInto, getRoomTaken, subtractResources,
@@ -30,6 +30,10 @@
 	readonly minions: readonly UsableMinion[];
 	/** Whether a step may run on a life; some queues ask an advice service. */
 	readonly isAllowed: (step: ReadyStep, life: LifeId) => boolean;
+	/** Whether a task is better not run on a life, where it failed before. */
+	readonly isAvoided: (task: Task, life: LifeId) => boolean;
+	/** Tasks that run already and get a copy, since their run is overdue. */
+	readonly copies: readonly Task[];
 	/** Which work goes first; by default what is nearest to missing its objective. */
 	readonly compare?: CompareReadySteps;
 };
@@ -90,6 +94,12 @@
 	readonly runsByLife: Map<LifeId, number>;
 };
 
+/** A task and where it may go. */
+type Placement = {
+	readonly place: Place;
+	readonly task: Task;
+};
+
 const countRunsByLife = (tasks: readonly Task[]) => {
 	const counts = new Map<LifeId, number>();
 	for (const {life} of tasks.flatMap(({runs}) => runs)) {
@@ -99,25 +109,26 @@
 	return counts;
 };
 
-const canHost = (plan: Plan, {ready, step, room, runsByLife}: StepPlaces, place: Place) => {
+const canHost = (plan: Plan, {ready, step, room, runsByLife}: StepPlaces, {place, task}: Placement) => {
 	const {record} = place.minion;
 	return place.runsLeft > 0
 		&& fitsInto(place.free, room)
 		&& (step.requiredLabel === undefined || record.labels.includes(step.requiredLabel))
 		&& (runsByLife.get(record.life) ?? 0) < (step.maximumPerMinion ?? Number.POSITIVE_INFINITY)
+		&& task.runs.every(({life}) => life !== record.life)
 		&& plan.input.isAllowed(ready, record.life);
 };
 
 // Lower is better. Lasting tasks and fillers spread out; others fill the fullest minion that has room,
 // so that wide tasks find whole minions.
-const scorePlace = ({step, runsByLife}: StepPlaces, place: Place, rack: RackId | undefined) => {
+const scorePlace = (plan: Plan, {step, runsByLife}: StepPlaces, {place, task, rack}: Placement & {readonly rack: RackId | undefined}) => {
 	const {record, isSuspect, isLeavingSoon} = place.minion;
 	const isFar = rack !== undefined && record.rack !== rack;
 	const free = place.free.cpuMillicores;
 	const spread = step.isLasting || step.isFiller
 		? ((runsByLife.get(record.life) ?? 0) * 1e6) + (isLeavingSoon ? 1e8 : 0) - free
 		: free;
-	return (isSuspect ? 1e12 : 0) + (isFar ? 1e9 : 0) + spread;
+	return (isSuspect || plan.input.isAvoided(task, record.life) ? 1e12 : 0) + (isFar ? 1e9 : 0) + spread;
 };
 
 const chooseBestPlace = (places: readonly Place[], score: (place: Place) => number) => {
@@ -150,11 +161,6 @@
 	return [...freeByRack].toSorted(([, left], [, right]) => right - left)[0]?.[0];
 };
 
-type Placement = {
-	readonly place: Place;
-	readonly task: Task;
-};
-
 const takeRoom = (plan: Plan, {ready, step, room, runsByLife}: StepPlaces, {place, factor}: {readonly place: Place; readonly factor: 1 | -1}) => {
 	const {life} = place.minion.record;
 	addResources(place.free, room, -factor);
@@ -173,7 +179,7 @@
 	const rack = getPreferredRack(stepPlaces, places);
 	for (const task of tasks) {
 		const place = hasTeamRoom(plan, stepPlaces)
-			? chooseBestPlace(places.filter(candidate => canHost(plan, stepPlaces, candidate)), candidate => scorePlace(stepPlaces, candidate, rack))
+			? chooseBestPlace(places.filter(candidate => canHost(plan, stepPlaces, {place: candidate, task})), candidate => scorePlace(plan, stepPlaces, {place: candidate, task, rack}))
 			: undefined;
 		if (place === undefined) {
 			break;
@@ -217,6 +223,25 @@
 	}
 };
 
+const planCopy = (plan: Plan, task: Task, places: readonly Place[]) => {
+	const step = getStep(task);
+	const progress = getStepProgress(task);
+	if (progress === undefined || task.isDone || task.runs.length !== 1) {
+		return;
+	}
+
+	const ready: ReadyStep = {
+		job: task.job, occurrence: task.occurrence, step: task.step, slackMs: 0, work: 0, hasStarted: true, isLasting: false, isLate: false,
+	};
+	const stepPlaces: StepPlaces = {
+		ready, step, room: getRoomTaken(step), runsByLife: countRunsByLife(progress.tasks),
+	};
+	const sound = places.filter(({minion: {isSuspect}}) => !isSuspect);
+	for (const {place} of placeTasks(plan, stepPlaces, {places: sound, tasks: [task]})) {
+		plan.assignments.push({task: task.id, run: task.lastRunNumber + 1, life: place.minion.record.life});
+	}
+};
+
 /**
  * Plans starts.
  *
@@ -235,5 +260,9 @@
 		}
 	}
 
+	for (const task of input.copies) {
+		planCopy(plan, task, placesByPool.get(task.job.pool) ?? []);
+	}
+
 	return plan.assignments;
 }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,6 +6,7 @@
  */
 export * from './peers/index.js';
 export * from './replica-host.js';
+export {createBoundedWriter, writeToStandardOutput, type BoundedWriter} from './runtime/bounded-writer.js';
 export {createLog} from './runtime/log.js';
 export {createRealTimerService} from './runtime/real-timer-service.js';
 export {readSeedCommands} from './runtime/read-seed-commands.js';
--- /dev/null
+++ b/packages/daemon/src/runtime/bounded-writer.ts
@@ -0,0 +1,123 @@
+/**
+ * Writes log lines in the background. Lines wait in a buffer of a fixed size; what a budget of lines a
+ * second or the buffer has no room for is left out, counted, and the count is written.
+ */
+import {write} from 'node:fs';
+import type {CancelTimer, TimerService} from '@samphiremill/common';
+
+/** Bounds of a writer. */
+export type WriterLimits = {
+	readonly maximumLinesPerSecond: number;
+	readonly maximumBufferedBytes: number;
+};
+
+/** A writer of lines that never blocks. */
+export type BoundedWriter = {
+	/** Takes a line without its line break. */
+	readonly writeLine: (line: string) => void;
+	/** Resolves once all lines that were taken are written, or could not be. */
+	readonly flush: () => Promise<void>;
+	readonly getDroppedLines: () => number;
+	readonly close: () => void;
+};
+
+/** Writes some text and resolves when it is written; rejects if it can't be. */
+export type WriteText = (text: string) => Promise<void>;
+
+/** Bounds for one process: some 100 KB a second at most. */
+export const defaultWriterLimits: WriterLimits = {maximumLinesPerSecond: 500, maximumBufferedBytes: 262_144};
+
+const flushPeriodMs = 50;
+const budgetPeriodMs = 1000;
+const standardOutput = 1;
+
+/** Writes to standard output on a thread of its own, so that a reader that stops holds nothing up. */
+export const writeToStandardOutput: WriteText = async text => new Promise((resolve, reject) => {
+	write(standardOutput, text, err => {
+		if (err === null) {
+			resolve();
+		} else {
+			reject(err);
+		}
+	});
+});
+
+/**
+ * @param options - How to write, the time, and the bounds.
+ * @returns The writer.
+ */
+export function createBoundedWriter({writeText, timers, limits = defaultWriterLimits}: {
+	readonly writeText: WriteText;
+	readonly timers: TimerService;
+	readonly limits?: WriterLimits;
+}): BoundedWriter {
+	let buffered = '';
+	let writing: Promise<void> | undefined;
+	let linesInPeriod = 0;
+	let periodBeganAtMs: number = timers.getNow();
+	let droppedInPeriod = 0;
+	let droppedLines = 0;
+
+	const writeOnce = async () => {
+		const text = buffered;
+		buffered = '';
+		try {
+			await writeText(text);
+		} catch {
+			// Nobody can be told where the log itself fails, so the lines count as left out.
+			droppedLines += text.split('\n').length - 1;
+		}
+	};
+
+	const drain = async () => {
+		while (buffered !== '') {
+			await writeOnce(); // eslint-disable-line no-await-in-loop -- one write at a time
+		}
+
+		writing = undefined;
+	};
+
+	const flush = async () => {
+		writing ??= drain();
+		await writing;
+	};
+
+	const append = (line: string) => {
+		buffered += `${line}\n`;
+	};
+
+	const beginPeriod = () => {
+		periodBeganAtMs = timers.getNow();
+		linesInPeriod = 0;
+		if (droppedInPeriod > 0) {
+			append(JSON.stringify({level: 'warn', message: `${droppedInPeriod} log lines were left out`, droppedLines: droppedInPeriod}));
+			droppedInPeriod = 0;
+		}
+	};
+
+	const cancelTimer: CancelTimer = timers.scheduleEvery(flushPeriodMs, () => {
+		if (timers.getNow() - periodBeganAtMs >= budgetPeriodMs) {
+			beginPeriod();
+		}
+
+		if (buffered !== '') {
+			void flush();
+		}
+	});
+
+	return {
+		writeLine(line) {
+			linesInPeriod += 1;
+			if (linesInPeriod > limits.maximumLinesPerSecond || buffered.length + line.length > limits.maximumBufferedBytes) {
+				droppedInPeriod += 1;
+				droppedLines += 1;
+				return;
+			}
+
+			append(line);
+		},
+		flush,
+		getDroppedLines: () => droppedLines,
+		close: cancelTimer,
+	};
+}
--- a/packages/daemon/src/runtime/log.ts
+++ b/packages/daemon/src/runtime/log.ts
@@ -9,19 +9,26 @@
 
 type LevelName = keyof DecisionLog;
 
-const writeJsonLine = (level: LevelName, node: string, fields: LogFields) => {
-	process.stdout.write(`${JSON.stringify({
-		time: new Date().toISOString(), level, node, ...fields,
-	})}\n`);
+const createJsonLine = (level: LevelName, node: string, fields: LogFields) => JSON.stringify({
+	time: new Date().toISOString(), level, ...fields, node,
+});
+
+const writeBlocking = (line: string) => {
+	process.stdout.write(`${line}\n`);
 };
 
 /**
  * Creates the log. Each line has a message that names the thing and the bound, and its fields.
  *
- * @param options - The level and format, and the node that every line names.
+ * @param options - The level and format, and the node that every line names, and where lines of JSON go;
+ * by default to standard output, which waits for its reader.
  * @returns The log.
  */
-export function createLog({settings, node}: {readonly settings: LogSettings; readonly node: string}): DecisionLog {
+export function createLog({settings, node, writeLine = writeBlocking}: {
+	readonly settings: LogSettings;
+	readonly node: string;
+	readonly writeLine?: (line: string) => void;
+}): DecisionLog {
 	const logger = new Logger<LogFields>({
 		name: node,
 		type: settings.format === 'json' ? 'hidden' : 'pretty',
@@ -38,7 +45,7 @@
 		const line = logger[level]({message, ...fields});
 		if (settings.format === 'json' && line !== undefined) {
 			const {_meta, ...masked} = line;
-			writeJsonLine(level, node, masked);
+			writeLine(createJsonLine(level, node, masked));
 		}
 	};
 
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -21,6 +21,7 @@
 import {
 	startLeader, type Decision, type Leader, type SchedulerLimits,
 } from './leader.js';
+import type {SchedulerMetrics} from './metrics.js';
 import type {
 	AdvicePort, ClusterAnswer, ClusterCall, ClusterReply, ConfigurationFinding, MinionPort, WorkerPort,
 } from './types.js';
@@ -57,6 +58,7 @@
 	readonly workers: WorkerPort;
 	readonly parseConfiguration: ParseConfiguration;
 	readonly checkConfiguration: (document: string) => readonly ConfigurationFinding[];
+	readonly metrics: SchedulerMetrics;
 };
 
 /** A running control host. */
@@ -92,7 +94,7 @@
  */
 export async function startControlHost(options: ControlHostOptions): Promise<Result<ControlHost, StoreError>> {
 	const {
-		settings, timers, random, log, getWallClock, parseConfiguration,
+		settings, timers, random, log, metrics, getWallClock, parseConfiguration,
 	} = options;
 	const {self} = settings;
 	const opened = await openReplicaStore<LedgerCommand>({folder: settings.dataFolder, isLocked: false});
@@ -184,7 +186,9 @@
 	const canAct = () => replica.hasLeaderLease() && replica.wasConfirmedSince(guard.check());
 
 	const propose = async (command: LedgerCommand): Promise<Decision> => {
+		const proposedAtMs = timers.getNow();
 		const result = await replica.propose(command);
+		metrics.record('commit_ms', timers.getNow() - proposedAtMs);
 		if (result.ok) {
 			return {type: 'applied', outcome: result.value.outcome};
 		}
@@ -199,6 +203,7 @@
 			return;
 		}
 
+		metrics.count('terms_led_total');
 		log.info(`leads in term ${term}`, {
 			term, configuration: ledger.configuration?.version, jobs: ledger.activeJobs.size, minions: ledger.lives.size,
 		});
@@ -222,6 +227,7 @@
 			advice: options.advice,
 			workers: options.workers,
 			checkConfiguration: options.checkConfiguration,
+			metrics,
 		});
 	};
 
--- a/packages/daemon/src/scheduler/index.ts
+++ b/packages/daemon/src/scheduler/index.ts
@@ -9,4 +9,5 @@
 export {startEntryHost, type EntryHost, type EntryHostSettings} from './entry-host.js';
 export {getNodeOfAddress} from './cluster-client.js';
 export type {SchedulerLimits} from './leader.js';
+export {createSchedulerMetrics, type SchedulerMetrics} from './metrics.js';
 export {leaseShare, longestLeaseMs} from './constants.js';
--- a/packages/daemon/src/scheduler/leader.test.ts
+++ b/packages/daemon/src/scheduler/leader.test.ts
@@ -5,7 +5,7 @@
 import {createTestWorld, type TestWorld} from './test-world.js';
 
 const settleMs = 1500;
-const runs = Number(process.env['SAMPHIREMILL_RUNS'] ?? 12);
+const runs = Number(process.env.SAMPHIREMILL_RUNS ?? 12);
 
 const start = async (options: Parameters<typeof createTestWorld>[0]) => {
 	const world = createTestWorld(options);
@@ -45,6 +45,15 @@
 	expect(world.countRuns(id)).toBe(0);
 });
 
+test.each([false, true])('tasks that stand still on one minion are done on another (copies allowed: %s)', async allowsCopies => {
+	const world = await start({seed: 7});
+	world.stall(0);
+	const {id} = world.submit([{count: 20, allowsCopies}]);
+	await world.advance(6000);
+	expect(world.getState(id)).toBe('completed');
+	expect(world.listBroken()).toEqual([]);
+});
+
 test('spare workers come to a pool that is short, and go back', async () => {
 	const world = await start({seed: 4, minionCount: 2, standbyWorkers: 2});
 	await world.advance(4000);
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -7,7 +7,7 @@
 } from '@samphiremill/common';
 import {
 	admitJob, countPendingJobs, findQueue, findTask, getFillerPace, getShownState, getStep, getWork, idlePool, isJobId, isWaveCompleted, listForgettableJobs, measurePools, measureWorkAhead, planStarts, planUpkeep,
-	type AcceptedJob, type ActiveConfiguration, type FoundQueue, type Job, type JobSpecification, type Ledger, type LedgerCommand, type LedgerOutcome, type LifeId, type PoolLoad, type PoolPressure, type QueueDefinition, type Resources, type RunAssignment, type Task, type TeamDefinition, type UpkeepRequest, type WorkerView,
+	type AcceptedJob, type ActiveConfiguration, type FoundQueue, type Job, type JobSpecification, type Ledger, type LedgerCommand, type LedgerOutcome, type LifeId, type PoolLoad, type PoolPressure, type QueueDefinition, type Resources, type RunAssignment, type Task, type TaskId, type TeamDefinition, type UpkeepRequest, type WorkerView,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
 import {createAdviceDesk, createStepId} from './advice-desk.js';
@@ -15,6 +15,7 @@
 	forgetPeriodMs, leaderTickMs, minionAbsenceMs, planGapMs,
 } from './constants.js';
 import {createDemandMeter} from './demand-meter.js';
+import type {SchedulerMetrics} from './metrics.js';
 import {openMinionSession, type MinionSession, type SessionContext} from './minion-session.js';
 import type {
 	AdvicePort, CallerTarget, ClusterAnswer, ClusterCall, ConfigurationFinding, MinionPort, MinionReport, WorkerPort,
@@ -56,6 +57,7 @@
 	readonly advice: AdvicePort;
 	readonly workers: WorkerPort;
 	readonly checkConfiguration: (document: string) => readonly ConfigurationFinding[];
+	readonly metrics: SchedulerMetrics;
 };
 
 /** A leader at work. */
@@ -131,7 +133,7 @@
  */
 export function startLeader(options: LeaderOptions): Leader {
 	const {
-		self, term, limits, timers, log, getWallClock, getLedger, canAct, propose, minions, workers,
+		self, term, limits, timers, log, getWallClock, getLedger, canAct, propose, minions, workers, metrics,
 	} = options;
 	const sessions = new Map<LifeId, MinionSession>();
 	const beganAtMs = timers.getNow();
@@ -140,6 +142,11 @@
 	let isPlanWanted = false;
 	let cordoned: ReadonlySet<WorkerId> = new Set();
 	let planBeganAtMs: number | undefined;
+	/** Where tasks failed, until they are over. */
+	const failedLives = new Map<TaskId, ReadonlySet<LifeId>>();
+	/** Tasks whose overdue run was ended or copied once; they may just be long. */
+	const hastened = new Set<TaskId>();
+	const wantedCopies = new Set<TaskId>();
 	const cordonedSince = new Map<WorkerId, number>();
 	const orders = createWorkerOrders({
 		self, term, timers, canAct: () => !isStopped && canAct(),
@@ -169,6 +176,7 @@
 
 	const sessionContext: SessionContext = {
 		timers,
+		metrics,
 		minions,
 		log,
 		fencingToken: term,
@@ -184,6 +192,9 @@
 		},
 		onFenced: options.onFenced,
 		getTicket: (task, life) => desk.getTicket(createStepId(task), life),
+		noteFailure(task, life) {
+			failedLives.set(task, new Set([...failedLives.get(task) ?? [], life]));
+		},
 		dropTicket(task, life) {
 			desk.dropTicket(createStepId(task), life);
 		},
@@ -228,14 +239,17 @@
 	const listWorkersDue = () => new Set([...getLedger().waves.values()].flatMap(({workers: members, ordered}) => members.filter(worker => !ordered.has(worker))));
 
 	const plan = async () => {
+		const wantedAtMs = timers.getNow();
 		const due = listWorkersDue();
 		const runs = planStarts({
 			ledger: getLedger(),
 			nowMs: getWallClock(),
 			minions: [...sessions.values()].filter(session => isPlaceable(session)).map(session => ({
-				record: session.record, runBound: session.getRunBound(), isLeavingSoon: due.has(session.record.worker) || getLedger().loans.has(session.record.worker), isSuspect: false,
+				record: session.record, runBound: session.getRunBound(), isLeavingSoon: due.has(session.record.worker) || getLedger().loans.has(session.record.worker), isSuspect: session.isSuspect(),
 			})),
 			isAllowed: desk.isAllowed,
+			isAvoided: (task, life) => failedLives.get(task.id)?.has(life) ?? false,
+			copies: listWantedCopies(),
 		});
 		if (runs.length === 0) {
 			return;
@@ -249,7 +263,9 @@
 		}
 
 		logAssignments(decision.outcome.runs);
+		metrics.record('plan_ms', timers.getNow() - wantedAtMs);
 		for (const assignment of decision.outcome.runs) {
+			metrics.count('runs_assigned_total');
 			sessions.get(assignment.life)?.start(assignment);
 		}
 	};
@@ -277,6 +293,46 @@
 		}
 	};
 
+	const listWantedCopies = () => [...wantedCopies]
+		.map(id => findTask(getLedger(), id))
+		.filter(task => task !== undefined);
+
+	const hasten = (session: MinionSession, id: TaskId) => {
+		const task = findTask(getLedger(), id);
+		if (task === undefined || hastened.has(id) || task.job.status !== 'active' || task.runs.length !== 1) {
+			return;
+		}
+
+		hastened.add(id);
+		if (getStep(task).allowsCopies) {
+			log.info(`task ${id} gets a copy: its run is overdue`, {id, minion: session.record.minion, estimateMs: getStep(task).estimateMs});
+			wantedCopies.add(id);
+		} else {
+			session.stop(id, 'it is overdue');
+		}
+	};
+
+	const hastenOverdue = () => {
+		for (const session of sessions.values()) {
+			for (const {task} of session.listOverdue()) {
+				hasten(session, task);
+			}
+		}
+	};
+
+	const forgetTasks = () => {
+		for (const id of [...hastened, ...wantedCopies, ...failedLives.keys()]) {
+			const task = findTask(getLedger(), id);
+			if (task === undefined || task.isDone) {
+				hastened.delete(id);
+				wantedCopies.delete(id);
+				failedLives.delete(id);
+			} else if (task.runs.length !== 1) {
+				wantedCopies.delete(id);
+			}
+		}
+	};
+
 	// What runs of a job that is over, or of a task that another copy has done, is stopped.
 	const stopNeedless = () => {
 		const ledger = getLedger();
@@ -328,6 +384,7 @@
 			return;
 		}
 
+		metrics.count('upkeeps_ordered_total', result);
 		log.info(`upkeep of worker ${worker} in wave ${wave}: ${result}`, {
 			worker, wave, life, result,
 		});
@@ -437,6 +494,7 @@
 	};
 
 	const moves = createWorkerMoves({
+		metrics,
 		timers,
 		log,
 		workers,
@@ -466,6 +524,8 @@
 			session.tick();
 		}
 
+		forgetTasks();
+		hastenOverdue();
 		stopNeedless();
 		runWaves();
 		if (limits.hasWorkerOrders) {
@@ -525,6 +585,7 @@
 			configuration: access.configuration.version,
 		};
 		if (admission.type === 'refused') {
+			metrics.count('jobs_refused_total', admission.reason);
 			log.info(`job ${id} is refused: ${admission.reason}`, {...inputs, reason: admission.reason, retryAfterMs: Math.round(admission.retryAfterMs)});
 			return {type: 'refused', reason: admission.reason, retryAfterMs: admission.retryAfterMs};
 		}
@@ -540,6 +601,7 @@
 			return {type: decision.type === 'notProposed' ? 'unavailable' : 'uncertain'};
 		}
 
+		metrics.count('jobs_accepted_total');
 		wantPlan();
 		return {type: 'accepted'};
 	};
@@ -580,6 +642,7 @@
 			return {type: decision.type === 'notProposed' ? 'unavailable' : 'uncertain'};
 		}
 
+		metrics.count('jobs_cancelled_total');
 		stopNeedless();
 		wantPlan();
 		return {type: 'done'};
--- /dev/null
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -0,0 +1,65 @@
+/**
+ * Counters and latency histograms of one process, in the text format of Prometheus.
+ */
+// The package's entry also loads its WebAssembly build and a compressor, 13 MB of resident memory.
+import int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js';
+
+/** What is counted. Labels come from fixed sets only, so the number of series is bounded. */
+export type SchedulerCounter
+	= | 'jobs_accepted_total'
+		| 'jobs_refused_total'
+		| 'jobs_cancelled_total'
+		| 'runs_assigned_total'
+		| 'runs_ended_total'
+		| 'leases_lapsed_total'
+		| 'upkeeps_ordered_total'
+		| 'moves_begun_total'
+		| 'terms_led_total'
+		| 'requests_answered_total'
+		| 'requests_not_answered_total';
+
+/** What is measured, in milliseconds. */
+export type SchedulerLatency = 'commit_ms' | 'plan_ms' | 'request_ms';
+
+/** Counters and histograms. */
+export type SchedulerMetrics = {
+	readonly count: (name: SchedulerCounter, label?: string) => void;
+	readonly record: (name: SchedulerLatency, durationMs: number) => void;
+	/** @returns Everything as text. */
+	readonly format: () => string;
+};
+
+const highestTrackableMs = 60_000;
+const significantDigits = 2;
+const quantiles = [50, 90, 99];
+const prefix = 'samphiremill_';
+
+const createHistogram = () => new int32Histogram.default(1, highestTrackableMs, significantDigits); // eslint-disable-line new-cap -- the class as CommonJS exports it
+
+/** @returns Metrics, all empty. */
+export function createSchedulerMetrics(): SchedulerMetrics {
+	const counters = new Map<string, number>();
+	const histograms = new Map<SchedulerLatency, ReturnType<typeof createHistogram>>();
+
+	const formatHistogram = ([name, histogram]: [SchedulerLatency, ReturnType<typeof createHistogram>]) => [
+		...quantiles.map(quantile => `${prefix}${name}{quantile="${quantile / 100}"} ${histogram.getValueAtPercentile(quantile)}`),
+		`${prefix}${name}_count ${histogram.totalCount}`,
+	];
+
+	return {
+		count(name, label) {
+			const series = label === undefined ? name : `${name}{kind="${label}"}`;
+			counters.set(series, (counters.get(series) ?? 0) + 1);
+		},
+		record(name, durationMs) {
+			const histogram = histograms.get(name) ?? createHistogram();
+			histograms.set(name, histogram);
+			histogram.recordValue(Math.min(highestTrackableMs, Math.max(1, Math.round(durationMs))));
+		},
+		format: () => [
+			...[...counters].map(([series, value]) => `${prefix}${series} ${value}`),
+			...[...histograms].flatMap(entry => formatHistogram(entry)),
+			'',
+		].join('\n'),
+	};
+}
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -3,13 +3,14 @@
  */
 import type {TimerService} from '@samphiremill/common';
 import {
-	findTask, getInheritedLeaseMs, getLeaseDeadline, getRunBound, getStep, isLeaseOver, noteRunDone, noteRunFailed, unknownHealth,
-	type ClockReading, type Ledger, type LedgerCommand, type LifeId, type MinionHealth, type MinionRecord, type RunAssignment, type RunEnd, type RunEnding, type Task, type TaskId, type Ticket,
+	findTask, getInheritedLeaseMs, getLeaseDeadline, getRunBound, getStep, isLeaseOver, isOverdue, isSuspectedSlow, notePace, noteRunDone, noteRunFailed, unknownHealth, unknownPace,
+	type ClockReading, type Ledger, type LedgerCommand, type LifeId, type MinionHealth, type MinionPace, type MinionRecord, type RunAssignment, type RunEnd, type RunEnding, type Task, type TaskId, type Ticket,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
 import {
 	holdRetryMs, holdSlackMs, holdWaitMs, orderRetryMs, orderTimeoutMs, warmUpWaitMs,
 } from './constants.js';
+import type {SchedulerMetrics} from './metrics.js';
 import type {
 	FinishedEntry, HoldReport, MinionAnswer, MinionPort, MinionReport, MinionTarget, RunningEntry, StartResult,
 } from './types.js';
@@ -19,6 +20,7 @@
 	readonly timers: TimerService;
 	readonly minions: MinionPort;
 	readonly log: DecisionLog;
+	readonly metrics: SchedulerMetrics;
 	readonly fencingToken: number;
 	readonly leaseMs: number;
 	/** When the term began, on the monotonic clock. */
@@ -35,6 +37,7 @@
 	readonly onFenced: () => void;
 	readonly getTicket: (task: Task, life: LifeId) => Ticket | undefined;
 	readonly dropTicket: (task: Task, life: LifeId) => void;
+	readonly noteFailure: (task: TaskId, life: LifeId) => void;
 };
 
 /** How an order stands. */
@@ -86,6 +89,10 @@
 	readonly isUsable: () => boolean;
 	readonly isDraining: () => boolean;
 	readonly getRunBound: () => number;
+	/** Whether its runs have taken far longer than expected. */
+	readonly isSuspect: () => boolean;
+	/** Runs of other than lasting tasks that are overdue. */
+	readonly listOverdue: () => readonly RunView[];
 	readonly getRun: (task: TaskId) => RunView | undefined;
 	readonly listRuns: () => readonly RunView[];
 	/** When it last reported or answered, on the monotonic clock. */
@@ -104,7 +111,9 @@
  * @returns The session.
  */
 export function openMinionSession(record: MinionRecord, context: SessionContext): MinionSession {
-	const {timers, minions, log, fencingToken, leaseMs} = context;
+	const {
+		timers, minions, log, metrics, fencingToken, leaseMs,
+	} = context;
 	const target: MinionTarget = {
 		life: record.life, minion: record.minion, bornAtMs: record.bornAtMs, address: record.address,
 	};
@@ -116,6 +125,7 @@
 	let isClosed = false;
 	let isDraining = false;
 	let health: MinionHealth = unknownHealth;
+	let pace: MinionPace = unknownPace;
 	let heardAtMs: number = timers.getNow();
 	let unhealthyUntilMs = 0;
 	let sequence = -1;
@@ -181,12 +191,30 @@
 		}
 	};
 
+	const getLength = (id: TaskId) => {
+		const task = findTask(context.getLedger(), id);
+		const startedAtMs = controls.get(id)?.startedAtMs;
+		const step = task && getStep(task);
+		return step === undefined || step.isLasting || startedAtMs === undefined
+			? undefined
+			: {elapsedMs: timers.getNow() - startedAtMs, estimateMs: step.estimateMs};
+	};
+
+	const judgePace = (id: TaskId) => {
+		const length = getLength(id);
+		if (length !== undefined) {
+			pace = notePace(pace, {...length, nowMs: timers.getNow()});
+		}
+	};
+
 	const noteHealth = (ends: readonly RunEnd[]) => {
 		for (const {ending, task} of ends) {
 			const job = findTask(context.getLedger(), task)?.job.id;
 			if (ending === 'done') {
 				health = noteRunDone(health);
+				judgePace(task);
 			} else if (ending === 'failed' && job !== undefined) {
+				context.noteFailure(task, record.life);
 				const before = health.quarantineCount;
 				health = noteRunFailed(health, {job, nowMs: timers.getNow()});
 				if (health.quarantineCount > before) {
@@ -205,6 +233,10 @@
 		}
 
 		noteHealth(live);
+		for (const {ending} of live) {
+			metrics.count('runs_ended_total', ending);
+		}
+
 		const isNoted = await context.decide({
 			type: 'runs/ended', term: fencingToken, ends: live, atMs: context.getWallClock(),
 		});
@@ -544,6 +576,7 @@
 		clock = undefined;
 		latestDeadlineMs = 0;
 		const runs = [...context.getLedger().lives.get(record.life)?.runs ?? []];
+		metrics.count('leases_lapsed_total');
 		log.warn(`the lease on minion ${record.minion} ran out with ${runs.length} runs`, {
 			minion: record.minion, life: record.life, silentMs: Math.round(timers.getNow() - heardAtMs), tasks: runs.map(([task]) => task),
 		});
@@ -638,6 +671,14 @@
 		isAnswering,
 		isDraining: () => isDraining,
 		getRunBound: () => getRunBound(health, timers.getNow()),
+		isSuspect: () => isSuspectedSlow(pace, timers.getNow()),
+		listOverdue: () => [...controls.values()].filter(({assignment, phase, isStopWanted}) => {
+			const length = phase === 'running' && !isStopWanted ? getLength(assignment.task) : undefined;
+			return length !== undefined && isOverdue(length);
+		}).map(control => {
+			judgePace(control.assignment.task);
+			return toView(control);
+		}),
 		getRun(task) {
 			const control = controls.get(task);
 			return control && toView(control);
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -11,6 +11,7 @@
 	type FleetConfiguration, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord, type RunEnding, type StepSpecification, type TaskId, type Ticket,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
+import {createSchedulerMetrics} from './metrics.js';
 import {startLeader, type Decision, type Leader} from './leader.js';
 import type {
 	ClusterAnswer, FinishedEntry, HoldReport, MinionAnswer, MinionPort, StartResult, WorkerPort,
@@ -50,6 +51,7 @@
 	deadlineMs: number;
 	isSilent: boolean;
 	isGone: boolean;
+	isStalled: boolean;
 	lastLapseNumber: number;
 };
 
@@ -64,6 +66,8 @@
 	readonly changeLeader: () => Promise<void>;
 	readonly silence: (index: number, durationMs: number) => void;
 	readonly crash: (index: number) => void;
+	/** What starts on the minion from now on never ends by itself. */
+	readonly stall: (index: number) => void;
 	readonly countRuns: (id: JobId) => number;
 	readonly listBroken: () => readonly string[];
 	readonly listMoves: () => readonly string[];
@@ -181,7 +185,7 @@
 		};
 		nextLife += 1;
 		const created: FakeMinion = {
-			record, clockRate: 0.98 + (random() * 0.02), bornAtMs: timers.getNow(), runs: new Map(), highestRuns: new Map(), finished: [], nextNumber: 1, fencingToken: 0, deadlineMs: 0, isSilent: false, isGone: false, lastLapseNumber: 0,
+			record, clockRate: 0.98 + (random() * 0.02), bornAtMs: timers.getNow(), runs: new Map(), highestRuns: new Map(), finished: [], nextNumber: 1, fencingToken: 0, deadlineMs: 0, isSilent: false, isGone: false, isStalled: false, lastLapseNumber: 0,
 		};
 		minions.set(record.address, created);
 		return created;
@@ -398,7 +402,7 @@
 			minion.runs.set(order.task, {
 				run: order.run,
 				startedAtMs: timers.getNow(),
-				endsAtMs: isLasting ? Number.POSITIVE_INFINITY : timers.getNow() + (300 + (random() * 500)),
+				endsAtMs: isLasting || minion.isStalled ? Number.POSITIVE_INFINITY : timers.getNow() + (300 + (random() * 500)),
 				ending: isFailure ? 'failed' : 'done',
 				stopAtMs: Number.POSITIVE_INFINITY,
 			});
@@ -518,6 +522,7 @@
 			},
 			workers,
 			checkConfiguration: () => [],
+			metrics: createSchedulerMetrics(),
 		});
 	};
 
@@ -587,6 +592,12 @@
 				});
 			}
 		},
+		stall(index) {
+			const minion = findMinion(index);
+			if (minion !== undefined) {
+				minion.isStalled = true;
+			}
+		},
 		crash(index) {
 			const minion = findMinion(index);
 			if (minion !== undefined) {
--- a/packages/daemon/src/scheduler/worker-moves.ts
+++ b/packages/daemon/src/scheduler/worker-moves.ts
@@ -7,6 +7,7 @@
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
 import {listPeriodMs, longestMoveMs, moveSettleMs} from './constants.js';
+import type {SchedulerMetrics} from './metrics.js';
 import type {ListedWorker, WorkerPort} from './types.js';
 import type {WorkerOrders} from './worker-orders.js';
 
@@ -25,6 +26,7 @@
 export type WorkerMovesOptions = {
 	readonly timers: TimerService;
 	readonly log: DecisionLog;
+	readonly metrics: SchedulerMetrics;
 	readonly workers: WorkerPort;
 	readonly orders: WorkerOrders;
 	readonly listRunning: () => readonly RunningWorker[];
@@ -60,7 +62,7 @@
  * @param options - What the moves need.
  * @returns The moves.
  */
-export function createWorkerMoves({timers, log, workers, orders, listRunning, listPressures, getLoans, isSettledSince, term, decide, onChanged}: WorkerMovesOptions): WorkerMoves {
+export function createWorkerMoves({timers, log, metrics, workers, orders, listRunning, listPressures, getLoans, isSettledSince, term, decide, onChanged}: WorkerMovesOptions): WorkerMoves {
 	const active = new Map<WorkerId, ActiveMove>();
 	const idleSince = new Map<WorkerId, number>();
 	let listed: readonly ListedWorker[] = [];
@@ -100,6 +102,7 @@
 
 	const begin = ({worker, from, to}: WorkerMove, running: ReadonlyMap<WorkerId, RunningWorker>) => {
 		const known = running.get(worker);
+		metrics.count('moves_begun_total');
 		log.info(`worker ${worker} moves from pool ${from} to ${to}`, {
 			worker, from, to, life: known?.life,
 		});
