--- a/packages/core/src/scheduler/decisions.test.ts
+++ b/packages/core/src/scheduler/decisions.test.ts
@@ -3,7 +3,8 @@
 } from '@samphiremill/common';
 import {expect, test} from 'vitest';
 import {
-	admitJob, applyLedgerCommand, createLedger, createLedgerSnapshot, createLifeId, findTask, getFillerPace, isOverdue, isSuspectedSlow, measurePools, notePace, planStarts, planWorkerMoves, restoreLedger, unknownPace,
+	admitJob, applyLedgerCommand, createLedger, createLedgerSnapshot, createLifeId, findTask, getFillerPace, isOverdue,
+	isSuspectedSlow, measurePools, notePace, planStarts, planWorkerMoves, restoreLedger, unknownPace,
 	type JobSpecification, type Ledger, type MinionRecord, type StepSpecification, type Task, type UsableMinion,
 } from './index.js';
 
--- a/packages/daemon/src/runtime/bounded-writer.ts
+++ b/packages/daemon/src/runtime/bounded-writer.ts
@@ -69,8 +69,10 @@
 		}
 	};
 
+	const hasLines = () => buffered !== '';
+
 	const drain = async () => {
-		while (buffered !== '') {
+		while (hasLines()) {
 			await writeOnce(); // eslint-disable-line no-await-in-loop -- one write at a time
 		}
 
@@ -100,7 +102,7 @@
 			beginPeriod();
 		}
 
-		if (buffered !== '') {
+		if (hasLines()) {
 			void flush();
 		}
 	});
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -6,8 +6,13 @@
 	NodeId, PoolId, TimerService, WorkerId,
 } from '@samphiremill/common';
 import {
-	admitJob, countPendingJobs, findQueue, findTask, getFillerPace, getShownState, getStep, getWork, idlePool, isJobId, isWaveCompleted, listForgettableJobs, measurePools, measureWorkAhead, planStarts, planUpkeep,
-	type AcceptedJob, type ActiveConfiguration, type FoundQueue, type Job, type JobSpecification, type Ledger, type LedgerCommand, type LedgerOutcome, type LifeId, type PoolLoad, type PoolPressure, type QueueDefinition, type Resources, type RunAssignment, type Task, type TaskId, type TeamDefinition, type UpkeepRequest, type WorkerView,
+	admitJob, countPendingJobs, findQueue, findTask, getFillerPace, getLongestChainMs, getObjectiveMs, getShownState,
+	getStep, getWork, idlePool, isJobId, isWaveCompleted, listForgettableJobs, measurePools, measureWorkAhead,
+	planStarts, planUpkeep,
+	type AcceptedJob, type ActiveConfiguration, type FoundQueue, type Job, type JobSpecification, type Ledger,
+	type LedgerCommand, type LedgerOutcome, type LifeId, type PoolLoad, type PoolPressure, type QueueDefinition,
+	type Resources, type RunAssignment, type Task, type TaskId, type TeamDefinition, type UpkeepRequest,
+	type WorkerView,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
 import {createAdviceDesk, createStepId} from './advice-desk.js';
@@ -195,11 +200,26 @@
 		noteFailure(task, life) {
 			failedLives.set(task, new Set([...failedLives.get(task) ?? [], life]));
 		},
+		onEndsNoted(jobs) {
+			for (const job of jobs.filter(({status}) => status !== 'active')) {
+				logJobEnd(job);
+			}
+		},
 		dropTicket(task, life) {
 			desk.dropTicket(createStepId(task), life);
 		},
 	};
 
+	const logJobEnd = ({id, status, queue, pool, specification, stretchFactor, startLatencyMs, acceptedAtMs, endedAtMs = acceptedAtMs}: Job) => {
+		const chainMs = getLongestChainMs(specification.steps, {poolMillicores: 0, teamMillicores: 0});
+		const objectiveMs = Math.round(getObjectiveMs({stretchFactor, startLatencyMs}, chainMs));
+		const tookMs = Math.round(endedAtMs - acceptedAtMs);
+		log.info(`job ${id}: ${status} ${tookMs} ms after it was accepted, objective ${objectiveMs} ms`, {
+			id, status, queue, pool, tookMs, objectiveMs, isLate: tookMs > objectiveMs,
+		});
+		metrics.count('jobs_ended_total', tookMs > objectiveMs ? `${status}Late` : status);
+	};
+
 	// Sessions follow the lives that the ledger knows.
 	const syncSessions = () => {
 		const {lives} = getLedger();
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -9,6 +9,7 @@
 	= | 'jobs_accepted_total'
 		| 'jobs_refused_total'
 		| 'jobs_cancelled_total'
+		| 'jobs_ended_total'
 		| 'runs_assigned_total'
 		| 'runs_ended_total'
 		| 'leases_lapsed_total'
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -3,8 +3,10 @@
  */
 import type {TimerService} from '@samphiremill/common';
 import {
-	findTask, getInheritedLeaseMs, getLeaseDeadline, getRunBound, getStep, isLeaseOver, isOverdue, isSuspectedSlow, notePace, noteRunDone, noteRunFailed, unknownHealth, unknownPace,
-	type ClockReading, type Ledger, type LedgerCommand, type LifeId, type MinionHealth, type MinionPace, type MinionRecord, type RunAssignment, type RunEnd, type RunEnding, type Task, type TaskId, type Ticket,
+	findTask, getInheritedLeaseMs, getLeaseDeadline, getRunBound, getStep, isLeaseOver, isOverdue, isSuspectedSlow,
+	notePace, noteRunDone, noteRunFailed, unknownHealth, unknownPace,
+	type ClockReading, type Job, type Ledger, type LedgerCommand, type LifeId, type MinionHealth, type MinionPace,
+	type MinionRecord, type RunAssignment, type RunEnd, type RunEnding, type Task, type TaskId, type Ticket,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
 import {
@@ -38,6 +40,8 @@
 	readonly getTicket: (task: Task, life: LifeId) => Ticket | undefined;
 	readonly dropTicket: (task: Task, life: LifeId) => void;
 	readonly noteFailure: (task: TaskId, life: LifeId) => void;
+	/** Jobs that were active before ends were noted. */
+	readonly onEndsNoted: (jobs: readonly Job[]) => void;
 };
 
 /** How an order stands. */
@@ -215,6 +219,7 @@
 				judgePace(task);
 			} else if (ending === 'failed' && job !== undefined) {
 				context.noteFailure(task, record.life);
+				log.info(`task ${task} failed on minion ${record.minion}`, {id: task, minion: record.minion, failures: (findTask(context.getLedger(), task)?.failures ?? 0) + 1});
 				const before = health.quarantineCount;
 				health = noteRunFailed(health, {job, nowMs: timers.getNow()});
 				if (health.quarantineCount > before) {
@@ -237,9 +242,12 @@
 			metrics.count('runs_ended_total', ending);
 		}
 
+		const jobs = new Set(live.flatMap(({task}) => findTask(context.getLedger(), task)?.job ?? []));
+		const activeJobs = [...jobs].filter(({status}) => status === 'active');
 		const isNoted = await context.decide({
 			type: 'runs/ended', term: fencingToken, ends: live, atMs: context.getWallClock(),
 		});
+		context.onEndsNoted(activeJobs);
 		dropEndedControls();
 		context.onChanged();
 		return isNoted;
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -4,11 +4,13 @@
  * checked against the promises to callers.
  */
 import {
-	createFailure, createSeededRandom, createSuccess, createVirtualTimerService, toBrand, type DataCentreId, type JobId, type MinionId, type NodeId, type PoolId, type QueueId, type RackId, type RandomSource, type TeamId, type WorkerId,
+	createFailure, createSeededRandom, createSuccess, createVirtualTimerService, toBrand, type DataCentreId, type JobId,
+	type MinionId, type NodeId, type PoolId, type QueueId, type RackId, type RandomSource, type TeamId, type WorkerId,
 } from '@samphiremill/common';
 import {
 	applyLedgerCommand, createLedger, createLedgerSnapshot, createLifeId, findTask, getStep, getStepProgress, parseTaskId, restoreLedger,
-	type FleetConfiguration, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord, type RunEnding, type StepSpecification, type TaskId, type Ticket,
+	type FleetConfiguration, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord, type RunEnding,
+	type StepSpecification, type TaskId, type Ticket,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
 import {createSchedulerMetrics} from './metrics.js';
@@ -233,6 +235,17 @@
 		broken.push(`${rule} at ${Math.round(timers.getNow())} ms in term ${term}: ${detail}`);
 	};
 
+	const sumMillicores = (ids: readonly string[], isCounted: (step: StepSpecification) => boolean) => {
+		let sum = 0;
+		for (const id of ids) {
+			const task = findTask(ledger, id);
+			const step = task && getStep(task);
+			sum += step !== undefined && isCounted(step) ? step.request.cpuMillicores : 0;
+		}
+
+		return sum;
+	};
+
 	const checkStart = (minion: FakeMinion, {task: id, run}: {readonly task: TaskId; readonly run: number}) => {
 		const task = findTask(ledger, id);
 		const parts = parseTaskId(id);
@@ -258,19 +271,13 @@
 			report('order', id);
 		}
 
-		const used = [...minion.runs.keys()].reduce((sum, other) => {
-			const running = findTask(ledger, other);
-			return sum + (running === undefined || getStep(running).isFiller ? 0 : getStep(running).request.cpuMillicores);
-		}, 0);
+		const used = sumMillicores([...minion.runs.keys()], ({isFiller}) => !isFiller);
 		if (!step.isFiller && used + step.request.cpuMillicores > minion.record.capacity.cpuMillicores) {
 			report('room', `${id} on ${minion.record.minion}`);
 		}
 
 		const maximum = options.teamMaximumMillicores ?? 0;
-		const usedByTeam = listRunning().reduce((sum, {id: other}) => {
-			const running = findTask(ledger, other);
-			return sum + (running === undefined ? 0 : getStep(running).request.cpuMillicores);
-		}, 0);
+		const usedByTeam = sumMillicores(listRunning().map(({id: other}) => other), () => true);
 		if (maximum > 0 && usedByTeam + step.request.cpuMillicores > maximum) {
 			report('teamMaximum', `${id}: ${usedByTeam + step.request.cpuMillicores}`);
 		}
