--- a/packages/core/src/scheduler/constants.ts
+++ b/packages/core/src/scheduler/constants.ts
@@ -13,11 +13,17 @@
 /** Longest time without work after failures in a row. */
 export const longestQuarantineMs = 24_000;
 
-/** A run is overdue after this many times its estimate... */
-export const overdueFactor = 2.5;
+/** A run is judged by its speed only after this time. */
+export const leastJudgedMs = 500;
 
-/** ...and this much more. */
-export const overdueMarginMs = 700;
+/** A run that shows no progress for this long stands still. */
+export const stallMs = 1500;
+
+/** A run that will take this many times what its peers take is left behind. */
+export const stragglerFactor = 2.5;
+
+/** What ending a run and starting another costs, beside the work. */
+export const restartCostMs = 500;
 
 /** Part of its bound that a serving task's tail may reach before fillers beside it are slowed. */
 export const tailHeadroom = 0.75;
--- a/packages/core/src/scheduler/decisions.test.ts
+++ b/packages/core/src/scheduler/decisions.test.ts
@@ -3,8 +3,8 @@
 } from '@samphiremill/common';
 import {expect, test} from 'vitest';
 import {
-	admitJob, applyLedgerCommand, createLedger, createLedgerSnapshot, createLifeId, findTask, getFillerPace, isOverdue,
-	isSuspectedSlow, measurePools, notePace, planStarts, planWorkerMoves, restoreLedger, unknownPace,
+	admitJob, applyLedgerCommand, createLedger, createLedgerSnapshot, createLifeId, findTask, getFillerPace,
+	isSuspectedSlow, judgeRun, measurePools, notePace, planStarts, planWorkerMoves, restoreLedger, unknownPace,
 	type JobSpecification, type Ledger, type MinionRecord, type StepSpecification, type Task, type UsableMinion,
 } from './index.js';
 
@@ -241,11 +241,40 @@
 	`);
 });
 
-test('a run is overdue well after its estimate, and a minion of such runs is suspected for a while', () => {
-	expect([900, 3100, 3300].map(elapsedMs => isOverdue({elapsedMs, estimateMs: 1000}))).toEqual([false, false, true]);
+test('a run is judged by its progress and its peers, not by its estimate', () => {
+	expect({
+		asFastAsOthers: judgeRun({elapsedMs: 1000, percent: 50, unchangedMs: 100}, [1900, 2100]),
+		longButNearlyDone: judgeRun({elapsedMs: 5000, percent: 90, unchangedMs: 100}, [1900, 2100]),
+		leftBehind: judgeRun({elapsedMs: 2000, percent: 15, unchangedMs: 100}, [1900, 2100]),
+		standsStill: judgeRun({elapsedMs: 2000, percent: 30, unchangedMs: 1600}, []),
+		withoutPeers: judgeRun({elapsedMs: 9000, percent: 10, unchangedMs: 100}, []),
+	}).toMatchInlineSnapshot(`
+		{
+		  "asFastAsOthers": {
+		    "slowness": 0.9523809523809523,
+		    "verdict": "sound",
+		  },
+		  "leftBehind": {
+		    "slowness": 6.34920634920635,
+		    "verdict": "straggling",
+		  },
+		  "longButNearlyDone": {
+		    "slowness": 2.6455026455026456,
+		    "verdict": "sound",
+		  },
+		  "standsStill": {
+		    "slowness": undefined,
+		    "verdict": "stalled",
+		  },
+		  "withoutPeers": {
+		    "slowness": undefined,
+		    "verdict": "sound",
+		  },
+		}
+	`);
 	let pace = unknownPace;
 	for (const atMs of [0, 100, 200]) {
-		pace = notePace(pace, {elapsedMs: 5000, estimateMs: 1000, nowMs: atMs});
+		pace = notePace(pace, {slowness: 5, nowMs: atMs});
 	}
 
 	expect([300, 6300].map(atMs => isSuspectedSlow(pace, atMs))).toEqual([true, false]);
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -22,7 +22,7 @@
 	admitJob, type Admission, type PoolLoad, type AdmissionRefusalReason,
 } from './admit-job.js';
 export {
-	isOverdue, isSuspectedSlow, notePace, unknownPace, type MinionPace,
+	isSuspectedSlow, judgeRun, notePace, predictTotalMs, unknownPace, type MinionPace, type RunVerdict,
 } from './judge-runs.js';
 export {planStarts, type StartPlanInput, type UsableMinion} from './plan-starts.js';
 export {type CompareReadySteps, type ReadyStep} from './order-work.js';
--- a/packages/core/src/scheduler/judge-runs.ts
+++ b/packages/core/src/scheduler/judge-runs.ts
@@ -1,13 +1,15 @@
 /**
- * Tells runs that stand still or crawl, and minions that are slow, from work that is only long.
+ * Tells runs that stand still or crawl, and minions that are slow, from work that is only long. The
+ * submitter's estimates are too rough for that: a run is compared with its own progress and with the
+ * other tasks of its step.
  */
 import {
-	overdueFactor, overdueMarginMs, paceMemory, slowPace, suspicionMs,
+	leastJudgedMs, paceMemory, restartCostMs, slowPace, stallMs, stragglerFactor, suspicionMs,
 } from './constants.js';
 
 /** How fast a minion has been of late. */
 export type MinionPace = {
-	/** What runs took against their estimates, the newest counting most. */
+	/** What its runs took against those of other minions, the newest counting most. */
 	readonly slowness: number;
 	/** When it was last judged, on the monotonic clock. */
 	readonly judgedAtMs: number;
@@ -16,32 +18,65 @@
 /** A minion of which nothing is known. */
 export const unknownPace: MinionPace = {slowness: 1, judgedAtMs: Number.NEGATIVE_INFINITY};
 
-/** A run and what was expected of it. */
-export type RunLength = {
+/** A run as it was last listed. */
+export type RunProgress = {
+	/** How long it had run when it was listed. */
 	readonly elapsedMs: number;
-	readonly estimateMs: number;
+	/** How much of its work was done then. */
+	readonly percent: number;
+	/** For how long listings have shown no progress. */
+	readonly unchangedMs: number;
 };
 
+const wholePercent = 100;
+
 /**
- * @param length - How long a run has been at work, and its estimate.
- * @returns Whether it takes so long that another minion would probably be done sooner.
+ * @param progress - A run.
+ * @returns How long it will take in all at its present speed; nothing while too little is known.
  */
-export function isOverdue({elapsedMs, estimateMs}: RunLength): boolean {
-	return elapsedMs > (estimateMs * overdueFactor) + overdueMarginMs;
+export function predictTotalMs({elapsedMs, percent}: RunProgress): number | undefined {
+	return percent <= 0 || elapsedMs < leastJudgedMs ? undefined : elapsedMs * wholePercent / percent;
 }
 
+const getMedian = (values: readonly number[]): number | undefined => values.toSorted((left, right) => left - right)[Math.floor(values.length / 2)];
+
+/** What is wrong with a run. */
+export type RunVerdict = 'sound' | 'stalled' | 'straggling';
+
+/** A verdict, and how the run compares with its peers. */
+export type RunJudgement = {
+	readonly verdict: RunVerdict;
+	/** Its length over the median of its peers; absent without peers. */
+	readonly slowness: number | undefined;
+};
+
 /**
- * @param pace - What was known.
- * @param sample - A run that ended, or is overdue, and the monotonic time.
- * @returns What is known now.
+ * Judges a run.
+ *
+ * @param progress - The run.
+ * @param peersMs - What other tasks of its step took, or will take, on other minions.
+ * @returns The verdict. A straggler is one that a fresh run elsewhere would probably overtake.
  */
-export function notePace(pace: MinionPace, {elapsedMs, estimateMs, nowMs}: RunLength & {readonly nowMs: number}): MinionPace {
-	if (estimateMs <= 0) {
-		return pace;
+export function judgeRun(progress: RunProgress, peersMs: readonly number[]): RunJudgement {
+	const totalMs = predictTotalMs(progress);
+	const medianMs = getMedian(peersMs);
+	const slowness = totalMs === undefined || medianMs === undefined || medianMs <= 0 ? undefined : totalMs / medianMs;
+	if (progress.unchangedMs >= stallMs && progress.percent < wholePercent) {
+		return {verdict: 'stalled', slowness};
 	}
 
-	const ratio = elapsedMs / estimateMs;
-	return {slowness: (pace.slowness * paceMemory) + (ratio * (1 - paceMemory)), judgedAtMs: nowMs};
+	const leftMs = (totalMs ?? 0) - progress.elapsedMs;
+	const isStraggling = slowness !== undefined && slowness >= stragglerFactor && leftMs > (medianMs ?? 0) + restartCostMs;
+	return {verdict: isStraggling ? 'straggling' : 'sound', slowness};
+}
+
+/**
+ * @param pace - What was known.
+ * @param sample - How a run compared with its peers, and the monotonic time.
+ * @returns What is known now.
+ */
+export function notePace(pace: MinionPace, {slowness, nowMs}: {readonly slowness: number; readonly nowMs: number}): MinionPace {
+	return {slowness: (pace.slowness * paceMemory) + (slowness * (1 - paceMemory)), judgedAtMs: nowMs};
 }
 
 /**
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -22,6 +22,7 @@
 import {createDemandMeter} from './demand-meter.js';
 import type {SchedulerMetrics} from './metrics.js';
 import {openMinionSession, type MinionSession, type SessionContext} from './minion-session.js';
+import {createStragglerWatch, judgePeriodMs, type Straggler} from './straggler-watch.js';
 import type {
 	AdvicePort, CallerTarget, ClusterAnswer, ClusterCall, ConfigurationFinding, MinionPort, MinionReport, WorkerPort,
 } from './types.js';
@@ -79,6 +80,9 @@
 // A pool of which this part of its processors is wanted keeps its workers.
 const pressedShare = 0.6;
 
+// Counts as a run that takes this many times what it takes elsewhere.
+const stalledSlowness = 10;
+
 const sumMillicores = (capacities: readonly Resources[]) => capacities.reduce((sum, {cpuMillicores}) => sum + cpuMillicores, 0);
 
 const deny = (answer: ClusterAnswer): Access => ({type: 'denied', answer});
@@ -147,11 +151,12 @@
 	let isPlanWanted = false;
 	let cordoned: ReadonlySet<WorkerId> = new Set();
 	let planBeganAtMs: number | undefined;
-	/** Where tasks failed, until they are over. */
+	/** Where tasks failed or were slow, until they are over. */
 	const failedLives = new Map<TaskId, ReadonlySet<LifeId>>();
-	/** Tasks whose overdue run was ended or copied once; they may just be long. */
+	/** Tasks whose run was ended or copied once for being slow; they may just be long. */
 	const hastened = new Set<TaskId>();
 	const wantedCopies = new Set<TaskId>();
+	const watch = createStragglerWatch({getLedger});
 	const cordonedSince = new Map<WorkerId, number>();
 	const orders = createWorkerOrders({
 		self, term, timers, canAct: () => !isStopped && canAct(),
@@ -179,6 +184,10 @@
 		},
 	});
 
+	const avoidLife = (task: TaskId, life: LifeId) => {
+		failedLives.set(task, new Set([...failedLives.get(task) ?? [], life]));
+	};
+
 	const sessionContext: SessionContext = {
 		timers,
 		metrics,
@@ -197,9 +206,8 @@
 		},
 		onFenced: options.onFenced,
 		getTicket: (task, life) => desk.getTicket(createStepId(task), life),
-		noteFailure(task, life) {
-			failedLives.set(task, new Set([...failedLives.get(task) ?? [], life]));
-		},
+		noteFailure: avoidLife,
+		noteDone: watch.noteDone,
 		onEndsNoted(jobs) {
 			for (const job of jobs.filter(({status}) => status !== 'active')) {
 				logJobEnd(job);
@@ -317,25 +325,33 @@
 		.map(id => findTask(getLedger(), id))
 		.filter(task => task !== undefined);
 
-	const hasten = (session: MinionSession, id: TaskId) => {
+	const hasten = ({session, task: id, ...judgement}: Straggler) => {
 		const task = findTask(getLedger(), id);
 		if (task === undefined || hastened.has(id) || task.job.status !== 'active' || task.runs.length !== 1) {
 			return;
 		}
 
 		hastened.add(id);
-		if (getStep(task).allowsCopies) {
-			log.info(`task ${id} gets a copy: its run is overdue`, {id, minion: session.record.minion, estimateMs: getStep(task).estimateMs});
+		avoidLife(id, session.record.life);
+		if (judgement.verdict === 'stalled') {
+			session.notePace(stalledSlowness);
+		}
+
+		const hasCopy = getStep(task).allowsCopies;
+		log.info(`task ${id} is ${judgement.verdict} and ${hasCopy ? 'gets a copy' : 'starts again elsewhere'}`, {
+			id, minion: session.record.minion, ...judgement,
+		});
+		if (hasCopy) {
 			wantedCopies.add(id);
 		} else {
-			session.stop(id, 'it is overdue');
+			session.stop(id, `it is ${judgement.verdict}`);
 		}
 	};
 
-	const hastenOverdue = () => {
-		for (const session of sessions.values()) {
-			for (const {task} of session.listOverdue()) {
-				hasten(session, task);
+	const hastenStragglers = () => {
+		if (canAct()) {
+			for (const straggler of watch.look(sessions.values())) {
+				hasten(straggler);
 			}
 		}
 	};
@@ -545,7 +561,6 @@
 		}
 
 		forgetTasks();
-		hastenOverdue();
 		stopNeedless();
 		runWaves();
 		if (limits.hasWorkerOrders) {
@@ -557,6 +572,7 @@
 	};
 
 	const forget = () => {
+		watch.forget();
 		const ids = listForgettableJobs(getLedger(), {nowMs: getWallClock(), retentionMs: limits.retentionMs});
 		if (ids.length > 0 && canAct()) {
 			void decide({type: 'jobs/forgotten', ids});
@@ -804,6 +820,7 @@
 	const cancelTimers = [
 		timers.scheduleEvery(leaderTickMs, tick),
 		timers.scheduleEvery(leaderTickMs * 5, paceFillers),
+		timers.scheduleEvery(judgePeriodMs, hastenStragglers),
 		timers.scheduleEvery(forgetPeriodMs, forget),
 	];
 	wantPlan();
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -3,7 +3,7 @@
  */
 import type {TimerService} from '@samphiremill/common';
 import {
-	findTask, getInheritedLeaseMs, getLeaseDeadline, getRunBound, getStep, isLeaseOver, isOverdue, isSuspectedSlow,
+	findTask, getInheritedLeaseMs, getLeaseDeadline, getRunBound, getStep, isLeaseOver, isSuspectedSlow,
 	notePace, noteRunDone, noteRunFailed, unknownHealth, unknownPace,
 	type ClockReading, type Job, type Ledger, type LedgerCommand, type LifeId, type MinionHealth, type MinionPace,
 	type MinionRecord, type RunAssignment, type RunEnd, type RunEnding, type Task, type TaskId, type Ticket,
@@ -40,6 +40,7 @@
 	readonly getTicket: (task: Task, life: LifeId) => Ticket | undefined;
 	readonly dropTicket: (task: Task, life: LifeId) => void;
 	readonly noteFailure: (task: TaskId, life: LifeId) => void;
+	readonly noteDone: (task: TaskId, done: {readonly life: LifeId; readonly elapsedMs: number}) => void;
 	/** Jobs that were active before ends were noted. */
 	readonly onEndsNoted: (jobs: readonly Job[]) => void;
 };
@@ -55,7 +56,11 @@
 	readonly startedAtMs: number | undefined;
 	/** When a listing first showed the run at full work. */
 	readonly servingSinceMs: number | undefined;
+	/** How much of its work is done; of a lasting task, 100 once it serves at full pace. */
 	readonly percent: number;
+	/** When it was last listed, and when a listing last showed more progress. */
+	readonly listedAtMs: number | undefined;
+	readonly progressedAtMs: number | undefined;
 	readonly gauge: number;
 	readonly pacePercent: number;
 };
@@ -73,6 +78,8 @@
 	endingWithoutListing: RunEnding | undefined;
 	servingSinceMs: number | undefined;
 	percent: number;
+	listedAtMs: number | undefined;
+	progressedAtMs: number | undefined;
 	gauge: number;
 	pacePercent: number;
 };
@@ -95,8 +102,8 @@
 	readonly getRunBound: () => number;
 	/** Whether its runs have taken far longer than expected. */
 	readonly isSuspect: () => boolean;
-	/** Runs of other than lasting tasks that are overdue. */
-	readonly listOverdue: () => readonly RunView[];
+	/** Takes in how a run here compares with the same work elsewhere. */
+	readonly notePace: (slowness: number) => void;
 	readonly getRun: (task: TaskId) => RunView | undefined;
 	readonly listRuns: () => readonly RunView[];
 	/** When it last reported or answered, on the monotonic clock. */
@@ -158,6 +165,8 @@
 		endingWithoutListing: undefined,
 		servingSinceMs: undefined,
 		percent: 0,
+		listedAtMs: undefined,
+		progressedAtMs: undefined,
 		gauge: 0,
 		pacePercent: fullPacePercent,
 	});
@@ -195,19 +204,10 @@
 		}
 	};
 
-	const getLength = (id: TaskId) => {
-		const task = findTask(context.getLedger(), id);
-		const startedAtMs = controls.get(id)?.startedAtMs;
-		const step = task && getStep(task);
-		return step === undefined || step.isLasting || startedAtMs === undefined
-			? undefined
-			: {elapsedMs: timers.getNow() - startedAtMs, estimateMs: step.estimateMs};
-	};
-
-	const judgePace = (id: TaskId) => {
-		const length = getLength(id);
-		if (length !== undefined) {
-			pace = notePace(pace, {...length, nowMs: timers.getNow()});
+	const noteLength = (task: TaskId) => {
+		const startedAtMs = controls.get(task)?.startedAtMs;
+		if (startedAtMs !== undefined) {
+			context.noteDone(task, {life: record.life, elapsedMs: timers.getNow() - startedAtMs});
 		}
 	};
 
@@ -216,7 +216,7 @@
 			const job = findTask(context.getLedger(), task)?.job.id;
 			if (ending === 'done') {
 				health = noteRunDone(health);
-				judgePace(task);
+				noteLength(task);
 			} else if (ending === 'failed' && job !== undefined) {
 				context.noteFailure(task, record.life);
 				log.info(`task ${task} failed on minion ${record.minion}`, {id: task, minion: record.minion, failures: (findTask(context.getLedger(), task)?.failures ?? 0) + 1});
@@ -447,6 +447,11 @@
 		}
 
 		control.startedAtMs ??= timers.getNow();
+		if (percent > control.percent || control.listedAtMs === undefined) {
+			control.progressedAtMs = timers.getNow();
+		}
+
+		control.listedAtMs = timers.getNow();
 		control.percent = percent;
 		control.gauge = gauge;
 		if (percent >= fullPacePercent) {
@@ -598,8 +603,8 @@
 
 	void run();
 
-	const toView = ({assignment, phase, startedAtMs, servingSinceMs, percent, gauge, pacePercent}: RunControl): RunView => ({
-		task: assignment.task, run: assignment.run, phase, startedAtMs, servingSinceMs, percent, gauge, pacePercent,
+	const toView = ({assignment, phase, startedAtMs, servingSinceMs, percent, listedAtMs, progressedAtMs, gauge, pacePercent}: RunControl): RunView => ({
+		task: assignment.task, run: assignment.run, phase, startedAtMs, servingSinceMs, percent, listedAtMs, progressedAtMs, gauge, pacePercent,
 	});
 
 	return {
@@ -680,13 +685,9 @@
 		isDraining: () => isDraining,
 		getRunBound: () => getRunBound(health, timers.getNow()),
 		isSuspect: () => isSuspectedSlow(pace, timers.getNow()),
-		listOverdue: () => [...controls.values()].filter(({assignment, phase, isStopWanted}) => {
-			const length = phase === 'running' && !isStopWanted ? getLength(assignment.task) : undefined;
-			return length !== undefined && isOverdue(length);
-		}).map(control => {
-			judgePace(control.assignment.task);
-			return toView(control);
-		}),
+		notePace(slowness) {
+			pace = notePace(pace, {slowness, nowMs: timers.getNow()});
+		},
 		getRun(task) {
 			const control = controls.get(task);
 			return control && toView(control);
--- /dev/null
+++ b/packages/daemon/src/scheduler/straggler-watch.ts
@@ -0,0 +1,113 @@
+/**
+ * Watches the runs of all minions for ones that stand still, or that others of their step leave behind.
+ */
+import {
+	findTask, getStep, judgeRun, predictTotalMs,
+	type Ledger, type LifeId, type RunVerdict, type TaskId,
+} from '@samphiremill/core';
+import {createStepId} from './advice-desk.js';
+import type {MinionSession, RunView} from './minion-session.js';
+
+/** A run to hasten. */
+export type Straggler = {
+	readonly session: MinionSession;
+	readonly task: TaskId;
+	readonly verdict: Exclude<RunVerdict, 'sound'>;
+	readonly percent: number;
+	readonly elapsedMs: number;
+	readonly slowness: number | undefined;
+};
+
+/** The watch of one leader. */
+export type StragglerWatch = {
+	/** Notes how long a run took that is done. */
+	readonly noteDone: (task: TaskId, done: {readonly life: LifeId; readonly elapsedMs: number}) => void;
+	/** Judges all runs, tells the sessions how fast they are, and returns what to hasten. */
+	readonly look: (sessions: Iterable<MinionSession>) => readonly Straggler[];
+	/** Forgets steps of jobs that are over. */
+	readonly forget: () => void;
+};
+
+type Length = {
+	readonly life: LifeId;
+	readonly totalMs: number;
+};
+
+type WatchedRun = {
+	readonly session: MinionSession;
+	readonly run: RunView;
+	readonly stepId: string;
+	readonly elapsedMs: number;
+	readonly unchangedMs: number;
+};
+
+/**
+ * @param options - The ledger.
+ * @returns The watch.
+ */
+export function createStragglerWatch({getLedger}: {readonly getLedger: () => Ledger}): StragglerWatch {
+	const doneLengths = new Map<string, readonly Length[]>();
+
+	const watchRun = (session: MinionSession, run: RunView): readonly WatchedRun[] => {
+		const task = findTask(getLedger(), run.task);
+		const {startedAtMs, listedAtMs, progressedAtMs} = run;
+		if (task === undefined || getStep(task).isLasting || run.phase !== 'running' || startedAtMs === undefined || listedAtMs === undefined) {
+			return [];
+		}
+
+		return [{
+			session, run, stepId: createStepId(task), elapsedMs: listedAtMs - startedAtMs, unchangedMs: listedAtMs - (progressedAtMs ?? startedAtMs),
+		}];
+	};
+
+	const groupLengths = (watched: readonly WatchedRun[]) => {
+		const lengths = new Map<string, readonly Length[]>();
+		for (const {session, run, stepId, elapsedMs, unchangedMs} of watched) {
+			const totalMs = predictTotalMs({elapsedMs, percent: run.percent, unchangedMs});
+			if (totalMs !== undefined) {
+				lengths.set(stepId, [...lengths.get(stepId) ?? [], {life: session.record.life, totalMs}]);
+			}
+		}
+
+		return lengths;
+	};
+
+	return {
+		noteDone(id, {life, elapsedMs}) {
+			const task = findTask(getLedger(), id);
+			if (task !== undefined) {
+				const stepId = createStepId(task);
+				doneLengths.set(stepId, [...doneLengths.get(stepId) ?? [], {life, totalMs: elapsedMs}]);
+			}
+		},
+		look(sessions) {
+			const watched = [...sessions].filter(session => session.isAnswering()).flatMap(session => session.listRuns().flatMap(run => watchRun(session, run)));
+			const running = groupLengths(watched);
+			return watched.flatMap(({session, run, stepId, elapsedMs, unchangedMs}) => {
+				const peersMs = [...doneLengths.get(stepId) ?? [], ...running.get(stepId) ?? []]
+					.filter(({life}) => life !== session.record.life)
+					.map(({totalMs}) => totalMs);
+				const {verdict, slowness} = judgeRun({elapsedMs, percent: run.percent, unchangedMs}, peersMs);
+				if (slowness !== undefined) {
+					session.notePace(slowness);
+				}
+
+				return verdict === 'sound'
+					? []
+					: [{
+						session, task: run.task, verdict, percent: run.percent, elapsedMs, slowness,
+					}];
+			});
+		},
+		forget() {
+			for (const stepId of doneLengths.keys()) {
+				if (findTask(getLedger(), `${stepId}.0`) === undefined) {
+					doneLengths.delete(stepId);
+				}
+			}
+		},
+	};
+}
+
+/** How often runs are judged, in milliseconds. */
+export const judgePeriodMs = 300;
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -348,6 +348,15 @@
 		return minion.isGone || minion.isSilent ? {type: 'noAnswer'} : result;
 	};
 
+	const getPercent = (id: string, startedAtMs: number, endsAtMs: number) => {
+		const task = findTask(ledger, id);
+		if (task !== undefined && getStep(task).isLasting) {
+			return timers.getNow() - startedAtMs > workingAfterMs ? 100 : 50;
+		}
+
+		return Math.floor(100 * (timers.getNow() - startedAtMs) / (endsAtMs - startedAtMs));
+	};
+
 	const isFenced = (minion: FakeMinion, fencingToken: number) => {
 		if (fencingToken < minion.fencingToken) {
 			return true;
@@ -376,8 +385,8 @@
 
 			return answer(minion, {
 				bornAtMs: minion.record.bornAtMs,
-				running: [...minion.runs].map(([id, {run, startedAtMs}]) => ({
-					task: toBrand<TaskId>(id), run, checkpoint: '', percent: timers.getNow() - startedAtMs > workingAfterMs ? 100 : 50, gauge: 0,
+				running: [...minion.runs].map(([id, {run, startedAtMs, endsAtMs}]) => ({
+					task: toBrand<TaskId>(id), run, checkpoint: '', percent: getPercent(id, startedAtMs, endsAtMs), gauge: 0,
 				})),
 				finished: [...minion.finished],
 			});
