--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -530,6 +530,17 @@
 		return isWarmingUp ? warmUpWaitMs : holdWaitMs;
 	};
 
+	const noteSilence = ({type}: MinionAnswer<unknown>) => {
+		const isSilentNow = type !== 'answered';
+		if (isSilentNow !== isSilent) {
+			log.info(`minion ${record.minion} ${isSilentNow ? 'does not answer' : 'answers again'}`, {
+				minion: record.minion, life: record.life, outcome: type, silentMs: Math.round(timers.getNow() - heardAtMs),
+			});
+		}
+
+		isSilent = isSilentNow;
+	};
+
 	const hold = async (): Promise<'again' | 'pause'> => {
 		const sentAtMs = timers.getNow();
 		const waitMs = isSynced ? getHoldWaitMs() : 0;
@@ -546,7 +557,7 @@
 		}
 
 		noteHeard(answer);
-		isSilent = answer.type !== 'answered';
+		noteSilence(answer);
 		if (answer.type === 'otherLife') {
 			await leave('another life answers at its address');
 			return 'pause';
--- a/vitest.config.js
+++ b/vitest.config.js
@@ -12,7 +12,7 @@
 		},
 	},
 	test: {
-		include: ['packages/*/src/**/*.test.ts', 'examples/**/*.test.ts', 'bench/**/*.test.ts'],
+		include: ['packages/*/src/**/*.test.ts', 'platform/src/**/*.test.ts', 'examples/**/*.test.ts', 'bench/**/*.test.ts'],
 		testTimeout: 60_000,
 		// CommonJS packages are imported as Node.js imports them.
 		deps: {interopDefault: false},
