--- a/packages/daemon/src/scheduler/advice-desk.ts
+++ b/packages/daemon/src/scheduler/advice-desk.ts
@@ -25,6 +25,8 @@
 	readonly getTicket: (step: string, life: LifeId) => Ticket | undefined;
 	/** Drops a ticket that a minion did not take. */
 	readonly dropTicket: (step: string, life: LifeId) => void;
+	/** Forgets steps that are over. */
+	readonly forget: (isOver: (step: string) => boolean) => void;
 };
 
 /**
@@ -98,6 +100,13 @@
 
 			return isHeld && known.tickets.has(life);
 		},
+		forget(isOver) {
+			for (const [step, {isAsked}] of steps) {
+				if (!isAsked && isOver(step)) {
+					steps.delete(step);
+				}
+			}
+		},
 		getTicket: (step, life) => steps.get(step)?.tickets.get(life),
 		dropTicket(step, life) {
 			const known = steps.get(step);
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -6,12 +6,11 @@
 	NodeId, PoolId, TimerService, WorkerId,
 } from '@samphiremill/common';
 import {
-	admitJob, countPendingJobs, findQueue, findTask, getFillerPace, getLongestChainMs, getObjectiveMs, getShownState,
+	admitJob, countPendingJobs, findTask, getFillerPace, getLongestChainMs, getObjectiveMs, getShownState,
 	getStep, getWork, idlePool, isJobId, isWaveCompleted, listForgettableJobs, measurePools, measureWorkAhead,
 	planStarts, planUpkeep,
-	type AcceptedJob, type ActiveConfiguration, type FoundQueue, type Job, type JobSpecification, type Ledger,
-	type LedgerCommand, type LedgerOutcome, type LifeId, type PoolLoad, type PoolPressure, type QueueDefinition,
-	type Resources, type RunAssignment, type Task, type TaskId, type TeamDefinition, type UpkeepRequest,
+	type Job, type Ledger,
+	type LedgerCommand, type LedgerOutcome, type LifeId, type PoolLoad, type PoolPressure, type Resources, type RunAssignment, type Task, type TaskId, type TeamDefinition, type UpkeepRequest,
 	type WorkerView,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
@@ -21,6 +20,7 @@
 } from './constants.js';
 import {createDemandMeter} from './demand-meter.js';
 import type {SchedulerMetrics} from './metrics.js';
+import {createAcceptedJob, getAccess} from './job-access.js';
 import {openMinionSession, type MinionSession, type SessionContext} from './minion-session.js';
 import {createStragglerWatch, judgePeriodMs, type Straggler} from './straggler-watch.js';
 import type {
@@ -73,10 +73,6 @@
 	readonly stop: () => void;
 };
 
-type Access
-	= | {readonly type: 'granted'; readonly found: FoundQueue; readonly team: TeamDefinition | undefined; readonly configuration: ActiveConfiguration}
-		| {readonly type: 'denied'; readonly answer: ClusterAnswer};
-
 // A pool of which this part of its processors is wanted keeps its workers.
 const pressedShare = 0.6;
 
@@ -85,47 +81,6 @@
 
 const sumMillicores = (capacities: readonly Resources[]) => capacities.reduce((sum, {cpuMillicores}) => sum + cpuMillicores, 0);
 
-const deny = (answer: ClusterAnswer): Access => ({type: 'denied', answer});
-
-const getAccess = (ledger: Ledger, target: CallerTarget): Access => {
-	const {configuration} = ledger;
-	if (configuration === undefined) {
-		return deny({type: 'noConfiguration'});
-	}
-
-	const found = findQueue(configuration, target);
-	if (found === undefined) {
-		return deny({type: 'unknownQueue'});
-	}
-
-	const team = target.key === undefined ? undefined : configuration.teamsByKey.get(target.key);
-	return team === undefined && !found.queue.isOpen
-		? deny({type: 'unknownKey'})
-		: {
-			type: 'granted', found, team, configuration,
-		};
-};
-
-const createAcceptedJob = ({id, queue, team, specification, acceptedAtMs}: {
-	readonly id: Job['id'];
-	readonly queue: QueueDefinition;
-	readonly team: TeamDefinition | undefined;
-	readonly specification: JobSpecification;
-	readonly acceptedAtMs: number;
-}): AcceptedJob => ({
-	id,
-	queue: queue.queue,
-	pool: queue.pool,
-	team: team?.team,
-	priority: queue.priority,
-	maximumAttempts: queue.maximumAttempts,
-	stretchFactor: queue.stretchFactor,
-	startLatencyMs: queue.startLatencyMs,
-	advice: queue.advice,
-	specification,
-	acceptedAtMs,
-});
-
 const getLargest = (capacities: readonly Resources[]): Resources | undefined => capacities.length === 0
 	? undefined
 	: {
@@ -573,6 +528,7 @@
 
 	const forget = () => {
 		watch.forget();
+		desk.forget(step => findTask(getLedger(), `${step}.0`) === undefined);
 		const ids = listForgettableJobs(getLedger(), {nowMs: getWallClock(), retentionMs: limits.retentionMs});
 		if (ids.length > 0 && canAct()) {
 			void decide({type: 'jobs/forgotten', ids});
