Check a step's dependencies in one place, and drop two exports that nothing reads

The order of work and the measure of pools each wrote the same check; both call areDependenciesDone now.

--- a/packages/core/src/scheduler/measure-pools.ts
+++ b/packages/core/src/scheduler/measure-pools.ts
@@ -3,7 +3,7 @@
  */
 import type {PoolId} from '@samphiremill/common';
 import {getDueMs, getWork} from './estimates.js';
-import {getStepProgress} from './ledger.js';
+import {areDependenciesDone} from './ledger.js';
 import type {Job, Ledger, StepProgress} from './types.js';
 
 /** The demand on one pool, lasting tasks apart. */
@@ -26,11 +26,6 @@
 // A task that runs is half done, for all that is known.
 const shareLeftOfRunning = 0.5;
 
-const isReady = (job: Job, occurrence: number, dependsOn: readonly number[]) => dependsOn.every(step => {
-	const progress = getStepProgress({job, occurrence, step});
-	return progress !== undefined && progress.doneCount === progress.tasks.length;
-});
-
 const countRunning = ({tasks, doneCount, idleCount}: StepProgress) => tasks.length - doneCount - idleCount;
 
 const measureJob = (job: Job, nowMs: number, before: PoolMeasure): PoolMeasure => {
@@ -43,7 +38,7 @@
 				continue;
 			}
 
-			const {request: {cpuMillicores}, estimateMs, dependsOn} = step;
+			const {request: {cpuMillicores}, estimateMs} = step;
 			if (step.isLasting) {
 				lastingMillicores += cpuMillicores * progress.tasks.length;
 				continue;
@@ -52,7 +47,7 @@
 			const running = countRunning(progress);
 			runningMillicores += running * cpuMillicores;
 			workLeft += (progress.idleCount + (running * shareLeftOfRunning)) * cpuMillicores * estimateMs;
-			readyMillicores += isReady(job, occurrence, dependsOn) ? progress.idleCount * cpuMillicores : 0;
+			readyMillicores += areDependenciesDone({job, occurrence, step: index}) ? progress.idleCount * cpuMillicores : 0;
 		}
 	}
 
--- a/packages/core/src/scheduler/order-work.ts
+++ b/packages/core/src/scheduler/order-work.ts
@@ -5,7 +5,7 @@
 import {
 	getChainLeftMs, getDueMs, getLongestChainMs, getObjectiveMs, getWork, type WidthBound,
 } from './estimates.js';
-import {getStepProgress} from './ledger.js';
+import {areDependenciesDone, getStepProgress} from './ledger.js';
 import type {Job, Ledger} from './types.js';
 
 /** Orders steps that may start, the first to start first. */
@@ -32,11 +32,7 @@
 		return false;
 	}
 
-	const dependsOn = job.specification.steps[step]?.dependsOn ?? [];
-	return dependsOn.every(earlier => {
-		const before = getStepProgress({job, occurrence, step: earlier});
-		return before !== undefined && before.doneCount === before.tasks.length;
-	});
+	return areDependenciesDone({job, occurrence, step});
 };
 
 const getSlackMs = (job: Job, occurrence: number, {nowMs, bound}: {readonly nowMs: number; readonly bound: WidthBound}) => {
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -4,9 +4,6 @@
 /** Pause between two rounds through the control hosts. */
 export const callRetryMs = 100;
 
-/** How long a caller waits for a leader before it is told to come back. */
-export const leaderWaitMs = 900;
-
 /** Length of a lease on a minion, at most; long enough to outlast a change of leader. */
 export const longestLeaseMs = 3200;
 
--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -2,7 +2,7 @@
  * What the scheduler's processes say to each other, and what they need of the world outside.
  */
 import type {
-	JobId, MinionId, NodeId, PoolId, Result, WaveId, WorkerId,
+	MinionId, NodeId, PoolId, Result, WaveId, WorkerId,
 } from '@samphiremill/common';
 import type {
 	AdmissionRefusalReason, JobSpecification, LifeId, MinionRecord, RequestLimits, RunEnding, ShownJobState, StoreId, TaskId, Ticket, UpkeepWave,
@@ -214,6 +214,3 @@
 		| {readonly type: 'notRun'}
 	/** It may have been carried out. */
 		| {readonly type: 'uncertain'};
-
-/** Job ids, as `JOB` in the log lines. */
-export type JobReference = {readonly job: JobId};
