Size pools by demand: switch idle workers off, lend them to short pools

Loans were kept per worker, so nothing else could move.

A pool now wants what its inflow and its backlog, projected to when a worker could come, need; an idle pool keeps 0.35 of its highest inflow of the last 45 s (its part of the fleet while that is unknown), one worker of each kind, and 1.2 times what it uses. All else is lent, or switched off after 0.7 s idle. Nothing of this is in the log any more: the platform's list says where a worker is.

Ruled out: estimates that are too low (summed over a queue they are right within 10 percent, only single ones are off by half). Inflow is now taken over the shortest time that holds 8 jobs.

--- a/packages/core/src/scheduler/apply-ledger-command.ts
+++ b/packages/core/src/scheduler/apply-ledger-command.ts
@@ -80,15 +80,6 @@
 			return noteUpkeepBegun(ledger, command);
 		}
 
-		case 'loan/begun': {
-			ledger.loans.set(command.worker, command.home);
-			return {type: 'applied'};
-		}
-
-		case 'loan/ended': {
-			return {type: ledger.loans.delete(command.worker) ? 'applied' : 'ignored'};
-		}
-
 		case 'controlHost/joined': {
 			ledger.controlHosts.set(command.record.node, command.record);
 			return {type: 'applied'};
--- a/packages/core/src/scheduler/decisions.test.ts
+++ b/packages/core/src/scheduler/decisions.test.ts
@@ -5,7 +5,7 @@
 import {
 	admitJob, applyLedgerCommand, createLedger, createLedgerSnapshot, createLifeId, findTask, getFillerPace,
 	isSuspectedSlow, judgeRun, measurePools, notePace, planStarts, planWorkerMoves, restoreLedger, unknownPace,
-	type JobSpecification, type Ledger, type MinionRecord, type StepSpecification, type Task, type UsableMinion,
+	type JobSpecification, type Ledger, type MinionRecord, type MovableWorker, type PoolPressure, type StepSpecification, type Task, type UsableMinion,
 } from './index.js';
 
 const pool = toBrand<PoolId>('counter');
@@ -172,48 +172,78 @@
 	`);
 });
 
-test('spare workers go to the pool that is shortest, and loaned ones back once idle', () => {
-	const standby = toBrand<PoolId>('reserve');
-	const pressures = (runnableMillicores: number) => [
-		{
-			pool, isStandby: false, millicores: 64_000, runnableMillicores, inflowMillicores: 0,
-		},
-		{
-			pool: standby, isStandby: true, millicores: 0, runnableMillicores: 0, inflowMillicores: 0,
-		},
-	];
-	const worker = (name: string, inPool: PoolId, isLoaned: boolean) => ({
-		worker: toBrand<WorkerId>(name), pool: inPool, millicores: 32_000, idleMs: 2000, isLoaned,
-	});
-	const spare = [worker('spare-1', standby, false), worker('spare-2', standby, false), worker('spare-3', standby, false)];
+const standby = toBrand<PoolId>('reserve');
+
+const createPressure = (pressure: Partial<PoolPressure>): PoolPressure => ({
+	pool, isStandby: false, millicores: 64_000, runnableMillicores: 0, workLeft: 0, inflowMillicores: 0, peakInflowMillicores: 0, ...pressure,
+});
+
+const createMovable = (name: string, inPool: PoolId, worker: Partial<MovableWorker> = {}): MovableWorker => ({
+	worker: toBrand<WorkerId>(name), pool: inPool, millicores: 32_000, kind: 'a', idleMs: 2000, ...worker,
+});
+
+const planMoves = (pressures: ReadonlyArray<Partial<PoolPressure>>, workers: readonly MovableWorker[]) => planWorkerMoves({
+	pools: [...pressures.map(pressure => createPressure(pressure)), createPressure({pool: standby, isStandby: true, millicores: 0})], workers, moveMs: 1500,
+}).map(({worker, to}) => `${worker} to ${to}`);
+
+test('a pool that falls behind gets workers that are switched off, and idle ones of other pools', () => {
+	const other = toBrand<PoolId>('desk');
+	const spare = ['spare-1', 'spare-2', 'spare-3'].map(name => createMovable(name, standby));
+	const idle = ['desk-1', 'desk-2', 'desk-3'].map(name => createMovable(name, other));
+	const calm = {pool: other, millicores: 96_000};
 	expect({
-		enough: planWorkerMoves({pools: pressures(60_000), workers: spare}),
-		short: planWorkerMoves({pools: pressures(120_000), workers: spare}),
-		lull: planWorkerMoves({pools: pressures(4000), workers: [worker('home-1', pool, false), worker('loaned-1', pool, true)]}),
-		stillBusy: planWorkerMoves({pools: pressures(40_000), workers: [worker('loaned-1', pool, true)]}),
+		enough: planMoves([{runnableMillicores: 60_000, workLeft: 50_000_000}], spare),
+		// What waits will be done before a worker could come.
+		soonDone: planMoves([{runnableMillicores: 120_000, workLeft: 90_000_000}], spare),
+		burst: planMoves([{runnableMillicores: 100_000, workLeft: 90_000_000, inflowMillicores: 120_000}], spare),
+		longBurst: planMoves([{runnableMillicores: 300_000, workLeft: 270_000_000, inflowMillicores: 120_000}, calm], [...spare, ...idle]),
 	}).toMatchInlineSnapshot(`
 		{
+		  "burst": [
+		    "spare-1 to counter",
+		    "spare-2 to counter",
+		  ],
 		  "enough": [],
-		  "lull": [
-		    {
-		      "from": "counter",
-		      "to": "reserve",
-		      "worker": "loaned-1",
-		    },
+		  "longBurst": [
+		    "spare-1 to counter",
+		    "spare-2 to counter",
+		    "spare-3 to counter",
+		    "desk-1 to counter",
+		    "desk-2 to counter",
+		  ],
+		  "soonDone": [],
+		}
+	`);
+});
+
+test('an idle pool keeps what its next burst begins with and one worker of each kind; the rest is switched off', () => {
+	const workers = ['a', 'b', 'c', 'd'].map(name => createMovable(name, pool));
+	const idle = {millicores: 128_000};
+	expect({
+		noDemand: planMoves([idle], workers),
+		otherKind: planMoves([idle], [...workers, createMovable('e', pool, {kind: 'gpu', idleMs: 9000})]),
+		peak: planMoves([{...idle, peakInflowMillicores: 200_000}], workers),
+		justIdle: planMoves([idle], workers.map(worker => ({...worker, idleMs: 500}))),
+		busy: planMoves([{...idle, runnableMillicores: 60_000}], workers),
+	}).toMatchInlineSnapshot(`
+		{
+		  "busy": [
+		    "a to reserve",
+		  ],
+		  "justIdle": [],
+		  "noDemand": [
+		    "a to reserve",
+		    "b to reserve",
+		    "c to reserve",
+		  ],
+		  "otherKind": [
+		    "a to reserve",
+		    "b to reserve",
+		    "c to reserve",
 		  ],
-		  "short": [
-		    {
-		      "from": "reserve",
-		      "to": "counter",
-		      "worker": "spare-1",
-		    },
-		    {
-		      "from": "reserve",
-		      "to": "counter",
-		      "worker": "spare-2",
-		    },
+		  "peak": [
+		    "a to reserve",
 		  ],
-		  "stillBusy": [],
 		}
 	`);
 });
--- a/packages/core/src/scheduler/ledger.ts
+++ b/packages/core/src/scheduler/ledger.ts
@@ -20,7 +20,6 @@
 		lives: new Map(),
 		usedByTeam: new Map(),
 		waves: new Map(),
-		loans: new Map(),
 		controlHosts: new Map(),
 	};
 }
--- a/packages/core/src/scheduler/snapshot.ts
+++ b/packages/core/src/scheduler/snapshot.ts
@@ -1,7 +1,7 @@
 /**
  * The ledger as text. Jobs that are over keep only their status.
  */
-import type {JobId, PoolId, WorkerId} from '@samphiremill/common';
+import type {JobId, WorkerId} from '@samphiremill/common';
 import {replaceConfiguration} from './actions/replace-configuration.js';
 import {
 	addRun, createLedger, createOccurrences, findTask, replaceTask,
@@ -32,7 +32,6 @@
 	readonly jobs: readonly SavedJob[];
 	readonly minions: readonly MinionRecord[];
 	readonly waves: ReadonlyArray<Omit<UpkeepWave, 'ordered'> & {readonly ordered: ReadonlyArray<readonly [WorkerId, UpkeepOrder]>}>;
-	readonly loans: ReadonlyArray<readonly [WorkerId, PoolId]>;
 	readonly controlHosts: readonly ControlHostRecord[];
 };
 
@@ -66,7 +65,6 @@
 		jobs: [...ledger.jobs.values()].map(job => saveJob(job)),
 		minions: [...ledger.lives.values()].map(({record}) => record),
 		waves: [...ledger.waves.values()].map(wave => ({...wave, ordered: [...wave.ordered]})),
-		loans: [...ledger.loans],
 		controlHosts: [...ledger.controlHosts.values()],
 	};
 	return JSON.stringify(saved);
@@ -127,10 +125,6 @@
 		ledger.waves.set(wave.wave, {...wave, ordered: new Map(wave.ordered)});
 	}
 
-	for (const [worker, home] of saved.loans) {
-		ledger.loans.set(worker, home);
-	}
-
 	for (const record of saved.controlHosts) {
 		ledger.controlHosts.set(record.node, record);
 	}
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -284,8 +284,6 @@
 	readonly lives: Map<LifeId, LifeUse>;
 	readonly usedByTeam: Map<TeamId, MutableResources>;
 	readonly waves: Map<WaveId, UpkeepWave>;
-	/** Workers that serve another pool for a while, and the pool that they belong to. */
-	readonly loans: Map<WorkerId, PoolId>;
 	readonly controlHosts: Map<NodeId, ControlHostRecord>;
 };
 
@@ -322,8 +320,6 @@
 		| {readonly type: 'wave/workerOrdered'; readonly term: number; readonly wave: WaveId; readonly worker: WorkerId; readonly life: LifeId | undefined}
 	/** The life that ran on the worker is over. */
 		| {readonly type: 'wave/workerBegun'; readonly term: number; readonly wave: WaveId; readonly worker: WorkerId; readonly atMs: number}
-		| {readonly type: 'loan/begun'; readonly term: number; readonly worker: WorkerId; readonly home: PoolId}
-		| {readonly type: 'loan/ended'; readonly term: number; readonly worker: WorkerId}
 		| {readonly type: 'controlHost/joined'; readonly record: ControlHostRecord}
 		| {readonly type: 'jobs/forgotten'; readonly ids: readonly JobId[]}
 	/** Commands that are decided together, applied in order. */
--- /dev/null
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -0,0 +1,263 @@
+/**
+ * What the leader answers to callers, minions, operators and control hosts.
+ */
+import {
+	admitJob, countPendingJobs, getShownState, getWork, isJobId, isWaveCompleted,
+	type Job, type Ledger, type LedgerCommand, type LifeId,
+} from '@samphiremill/core';
+import type {DecisionLog} from '../runtime/types.js';
+import type {DemandMeter} from './demand-meter.js';
+import {createAcceptedJob, getAccess} from './job-access.js';
+import type {Decision} from './leader.js';
+import type {SchedulerMetrics} from './metrics.js';
+import type {MinionSession} from './minion-session.js';
+import type {PoolView} from './pool-view.js';
+import type {
+	CallerTarget, ClusterAnswer, ClusterCall, ConfigurationFinding, MinionReport,
+} from './types.js';
+
+/** What the answers rest on. */
+export type CallHandlersOptions = {
+	readonly term: number;
+	readonly log: DecisionLog;
+	readonly metrics: SchedulerMetrics;
+	readonly sessions: ReadonlyMap<LifeId, MinionSession>;
+	readonly demand: DemandMeter;
+	readonly pools: PoolView;
+	readonly getLedger: () => Ledger;
+	readonly getWallClock: () => number;
+	readonly propose: (command: LedgerCommand) => Promise<Decision>;
+	readonly decide: (command: LedgerCommand) => Promise<boolean>;
+	readonly checkConfiguration: (document: string) => readonly ConfigurationFinding[];
+	readonly wantPlan: () => void;
+	readonly stopNeedless: () => void;
+	/** Minions came or went. */
+	readonly onChanged: () => void;
+};
+
+/**
+ * @param options - What the answers rest on.
+ * @returns Answers a call.
+ */
+export function createCallHandlers({term, log, metrics, sessions, demand, pools, getLedger, getWallClock, propose, decide, checkConfiguration, wantPlan, stopNeedless, onChanged}: CallHandlersOptions): (call: ClusterCall) => Promise<ClusterAnswer> {
+	const submitJob = async ({target, specification}: ClusterCall & {type: 'job/submit'}): Promise<ClusterAnswer> => {
+		const access = getAccess(getLedger(), target);
+		if (access.type === 'denied') {
+			return access.answer;
+		}
+
+		const {found: {queue, rest: id}, team} = access;
+		if (!isJobId(id)) {
+			return {type: 'invalidRequest', message: `"${id}" is not a job id of 16 hexadecimal digits`};
+		}
+
+		if (getLedger().jobs.has(id)) {
+			return {type: 'accepted'};
+		}
+
+		const work = getWork(specification);
+		demand.note(queue.pool, {id, work});
+		const load = pools.getLoad(queue.pool, {team, work});
+		const admission = admitJob(specification, queue, load);
+		const inputs = {
+			id,
+			queue: queue.queue,
+			pool: queue.pool,
+			team: team?.team,
+			expectedMs: Math.round(admission.expectedMs),
+			workAheadCoreMs: Math.round(load.workAhead / 1000),
+			poolMillicores: load.cpuMillicores,
+			configuration: access.configuration.version,
+		};
+		if (admission.type === 'refused') {
+			metrics.count('jobs_refused_total', admission.reason);
+			log.info(`job ${id} is refused: ${admission.reason}`, {...inputs, reason: admission.reason, retryAfterMs: Math.round(admission.retryAfterMs)});
+			return {type: 'refused', reason: admission.reason, retryAfterMs: admission.retryAfterMs};
+		}
+
+		const decision = await propose({
+			type: 'job/accepted',
+			job: createAcceptedJob({
+				id, queue, team, specification, acceptedAtMs: getWallClock(),
+			}),
+		});
+		log.info(`job ${id}: ${decision.type === 'applied' ? 'accepted' : decision.type}`, inputs);
+		if (decision.type !== 'applied') {
+			return {type: decision.type === 'notProposed' ? 'unavailable' : 'uncertain'};
+		}
+
+		metrics.count('jobs_accepted_total');
+		wantPlan();
+		return {type: 'accepted'};
+	};
+
+	const findOwnJob = (target: CallerTarget): {readonly job: Job} | {readonly answer: ClusterAnswer} => {
+		const access = getAccess(getLedger(), target);
+		if (access.type === 'denied') {
+			return {answer: access.answer};
+		}
+
+		const {found: {queue, rest}, team} = access;
+		if (rest === '') {
+			return {answer: {type: 'pendingJobs', count: countPendingJobs(getLedger(), queue.queue)}};
+		}
+
+		const job = isJobId(rest) ? getLedger().jobs.get(rest) : undefined;
+		// A foreign team is not told that the job exists.
+		return job === undefined || (job.team !== undefined && job.team !== team?.team)
+			? {answer: {type: 'unknownJob'}}
+			: {job};
+	};
+
+	const readJob = ({target}: ClusterCall & {type: 'job/read'}): ClusterAnswer => {
+		const found = findOwnJob(target);
+		return 'answer' in found ? found.answer : {type: 'jobState', state: getShownState(found.job)};
+	};
+
+	const cancelJob = async ({target}: ClusterCall & {type: 'job/cancel'}): Promise<ClusterAnswer> => {
+		const found = findOwnJob(target);
+		if ('answer' in found) {
+			return found.answer.type === 'pendingJobs' ? {type: 'unknownJob'} : found.answer;
+		}
+
+		const {id} = found.job;
+		const decision = await propose({type: 'job/cancelled', id, atMs: getWallClock()});
+		log.info(`job ${id}: cancel ${decision.type}`, {id, state: found.job.status});
+		if (decision.type !== 'applied') {
+			return {type: decision.type === 'notProposed' ? 'unavailable' : 'uncertain'};
+		}
+
+		metrics.count('jobs_cancelled_total');
+		stopNeedless();
+		wantPlan();
+		return {type: 'done'};
+	};
+
+	const replaceConfiguration = async ({document}: ClusterCall & {type: 'configuration/replace'}): Promise<ClusterAnswer> => {
+		const findings = checkConfiguration(document);
+		if (findings.length > 0) {
+			const message = findings.map(({path, message: text}) => `${path}: ${text}`).join('\n');
+			log.warn(`a configuration is refused: ${message}`, {findings: findings.length});
+			return {type: 'invalidRequest', message};
+		}
+
+		const decision = await propose({type: 'configuration/replaced', document});
+		log.info(`configuration: ${decision.type}`, {inForce: getLedger().configuration?.version, outcome: decision.type === 'applied' ? decision.outcome?.type : undefined});
+		wantPlan();
+		return decision.type === 'applied' ? {type: 'done'} : {type: decision.type === 'notProposed' ? 'unavailable' : 'uncertain'};
+	};
+
+	const takeReport = async (report: MinionReport): Promise<ClusterAnswer> => {
+		const {record} = report;
+		if (!getLedger().lives.has(record.life)) {
+			const isJoined = await decide({type: 'minion/joined', term, record});
+			if (!isJoined) {
+				return {type: 'unavailable'};
+			}
+
+			log.info(`minion ${record.minion} joined pool ${record.pool}`, {
+				minion: record.minion, life: record.life, pool: record.pool, worker: record.worker, address: record.address, rack: record.rack,
+			});
+			onChanged();
+		}
+
+		sessions.get(record.life)?.takeReport(report);
+		return {type: 'done'};
+	};
+
+	const takeLeave = async ({minion, bornAtMs}: ClusterCall & {type: 'minion/leave'}): Promise<ClusterAnswer> => {
+		const lives = [...sessions.values()].filter(({record}) => record.minion === minion && (bornAtMs === undefined || record.bornAtMs === bornAtMs));
+		for (const {record} of lives) {
+			log.info(`minion ${minion} left`, {minion, life: record.life});
+			const isNoted = await decide({type: 'minion/left', term, life: record.life}); // eslint-disable-line no-await-in-loop -- hardly ever more than one
+			if (!isNoted) {
+				return {type: 'unavailable'};
+			}
+		}
+
+		onChanged();
+		return {type: 'done'};
+	};
+
+	const startWave = async ({wave, durationMs}: ClusterCall & {type: 'wave/start'}): Promise<ClusterAnswer> => {
+		const startedAtMs = getWallClock();
+		const decision = await propose({type: 'wave/started', wave: {...wave, startedAtMs, dueAtMs: startedAtMs + durationMs}});
+		log.info(`wave ${wave.wave}: ${decision.type}`, {
+			wave: wave.wave, workers: wave.workers, maximumAtOnce: wave.maximumAtOnce, durationMs,
+		});
+		return decision.type === 'applied' ? {type: 'done'} : {type: decision.type === 'notProposed' ? 'unavailable' : 'uncertain'};
+	};
+
+	const readWave = ({wave}: ClusterCall & {type: 'wave/read'}): ClusterAnswer => {
+		const known = getLedger().waves.get(wave);
+		return known === undefined ? {type: 'unknownWave'} : {type: 'waveState', isCompleted: isWaveCompleted(known)};
+	};
+
+	const joinHost = async ({node, storeId}: ClusterCall & {type: 'host/join'}): Promise<ClusterAnswer> => {
+		if (getLedger().controlHosts.get(node)?.storeId === storeId) {
+			return {type: 'done'};
+		}
+
+		log.info(`control host ${node} joins`, {node, storeId});
+		const isNoted = await decide({type: 'controlHost/joined', record: {node, storeId}});
+		return {type: isNoted ? 'done' : 'unavailable'};
+	};
+
+	const readConfiguration = (): ClusterAnswer => {
+		const {configuration} = getLedger();
+		return configuration === undefined ? {type: 'noConfiguration'} : {type: 'configuration', document: configuration.document};
+	};
+
+	const readLimits = (): ClusterAnswer => {
+		const {configuration} = getLedger();
+		return configuration === undefined ? {type: 'noConfiguration'} : {type: 'limits', limits: configuration.limits};
+	};
+
+	return async call => {
+		switch (call.type) {
+			case 'job/submit': {
+				return submitJob(call);
+			}
+
+			case 'job/read': {
+				return readJob(call);
+			}
+
+			case 'job/cancel': {
+				return cancelJob(call);
+			}
+
+			case 'configuration/replace': {
+				return replaceConfiguration(call);
+			}
+
+			case 'configuration/read': {
+				return readConfiguration();
+			}
+
+			case 'minion/report': {
+				return takeReport(call.report);
+			}
+
+			case 'minion/leave': {
+				return takeLeave(call);
+			}
+
+			case 'wave/start': {
+				return startWave(call);
+			}
+
+			case 'wave/read': {
+				return readWave(call);
+			}
+
+			case 'host/join': {
+				return joinHost(call);
+			}
+
+			case 'limits/read': {
+				return readLimits();
+			}
+		}
+	};
+}
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -79,3 +79,12 @@
 
 /** How often finished jobs are looked through for ones to forget. */
 export const forgetPeriodMs = 10_000;
+
+/** Pause after the platform refused to move a worker. */
+export const refusedMovePauseMs = 1000;
+
+/**
+ * How long the highest demand on a pool is remembered; longer than from one burst of a queue to the
+ * next. A new leader expects a burst of every pool for as long.
+ */
+export const peakMemoryMs = 45_000;
--- a/packages/daemon/src/scheduler/demand-meter.ts
+++ b/packages/daemon/src/scheduler/demand-meter.ts
@@ -2,6 +2,7 @@
  * How much work callers hand in, by pool, over the last moments.
  */
 import type {JobId, PoolId, TimerService} from '@samphiremill/common';
+import {peakMemoryMs} from './constants.js';
 
 /** Measures the work that is handed in. */
 export type DemandMeter = {
@@ -9,6 +10,8 @@
 	readonly note: (pool: PoolId, job: {readonly id: JobId; readonly work: number}) => void;
 	/** @returns The work a millisecond, in millicores. */
 	readonly getRate: (pool: PoolId) => number;
+	/** @returns The highest such rate of some seconds that is remembered. */
+	readonly getPeakRate: (pool: PoolId) => number;
 };
 
 type Arrival = {
@@ -17,10 +20,16 @@
 	readonly work: number;
 };
 
-const windowMs = 1000;
-// The beginning of a burst shows sooner in a shorter window, if enough jobs fall into it.
-const shortWindowMs = 400;
-const leastBurstArrivals = 4;
+// A rate is taken over the shortest time that holds this many jobs, as single ones differ a lot.
+const arrivalsPerRate = 8;
+const shortestWindowMs = 400;
+const longestWindowMs = 3000;
+const peakPeriodMs = 5000;
+
+type Peak = {
+	readonly sinceMs: number;
+	readonly rate: number;
+};
 
 /**
  * @param timers - The time.
@@ -28,22 +37,37 @@
  */
 export function createDemandMeter(timers: TimerService): DemandMeter {
 	const arrivals = new Map<PoolId, readonly Arrival[]>();
+	const peaks = new Map<PoolId, readonly Peak[]>();
+
+	const getRecent = (pool: PoolId) => (arrivals.get(pool) ?? []).filter(({atMs}) => timers.getNow() - atMs < longestWindowMs);
 
-	const getRate = (recent: readonly Arrival[], lengthMs: number) => recent
-		.filter(({atMs}) => timers.getNow() - atMs < lengthMs)
+	const getAverage = (recent: readonly Arrival[], lengthMs: number) => recent
+		.filter(({atMs}) => timers.getNow() - atMs <= lengthMs)
 		.reduce((sum, {work}) => sum + work, 0) / lengthMs;
 
-	const getRecent = (pool: PoolId) => (arrivals.get(pool) ?? []).filter(({atMs}) => timers.getNow() - atMs < windowMs);
+	const listPeaks = (pool: PoolId) => (peaks.get(pool) ?? []).filter(({sinceMs}) => timers.getNow() - sinceMs < peakMemoryMs);
+
+	const notePeak = (pool: PoolId, rate: number) => {
+		const known = listPeaks(pool);
+		const latest = known.at(-1);
+		const isInPeriod = latest !== undefined && timers.getNow() - latest.sinceMs < peakPeriodMs;
+		peaks.set(pool, isInPeriod
+			? [...known.slice(0, -1), {...latest, rate: Math.max(latest.rate, rate)}]
+			: [...known, {sinceMs: timers.getNow(), rate}]);
+	};
 
 	return {
 		note(pool, {id, work}) {
 			const recent = getRecent(pool);
-			arrivals.set(pool, recent.some(arrival => arrival.id === id) ? recent : [...recent, {id, atMs: timers.getNow(), work}]);
+			const now = recent.some(arrival => arrival.id === id) ? recent : [...recent, {id, atMs: timers.getNow(), work}];
+			arrivals.set(pool, now);
+			notePeak(pool, getAverage(now, longestWindowMs));
 		},
 		getRate(pool) {
 			const recent = getRecent(pool);
-			const isBurst = recent.filter(({atMs}) => timers.getNow() - atMs < shortWindowMs).length >= leastBurstArrivals;
-			return Math.max(getRate(recent, windowMs), isBurst ? getRate(recent, shortWindowMs) : 0);
+			const earliest = recent.at(-arrivalsPerRate);
+			return getAverage(recent, earliest === undefined ? longestWindowMs : Math.max(shortestWindowMs, timers.getNow() - earliest.atMs));
 		},
+		getPeakRate: pool => Math.max(0, ...listPeaks(pool).map(({rate}) => rate)),
 	};
 }
--- a/packages/daemon/src/scheduler/leader.test.ts
+++ b/packages/daemon/src/scheduler/leader.test.ts
@@ -54,7 +54,7 @@
 	expect(world.listBroken()).toEqual([]);
 });
 
-test('spare workers come to a pool that is short, and go back', async () => {
+test('an idle worker is switched off, spare workers come to a pool that is short, and go back', async () => {
 	const world = await start({seed: 4, minionCount: 2, standbyWorkers: 2});
 	await world.advance(4000);
 	for (let index = 0; index < 5; index += 1) {
@@ -62,7 +62,7 @@
 	}
 
 	await world.advance(9000);
-	expect(world.listMoves()).toEqual(['spare-0 to counter', 'spare-1 to counter', 'spare-0 to reserve', 'spare-1 to reserve']);
+	expect(world.listMoves()).toEqual(['worker-0 to reserve', 'spare-0 to counter', 'spare-1 to counter', 'spare-0 to reserve', 'spare-1 to reserve']);
 	expect(world.listBroken()).toEqual([]);
 });
 
--- /dev/null
+++ b/packages/daemon/src/scheduler/pool-view.ts
@@ -0,0 +1,109 @@
+/**
+ * How the pools stand: what they are asked for, and what their minions offer.
+ */
+import type {PoolId, TimerService} from '@samphiremill/common';
+import {
+	idlePool, measurePools, measureWorkAhead,
+	type Ledger, type PoolLoad, type PoolPressure, type Resources, type TeamDefinition,
+} from '@samphiremill/core';
+import {peakMemoryMs} from './constants.js';
+import type {DemandMeter} from './demand-meter.js';
+import type {MinionSession} from './minion-session.js';
+import type {ListedWorker} from './types.js';
+
+/** What the view rests on. */
+export type PoolViewOptions = {
+	readonly timers: TimerService;
+	readonly demand: DemandMeter;
+	readonly getLedger: () => Ledger;
+	readonly getWallClock: () => number;
+	readonly listSessions: () => Iterable<MinionSession>;
+	/** Whether a minion may be given work. */
+	readonly isPlaceable: (session: MinionSession) => boolean;
+	readonly listSwitchedOff: () => readonly ListedWorker[];
+	/** Processors on their way to a pool. */
+	readonly getIncomingMillicores: (pool: PoolId) => number;
+};
+
+/** A job that asks for a place. */
+export type PoolClaim = {
+	readonly team: TeamDefinition | undefined;
+	/** Its work, in millicore milliseconds. */
+	readonly work: number;
+};
+
+/** The pools of one leader. */
+export type PoolView = {
+	/** What an admission to a pool rests on. */
+	readonly getLoad: (pool: PoolId, claim: PoolClaim) => PoolLoad;
+	readonly listPressures: () => readonly PoolPressure[];
+	/** Pools that can't spare a worker for upkeep without need. */
+	readonly listPressed: () => ReadonlySet<PoolId>;
+};
+
+// A pool of which this part of its processors is wanted keeps its workers.
+const pressedShare = 0.6;
+
+const sumMillicores = (capacities: readonly Resources[]) => capacities.reduce((sum, {cpuMillicores}) => sum + cpuMillicores, 0);
+
+const getLargest = (capacities: readonly Resources[]): Resources | undefined => capacities.length === 0
+	? undefined
+	: {
+		cpuMillicores: Math.max(...capacities.map(({cpuMillicores}) => cpuMillicores)),
+		memoryMb: Math.max(...capacities.map(({memoryMb}) => memoryMb)),
+		gpus: Math.max(...capacities.map(({gpus}) => gpus)),
+	};
+
+/**
+ * @param options - What the view rests on.
+ * @returns The view.
+ */
+export function createPoolView({timers, demand, getLedger, getWallClock, listSessions, isPlaceable, listSwitchedOff, getIncomingMillicores}: PoolViewOptions): PoolView {
+	const beganAtMs = timers.getNow();
+
+	const listPlaceable = (pool: PoolId) => [...listSessions()].filter(session => session.record.pool === pool && isPlaceable(session));
+
+	// Before its first burst a pool is expected to need its part of the fleet.
+	const getExpectedPeak = (poolCount: number) => {
+		const all = [...[...listSessions()].map(({record}) => record.capacity.cpuMillicores), ...listSwitchedOff().map(({millicores}) => millicores)];
+		return timers.getNow() - beganAtMs < peakMemoryMs ? all.reduce((sum, millicores) => sum + millicores, 0) / Math.max(1, poolCount) : 0;
+	};
+
+	const listPressures = (): readonly PoolPressure[] => {
+		const measures = measurePools(getLedger(), getWallClock());
+		const expectedPeak = getExpectedPeak(getLedger().configuration?.pools.length ?? 0);
+		return (getLedger().configuration?.pools ?? []).map(({pool, isStandby}) => {
+			const {lastingMillicores, runningMillicores, readyMillicores, workLeft} = measures.get(pool) ?? idlePool;
+			const cpuMillicores = sumMillicores(listPlaceable(pool).map(({record}) => record.capacity));
+			return {
+				pool,
+				isStandby,
+				millicores: cpuMillicores + getIncomingMillicores(pool) - lastingMillicores,
+				runnableMillicores: runningMillicores + readyMillicores,
+				workLeft,
+				inflowMillicores: demand.getRate(pool),
+				peakInflowMillicores: Math.max(expectedPeak, demand.getPeakRate(pool)),
+			};
+		});
+	};
+
+	const getLoad = (pool: PoolId, {team, work}: PoolClaim): PoolLoad => {
+		const {lastingMillicores} = measurePools(getLedger(), getWallClock()).get(pool) ?? idlePool;
+		const capacities = listPlaceable(pool).map(({record}) => record.capacity);
+		const cpuMillicores = sumMillicores(capacities);
+		return {
+			cpuMillicores: Math.max(0, cpuMillicores + getIncomingMillicores(pool) - lastingMillicores),
+			bound: {poolMillicores: cpuMillicores, teamMillicores: team?.maximum.cpuMillicores ?? 0},
+			workAhead: measureWorkAhead(getLedger(), {pool, work, nowMs: getWallClock()}),
+			largestMinion: getLargest(capacities),
+		};
+	};
+
+	return {
+		getLoad,
+		listPressures,
+		listPressed: () => new Set(listPressures()
+			.filter(({millicores, runnableMillicores, inflowMillicores}) => Math.max(runnableMillicores, inflowMillicores) > millicores * pressedShare)
+			.map(({pool}) => pool)),
+	};
+}
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -519,7 +519,9 @@
 		leader = startLeader({
 			self: toBrand<NodeId>(`host-${term}`),
 			term,
-			limits: {leaseMs, retentionMs: 120_000, hasWorkerOrders: standbyWorkers > 0},
+			limits: {
+				leaseMs, retentionMs: 120_000, hasWorkerOrders: standbyWorkers > 0, workerMoveMs: 1500,
+			},
 			timers,
 			log: silentLog,
 			getWallClock,
--- /dev/null
+++ b/packages/daemon/src/scheduler/upkeep-duty.ts
@@ -0,0 +1,144 @@
+/**
+ * Maintenance waves: workers are emptied and handed to the platform, a bounded number at a time.
+ */
+import type {PoolId, TimerService, WorkerId} from '@samphiremill/common';
+import {
+	planUpkeep,
+	type Ledger, type LedgerCommand, type LifeId, type Task, type UpkeepRequest, type WorkerView,
+} from '@samphiremill/core';
+import type {DecisionLog} from '../runtime/types.js';
+import type {SchedulerMetrics} from './metrics.js';
+import type {MinionSession} from './minion-session.js';
+import type {ListedWorker, WorkerPort} from './types.js';
+import type {WorkerOrders} from './worker-orders.js';
+
+/** What the waves need of the leader. */
+export type UpkeepDutyOptions = {
+	readonly timers: TimerService;
+	readonly log: DecisionLog;
+	readonly metrics: SchedulerMetrics;
+	readonly workers: WorkerPort;
+	readonly orders: WorkerOrders;
+	readonly sessions: ReadonlyMap<LifeId, MinionSession>;
+	readonly getLedger: () => Ledger;
+	readonly getWallClock: () => number;
+	readonly listSwitchedOff: () => readonly ListedWorker[];
+	readonly listPressed: () => ReadonlySet<PoolId>;
+	/** Whether no assignment that was planned before that moment is still on its way. */
+	readonly isSettledSince: (sinceMs: number) => boolean;
+	readonly term: number;
+	readonly decide: (command: LedgerCommand) => Promise<boolean>;
+	readonly onChanged: () => void;
+};
+
+/** The waves of one leader. */
+export type UpkeepDuty = {
+	readonly tick: () => void;
+	/** Workers that get no work, since they are emptied for their upkeep. */
+	readonly isCordoned: (worker: WorkerId) => boolean;
+};
+
+/**
+ * @param options - What the waves need.
+ * @returns The waves.
+ */
+export function createUpkeepDuty({timers, log, metrics, workers, orders, sessions, getLedger, getWallClock, listSwitchedOff, listPressed, isSettledSince, term, decide, onChanged}: UpkeepDutyOptions): UpkeepDuty {
+	let cordoned: ReadonlySet<WorkerId> = new Set();
+	const cordonedSince = new Map<WorkerId, number>();
+
+	// What a silent minion showed last says nothing of the present.
+	const isServing = (task: Task) => task.runs.some(({life}) => {
+		const session = sessions.get(life);
+		const run = session?.getRun(task.id);
+		return session !== undefined && session.isAnswering() && run?.servingSinceMs !== undefined && run.phase === 'running';
+	});
+
+	const getWorkerViews = () => {
+		const views = new Map<WorkerId, WorkerView>();
+		for (const session of sessions.values()) {
+			const {worker, life} = session.record;
+			views.set(worker, {worker, life, isUp: session.isUsable()});
+		}
+
+		return views;
+	};
+
+	const orderUpkeep = async ({wave, worker, life}: UpkeepRequest) => {
+		const isKnown = getLedger().waves.get(wave)?.ordered.has(worker) ?? false;
+		if (!orders.isOpen() || (!isKnown && !isSettledSince(cordonedSince.get(worker) ?? timers.getNow()))) {
+			return;
+		}
+
+		const isNoted = isKnown || await decide({
+			type: 'wave/workerOrdered', term, wave, worker, life,
+		});
+		if (!isNoted) {
+			return;
+		}
+
+		const result = await orders.send(worker, `upkeep in wave ${wave}`, async authority => workers.beginUpkeep({...authority, worker, wave}));
+		if (result === 'waiting') {
+			return;
+		}
+
+		metrics.count('upkeeps_ordered_total', result);
+		log.info(`upkeep of worker ${worker} in wave ${wave}: ${result}`, {
+			worker, wave, life, result,
+		});
+		if (result === 'done' || result === 'notDue' || result === 'unknown') {
+			await decide({
+				type: 'wave/workerBegun', term, wave, worker, atMs: getWallClock(),
+			});
+			onChanged();
+		}
+	};
+
+	const noteCordons = (workersNow: ReadonlySet<WorkerId>) => {
+		for (const worker of workersNow) {
+			if (!cordonedSince.has(worker)) {
+				cordonedSince.set(worker, timers.getNow());
+			}
+		}
+
+		for (const worker of cordonedSince.keys()) {
+			if (!workersNow.has(worker)) {
+				cordonedSince.delete(worker);
+			}
+		}
+
+		cordoned = workersNow;
+	};
+
+	const tick = () => {
+		const ledger = getLedger();
+		if (ledger.waves.size === 0) {
+			return;
+		}
+
+		const pressed = listPressed();
+		const upkeep = planUpkeep({
+			ledger,
+			nowMs: getWallClock(),
+			workers: getWorkerViews(),
+			switchedOff: new Set(listSwitchedOff().map(({worker}) => worker)),
+			isPressed({life}) {
+				const pool = sessions.get(life)?.record.pool;
+				return pool !== undefined && pressed.has(pool);
+			},
+			cordoned,
+			isServing,
+		});
+		noteCordons(upkeep.cordoned);
+		for (const task of upkeep.evictions) {
+			for (const {life} of task.runs) {
+				sessions.get(life)?.stop(task.id, 'its worker is due for upkeep');
+			}
+		}
+
+		for (const request of upkeep.requests) {
+			void orderUpkeep(request);
+		}
+	};
+
+	return {tick, isCordoned: worker => cordoned.has(worker)};
+}
--- a/packages/daemon/src/scheduler/worker-moves.ts
+++ b/packages/daemon/src/scheduler/worker-moves.ts
@@ -6,7 +6,9 @@
 	planWorkerMoves, type LedgerCommand, type LifeId, type PoolPressure, type WorkerMove,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
-import {listPeriodMs, longestMoveMs, moveSettleMs} from './constants.js';
+import {
+	listPeriodMs, longestMoveMs, moveSettleMs, refusedMovePauseMs,
+} from './constants.js';
 import type {SchedulerMetrics} from './metrics.js';
 import type {ListedWorker, WorkerPort} from './types.js';
 import type {WorkerOrders} from './worker-orders.js';
@@ -17,6 +19,7 @@
 	readonly life: LifeId;
 	readonly pool: PoolId;
 	readonly millicores: number;
+	readonly kind: string;
 	readonly runCount: number;
 	/** Whether it is free to be moved, as far as waves and drains go. */
 	readonly isMovable: boolean;
@@ -31,8 +34,9 @@
 	readonly orders: WorkerOrders;
 	readonly listRunning: () => readonly RunningWorker[];
 	readonly listPressures: () => readonly PoolPressure[];
-	/** Workers that serve another pool for a while, and the pool that they belong to. */
-	readonly getLoans: () => ReadonlyMap<WorkerId, PoolId>;
+	readonly isStandbyPool: (pool: PoolId) => boolean;
+	/** How long the platform takes to move a worker, in milliseconds. */
+	readonly moveMs: number;
 	/** Whether no assignment that was planned before that moment is still on its way. */
 	readonly isSettledSince: (sinceMs: number) => boolean;
 	readonly term: number;
@@ -62,19 +66,21 @@
  * @param options - What the moves need.
  * @returns The moves.
  */
-export function createWorkerMoves({timers, log, metrics, workers, orders, listRunning, listPressures, getLoans, isSettledSince, term, decide, onChanged}: WorkerMovesOptions): WorkerMoves {
+export function createWorkerMoves({timers, log, metrics, workers, orders, listRunning, listPressures, isStandbyPool, moveMs, isSettledSince, term, decide, onChanged}: WorkerMovesOptions): WorkerMoves {
 	const active = new Map<WorkerId, ActiveMove>();
 	const idleSince = new Map<WorkerId, number>();
+	const refusedAtMs = new Map<WorkerId, number>();
 	let listed: readonly ListedWorker[] = [];
 	let isListing = false;
 	let listAtMs = Number.NEGATIVE_INFINITY;
 
+	const isFree = (worker: WorkerId) => !active.has(worker) && timers.getNow() - (refusedAtMs.get(worker) ?? Number.NEGATIVE_INFINITY) > refusedMovePauseMs;
+
 	const isSwitchedOn = () => new Set(listRunning().map(({worker}) => worker));
 
 	const listSwitchedOff = () => {
 		const on = isSwitchedOn();
-		const standby = new Set(listPressures().filter(({isStandby}) => isStandby).map(({pool}) => pool));
-		return listed.filter(({worker, pool, state}) => standby.has(pool) && state === 'up' && !on.has(worker));
+		return listed.filter(({worker, pool, state}) => isStandbyPool(pool) && state === 'up' && !on.has(worker));
 	};
 
 	const refreshList = async () => {
@@ -100,11 +106,11 @@
 		}
 	};
 
-	const begin = ({worker, from, to}: WorkerMove, running: ReadonlyMap<WorkerId, RunningWorker>) => {
+	const begin = ({worker, from, to}: WorkerMove, running: ReadonlyMap<WorkerId, RunningWorker>, pressures: readonly PoolPressure[]) => {
 		const known = running.get(worker);
 		metrics.count('moves_begun_total');
 		log.info(`worker ${worker} moves from pool ${from} to ${to}`, {
-			worker, from, to, life: known?.life,
+			worker, from, to, life: known?.life, pools: pressures.filter(({pool}) => pool === from || pool === to),
 		});
 		active.set(worker, {
 			worker,
@@ -125,26 +131,10 @@
 			await decide({type: 'minion/left', term, life: move.life});
 		}
 
-		if (getLoans().get(move.worker) === move.to) {
-			await decide({type: 'loan/ended', term, worker: move.worker});
-		}
-
 		onChanged();
 	};
 
-	// A later leader has to know which workers are to go back.
-	const noteLoan = async ({worker, from, to}: ActiveMove): Promise<boolean> => {
-		const loans = getLoans();
-		return loans.has(worker) || loans.get(worker) === to || decide({
-			type: 'loan/begun', term, worker, home: from,
-		});
-	};
-
 	const carryOn = async (move: ActiveMove) => {
-		if (!await noteLoan(move)) {
-			return;
-		}
-
 		const result = await orders.send(move.worker, `move to ${move.to} at ${move.beganAtMs}`, async authority => workers.moveToPool({...authority, worker: move.worker, pool: move.to}));
 		switch (result) {
 			case 'done': {
@@ -164,6 +154,7 @@
 			case 'unknown': {
 				log.info(`worker ${move.worker} is not moved: ${result}`, {worker: move.worker, to: move.to, result});
 				active.delete(move.worker);
+				refusedAtMs.set(move.worker, timers.getNow());
 				break;
 			}
 		}
@@ -174,7 +165,9 @@
 		const present = running.get(move.worker);
 		if (move.confirmedAtMs !== undefined) {
 			const hasArrived = present !== undefined && present.life !== move.life && present.pool === move.to;
-			if (hasArrived || nowMs - move.confirmedAtMs > longestMoveMs) {
+			// Of a worker that is switched off nothing more is heard.
+			const boundMs = isStandbyPool(move.to) ? moveMs : longestMoveMs;
+			if (hasArrived || nowMs - move.confirmedAtMs > boundMs) {
 				active.delete(move.worker);
 			}
 
@@ -213,21 +206,17 @@
 			}
 
 			const movable = running
-				.filter(({worker, isMovable}) => isMovable && !active.has(worker))
-				.map(({worker, pool, millicores}) => ({
-					worker,
-					pool,
-					millicores,
-					idleMs: idleSince.has(worker) ? timers.getNow() - (idleSince.get(worker) ?? 0) : 0,
-					isLoaned: getLoans().has(worker),
+				.filter(({worker, isMovable}) => isMovable && isFree(worker))
+				.map(({worker, pool, millicores, kind}) => ({
+					worker, pool, millicores, kind, idleMs: idleSince.has(worker) ? timers.getNow() - (idleSince.get(worker) ?? 0) : 0,
 				}));
 			const switchedOff = listSwitchedOff()
-				.filter(({worker}) => !active.has(worker))
+				.filter(({worker}) => isFree(worker))
 				.map(({worker, pool, millicores}) => ({
-					worker, pool, millicores, idleMs: Number.POSITIVE_INFINITY, isLoaned: false,
+					worker, pool, millicores, kind: '', idleMs: Number.POSITIVE_INFINITY,
 				}));
-			for (const move of planWorkerMoves({pools: demands, workers: [...movable, ...switchedOff]})) {
-				begin(move, runningByWorker);
+			for (const move of planWorkerMoves({pools: demands, workers: [...movable, ...switchedOff], moveMs})) {
+				begin(move, runningByWorker, demands);
 			}
 		},
 		isCordoned: worker => active.has(worker) && active.get(worker)?.confirmedAtMs === undefined,
