--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -15,9 +15,10 @@
 } from './constants.js';
 import {createDemandMeter} from './demand-meter.js';
 import type {SchedulerMetrics} from './metrics.js';
-import {openMinionSession, type MinionSession, type SessionContext} from './minion-session.js';
+import {openMinionSession, type MinionSession} from './minion-session.js';
 import {createPoolView} from './pool-view.js';
 import {createRunHastener} from './run-hastener.js';
+import type {SessionContext} from './session-context.js';
 import {judgePeriodMs} from './straggler-watch.js';
 import type {
 	AdvicePort, ClusterAnswer, ClusterCall, ConfigurationFinding, MinionPort, WorkerPort,
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -1,89 +1,23 @@
 /**
  * The leader's dealings with one life of a minion: its lease, its runs, and what it lists of them.
  */
-import type {TimerService} from '@samphiremill/common';
 import {
-	findTask, getInheritedLeaseMs, getLeaseDeadline, getRunBound, getStep, isLeaseOver, isSuspectedSlow,
-	notePace, noteRunDone, noteRunFailed, unknownHealth, unknownPace,
-	type ClockReading, type Job, type Ledger, type LedgerCommand, type LifeId, type MinionHealth, type MinionPace,
-	type MinionRecord, type RunAssignment, type RunEnd, type RunEnding, type Task, type TaskId, type Ticket,
+	findTask, getRunBound, getStep, isSuspectedSlow, notePace, noteRunDone, noteRunFailed, unknownHealth, unknownPace,
+	type MinionHealth, type MinionPace, type MinionRecord, type RunAssignment, type RunEnd, type TaskId,
 } from '@samphiremill/core';
-import type {DecisionLog} from '../runtime/types.js';
 import {
-	holdRetryMs, holdSlackMs, holdWaitMs, orderRetryMs, orderTimeoutMs, warmUpWaitMs,
+	holdRetryMs, holdSlackMs, holdWaitMs, orderTimeoutMs, warmUpWaitMs,
 } from './constants.js';
-import type {SchedulerMetrics} from './metrics.js';
+import {createMinionLease} from './minion-lease.js';
+import {
+	createRunControl, fullPacePercent, toRunView, type RunControl, type RunView,
+} from './run-control.js';
+import {createRunEnd, createRunOrders, waitFor} from './run-orders.js';
+import type {SessionContext} from './session-context.js';
 import type {
-	FinishedEntry, HoldReport, MinionAnswer, MinionPort, MinionReport, MinionTarget, RunningEntry, StartResult,
+	FinishedEntry, HoldReport, MinionAnswer, MinionReport, MinionTarget, RunningEntry,
 } from './types.js';
 
-/** What a session needs of the leader. */
-export type SessionContext = {
-	readonly timers: TimerService;
-	readonly minions: MinionPort;
-	readonly log: DecisionLog;
-	readonly metrics: SchedulerMetrics;
-	readonly fencingToken: number;
-	readonly leaseMs: number;
-	/** When the term began, on the monotonic clock. */
-	readonly termBeganAtMs: number;
-	readonly getLedger: () => Ledger;
-	/** Whether this host may still give orders; asked right before each. */
-	readonly canAct: () => boolean;
-	/** Resolves once the command is applied; false if it was not, or may not have been. */
-	readonly decide: (command: LedgerCommand) => Promise<boolean>;
-	readonly getWallClock: () => number;
-	/** Something changed that a plan may use. */
-	readonly onChanged: () => void;
-	/** A minion follows a newer leader. */
-	readonly onFenced: () => void;
-	readonly getTicket: (task: Task, life: LifeId) => Ticket | undefined;
-	readonly dropTicket: (task: Task, life: LifeId) => void;
-	readonly noteFailure: (task: TaskId, life: LifeId) => void;
-	readonly noteDone: (task: TaskId, done: {readonly life: LifeId; readonly elapsedMs: number}) => void;
-	/** Jobs that were active before ends were noted. */
-	readonly onEndsNoted: (jobs: readonly Job[]) => void;
-};
-
-/** How an order stands. */
-type RunPhase = 'unsent' | 'starting' | 'running' | 'stopping';
-
-/** The leader's view of one run. */
-export type RunView = {
-	readonly task: TaskId;
-	readonly run: number;
-	readonly phase: RunPhase;
-	readonly startedAtMs: number | undefined;
-	/** When a listing first showed the run at full work. */
-	readonly servingSinceMs: number | undefined;
-	/** How much of its work is done; of a lasting task, 100 once it serves at full pace. */
-	readonly percent: number;
-	/** When it was last listed, and when a listing last showed more progress. */
-	readonly listedAtMs: number | undefined;
-	readonly progressedAtMs: number | undefined;
-	readonly gauge: number;
-	readonly pacePercent: number;
-};
-
-type RunControl = {
-	readonly assignment: RunAssignment;
-	phase: RunPhase;
-	isStopWanted: boolean;
-	/** A start was sent and got no answer, so it may be carried out later. */
-	mayStartLate: boolean;
-	startedAtMs: number | undefined;
-	/** A listing that was asked for after this moment must name the run. */
-	listedFromMs: number | undefined;
-	stopAckedAtMs: number | undefined;
-	endingWithoutListing: RunEnding | undefined;
-	servingSinceMs: number | undefined;
-	percent: number;
-	listedAtMs: number | undefined;
-	progressedAtMs: number | undefined;
-	gauge: number;
-	pacePercent: number;
-};
-
 /** The leader's view of one life of a minion. */
 export type MinionSession = {
 	readonly record: MinionRecord;
@@ -112,7 +46,6 @@
 };
 
 const fullListLength = 500;
-const fullPacePercent = 100;
 
 /**
  * Opens the session of a life. It begins with a look at what runs there.
@@ -129,8 +62,7 @@
 		life: record.life, minion: record.minion, bornAtMs: record.bornAtMs, address: record.address,
 	};
 	const controls = new Map<TaskId, RunControl>();
-	let clock: ClockReading | undefined;
-	let latestDeadlineMs = 0;
+	const lease = createMinionLease({timers, leaseMs, inheritedSinceMs: context.termBeganAtMs});
 	let lastSeen = 0;
 	let isSynced = false;
 	let isClosed = false;
@@ -143,34 +75,10 @@
 	let isLapsing = false;
 	/** The last look got no answer. */
 	let isSilent = false;
-	// Leases that an earlier leader granted may still run from here on.
-	const unknownSinceMs = context.termBeganAtMs;
-
 	const isOpen = () => !isClosed;
 
 	const isAnswering = () => isSynced && !isSilent && timers.getNow() - heardAtMs < holdWaitMs + holdSlackMs;
 
-	const pause = async (delayMs: number) => new Promise<void>(resolve => {
-		timers.scheduleOnce(delayMs, resolve);
-	});
-
-	const createControl = (assignment: RunAssignment): RunControl => ({
-		assignment,
-		phase: 'unsent',
-		isStopWanted: false,
-		mayStartLate: false,
-		startedAtMs: undefined,
-		listedFromMs: undefined,
-		stopAckedAtMs: undefined,
-		endingWithoutListing: undefined,
-		servingSinceMs: undefined,
-		percent: 0,
-		listedAtMs: undefined,
-		progressedAtMs: undefined,
-		gauge: 0,
-		pacePercent: fullPacePercent,
-	});
-
 	const isAssigned = (task: TaskId, run: number) =>
 		context.getLedger().lives.get(record.life)?.runs.get(task) === run;
 
@@ -186,21 +94,10 @@
 		}
 	};
 
-	// A look without an answer may have been carried out, so a silent minion is granted no more time.
-	const grantDeadline = (reading: ClockReading): number => {
-		if (isSilent) {
-			return latestDeadlineMs;
-		}
-
-		const deadlineMs = getLeaseDeadline(reading, {nowMs: timers.getNow(), leaseMs});
-		latestDeadlineMs = Math.max(latestDeadlineMs, deadlineMs);
-		return deadlineMs;
-	};
-
 	const noteHeard = (answer: MinionAnswer<unknown>) => {
 		if (answer.type === 'answered') {
 			heardAtMs = timers.getNow();
-			clock = {minionMs: answer.clockMs, receivedAtMs: timers.getNow()};
+			lease.noteClock(answer.clockMs);
 		}
 	};
 
@@ -253,187 +150,27 @@
 		return isNoted;
 	};
 
-	const createEnd = ({task, run}: RunAssignment, ending: RunEnding, checkpoint = ''): RunEnd => ({
-		task, run, life: record.life, ending, checkpoint,
-	});
-
-	const sendStop = async (task: TaskId, run: number): Promise<boolean> => {
-		if (!context.canAct()) {
-			return false;
-		}
-
-		const answer = await minions.stop({
-			target, fencingToken, task, run, timeoutMs: orderTimeoutMs,
-		});
-		noteHeard(answer);
-		if (answer.type === 'answered' && answer.value === 'fenced') {
-			context.onFenced();
-			return false;
-		}
-
-		return answer.type === 'answered';
-	};
-
-	const stopControl = async (control: RunControl) => {
-		const {task, run} = control.assignment;
-		if (control.phase === 'stopping') {
-			return;
-		}
-
-		control.phase = 'stopping';
-		while (isCurrent(control)) {
-			if (await sendStop(task, run)) { // eslint-disable-line no-await-in-loop -- until it is confirmed
-				control.stopAckedAtMs = timers.getNow();
-				return;
-			}
-
-			await pause(orderRetryMs); // eslint-disable-line no-await-in-loop -- until it is confirmed
-		}
-	};
-
-	const refuseRun = async (control: RunControl, reason: string) => {
-		log.info(`minion ${record.minion} did not start ${control.assignment.task}: ${reason}`, {
-			id: control.assignment.task, run: control.assignment.run, minion: record.minion, reason,
-		});
-		// An earlier copy of the order may still arrive, so the run is closed there first.
-		if (control.mayStartLate) {
-			control.endingWithoutListing = 'refused';
-			void stopControl(control);
-			return;
-		}
-
-		await endRuns([createEnd(control.assignment, 'refused')]);
-	};
-
-	const takeStartResult = async (control: RunControl, result: StartResult): Promise<'over' | 'again'> => {
-		if (result.type === 'started') {
-			control.phase = control.phase === 'stopping' ? 'stopping' : 'running';
-			control.startedAtMs ??= timers.getNow();
-			control.listedFromMs ??= timers.getNow();
-			return 'over';
-		}
-
-		const {task} = control.assignment;
-		switch (result.reason) {
-			case 'fenced': {
-				context.onFenced();
-				return 'over';
-			}
-
-			case 'oldRun': {
-				// It ran and ended before; the listing says how.
-				control.phase = 'running';
-				control.listedFromMs ??= timers.getNow();
-				return 'over';
-			}
-
-			case 'lateDeadline': {
-				return 'again';
-			}
-
-			case 'badTicket': {
-				const known = findTask(context.getLedger(), task);
-				if (known !== undefined) {
-					context.dropTicket(known, record.life);
-				}
-
-				await refuseRun(control, 'its ticket does not hold');
-				return 'over';
-			}
-
-			case 'noRoom': {
-				unhealthyUntilMs = timers.getNow() + holdWaitMs;
-				await refuseRun(control, 'it has no room');
-				return 'over';
-			}
-
-			case 'other': {
-				await refuseRun(control, 'it refused the order');
-				return 'over';
-			}
-		}
-	};
-
-	const sendStart = async (control: RunControl): Promise<'over' | 'again'> => {
-		const {task: id, run} = control.assignment;
-		const task = findTask(context.getLedger(), id);
-		if (task === undefined || clock === undefined || !context.canAct()) {
-			return 'again';
-		}
-
-		const ticket = context.getTicket(task, record.life);
-		const answer = await minions.start({
-			target,
-			fencingToken,
-			task: id,
-			run,
-			payload: task.job.specification.payload,
-			deadlineMs: grantDeadline(clock),
-			checkpoint: task.checkpoint,
-			ticket,
-			timeoutMs: orderTimeoutMs,
-		});
-		noteHeard(answer);
-		switch (answer.type) {
-			case 'answered': {
-				return takeStartResult(control, answer.value);
-			}
-
-			case 'noAnswer': {
-				control.mayStartLate = true;
-				return 'again';
-			}
-
-			case 'notSent': {
-				return 'again';
-			}
-
-			case 'otherLife': {
-				await leave('another life answers at its address');
-				return 'over';
-			}
-
-			case 'unhealthy': {
-				unhealthyUntilMs = timers.getNow() + holdWaitMs;
-				await refuseRun(control, 'it is unhealthy');
-				return 'over';
-			}
-
-			case 'invalid': {
-				log.error(`minion ${record.minion} did not understand the start of ${id}: ${answer.message}`, {id, run, minion: record.minion});
-				await refuseRun(control, answer.message);
-				return 'over';
-			}
-		}
-	};
-
-	const startControl = async (control: RunControl) => {
-		control.phase = 'starting';
-		while (isCurrent(control) && control.phase === 'starting') {
-			if (control.isStopWanted) {
-				await stopControl(control); // eslint-disable-line no-await-in-loop -- ends the loop
-				return;
-			}
-
-			const outcome = await sendStart(control); // eslint-disable-line no-await-in-loop -- until it is answered
-			if (outcome === 'over') {
-				break;
-			}
-
-			await pause(orderRetryMs); // eslint-disable-line no-await-in-loop -- until it is answered
-		}
-
-		if (control.isStopWanted && isCurrent(control)) {
-			await stopControl(control);
-		}
-	};
-
 	const leave = async (reason: string) => {
 		log.info(`minion ${record.minion} is gone: ${reason}`, {minion: record.minion, life: record.life, reason});
 		await context.decide({type: 'minion/left', term: fencingToken, life: record.life});
 		context.onChanged();
 	};
 
+	const {sendStop, startControl, stopControl} = createRunOrders({
+		record,
+		target,
+		context,
+		lease,
+		isCurrent,
+		isSilent: () => isSilent,
+		noteHeard,
+		endRuns,
+		leave,
+		noteRefusal() {
+			unhealthyUntilMs = timers.getNow() + holdWaitMs;
+		},
+	});
+
 	const noteRunning = ({task, run, percent, gauge}: RunningEntry) => {
 		const control = controls.get(task);
 		if (control?.assignment.run !== run || !isAssigned(task, run)) {
@@ -474,11 +211,11 @@
 			}
 
 			if (stopAckedAtMs !== undefined && stopAckedAtMs < sentAtMs) {
-				return [createEnd(assignment, control.endingWithoutListing ?? 'stopped')];
+				return [createRunEnd(assignment, control.endingWithoutListing ?? 'stopped')];
 			}
 
 			return phase === 'running' && listedFromMs !== undefined && listedFromMs < sentAtMs
-				? [createEnd(assignment, 'lapsed')]
+				? [createRunEnd(assignment, 'lapsed')]
 				: [];
 		});
 	};
@@ -548,7 +285,7 @@
 			target,
 			fencingToken,
 			lastSeen,
-			deadlineMs: clock === undefined || !isSynced || isSilent ? undefined : grantDeadline(clock),
+			deadlineMs: isSynced && !isSilent ? lease.grant(false) : undefined,
 			waitMs,
 			timeoutMs: waitMs + holdSlackMs,
 		});
@@ -580,48 +317,34 @@
 		while (isOpen()) {
 			const next = context.canAct() ? await hold() : 'pause'; // eslint-disable-line no-await-in-loop -- one look after the other
 			if (next === 'pause') {
-				await pause(holdRetryMs); // eslint-disable-line no-await-in-loop -- one look after the other
+				await waitFor(timers, holdRetryMs); // eslint-disable-line no-await-in-loop -- one look after the other
 			}
 		}
 	};
 
-	const hasLapsed = () => {
-		const nowMs = timers.getNow();
-		if (clock === undefined || latestDeadlineMs === 0) {
-			return !isSynced && nowMs - unknownSinceMs > getInheritedLeaseMs(leaseMs);
-		}
-
-		return isLeaseOver(clock, {nowMs, deadlineMs: latestDeadlineMs});
-	};
-
 	const lapse = async () => {
 		isLapsing = true;
 		isSynced = false;
-		clock = undefined;
-		latestDeadlineMs = 0;
+		lease.reset();
 		const runs = [...context.getLedger().lives.get(record.life)?.runs ?? []];
 		metrics.count('leases_lapsed_total');
 		log.warn(`the lease on minion ${record.minion} ran out with ${runs.length} runs`, {
 			minion: record.minion, life: record.life, silentMs: Math.round(timers.getNow() - heardAtMs), tasks: runs.map(([task]) => task),
 		});
-		await endRuns(runs.map(([task, number]) => createEnd({task, run: number, life: record.life}, 'lapsed')));
+		await endRuns(runs.map(([task, number]) => createRunEnd({task, run: number, life: record.life}, 'lapsed')));
 		isLapsing = false;
 	};
 
 	for (const [task, number] of context.getLedger().lives.get(record.life)?.runs ?? []) {
-		controls.set(task, createControl({task, run: number, life: record.life}));
+		controls.set(task, createRunControl({task, run: number, life: record.life}));
 	}
 
 	void run();
 
-	const toView = ({assignment, phase, startedAtMs, servingSinceMs, percent, listedAtMs, progressedAtMs, gauge, pacePercent}: RunControl): RunView => ({
-		task: assignment.task, run: assignment.run, phase, startedAtMs, servingSinceMs, percent, listedAtMs, progressedAtMs, gauge, pacePercent,
-	});
-
 	return {
 		record,
 		start(assignment) {
-			const control = createControl(assignment);
+			const control = createRunControl(assignment);
 			controls.set(assignment.task, control);
 			if (isSynced) {
 				void startControl(control);
@@ -687,7 +410,7 @@
 			}
 
 			const hasRuns = (context.getLedger().lives.get(record.life)?.runs.size ?? 0) > 0;
-			if (hasRuns && !isLapsing && hasLapsed() && context.canAct()) {
+			if (hasRuns && !isLapsing && lease.isOver(isSynced) && context.canAct()) {
 				void lapse();
 			}
 		},
@@ -701,9 +424,9 @@
 		},
 		getRun(task) {
 			const control = controls.get(task);
-			return control && toView(control);
+			return control && toRunView(control);
 		},
-		listRuns: () => [...controls.values()].map(control => toView(control)),
+		listRuns: () => [...controls.values()].map(control => toRunView(control)),
 		getHeardAtMs: () => heardAtMs,
 		close() {
 			isClosed = true;
--- /dev/null
+++ b/packages/daemon/src/scheduler/session-context.ts
@@ -0,0 +1,38 @@
+/**
+ * What the sessions with minions need of their leader.
+ */
+import type {TimerService} from '@samphiremill/common';
+import type {
+	Job, Ledger, LedgerCommand, LifeId, Task, TaskId, Ticket,
+} from '@samphiremill/core';
+import type {DecisionLog} from '../runtime/types.js';
+import type {SchedulerMetrics} from './metrics.js';
+import type {MinionPort} from './types.js';
+
+/** What a session needs of the leader. */
+export type SessionContext = {
+	readonly timers: TimerService;
+	readonly minions: MinionPort;
+	readonly log: DecisionLog;
+	readonly metrics: SchedulerMetrics;
+	readonly fencingToken: number;
+	readonly leaseMs: number;
+	/** When the term began, on the monotonic clock. */
+	readonly termBeganAtMs: number;
+	readonly getLedger: () => Ledger;
+	/** Whether this host may still give orders; asked right before each. */
+	readonly canAct: () => boolean;
+	/** Resolves once the command is applied; false if it was not, or may not have been. */
+	readonly decide: (command: LedgerCommand) => Promise<boolean>;
+	readonly getWallClock: () => number;
+	/** Something changed that a plan may use. */
+	readonly onChanged: () => void;
+	/** A minion follows a newer leader. */
+	readonly onFenced: () => void;
+	readonly getTicket: (task: Task, life: LifeId) => Ticket | undefined;
+	readonly dropTicket: (task: Task, life: LifeId) => void;
+	readonly noteFailure: (task: TaskId, life: LifeId) => void;
+	readonly noteDone: (task: TaskId, done: {readonly life: LifeId; readonly elapsedMs: number}) => void;
+	/** Jobs that were active before ends were noted. */
+	readonly onEndsNoted: (jobs: readonly Job[]) => void;
+};
--- a/packages/daemon/src/scheduler/straggler-watch.ts
+++ b/packages/daemon/src/scheduler/straggler-watch.ts
@@ -6,7 +6,8 @@
 	type Ledger, type LifeId, type RunVerdict, type TaskId,
 } from '@samphiremill/core';
 import {createStepId} from './advice-desk.js';
-import type {MinionSession, RunView} from './minion-session.js';
+import type {MinionSession} from './minion-session.js';
+import type {RunView} from './run-control.js';
 
 /** A run to hasten. */
 export type Straggler = {
