Leave only those workers alone after a change of leader that were ordered within a lease

The rule speaks of one worker. Each order is in the log before it is sent, and its end after it; a host knows by its own clock when it learnt of them. A worker without a recent order moves at once.

Found on the way: a step that wants each of its tasks on another minion found too few of them once idle workers were switched off, and a wave waited for it without end. Such a task now brings a worker.

--- a/packages/core/src/scheduler/apply-ledger-command.ts
+++ b/packages/core/src/scheduler/apply-ledger-command.ts
@@ -5,6 +5,7 @@
 import {addMinion, removeMinion} from './actions/change-minions.js';
 import {noteUpkeepBegun, noteUpkeepOrdered, startWave} from './actions/change-waves.js';
 import {endRuns} from './actions/end-runs.js';
+import {noteWorkerOrderEnded, noteWorkerOrdered} from './actions/note-worker-orders.js';
 import {replaceConfiguration} from './actions/replace-configuration.js';
 import type {
 	Ledger, LedgerCommand, LedgerOutcome, ParseConfiguration,
@@ -80,6 +81,14 @@
 			return noteUpkeepBegun(ledger, command);
 		}
 
+		case 'worker/ordered': {
+			return noteWorkerOrdered(ledger, command);
+		}
+
+		case 'worker/orderEnded': {
+			return noteWorkerOrderEnded(ledger, command);
+		}
+
 		case 'controlHost/joined': {
 			ledger.controlHosts.set(command.record.node, command.record);
 			return {type: 'applied'};
--- a/packages/core/src/scheduler/ledger.ts
+++ b/packages/core/src/scheduler/ledger.ts
@@ -20,6 +20,7 @@
 		lives: new Map(),
 		usedByTeam: new Map(),
 		waves: new Map(),
+		workerOrders: new Map(),
 		controlHosts: new Map(),
 	};
 }
--- a/packages/core/src/scheduler/plan-worker-moves.ts
+++ b/packages/core/src/scheduler/plan-worker-moves.ts
@@ -13,6 +13,10 @@
 	readonly isStandby: boolean;
 	/** Processors of its workers, those on their way to it included, that lasting tasks leave. */
 	readonly millicores: number;
+	/** The part of it that is on its way. */
+	readonly incomingMillicores: number;
+	/** Lasting tasks that no minion of it has a place for, be there processors or not. */
+	readonly waitingLastingCount: number;
 	/** Processors that tasks use, and that tasks wait for which could start now. */
 	readonly runnableMillicores: number;
 	/** The work of its jobs that is still to be done, in millicore milliseconds. */
@@ -90,7 +94,7 @@
 // What the pools that are on can do without, the longest idle first.
 const listSpareWorkers = ({pools, workers, moveMs}: WorkerMoveInput): readonly MovableWorker[] => {
 	const kinds = countKinds(workers);
-	return pools.filter(({isStandby}) => !isStandby).flatMap(pressure => {
+	return pools.filter(({isStandby, waitingLastingCount}) => !isStandby && waitingLastingCount === 0).flatMap(pressure => {
 		let spare = pressure.millicores - getKeptMillicores(pressure, moveMs);
 		return workers
 			.filter(({pool, idleMs}) => pool === pressure.pool && idleMs > 0)
@@ -114,8 +118,10 @@
 	.map(pressure => ({
 		to: pressure.pool,
 		missing: Math.max(getWantedMillicores(pressure, moveMs), getReadyMillicores(pressure)) - pressure.millicores,
+		// A step may ask for a minion without another task of it.
+		isOneNeeded: pressure.waitingLastingCount > 0 && pressure.incomingMillicores === 0,
 	}))
-	.filter(({missing}) => missing > 0)
+	.filter(({missing, isOneNeeded}) => missing > 0 || isOneNeeded)
 	.toSorted((left, right) => right.missing - left.missing);
 
 /**
@@ -131,9 +137,11 @@
 	const spare = listSpareWorkers(input);
 	const sources = [...workers.filter(({pool}) => pool === standby?.pool), ...spare];
 	const moves: WorkerMove[] = [];
-	for (const {to, missing} of listShortages(input)) {
+	for (const {to, missing, isOneNeeded} of listShortages(input)) {
 		let left = missing;
-		for (let source = sources[0]; source !== undefined && left > source.millicores * leastMissingShare; source = sources[0]) {
+		let isFirst = isOneNeeded;
+		for (let source = sources[0]; source !== undefined && (isFirst || left > source.millicores * leastMissingShare); source = sources[0]) {
+			isFirst = false;
 			sources.shift();
 			left -= source.millicores;
 			moves.push({worker: source.worker, from: source.pool, to});
--- a/packages/core/src/scheduler/snapshot.ts
+++ b/packages/core/src/scheduler/snapshot.ts
@@ -8,7 +8,7 @@
 } from './ledger.js';
 import {createResources} from './resources.js';
 import type {
-	AcceptedJob, ControlHostRecord, Job, JobStatus, Ledger, MinionRecord, ParseConfiguration, Task, TaskId, TaskRun, UpkeepOrder, UpkeepWave,
+	AcceptedJob, ControlHostRecord, Job, JobStatus, Ledger, MinionRecord, ParseConfiguration, Task, TaskId, TaskRun, UpkeepOrder, UpkeepWave, WorkerOrder,
 } from './types.js';
 
 type SavedTask = Pick<Task, 'lastRunNumber' | 'failures' | 'checkpoint' | 'isDone'> & {
@@ -32,6 +32,7 @@
 	readonly jobs: readonly SavedJob[];
 	readonly minions: readonly MinionRecord[];
 	readonly waves: ReadonlyArray<Omit<UpkeepWave, 'ordered'> & {readonly ordered: ReadonlyArray<readonly [WorkerId, UpkeepOrder]>}>;
+	readonly workerOrders: ReadonlyArray<readonly [WorkerId, WorkerOrder]>;
 	readonly controlHosts: readonly ControlHostRecord[];
 };
 
@@ -65,6 +66,7 @@
 		jobs: [...ledger.jobs.values()].map(job => saveJob(job)),
 		minions: [...ledger.lives.values()].map(({record}) => record),
 		waves: [...ledger.waves.values()].map(wave => ({...wave, ordered: [...wave.ordered]})),
+		workerOrders: [...ledger.workerOrders],
 		controlHosts: [...ledger.controlHosts.values()],
 	};
 	return JSON.stringify(saved);
@@ -125,6 +127,10 @@
 		ledger.waves.set(wave.wave, {...wave, ordered: new Map(wave.ordered)});
 	}
 
+	for (const [worker, order] of saved.workerOrders) {
+		ledger.workerOrders.set(worker, order);
+	}
+
 	for (const record of saved.controlHosts) {
 		ledger.controlHosts.set(record.node, record);
 	}
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -249,6 +249,14 @@
 	readonly begunAtMs: number | undefined;
 };
 
+/** The latest order to the platform for a worker. It is noted before it is sent. */
+export type WorkerOrder = {
+	/** The term of the leader that gave it. */
+	readonly term: number;
+	/** It may be sent again. */
+	readonly isOpen: boolean;
+};
+
 /** A control host that asked to take part, under its newest data folder. */
 export type ControlHostRecord = {
 	readonly node: NodeId;
@@ -284,6 +292,7 @@
 	readonly lives: Map<LifeId, LifeUse>;
 	readonly usedByTeam: Map<TeamId, MutableResources>;
 	readonly waves: Map<WaveId, UpkeepWave>;
+	readonly workerOrders: Map<WorkerId, WorkerOrder>;
 	readonly controlHosts: Map<NodeId, ControlHostRecord>;
 };
 
@@ -320,6 +329,10 @@
 		| {readonly type: 'wave/workerOrdered'; readonly term: number; readonly wave: WaveId; readonly worker: WorkerId; readonly life: LifeId | undefined}
 	/** The life that ran on the worker is over. */
 		| {readonly type: 'wave/workerBegun'; readonly term: number; readonly wave: WaveId; readonly worker: WorkerId; readonly atMs: number}
+	/** An order to the platform for a worker is about to be sent. */
+		| {readonly type: 'worker/ordered'; readonly term: number; readonly worker: WorkerId}
+	/** It is not sent again. */
+		| {readonly type: 'worker/orderEnded'; readonly term: number; readonly worker: WorkerId}
 		| {readonly type: 'controlHost/joined'; readonly record: ControlHostRecord}
 		| {readonly type: 'jobs/forgotten'; readonly ids: readonly JobId[]}
 	/** Commands that are decided together, applied in order. */
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -65,8 +65,11 @@
 /** How often an order for a worker is repeated while the platform does not carry it out. */
 export const workerOrderRetryMs = 700;
 
-/** How long after its start a leader gives its first order for a worker. */
-export const workerOrderDelayMs = 3300;
+/** How long after its start a leader orders its first move or upkeep, to see first which minions answer. */
+export const firstMovesDelayMs = 800;
+
+/** What the time is extended by for which a worker is left alone after an order of another leader. */
+export const orderTurnSlackMs = 300;
 
 /** How often the platform's list of workers is read. */
 export const listPeriodMs = 4000;
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -22,6 +22,7 @@
 	startLeader, type Decision, type Leader, type SchedulerLimits,
 } from './leader.js';
 import type {SchedulerMetrics} from './metrics.js';
+import {createOrderClock} from './order-clock.js';
 import type {
 	AdvicePort, ClusterAnswer, ClusterCall, ClusterReply, ConfigurationFinding, MinionPort, WorkerPort,
 } from './types.js';
@@ -105,6 +106,7 @@
 	const store: ReplicaStore<LedgerCommand> = opened.value;
 	const {storeId} = store;
 	const guard = createClockGuard({getNow: timers.getNow, getWallClock});
+	const orderClock = createOrderClock(timers);
 	let ledger: Ledger = createLedger();
 	let leader: Leader | undefined;
 	let isStopped = false;
@@ -164,10 +166,14 @@
 		timers,
 		processId: randomUUID(),
 		send: transport.send,
-		applyCommand: command => applyLedgerCommand(ledger, command, parseConfiguration),
+		applyCommand(command) {
+			orderClock.note(command);
+			return applyLedgerCommand(ledger, command, parseConfiguration);
+		},
 		createSnapshot: () => createLedgerSnapshot(ledger),
 		installSnapshot(data) {
 			ledger = restoreLedger(data, parseConfiguration);
+			orderClock.noteRestored();
 		},
 		onRoleChanged({role, term, leader: node}) {
 			log.info(`the replicated log is in term ${term}: ${role}`, {role, term, leader: node});
@@ -216,6 +222,7 @@
 			getWallClock,
 			getLedger: () => ledger,
 			canAct,
+			getOrderNotedAtMs: orderClock.getNotedAtMs,
 			propose,
 			onFenced() {
 				log.warn(`a minion follows a newer leader than term ${term}`, {term});
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -2,7 +2,7 @@
  * The leading control host: it decides on requests, starts and stops tasks, and keeps the minions'
  * leases. All that must outlast it goes through the log first.
  */
-import type {NodeId, TimerService} from '@samphiremill/common';
+import type {NodeId, TimerService, WorkerId} from '@samphiremill/common';
 import {
 	findTask, getFillerPace, getLongestChainMs, getObjectiveMs, getStep, listForgettableJobs, planStarts,
 	type Job, type Ledger, type LedgerCommand, type LedgerOutcome, type LifeId, type MinionRecord, type RunAssignment,
@@ -37,6 +37,8 @@
 	readonly hasWorkerOrders: boolean;
 	/** How long the platform takes to move a worker to another pool, in milliseconds. */
 	readonly workerMoveMs: number;
+	/** For how long a leader leaves a worker alone after an order of another, in milliseconds. */
+	readonly workerTurnMs: number;
 };
 
 /** How a proposal to the log ended. */
@@ -56,6 +58,8 @@
 	readonly getLedger: () => Ledger;
 	/** Whether this host leads for certain at this moment. */
 	readonly canAct: () => boolean;
+	/** When this host learnt of the latest order for a worker, on the monotonic clock. */
+	readonly getOrderNotedAtMs: (worker: WorkerId) => number;
 	readonly propose: (command: LedgerCommand) => Promise<Decision>;
 	/** Gives leadership up: a minion follows a newer leader. */
 	readonly onFenced: () => void;
@@ -93,7 +97,14 @@
 	let isPlanWanted = false;
 	let planBeganAtMs: number | undefined;
 	const orders = createWorkerOrders({
-		self, term, timers, canAct: () => !isStopped && canAct(),
+		self,
+		term,
+		timers,
+		turnMs: limits.workerTurnMs,
+		getLedger,
+		getNotedAtMs: options.getOrderNotedAtMs,
+		canAct: () => !isStopped && canAct(),
+		decide: async command => decide(command),
 	});
 	const demand = createDemandMeter(timers);
 
--- a/packages/daemon/src/scheduler/pool-view.ts
+++ b/packages/daemon/src/scheduler/pool-view.ts
@@ -73,12 +73,15 @@
 		const measures = measurePools(getLedger(), getWallClock());
 		const expectedPeak = getExpectedPeak(getLedger().configuration?.pools.length ?? 0);
 		return (getLedger().configuration?.pools ?? []).map(({pool, isStandby}) => {
-			const {lastingMillicores, runningMillicores, readyMillicores, workLeft} = measures.get(pool) ?? idlePool;
+			const {lastingMillicores, waitingLastingCount, runningMillicores, readyMillicores, workLeft} = measures.get(pool) ?? idlePool;
 			const cpuMillicores = sumMillicores(listPlaceable(pool).map(({record}) => record.capacity));
+			const incomingMillicores = getIncomingMillicores(pool);
 			return {
 				pool,
 				isStandby,
-				millicores: cpuMillicores + getIncomingMillicores(pool) - lastingMillicores,
+				millicores: cpuMillicores + incomingMillicores - lastingMillicores,
+				incomingMillicores,
+				waitingLastingCount,
 				runnableMillicores: runningMillicores + readyMillicores,
 				workLeft,
 				inflowMillicores: demand.getRate(pool),
--- a/packages/daemon/src/scheduler/upkeep-duty.ts
+++ b/packages/daemon/src/scheduler/upkeep-duty.ts
@@ -65,7 +65,7 @@
 
 	const orderUpkeep = async ({wave, worker, life}: UpkeepRequest) => {
 		const isKnown = getLedger().waves.get(wave)?.ordered.has(worker) ?? false;
-		if (!orders.isOpen() || (!isKnown && !isSettledSince(cordonedSince.get(worker) ?? timers.getNow()))) {
+		if (!orders.isOpenFor(worker) || (!isKnown && !isSettledSince(cordonedSince.get(worker) ?? timers.getNow()))) {
 			return;
 		}
 
--- a/packages/daemon/src/scheduler/worker-moves.ts
+++ b/packages/daemon/src/scheduler/worker-moves.ts
@@ -74,7 +74,7 @@
 	let isListing = false;
 	let listAtMs = Number.NEGATIVE_INFINITY;
 
-	const isFree = (worker: WorkerId) => !active.has(worker) && timers.getNow() - (refusedAtMs.get(worker) ?? Number.NEGATIVE_INFINITY) > refusedMovePauseMs;
+	const isFree = (worker: WorkerId) => !active.has(worker) && orders.isOpenFor(worker) && timers.getNow() - (refusedAtMs.get(worker) ?? Number.NEGATIVE_INFINITY) > refusedMovePauseMs;
 
 	const isSwitchedOn = () => new Set(listRunning().map(({worker}) => worker));
 
--- a/packages/daemon/src/scheduler/worker-orders.ts
+++ b/packages/daemon/src/scheduler/worker-orders.ts
@@ -1,19 +1,37 @@
 /**
- * Orders for workers, each repeated under its own fencing token until the platform answers it.
+ * Orders for workers, each repeated under its own fencing token until the platform answers it. Two
+ * leaders must not order the same worker within a lease, so each order is in the log before it is sent.
  */
 import type {NodeId, TimerService, WorkerId} from '@samphiremill/common';
-import {workerOrderDelayMs, workerOrderRetryMs} from './constants.js';
+import type {Ledger, LedgerCommand} from '@samphiremill/core';
+import {firstMovesDelayMs, workerOrderRetryMs} from './constants.js';
 import type {WorkerOrderAuthority, WorkerOrderResult} from './types.js';
 
 /** What became of an attempt; `waiting` if none was due. */
 export type WorkerOrderOutcome = WorkerOrderResult | 'waiting';
 
+/** What the orders need of the leader. */
+export type WorkerOrdersOptions = {
+	readonly self: NodeId;
+	readonly term: number;
+	readonly timers: TimerService;
+	/** For how long a worker is left alone after an order of an earlier leader, in milliseconds. */
+	readonly turnMs: number;
+	readonly getLedger: () => Ledger;
+	/** When an order for the worker was last noted, on the monotonic clock. */
+	readonly getNotedAtMs: (worker: WorkerId) => number;
+	readonly canAct: () => boolean;
+	readonly decide: (command: LedgerCommand) => Promise<boolean>;
+};
+
 /** The orders of one leader. */
 export type WorkerOrders = {
 	/** Sends an order unless the last attempt is under way or was made a moment ago. */
 	readonly send: (worker: WorkerId, purpose: string, call: (authority: WorkerOrderAuthority) => Promise<WorkerOrderResult>) => Promise<WorkerOrderOutcome>;
 	/** Whether orders may be given yet, and no other holder has overtaken this one. */
 	readonly isOpen: () => boolean;
+	/** Whether no earlier leader may have ordered the worker a moment ago. */
+	readonly isOpenFor: (worker: WorkerId) => boolean;
 };
 
 type KnownOrder = {
@@ -25,18 +43,15 @@
 // Orders of one term; a later term's tokens are all higher.
 const ordersPerTerm = 1_000_000;
 
+const mayBeRepeated = (result: WorkerOrderResult) => result === 'noAnswer' || result === 'throttled';
+
 /**
- * @param options - The holder, its term, and when the term began on the monotonic clock.
+ * @param options - What the orders need.
  * @returns The orders. A new purpose gets a higher token, so that an old order that arrives late is void.
  */
-export function createWorkerOrders({self, term, timers, canAct}: {
-	readonly self: NodeId;
-	readonly term: number;
-	readonly timers: TimerService;
-	readonly canAct: () => boolean;
-}): WorkerOrders {
+export function createWorkerOrders({self, term, timers, turnMs, getLedger, getNotedAtMs, canAct, decide}: WorkerOrdersOptions): WorkerOrders {
 	const orders = new Map<WorkerId, KnownOrder>();
-	const opensAtMs = timers.getNow() + workerOrderDelayMs;
+	const beganAtMs = timers.getNow();
 	let orderCount = 0;
 	let isFenced = false;
 
@@ -50,19 +65,35 @@
 		return {purpose, fencingToken: (term * ordersPerTerm) + orderCount, dueAtMs: Number.NEGATIVE_INFINITY};
 	};
 
-	const isOpen = () => !isFenced && timers.getNow() >= opensAtMs;
+	const isOpen = () => !isFenced && timers.getNow() - beganAtMs >= firstMovesDelayMs;
+
+	// An earlier leader repeats an open order until it is replaced.
+	const isOpenFor = (worker: WorkerId) => {
+		const latest = getLedger().workerOrders.get(worker);
+		if (latest === undefined || latest.term === term) {
+			return isOpen();
+		}
+
+		return isOpen() && timers.getNow() - (latest.isOpen ? beganAtMs : getNotedAtMs(worker)) >= turnMs;
+	};
 
 	return {
 		isOpen,
+		isOpenFor,
 		async send(worker, purpose, call) {
 			const order = getOrder(worker, purpose);
-			if (!isOpen() || timers.getNow() < order.dueAtMs || !canAct()) {
+			if (!isOpenFor(worker) || timers.getNow() < order.dueAtMs || !canAct()) {
 				return 'waiting';
 			}
 
 			orders.set(worker, {...order, dueAtMs: Number.POSITIVE_INFINITY});
-			const result = await call({holder: self, fencingToken: order.fencingToken});
+			const isNoted = await decide({type: 'worker/ordered', term, worker});
+			const result = isNoted && canAct() ? await call({holder: self, fencingToken: order.fencingToken}) : 'waiting';
 			orders.set(worker, {...order, dueAtMs: timers.getNow() + workerOrderRetryMs});
+			if (result !== 'waiting' && !mayBeRepeated(result)) {
+				await decide({type: 'worker/orderEnded', term, worker});
+			}
+
 			isFenced ||= result === 'fenced';
 			return result;
 		},
