Send one order for a worker at a time, and count an upkeep that may still begin

Orders for a worker now wait for each other, a refused token closes that worker for a turn, workers that move are left out of waves and the other way round, and an unconfirmed upkeep counts as down.

Tests seen failing: the unconfirmed upkeep.

--- a/packages/core/src/scheduler/decisions.test.ts
+++ b/packages/core/src/scheduler/decisions.test.ts
@@ -1,10 +1,10 @@
 import {
-	toBrand, type JobId, type MinionId, type PoolId, type QueueId, type WorkerId,
+	toBrand, type JobId, type MinionId, type PoolId, type QueueId, type WaveId, type WorkerId,
 } from '@samphiremill/common';
 import {expect, test} from 'vitest';
 import {
 	admitJob, applyLedgerCommand, createLedger, createLedgerSnapshot, createLifeId, findTask, getFillerPace,
-	isSuspectedSlow, judgeRun, measurePools, notePace, planStarts, planWorkerMoves, restoreLedger, unknownPace,
+	isSuspectedSlow, judgeRun, measurePools, notePace, planStarts, planUpkeep, planWorkerMoves, restoreLedger, unknownPace,
 	type JobSpecification, type Ledger, type MinionRecord, type MovableWorker, type PoolPressure, type StepSpecification, type Task, type UsableMinion,
 } from './index.js';
 
@@ -198,6 +198,8 @@
 		noPlaceForLasting: planMoves([{waitingLastingCount: 3}], spare),
 		placeOnItsWay: planMoves([{waitingLastingCount: 3, incomingMillicores: 32_000}], spare),
 		burst: planMoves([{runnableMillicores: 100_000, workLeft: 90_000_000, inflowMillicores: 120_000}], spare),
+		reservesLent: planMoves([{runnableMillicores: 300_000, workLeft: 270_000_000, inflowMillicores: 120_000}, {...calm, peakInflowMillicores: 200_000}], idle),
+		reservesKept: planMoves([{millicores: 32_000, peakInflowMillicores: 200_000}, {...calm, peakInflowMillicores: 200_000}], idle),
 		longBurst: planMoves([{runnableMillicores: 300_000, workLeft: 270_000_000, inflowMillicores: 120_000}, calm], [...spare, ...idle]),
 	}).toMatchInlineSnapshot(`
 		{
@@ -217,6 +219,11 @@
 		    "spare-1 to counter",
 		  ],
 		  "placeOnItsWay": [],
+		  "reservesKept": [],
+		  "reservesLent": [
+		    "desk-1 to counter",
+		    "desk-2 to counter",
+		  ],
 		  "soonDone": [],
 		}
 	`);
@@ -256,6 +263,27 @@
 	`);
 });
 
+test('an upkeep that may still begin counts as down, whatever life its worker has come to since', () => {
+	const ledger = createLedger();
+	const names = ['a', 'b', 'c'];
+	const wave = toBrand<WaveId>('1');
+	const workers = new Map(names.map(name => join(ledger, name).record).map(({worker, life}) => [worker, {worker, life, isUp: true}] as const));
+	const [first = toBrand<WorkerId>('')] = workers.keys();
+	applyLedgerCommand(ledger, {
+		type: 'wave/started', wave: {
+			wave, workers: [...workers.keys()], maximumAtOnce: 1, startedAtMs: nowMs, dueAtMs: nowMs + 20_000,
+		},
+	}, parse);
+	// It was switched off when its upkeep was ordered, and no answer came.
+	applyLedgerCommand(ledger, {
+		type: 'wave/workerOrdered', term: 0, wave, worker: first, life: undefined,
+	}, parse);
+	const {requests} = planUpkeep({
+		ledger, nowMs, workers, switchedOff: new Set(), isPressed: () => false, cordoned: new Set(), isServing: () => true,
+	});
+	expect(requests.map(({worker}) => worker)).toEqual([first]);
+});
+
 test('a filler slows before a tail reaches its bound, and speeds up in small steps', () => {
 	const paces: number[] = [];
 	let percent = 100;
--- a/packages/core/src/scheduler/plan-upkeep.ts
+++ b/packages/core/src/scheduler/plan-upkeep.ts
@@ -89,12 +89,17 @@
 	return evictions;
 };
 
-// An upkeep that was ordered counts until the worker is back in another life.
+// An upkeep that was ordered counts until the worker is back in another life; one that is not known to
+// have begun may begin at any moment, whatever life the worker has.
 const isDown = ({workers, nowMs}: UpkeepPlanInput, worker: WorkerId, order: UpkeepOrder) => {
+	if (order.begunAtMs === undefined) {
+		return true;
+	}
+
 	const view = workers.get(worker);
 	const isBack = view !== undefined && view.isUp && view.life !== order.life;
 	const boundMs = order.life === undefined ? switchedOffUpkeepMs : longestUpkeepMs;
-	return !isBack && (order.begunAtMs === undefined || nowMs - order.begunAtMs < boundMs);
+	return !isBack && nowMs - order.begunAtMs < boundMs;
 };
 
 // A pool in which tasks wait keeps its workers, as long as the wave can still be done in time.
--- a/packages/core/src/scheduler/plan-worker-moves.ts
+++ b/packages/core/src/scheduler/plan-worker-moves.ts
@@ -61,11 +61,11 @@
 const reserveFactor = 1.2;
 // Part of its highest inflow that an idle pool is ready for; more workers come while the rest waits.
 const readyShareOfPeak = 0.35;
+// What an idle pool keeps of it while work waits elsewhere.
+const lentShareOfPeak = 0.15;
 // A pool gets a worker once it misses this part of it.
 const leastMissingShare = 0.5;
 
-const getReadyMillicores = ({peakInflowMillicores}: PoolPressure) => peakInflowMillicores * readyShareOfPeak;
-
 /**
  * @param pressure - A pool.
  * @param moveMs - How long a worker takes to come to it, in milliseconds.
@@ -77,9 +77,9 @@
 	return Math.min(Math.max(runnableMillicores, inflowMillicores), inflowMillicores + (workLeftThen / clearingMs));
 }
 
-const getKeptMillicores = (pressure: PoolPressure, moveMs: number) => Math.max(
+const getKeptMillicores = (pressure: PoolPressure, {moveMs, shareOfPeak}: {readonly moveMs: number; readonly shareOfPeak: number}) => Math.max(
 	Math.max(pressure.runnableMillicores, getWantedMillicores(pressure, moveMs)) * reserveFactor,
-	getReadyMillicores(pressure),
+	pressure.peakInflowMillicores * shareOfPeak,
 );
 
 const countKinds = (workers: readonly MovableWorker[]) => {
@@ -92,10 +92,10 @@
 };
 
 // What the pools that are on can do without, the longest idle first.
-const listSpareWorkers = ({pools, workers, moveMs}: WorkerMoveInput): readonly MovableWorker[] => {
+const listSpareWorkers = ({pools, workers, moveMs}: WorkerMoveInput, shareOfPeak: number): readonly MovableWorker[] => {
 	const kinds = countKinds(workers);
 	return pools.filter(({isStandby, waitingLastingCount}) => !isStandby && waitingLastingCount === 0).flatMap(pressure => {
-		let spare = pressure.millicores - getKeptMillicores(pressure, moveMs);
+		let spare = pressure.millicores - getKeptMillicores(pressure, {moveMs, shareOfPeak});
 		return workers
 			.filter(({pool, idleMs}) => pool === pressure.pool && idleMs > 0)
 			.toSorted((left, right) => right.idleMs - left.idleMs)
@@ -113,41 +113,77 @@
 	});
 };
 
-const listShortages = ({pools, moveMs}: WorkerMoveInput) => pools
+type Shortage = {
+	readonly to: PoolId;
+	/** Processors that the pool lacks. */
+	readonly missing: number;
+	/** It gets a worker, however little it lacks. */
+	readonly isOneNeeded: boolean;
+};
+
+const listShortages = (pools: readonly PoolPressure[], getShortage: (pressure: PoolPressure) => Omit<Shortage, 'to'>): readonly Shortage[] => pools
 	.filter(({isStandby}) => !isStandby)
-	.map(pressure => ({
-		to: pressure.pool,
-		missing: Math.max(getWantedMillicores(pressure, moveMs), getReadyMillicores(pressure)) - pressure.millicores,
-		// A step may ask for a minion without another task of it.
-		isOneNeeded: pressure.waitingLastingCount > 0 && pressure.incomingMillicores === 0,
-	}))
+	.map(pressure => ({to: pressure.pool, ...getShortage(pressure)}))
 	.filter(({missing, isOneNeeded}) => missing > 0 || isOneNeeded)
 	.toSorted((left, right) => right.missing - left.missing);
 
+const fillShortages = (shortages: readonly Shortage[], sources: readonly MovableWorker[]): readonly WorkerMove[] => {
+	const left = [...sources];
+	return shortages.flatMap(({to, missing, isOneNeeded}) => {
+		const moves: WorkerMove[] = [];
+		let lacking = missing;
+		for (let source = left[0]; source !== undefined && (lacking > source.millicores * leastMissingShare || (isOneNeeded && moves.length === 0)); source = left[0]) {
+			left.shift();
+			lacking -= source.millicores;
+			moves.push({worker: source.worker, from: source.pool, to});
+		}
+
+		return moves;
+	});
+};
+
+// The input as it stands once moves are under way.
+const takeMoves = (input: WorkerMoveInput, moves: readonly WorkerMove[]): WorkerMoveInput => {
+	const workersById = new Map(input.workers.map(worker => [worker.worker, worker]));
+	const sumOf = (moved: readonly WorkerMove[]) => moved.reduce((sum, {worker}) => sum + (workersById.get(worker)?.millicores ?? 0), 0);
+	const moved = new Set(moves.map(({worker}) => worker));
+	return {
+		...input,
+		workers: input.workers.filter(({worker}) => !moved.has(worker)),
+		pools: input.pools.map(pressure => {
+			const coming = sumOf(moves.filter(({to}) => to === pressure.pool));
+			const leaving = sumOf(moves.filter(({from}) => from === pressure.pool));
+			return {...pressure, millicores: pressure.millicores + coming - leaving, incomingMillicores: pressure.incomingMillicores + coming};
+		}),
+	};
+};
+
 /**
  * Plans moves: to the pools that are short, the shortest first, from the standby pool and from pools
- * with idle workers; and to the standby pool, what no pool needs.
+ * with idle workers; then to pools that are not ready for a burst; and to the standby pool, what no
+ * pool needs.
  *
  * @param input - The pools and the workers.
  * @returns The moves to order now.
  */
 export function planWorkerMoves(input: WorkerMoveInput): readonly WorkerMove[] {
-	const {pools, workers} = input;
-	const standby = pools.find(({isStandby}) => isStandby);
-	const spare = listSpareWorkers(input);
-	const sources = [...workers.filter(({pool}) => pool === standby?.pool), ...spare];
-	const moves: WorkerMove[] = [];
-	for (const {to, missing, isOneNeeded} of listShortages(input)) {
-		let left = missing;
-		let isFirst = isOneNeeded;
-		for (let source = sources[0]; source !== undefined && (isFirst || left > source.millicores * leastMissingShare); source = sources[0]) {
-			isFirst = false;
-			sources.shift();
-			left -= source.millicores;
-			moves.push({worker: source.worker, from: source.pool, to});
-		}
-	}
+	const {moveMs} = input;
+	const standby = input.pools.find(({isStandby}) => isStandby);
+	const listSources = (now: WorkerMoveInput, shareOfPeak: number) => [...now.workers.filter(({pool}) => pool === standby?.pool), ...listSpareWorkers(now, shareOfPeak)];
+
+	const urgent = fillShortages(listShortages(input.pools, pressure => ({
+		missing: getWantedMillicores(pressure, moveMs) - pressure.millicores,
+		// A step may ask for a minion without another task of it.
+		isOneNeeded: pressure.waitingLastingCount > 0 && pressure.incomingMillicores === 0,
+	})), listSources(input, lentShareOfPeak));
+
+	const served = takeMoves(input, urgent);
+	const precautions = fillShortages(listShortages(served.pools, pressure => ({
+		missing: (pressure.peakInflowMillicores * readyShareOfPeak) - pressure.millicores,
+		isOneNeeded: false,
+	})), listSources(served, readyShareOfPeak));
 
-	const switchedOff = sources.filter(({pool, idleMs}) => pool !== standby?.pool && idleMs >= idleBeforeSwitchOffMs);
-	return [...moves, ...switchedOff.flatMap(({worker, pool}) => standby === undefined ? [] : [{worker, from: pool, to: standby.pool}])];
+	const switchedOff = listSpareWorkers(takeMoves(served, precautions), readyShareOfPeak).filter(({idleMs}) => idleMs >= idleBeforeSwitchOffMs);
+	const returns = standby === undefined ? [] : switchedOff.map(({worker, pool}) => ({worker, from: pool, to: standby.pool}));
+	return [...urgent, ...precautions, ...returns];
 }
--- a/packages/daemon/src/scheduler/leader.test.ts
+++ b/packages/daemon/src/scheduler/leader.test.ts
@@ -129,14 +129,14 @@
 
 type Trouble = {
 	readonly atMs: number;
-	readonly kind: 'submit' | 'submitLasting' | 'cancel' | 'silence' | 'crash' | 'changeLeader';
+	readonly kind: 'submit' | 'submitLasting' | 'cancel' | 'silence' | 'crash' | 'changeLeader' | 'startWave';
 	readonly index: number;
 	readonly forMs: number;
 };
 
 const troubles = fc.array(fc.record({
 	atMs: fc.integer({min: 0, max: 12_000}),
-	kind: fc.constantFrom('submit' as const, 'submit' as const, 'submitLasting' as const, 'cancel' as const, 'silence' as const, 'crash' as const, 'changeLeader' as const),
+	kind: fc.constantFrom('submit' as const, 'submit' as const, 'submitLasting' as const, 'cancel' as const, 'silence' as const, 'crash' as const, 'changeLeader' as const, 'startWave' as const),
 	index: fc.integer({min: 0, max: 3}),
 	forMs: fc.integer({min: 100, max: 8000}),
 }), {minLength: 4, maxLength: 24});
@@ -172,6 +172,11 @@
 			break;
 		}
 
+		case 'startWave': {
+			void world.startWave(3, 2);
+			break;
+		}
+
 		case 'changeLeader': {
 			await world.changeLeader();
 			break;
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -323,10 +323,11 @@
 			millicores: record.capacity.cpuMillicores,
 			kind: getKind(record),
 			runCount: getLedger().lives.get(record.life)?.runs.size ?? 0,
-			isMovable: isUsable() && !upkeep.isCordoned(record.worker),
+			isMovable: isUsable(),
 		})),
 		listPressures: () => pools.listPressures(),
 		isStandbyPool: pool => getLedger().configuration?.pools.some(definition => definition.isStandby && definition.pool === pool) ?? false,
+		isCordonedForUpkeep: worker => upkeep.isCordoned(worker),
 		moveMs: limits.workerMoveMs,
 		decide,
 		term,
@@ -338,7 +339,7 @@
 	});
 
 	const upkeep = createUpkeepDuty({
-		timers, log, metrics, workers, orders, sessions, getLedger, getWallClock, listSwitchedOff: moves.listSwitchedOff, listPressed: pools.listPressed, isSettledSince, term, decide, onChanged: sessionContext.onChanged,
+		timers, log, metrics, workers, orders, sessions, getLedger, getWallClock, listSwitchedOff: moves.listSwitchedOff, isMoving: moves.isMoving, listPressed: pools.listPressed, isSettledSince, term, decide, onChanged: sessionContext.onChanged,
 	});
 
 	const tick = () => {
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -95,6 +95,7 @@
 const stepMs = 5;
 const upkeepMs = 2000;
 const orderLeaseMs = 3000;
+const moveMs = 1500;
 const workingAfterMs = 100;
 const noticeMs = 4500;
 const startOfDayMs = 1_700_000_000_000;
@@ -163,7 +164,8 @@
 	const stopped = new Set<string>();
 	const lastAtWorkMs = new Map<string, number>();
 	const upkeeps = new Map<WorkerId, number>();
-	const latestOrders = new Map<WorkerId, {readonly holder: string; readonly atMs: number}>();
+	const busyUntilMs = new Map<WorkerId, number>();
+	const latestOrders = new Map<WorkerId, {readonly holder: string; readonly fencingToken: number; readonly atMs: number}>();
 	const orderClock = createOrderClock(timers);
 
 	const getWallClock = () => startOfDayMs + timers.getNow();
@@ -472,27 +474,38 @@
 	};
 
 	// Two leaders must not order one worker within a lease of each other.
-	const noteOrder = ({worker, holder}: WorkerOrderAuthority & {readonly worker: WorkerId}) => {
+	const noteOrder = ({worker, holder, fencingToken}: WorkerOrderAuthority & {readonly worker: WorkerId}) => {
 		const before = latestOrders.get(worker);
+		if (before !== undefined && before.fencingToken > fencingToken) {
+			report('staleOrder', `${worker} by ${holder}: ${fencingToken} after ${before.fencingToken}`);
+		}
+
 		if (before !== undefined && before.holder !== holder && timers.getNow() - before.atMs < orderLeaseMs) {
 			report('orderTurn', `${worker} by ${holder} after ${before.holder}`);
 		}
 
-		latestOrders.set(worker, {holder, atMs: timers.getNow()});
+		latestOrders.set(worker, {holder, fencingToken, atMs: timers.getNow()});
 	};
 
+	const isBusy = (worker: WorkerId) => (busyUntilMs.get(worker) ?? 0) > timers.getNow();
+
 	const workers: WorkerPort = {
 		async beginUpkeep(order) {
 			const {worker} = order;
 			await pause(2);
 			noteOrder(order);
 			if (!upkeeps.has(worker)) {
+				if (isBusy(worker)) {
+					return 'busy';
+				}
+
 				const down = [...upkeeps.values()].filter(atMs => timers.getNow() - atMs < upkeepMs).length;
 				if (down >= waveMaximum) {
 					report('waveBound', worker);
 				}
 
 				upkeeps.set(worker, timers.getNow());
+				busyUntilMs.set(worker, timers.getNow() + upkeepMs);
 				const inPool = poolOfSpare.get(worker) ?? pool;
 				replaceLife(worker, inPool, upkeepMs);
 			}
@@ -504,9 +517,14 @@
 			await pause(2);
 			noteOrder(order);
 			if ((poolOfSpare.get(worker) ?? pool) !== to) {
+				if (isBusy(worker)) {
+					return 'busy';
+				}
+
+				busyUntilMs.set(worker, timers.getNow() + moveMs);
 				moves.push(`${worker} to ${to}`);
 				poolOfSpare.set(worker, to);
-				replaceLife(worker, to, 1500);
+				replaceLife(worker, to, moveMs);
 			}
 
 			return 'done';
@@ -541,7 +559,7 @@
 			self: toBrand<NodeId>(`host-${term}`),
 			term,
 			limits: {
-				leaseMs, retentionMs: 120_000, hasWorkerOrders: standbyWorkers > 0, workerMoveMs: 1500, workerTurnMs: orderTurnMs,
+				leaseMs, retentionMs: 120_000, hasWorkerOrders: standbyWorkers > 0, workerMoveMs: moveMs, workerTurnMs: orderTurnMs,
 			},
 			timers,
 			log: silentLog,
--- a/packages/daemon/src/scheduler/upkeep-duty.ts
+++ b/packages/daemon/src/scheduler/upkeep-duty.ts
@@ -23,6 +23,8 @@
 	readonly getLedger: () => Ledger;
 	readonly getWallClock: () => number;
 	readonly listSwitchedOff: () => readonly ListedWorker[];
+	/** Whether the worker changes its pool at this moment. */
+	readonly isMoving: (worker: WorkerId) => boolean;
 	readonly listPressed: () => ReadonlySet<PoolId>;
 	/** Whether no assignment that was planned before that moment is still on its way. */
 	readonly isSettledSince: (sinceMs: number) => boolean;
@@ -42,7 +44,7 @@
  * @param options - What the waves need.
  * @returns The waves.
  */
-export function createUpkeepDuty({timers, log, metrics, workers, orders, sessions, getLedger, getWallClock, listSwitchedOff, listPressed, isSettledSince, term, decide, onChanged}: UpkeepDutyOptions): UpkeepDuty {
+export function createUpkeepDuty({timers, log, metrics, workers, orders, sessions, getLedger, getWallClock, listSwitchedOff, isMoving, listPressed, isSettledSince, term, decide, onChanged}: UpkeepDutyOptions): UpkeepDuty {
 	let cordoned: ReadonlySet<WorkerId> = new Set();
 	const cordonedSince = new Map<WorkerId, number>();
 
@@ -57,7 +59,7 @@
 		const views = new Map<WorkerId, WorkerView>();
 		for (const session of sessions.values()) {
 			const {worker, life} = session.record;
-			views.set(worker, {worker, life, isUp: session.isUsable()});
+			views.set(worker, {worker, life, isUp: session.isUsable() && !isMoving(worker)});
 		}
 
 		return views;
@@ -120,7 +122,7 @@
 			ledger,
 			nowMs: getWallClock(),
 			workers: getWorkerViews(),
-			switchedOff: new Set(listSwitchedOff().map(({worker}) => worker)),
+			switchedOff: new Set(listSwitchedOff().map(({worker}) => worker).filter(worker => !isMoving(worker))),
 			isPressed({life}) {
 				const pool = sessions.get(life)?.record.pool;
 				return pool !== undefined && pressed.has(pool);
--- a/packages/daemon/src/scheduler/worker-moves.ts
+++ b/packages/daemon/src/scheduler/worker-moves.ts
@@ -21,7 +21,7 @@
 	readonly millicores: number;
 	readonly kind: string;
 	readonly runCount: number;
-	/** Whether it is free to be moved, as far as waves and drains go. */
+	/** Whether its minion answers and does not drain. */
 	readonly isMovable: boolean;
 };
 
@@ -35,6 +35,8 @@
 	readonly listRunning: () => readonly RunningWorker[];
 	readonly listPressures: () => readonly PoolPressure[];
 	readonly isStandbyPool: (pool: PoolId) => boolean;
+	/** Whether the worker is about to have its upkeep. */
+	readonly isCordonedForUpkeep: (worker: WorkerId) => boolean;
 	/** How long the platform takes to move a worker, in milliseconds. */
 	readonly moveMs: number;
 	/** Whether no assignment that was planned before that moment is still on its way. */
@@ -49,6 +51,8 @@
 	readonly tick: () => void;
 	/** Workers that get no work, since they are about to be moved. */
 	readonly isCordoned: (worker: WorkerId) => boolean;
+	/** Whether the worker is about to leave its pool, or on its way. */
+	readonly isMoving: (worker: WorkerId) => boolean;
 	/** Workers of the fleet without a minion, as the platform lists them. */
 	readonly listSwitchedOff: () => readonly ListedWorker[];
 	/** Processors on their way to a pool. */
@@ -66,7 +70,7 @@
  * @param options - What the moves need.
  * @returns The moves.
  */
-export function createWorkerMoves({timers, log, metrics, workers, orders, listRunning, listPressures, isStandbyPool, moveMs, isSettledSince, term, decide, onChanged}: WorkerMovesOptions): WorkerMoves {
+export function createWorkerMoves({timers, log, metrics, workers, orders, listRunning, listPressures, isStandbyPool, isCordonedForUpkeep, moveMs, isSettledSince, term, decide, onChanged}: WorkerMovesOptions): WorkerMoves {
 	const active = new Map<WorkerId, ActiveMove>();
 	const idleSince = new Map<WorkerId, number>();
 	const refusedAtMs = new Map<WorkerId, number>();
@@ -74,7 +78,7 @@
 	let isListing = false;
 	let listAtMs = Number.NEGATIVE_INFINITY;
 
-	const isFree = (worker: WorkerId) => !active.has(worker) && orders.isOpenFor(worker) && timers.getNow() - (refusedAtMs.get(worker) ?? Number.NEGATIVE_INFINITY) > refusedMovePauseMs;
+	const isFree = (worker: WorkerId) => !active.has(worker) && !isCordonedForUpkeep(worker) && orders.isOpenFor(worker) && timers.getNow() - (refusedAtMs.get(worker) ?? Number.NEGATIVE_INFINITY) > refusedMovePauseMs;
 
 	const isSwitchedOn = () => new Set(listRunning().map(({worker}) => worker));
 
@@ -220,6 +224,7 @@
 			}
 		},
 		isCordoned: worker => active.has(worker) && active.get(worker)?.confirmedAtMs === undefined,
+		isMoving: worker => active.has(worker),
 		listSwitchedOff,
 		getIncomingMillicores(pool) {
 			let sum = 0;
--- a/packages/daemon/src/scheduler/worker-orders.ts
+++ b/packages/daemon/src/scheduler/worker-orders.ts
@@ -28,9 +28,9 @@
 export type WorkerOrders = {
 	/** Sends an order unless the last attempt is under way or was made a moment ago. */
 	readonly send: (worker: WorkerId, purpose: string, call: (authority: WorkerOrderAuthority) => Promise<WorkerOrderResult>) => Promise<WorkerOrderOutcome>;
-	/** Whether orders may be given yet, and no other holder has overtaken this one. */
+	/** Whether orders may be given yet. */
 	readonly isOpen: () => boolean;
-	/** Whether no earlier leader may have ordered the worker a moment ago. */
+	/** Whether no other leader may have ordered the worker a moment ago, and no order is under way. */
 	readonly isOpenFor: (worker: WorkerId) => boolean;
 };
 
@@ -52,8 +52,8 @@
 export function createWorkerOrders({self, term, timers, turnMs, getLedger, getNotedAtMs, canAct, decide}: WorkerOrdersOptions): WorkerOrders {
 	const orders = new Map<WorkerId, KnownOrder>();
 	const beganAtMs = timers.getNow();
+	const fencedAtMs = new Map<WorkerId, number>();
 	let orderCount = 0;
-	let isFenced = false;
 
 	const getOrder = (worker: WorkerId, purpose: string): KnownOrder => {
 		const known = orders.get(worker);
@@ -65,10 +65,16 @@
 		return {purpose, fencingToken: (term * ordersPerTerm) + orderCount, dueAtMs: Number.NEGATIVE_INFINITY};
 	};
 
-	const isOpen = () => !isFenced && timers.getNow() - beganAtMs >= firstMovesDelayMs;
+	const isOpen = () => timers.getNow() - beganAtMs >= firstMovesDelayMs;
 
 	// An earlier leader repeats an open order until it is replaced.
 	const isOpenFor = (worker: WorkerId) => {
+		const isUnderWay = orders.get(worker)?.dueAtMs === Number.POSITIVE_INFINITY;
+		const isFenced = timers.getNow() - (fencedAtMs.get(worker) ?? Number.NEGATIVE_INFINITY) < turnMs;
+		if (isUnderWay || isFenced) {
+			return false;
+		}
+
 		const latest = getLedger().workerOrders.get(worker);
 		if (latest === undefined || latest.term === term) {
 			return isOpen();
@@ -89,12 +95,16 @@
 			orders.set(worker, {...order, dueAtMs: Number.POSITIVE_INFINITY});
 			const isNoted = await decide({type: 'worker/ordered', term, worker});
 			const result = isNoted && canAct() ? await call({holder: self, fencingToken: order.fencingToken}) : 'waiting';
-			orders.set(worker, {...order, dueAtMs: timers.getNow() + workerOrderRetryMs});
 			if (result !== 'waiting' && !mayBeRepeated(result)) {
 				await decide({type: 'worker/orderEnded', term, worker});
 			}
 
-			isFenced ||= result === 'fenced';
+			orders.set(worker, {...order, purpose: result === 'fenced' ? '' : purpose, dueAtMs: timers.getNow() + workerOrderRetryMs});
+
+			if (result === 'fenced') {
+				fencedAtMs.set(worker, timers.getNow());
+			}
+
 			return result;
 		},
 	};
