Read the logs of several processes by id with the command line

samphiremill explain log ID -f FILES joins the lines that name a job, task, minion or worker by time, with changes of leader, restarts and left-out lines near them.

--- a/packages/cli/src/cli.test.ts
+++ b/packages/cli/src/cli.test.ts
@@ -26,6 +26,24 @@
 const putPool = 'PUT /v1/records/pool/counters';
 const noLeader = refuse(503, 'noLeader');
 
+const formatLine = (second: number, message: string, more: Readonly<Record<string, unknown>>) => JSON.stringify({
+	time: new Date(second * 1000).toISOString(), level: 'info', message, ...more,
+});
+
+const logs = {
+	'control-1.log': [
+		formatLine(1, 'leads in term 2', {term: 2, node: 'control-1'}),
+		formatLine(50, 'job 0a1b: accepted', {id: '0a1b', workAheadCoreMs: 6900, node: 'control-1'}),
+		formatLine(51, 'job 0a1b: 2 tasks start', {id: '0a1b', starts: '0.0.0#1@m-1 0.0.1#1@m-2', node: 'control-1'}),
+		formatLine(51, 'job 77ff: accepted', {id: '77ff', node: 'control-1'}),
+	].join('\n'),
+	'control-2.log': [
+		'a line of something else',
+		`2026-12-04 host-2 ${formatLine(53, 'leads in term 3', {term: 3, node: 'control-2'})}`,
+		formatLine(57, 'the lease on minion m-1 ran out with 1 runs', {silentMs: 3353, tasks: ['0a1b.0.0.0'], node: 'control-2'}),
+	].join('\n'),
+};
+
 const sessions: Readonly<Record<string, Session>> = {
 	'get one record as a table': {
 		args: ['get', 'pool', 'counters'],
@@ -39,6 +57,14 @@
 		args: ['get', 'pool', 'nowhere'],
 		answers: {'GET /v1/records/pool/nowhere?apiVersion=samphiremill/v2': [refuse(404, 'notFound')]},
 	},
+	'explain log joins the lines of all processes that name an id': {
+		args: ['explain', 'log', '0a1b', '-f', 'control-1.log', 'control-2.log'],
+		files: logs,
+	},
+	'explain log of an id that no process named': {
+		args: ['explain', 'log', 'ffff', '-f', 'control-1.log'],
+		files: logs,
+	},
 	'apply writes pools before queues, under the revisions that were read': {
 		args: ['apply', '-f', 'queue', '-', '--wait'],
 		files: {queue, '-': {items: [{...pool, metadata}]}},
