--- a/packages/daemon/src/scheduler/cluster-client.ts
+++ b/packages/daemon/src/scheduler/cluster-client.ts
@@ -11,10 +11,17 @@
 /** The method under which control hosts take requests of peers. */
 export const clusterCallMethod = 'cluster/call';
 
+/** How long a call is tried. */
+export type ClusterCallOptions = {
+	readonly timeoutMs: number;
+	/** Asked before each attempt; ends the call at once. */
+	readonly isGivenUp?: () => boolean;
+};
+
 /** Hands requests to the leading control host. */
 export type ClusterClient = {
 	/** Repeats the call at other hosts until one answers or the time is over. Each call must be idempotent. */
-	readonly call: (call: ClusterCall, options: {readonly timeoutMs: number}) => Promise<ClusterCallResult>;
+	readonly call: (call: ClusterCall, options: ClusterCallOptions) => Promise<ClusterCallResult>;
 	/** Adds hosts that are known from elsewhere. */
 	readonly addHosts: (hosts: readonly NodeId[]) => void;
 	readonly setLeader: (leader: NodeId | undefined) => void;
@@ -97,12 +104,12 @@
 			leader = found;
 		},
 		getHosts: () => [...hosts],
-		async call(call, {timeoutMs}) {
+		async call(call, {timeoutMs, isGivenUp = () => false}) {
 			const startedAtMs = timers.getNow();
 			let isUncertain = false;
 			for (;;) {
 				const remainingMs = startedAtMs + timeoutMs - timers.getNow();
-				if (remainingMs <= 0) {
+				if (remainingMs <= 0 || isGivenUp()) {
 					return {type: isUncertain ? 'uncertain' : 'notRun'};
 				}
 
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -1,6 +1,12 @@
 /** How long a control host waits for an answer of a peer before it asks another. */
 export const callAttemptTimeoutMs = 1200;
 
+/** How often an entry host asks the leader for the limits on callers. */
+export const contactPeriodMs = 1000;
+
+/** An entry host that got no answer of a leader for this long refuses callers at once. */
+export const contactLossMs = 2500;
+
 /** Pause between two rounds through the control hosts. */
 export const callRetryMs = 100;
 
--- a/packages/daemon/src/scheduler/entry-host.ts
+++ b/packages/daemon/src/scheduler/entry-host.ts
@@ -5,9 +5,10 @@
 import {
 	toBrand, type DataCentreId, type NodeId, type RandomSource, type RegionId, type TimerService,
 } from '@samphiremill/common';
-import type {NodeAddress} from '@samphiremill/core';
+import type {NodeAddress, RequestLimits} from '@samphiremill/core';
 import {createPeerTransport} from '../peers/index.js';
 import {createClusterClient} from './cluster-client.js';
+import {contactLossMs, contactPeriodMs} from './constants.js';
 import type {ClusterCall, ClusterCallResult} from './types.js';
 
 /** How an entry host is set up. */
@@ -22,7 +23,12 @@
 
 /** A running entry host. */
 export type EntryHost = {
+	/** Hands a call on; at once without an answer while no leader has been in reach for some time. */
 	readonly call: (call: ClusterCall, options: {readonly timeoutMs: number}) => Promise<ClusterCallResult>;
+	/** Whether a leader answered a moment ago. */
+	readonly isInContact: () => boolean;
+	/** Calls back with the limits on callers' requests, each time they are read. */
+	readonly onLimits: (listener: (limits: RequestLimits) => void) => void;
 	readonly setSeeds: (seeds: readonly NodeId[]) => void;
 	readonly stop: () => Promise<void>;
 };
@@ -60,9 +66,42 @@
 	const client = createClusterClient({
 		transport, timers, self: settings.self, seeds: settings.seeds,
 	});
+	const startedAtMs = timers.getNow();
+	let contactAtMs: number | undefined;
+	const listeners: Array<(limits: RequestLimits) => void> = [];
+
+	// A change of leader is over sooner. A host that has just started waits as long for its first contact.
+	const isCutOff = () => timers.getNow() - (contactAtMs ?? startedAtMs) >= contactLossMs;
+
+	const keepContact = async () => {
+		const result = await client.call({type: 'limits/read'}, {timeoutMs: contactPeriodMs});
+		if (result.type !== 'answered') {
+			return;
+		}
+
+		contactAtMs = timers.getNow();
+		if (result.answer.type === 'limits') {
+			for (const listener of listeners) {
+				listener(result.answer.limits);
+			}
+		}
+	};
+
+	const cancelLooks = timers.scheduleEvery(contactPeriodMs, () => {
+		void keepContact();
+	});
+	void keepContact();
+
 	return {
-		call: client.call,
+		call: async (call, {timeoutMs}) => client.call(call, {timeoutMs, isGivenUp: isCutOff}),
+		isInContact: () => contactAtMs !== undefined && !isCutOff(),
+		onLimits(listener) {
+			listeners.push(listener);
+		},
 		setSeeds: client.addHosts,
-		stop: transport.close,
+		async stop() {
+			cancelLooks();
+			await transport.close();
+		},
 	};
 }
