--- a/packages/core/src/scheduler/plan-worker-moves.ts
+++ b/packages/core/src/scheduler/plan-worker-moves.ts
@@ -62,7 +62,7 @@
 // Part of its highest inflow that an idle pool is ready for; more workers come while the rest waits.
 const readyShareOfPeak = 0.35;
 // What an idle pool keeps of it while work waits elsewhere.
-const lentShareOfPeak = 0.15;
+const leastShareOfPeak = 0.15;
 // A pool gets a worker once it misses this part of it.
 const leastMissingShare = 0.5;
 
@@ -128,17 +128,22 @@
 	.toSorted((left, right) => right.missing - left.missing);
 
 const fillShortages = (shortages: readonly Shortage[], sources: readonly MovableWorker[]): readonly WorkerMove[] => {
-	const left = [...sources];
+	let next = 0;
 	return shortages.flatMap(({to, missing, isOneNeeded}) => {
-		const moves: WorkerMove[] = [];
+		const chosen: MovableWorker[] = [];
 		let lacking = missing;
-		for (let source = left[0]; source !== undefined && (lacking > source.millicores * leastMissingShare || (isOneNeeded && moves.length === 0)); source = left[0]) {
-			left.shift();
+		for (const source of sources.slice(next)) {
+			const isEnough = lacking <= source.millicores * leastMissingShare && !(isOneNeeded && chosen.length === 0);
+			if (isEnough) {
+				break;
+			}
+
 			lacking -= source.millicores;
-			moves.push({worker: source.worker, from: source.pool, to});
+			chosen.push(source);
 		}
 
-		return moves;
+		next += chosen.length;
+		return chosen.map(({worker, pool: from}) => ({worker, from, to}));
 	});
 };
 
@@ -169,19 +174,19 @@
 export function planWorkerMoves(input: WorkerMoveInput): readonly WorkerMove[] {
 	const {moveMs} = input;
 	const standby = input.pools.find(({isStandby}) => isStandby);
-	const listSources = (now: WorkerMoveInput, shareOfPeak: number) => [...now.workers.filter(({pool}) => pool === standby?.pool), ...listSpareWorkers(now, shareOfPeak)];
+	const listSwitchedOff = (now: WorkerMoveInput) => now.workers.filter(({pool}) => pool === standby?.pool);
 
 	const urgent = fillShortages(listShortages(input.pools, pressure => ({
 		missing: getWantedMillicores(pressure, moveMs) - pressure.millicores,
 		// A step may ask for a minion without another task of it.
 		isOneNeeded: pressure.waitingLastingCount > 0 && pressure.incomingMillicores === 0,
-	})), listSources(input, lentShareOfPeak));
+	})), [...listSwitchedOff(input), ...listSpareWorkers(input, leastShareOfPeak)]);
 
 	const served = takeMoves(input, urgent);
 	const precautions = fillShortages(listShortages(served.pools, pressure => ({
 		missing: (pressure.peakInflowMillicores * readyShareOfPeak) - pressure.millicores,
 		isOneNeeded: false,
-	})), listSources(served, readyShareOfPeak));
+	})), [...listSwitchedOff(served), ...listSpareWorkers(served, readyShareOfPeak)]);
 
 	const switchedOff = listSpareWorkers(takeMoves(served, precautions), readyShareOfPeak).filter(({idleMs}) => idleMs >= idleBeforeSwitchOffMs);
 	const returns = standby === undefined ? [] : switchedOff.map(({worker, pool}) => ({worker, from: pool, to: standby.pool}));
