--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -284,7 +284,8 @@
 		const answer = await minions.hold({
 			target,
 			fencingToken,
-			lastSeen,
+			// After a silence another life may answer, whose ends nobody has seen.
+			lastSeen: isSilent ? 0 : lastSeen,
 			deadlineMs: isSynced && !isSilent ? lease.grant(false) : undefined,
 			waitMs,
 			timeoutMs: waitMs + holdSlackMs,
--- a/packages/daemon/src/scheduler/run-orders.ts
+++ b/packages/daemon/src/scheduler/run-orders.ts
@@ -166,7 +166,8 @@
 		const {task: id, run} = control.assignment;
 		const task = findTask(context.getLedger(), id);
 		const deadlineMs = lease.grant(isSilent());
-		if (task === undefined || deadlineMs === undefined || !context.canAct()) {
+		// A silent minion may have begun another life, in which nobody would know of the run.
+		if (task === undefined || deadlineMs === undefined || isSilent() || !context.canAct()) {
 			return 'again';
 		}
 
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -71,6 +71,8 @@
 	readonly changeLeader: () => Promise<void>;
 	readonly silence: (index: number, durationMs: number) => void;
 	readonly crash: (index: number) => void;
+	/** It crashes and begins another life at once, under its id and at its address. */
+	readonly rebear: (index: number) => void;
 	/** What starts on the minion from now on never ends by itself. */
 	readonly stall: (index: number) => void;
 	readonly countRuns: (id: JobId) => number;
@@ -96,6 +98,7 @@
 const upkeepMs = 2000;
 const orderLeaseMs = 3000;
 const moveMs = 1500;
+const rebirthMs = 120;
 const workingAfterMs = 100;
 const noticeMs = 4500;
 const startOfDayMs = 1_700_000_000_000;
@@ -178,14 +181,14 @@
 		timers.scheduleOnce(delayMs, resolve);
 	});
 
-	const createMinion = (worker: WorkerId, inPool: PoolId): FakeMinion => {
-		const minion = toBrand<MinionId>(`i-${nextLife}`);
+	const createMinion = (worker: WorkerId, inPool: PoolId, before?: MinionRecord): FakeMinion => {
+		const minion = before?.minion ?? toBrand<MinionId>(`i-${nextLife}`);
 		const bornAtMs = Math.floor(getWallClock());
 		const record: MinionRecord = {
 			life: createLifeId(minion, bornAtMs),
 			minion,
 			bornAtMs,
-			address: `10.0.0.${nextLife}:80`,
+			address: before?.address ?? `10.0.0.${nextLife}:80`,
 			worker,
 			pool: inPool,
 			dataCentre: toBrand<DataCentreId>('dc-1'),
@@ -656,6 +659,19 @@
 				minion.isStalled = true;
 			}
 		},
+		rebear(index) {
+			const minion = findMinion(index);
+			if (minion !== undefined) {
+				minion.isGone = true;
+				timers.scheduleOnce(rebirthMs, () => {
+					const {worker, pool: inPool} = minion.record;
+					const wasMoved = (poolOfSpare.get(worker) ?? pool) !== inPool || [...minions.values()].some(({record, isGone}) => !isGone && record.worker === worker);
+					if (!wasMoved) {
+						createMinion(worker, inPool, minion.record);
+					}
+				});
+			}
+		},
 		crash(index) {
 			const minion = findMinion(index);
 			if (minion !== undefined) {
