--- a/bench/job-graphs.ts
+++ b/bench/job-graphs.ts
@@ -7,7 +7,7 @@
 	createSeededRandom, toBrand, type DataCentreId, type JobId, type MinionId, type PoolId, type QueueId, type RandomSource, type WorkerId,
 } from '@samphiremill/common';
 import {
-	admitJob, applyLedgerCommand, createLedger, createLifeId, getWork, measureWorkAhead, planStarts,
+	admitJob, applyLedgerCommand, createLedger, createLifeId, getWork, measureWorkAhead, plainStep, planStarts,
 	type CompareReadySteps, type Job, type JobSpecification, type Ledger, type MinionRecord, type RunAssignment,
 } from '@samphiremill/core';
 import {formatTable} from './statistics.js';
@@ -91,22 +91,11 @@
 		const lengthMs = draw(random, {mean: kind.taskMs, spread: 0.5, most: kind.taskMs * 2.5});
 		lengths.push(lengthMs);
 		return {
+			...plainStep,
 			count: Math.max(1, Math.round(draw(random, {mean: kind.width, spread: 0.6, most: kind.width * 4}))),
 			request: {cpuMillicores: Math.round(draw(random, {mean: kind.millicores, spread: 0.45, most: kind.millicores * 3})), memoryMb: 1, gpus: 0},
 			estimateMs: lengthMs * Math.exp(0.2 * ((random() * 2) - 1)),
 			dependsOn: index === 0 ? [] : [index - 1],
-			hasCheckpoints: false,
-			isGang: false,
-			isRackLocal: false,
-			requiredLabel: undefined,
-			dataRack: undefined,
-			maximumPerMinion: undefined,
-			allowsCopies: false,
-			isLasting: false,
-			image: '',
-			tailBoundMs: undefined,
-			isFiller: false,
-			disruptionBudget: undefined,
 		};
 	});
 	const rounds = steps.map(({count, request}) => Math.max(1, Math.ceil(count * request.cpuMillicores / (8 * machineMillicores / 4))));
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -12,3 +12,4 @@
 export * from './random.js';
 export type * from './timer-service.js';
 export * from './virtual-timer-service.js';
+export * from './wait-for.js';
--- a/packages/core/src/scheduler/decisions.test.ts
+++ b/packages/core/src/scheduler/decisions.test.ts
@@ -4,7 +4,7 @@
 import {expect, test} from 'vitest';
 import {
 	admitJob, applyLedgerCommand, createLedger, createLedgerSnapshot, createLifeId, findTask, getFillerPace,
-	isSuspectedSlow, judgeRun, measurePools, notePace, planStarts, planUpkeep, planWorkerMoves, restoreLedger, unknownPace,
+	isSuspectedSlow, judgeRun, measurePools, notePace, plainStep, planStarts, planUpkeep, planWorkerMoves, restoreLedger, unknownPace,
 	type JobSpecification, type Ledger, type MinionRecord, type MovableWorker, type PoolPressure, type StepSpecification, type Task, type UsableMinion,
 } from './index.js';
 
@@ -13,22 +13,9 @@
 const parse = () => undefined;
 
 const createStep = (step: Partial<StepSpecification>): StepSpecification => ({
-	count: 1,
+	...plainStep,
 	request: {cpuMillicores: 2000, memoryMb: 100, gpus: 0},
 	estimateMs: 1000,
-	dependsOn: [],
-	hasCheckpoints: false,
-	isGang: false,
-	isRackLocal: false,
-	requiredLabel: undefined,
-	dataRack: undefined,
-	maximumPerMinion: undefined,
-	allowsCopies: false,
-	isLasting: false,
-	image: '',
-	tailBoundMs: undefined,
-	isFiller: false,
-	disruptionBudget: undefined,
 	...step,
 });
 
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -36,4 +36,5 @@
 export {
 	idlePool, measurePools, measureWorkAhead, type PoolMeasure,
 } from './measure-pools.js';
+export {plainStep} from './plain-step.js';
 export {getLongestChainMs, getObjectiveMs, getWork} from './estimates.js';
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -3,7 +3,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import {
-	createFailure, createSuccess, toBrand, type JobId, type RandomSource, type Result, type TimerService, type WallClockMs,
+	createFailure, createSuccess, toBrand, waitFor, type JobId, type RandomSource, type Result, type TimerService, type WallClockMs,
 } from '@samphiremill/common';
 import {
 	createNodeState,
@@ -302,9 +302,7 @@
 		await server.close();
 		engine.dispatch({type: 'escrow/leave', nowMs: timers.getNow()});
 		engine.dispatch({type: 'membership/leave', nowMs: timers.getNow()});
-		await new Promise<void>(resolve => {
-			timers.scheduleOnce(leaveNoticeMs, resolve);
-		});
+		await waitFor(timers, leaveNoticeMs);
 		for (const cancel of cancelTimers) {
 			cancel();
 		}
--- a/packages/daemon/src/scheduler/cluster-client.ts
+++ b/packages/daemon/src/scheduler/cluster-client.ts
@@ -2,7 +2,7 @@
  * Finds the leading control host and hands it requests.
  */
 import {
-	toBrand, type NodeId, type TimerService,
+	toBrand, waitFor, type NodeId, type TimerService,
 } from '@samphiremill/common';
 import type {PeerTransport} from '../peers/index.js';
 import {callAttemptTimeoutMs, callRetryMs} from './constants.js';
@@ -61,10 +61,6 @@
 		return others[nextHost % Math.max(1, others.length)];
 	};
 
-	const pause = async () => new Promise<void>(resolve => {
-		timers.scheduleOnce(callRetryMs, resolve);
-	});
-
 	const takeReply = (reply: ClusterReply) => {
 		if (reply.type === 'notLeader') {
 			addHosts(reply.hosts);
@@ -122,7 +118,7 @@
 				isUncertain ||= result.type === 'uncertain' || (result.type === 'answered' && result.answer.type === 'uncertain');
 				// A host that names the leader saves the search for it.
 				if (hadLeader || leader === undefined) {
-					await pause(); // eslint-disable-line no-await-in-loop -- one host after the other
+					await waitFor(timers, callRetryMs); // eslint-disable-line no-await-in-loop -- one host after the other
 				}
 			}
 		},
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -3,7 +3,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import {
-	createFailure, createSuccess, toBrand, type DataCentreId, type NodeId, type RandomSource, type RegionId, type Result, type TimerService,
+	createFailure, createSuccess, toBrand, waitFor, type DataCentreId, type NodeId, type RandomSource, type RegionId, type Result, type TimerService,
 } from '@samphiremill/common';
 import {
 	applyLedgerCommand, createLedger, createLedgerSnapshot, defaultReplicaLimits, restoreLedger,
@@ -316,10 +316,6 @@
 		timers.scheduleEvery(voterCheckMs, tendVoters),
 	];
 
-	const pause = async (delayMs: number) => new Promise<void>(resolve => {
-		timers.scheduleOnce(delayMs, resolve);
-	});
-
 	return createSuccess({
 		call,
 		getLeader: () => replica.getState().leader,
@@ -330,7 +326,7 @@
 		async stop() {
 			isStopped = true;
 			replica.transferLeadership();
-			await pause(handOverWaitMs);
+			await waitFor(timers, handOverWaitMs);
 			leader?.stop();
 			leader = undefined;
 			for (const cancel of cancelTimers) {
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -2,7 +2,9 @@
  * The leading control host: it decides on requests, starts and stops tasks, and keeps the minions'
  * leases. All that must outlast it goes through the log first.
  */
-import type {NodeId, TimerService, WorkerId} from '@samphiremill/common';
+import {
+	waitFor, type NodeId, type TimerService, type WorkerId,
+} from '@samphiremill/common';
 import {
 	findTask, getFillerPace, getLongestChainMs, getObjectiveMs, getStep, listForgettableJobs, planStarts,
 	type Job, type Ledger, type LedgerCommand, type LedgerOutcome, type LifeId, type MinionRecord, type RunAssignment,
@@ -249,9 +251,7 @@
 				await plan(); // eslint-disable-line no-await-in-loop -- each plan builds on the one before
 			}
 
-			await new Promise<void>(resolve => { // eslint-disable-line no-await-in-loop -- gathers what comes at once
-				timers.scheduleOnce(planGapMs, resolve);
-			});
+			await waitFor(timers, planGapMs); // eslint-disable-line no-await-in-loop -- gathers what comes at once
 		}
 
 		isPlanning = false;
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -1,6 +1,7 @@
 /**
  * The leader's dealings with one life of a minion: its lease, its runs, and what it lists of them.
  */
+import {waitFor} from '@samphiremill/common';
 import {
 	findTask, getRunBound, getStep, isSuspectedSlow, notePace, noteRunDone, noteRunFailed, unknownHealth, unknownPace,
 	type MinionHealth, type MinionPace, type MinionRecord, type RunAssignment, type RunEnd, type TaskId,
@@ -12,7 +13,7 @@
 import {
 	createRunControl, fullPacePercent, isDoubtful, toRunView, type RunControl, type RunView,
 } from './run-control.js';
-import {createRunEnd, createRunOrders, waitFor} from './run-orders.js';
+import {createRunEnd, createRunOrders} from './run-orders.js';
 import type {SessionContext} from './session-context.js';
 import type {
 	FinishedEntry, HoldReport, MinionAnswer, MinionReport, MinionTarget, RunningEntry,
--- a/packages/daemon/src/scheduler/run-orders.ts
+++ b/packages/daemon/src/scheduler/run-orders.ts
@@ -1,7 +1,7 @@
 /**
  * Orders to a minion to start and stop runs, repeated until they are answered.
  */
-import type {TimerService} from '@samphiremill/common';
+import {waitFor} from '@samphiremill/common';
 import {
 	findTask, type MinionRecord, type RunAssignment, type RunEnd, type RunEnding, type TaskId,
 } from '@samphiremill/core';
@@ -37,16 +37,6 @@
 	readonly stopControl: (control: RunControl) => Promise<void>;
 };
 
-/**
- * @param timers - The time.
- * @param delayMs - How long to wait.
- */
-export async function waitFor(timers: TimerService, delayMs: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		timers.scheduleOnce(delayMs, resolve);
-	});
-}
-
 /**
  * @param assignment - A run.
  * @param ending - How it ended.
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -8,7 +8,7 @@
 	type MinionId, type NodeId, type PoolId, type QueueId, type RackId, type RandomSource, type TeamId, type WorkerId,
 } from '@samphiremill/common';
 import {
-	applyLedgerCommand, createLedger, createLedgerSnapshot, createLifeId, findTask, getStep, getStepProgress, parseTaskId, restoreLedger,
+	applyLedgerCommand, createLedger, createLedgerSnapshot, createLifeId, findTask, getStep, getStepProgress, parseTaskId, plainStep, restoreLedger,
 	type FleetConfiguration, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord, type RunEnding,
 	type StepSpecification, type TaskId, type Ticket,
 } from '@samphiremill/core';
@@ -99,6 +99,7 @@
 const orderLeaseMs = 3000;
 const moveMs = 1500;
 const rebirthMs = 120;
+const crashMs = 3000;
 const workingAfterMs = 100;
 const noticeMs = 4500;
 const startOfDayMs = 1_700_000_000_000;
@@ -121,25 +122,6 @@
 	},
 });
 
-const plainStep: StepSpecification = {
-	count: 1,
-	request: {cpuMillicores: 1000, memoryMb: 512, gpus: 0},
-	estimateMs: 500,
-	dependsOn: [],
-	hasCheckpoints: false,
-	isGang: false,
-	isRackLocal: false,
-	requiredLabel: undefined,
-	dataRack: undefined,
-	maximumPerMinion: undefined,
-	allowsCopies: false,
-	isLasting: false,
-	image: '',
-	tailBoundMs: undefined,
-	isFiller: false,
-	disruptionBudget: undefined,
-};
-
 /**
  * @param options - The size and the troubles.
  * @returns The world, with a first leader.
@@ -614,6 +596,18 @@
 		}
 	});
 
+	// It comes back unless its worker has gone elsewhere meanwhile.
+	const loseMinion = (minion: FakeMinion, {downMs, before}: {readonly downMs: number; readonly before?: MinionRecord}) => {
+		minion.isGone = true;
+		timers.scheduleOnce(downMs, () => {
+			const {worker, pool: inPool} = minion.record;
+			const wasMoved = (poolOfSpare.get(worker) ?? pool) !== inPool || [...minions.values()].some(({record, isGone}) => !isGone && record.worker === worker);
+			if (!wasMoved) {
+				createMinion(worker, inPool, before);
+			}
+		});
+	};
+
 	const getTarget = (id: JobId) => ({host, path: `${pathPrefix}${id}`, key});
 	const findMinion = (index: number) => [...minions.values()].filter(({isGone}) => !isGone)[index];
 
@@ -662,27 +656,13 @@
 		rebear(index) {
 			const minion = findMinion(index);
 			if (minion !== undefined) {
-				minion.isGone = true;
-				timers.scheduleOnce(rebirthMs, () => {
-					const {worker, pool: inPool} = minion.record;
-					const wasMoved = (poolOfSpare.get(worker) ?? pool) !== inPool || [...minions.values()].some(({record, isGone}) => !isGone && record.worker === worker);
-					if (!wasMoved) {
-						createMinion(worker, inPool, minion.record);
-					}
-				});
+				loseMinion(minion, {downMs: rebirthMs, before: minion.record});
 			}
 		},
 		crash(index) {
 			const minion = findMinion(index);
 			if (minion !== undefined) {
-				minion.isGone = true;
-				timers.scheduleOnce(3000, () => {
-					const {worker, pool: inPool} = minion.record;
-					const wasMoved = (poolOfSpare.get(worker) ?? pool) !== inPool || [...minions.values()].some(({record, isGone}) => !isGone && record.worker === worker);
-					if (!wasMoved) {
-						createMinion(worker, inPool);
-					}
-				});
+				loseMinion(minion, {downMs: crashMs});
 			}
 		},
 		countRuns: id => listRunning().filter(({id: task}) => task.startsWith(id)).length,
