--- a/bench/job-graphs.ts
+++ b/bench/job-graphs.ts
@@ -201,7 +201,7 @@
 				record, runBound: Number.POSITIVE_INFINITY, isLeavingSoon: false, isSuspect: false,
 			})),
 			isAllowed: () => true,
-			isAvoided: () => false,
+			getAvoided: () => undefined,
 			copies: [],
 			compare: policy.compare,
 		});
--- a/packages/core/src/scheduler/actions/accept-job.ts
+++ b/packages/core/src/scheduler/actions/accept-job.ts
@@ -1,4 +1,5 @@
 import {createOccurrences} from '../ledger.js';
+import {indexJob} from '../work-index.js';
 import type {
 	AcceptedJob, Job, Ledger, LedgerOutcome,
 } from '../types.js';
@@ -21,5 +22,6 @@
 	job.occurrences = createOccurrences(job);
 	ledger.jobs.set(job.id, job);
 	ledger.activeJobs.add(job);
+	indexJob(ledger.index, job);
 	return {type: 'applied'};
 }
--- a/packages/core/src/scheduler/actions/assign-runs.ts
+++ b/packages/core/src/scheduler/actions/assign-runs.ts
@@ -1,4 +1,5 @@
 import {addRun, findTask, getStep} from '../ledger.js';
+import {noteJobBegun} from '../work-index.js';
 import type {
 	Ledger, LedgerOutcome, RunAssignment, Task,
 } from '../types.js';
@@ -28,6 +29,7 @@
 		if (task !== undefined && isAssignable(ledger, task, assignment)) {
 			addRun(ledger, task, {number: assignment.run, life: assignment.life});
 			task.job.hasStarted = true;
+			noteJobBegun(ledger.index, task.job);
 			assigned.push(assignment);
 		}
 	}
--- a/packages/core/src/scheduler/actions/cancel-job.ts
+++ b/packages/core/src/scheduler/actions/cancel-job.ts
@@ -16,6 +16,6 @@
 	}
 
 	endJob(ledger, job, {status: 'cancelled', atMs});
-	releaseTasks(job);
+	releaseTasks(ledger, job);
 	return {type: 'applied'};
 }
--- a/packages/core/src/scheduler/actions/change-minions.ts
+++ b/packages/core/src/scheduler/actions/change-minions.ts
@@ -1,5 +1,6 @@
 import {createResources} from '../resources.js';
 import {findTask, releaseTasks, removeRun} from '../ledger.js';
+import {notePoolChanged} from '../work-index.js';
 import type {
 	Ledger, LedgerOutcome, LifeId, MinionRecord,
 } from '../types.js';
@@ -25,7 +26,7 @@
 	for (const [id, number] of use.runs) {
 		const task = findTask(ledger, id);
 		if (task !== undefined) {
-			releaseTasks(removeRun(ledger, task, {number, life}).job);
+			releaseTasks(ledger, removeRun(ledger, task, {number, life}).job);
 		}
 	}
 
@@ -54,5 +55,6 @@
 	}
 
 	ledger.lives.set(record.life, {record, runs: new Map(), used: createResources()});
+	notePoolChanged(ledger.index, record.pool);
 	return {type: 'applied'};
 }
--- a/packages/core/src/scheduler/actions/end-runs.ts
+++ b/packages/core/src/scheduler/actions/end-runs.ts
@@ -15,7 +15,7 @@
 	const members = step.isGang ? getStepProgress(task)?.tasks ?? [task] : [task];
 	for (const member of members) {
 		if (!member.isDone) {
-			replaceTask(member, {isDone: true});
+			replaceTask(ledger, member, {isDone: true});
 		}
 	}
 
@@ -25,7 +25,7 @@
 };
 
 const markFailed = (ledger: Ledger, before: Task, atMs: number) => {
-	const task = replaceTask(before, {failures: before.failures + 1});
+	const task = replaceTask(ledger, before, {failures: before.failures + 1});
 	const {job} = task;
 	if (job.status === 'active' && !getStep(task).isLasting && !task.isDone && task.failures >= job.maximumAttempts) {
 		endJob(ledger, job, {status: 'failed', atMs});
@@ -40,7 +40,7 @@
 	}
 
 	const ended = removeRun(ledger, found, run);
-	const task = end.checkpoint === '' ? ended : replaceTask(ended, {checkpoint: end.checkpoint});
+	const task = end.checkpoint === '' ? ended : replaceTask(ledger, ended, {checkpoint: end.checkpoint});
 
 	if (end.ending === 'done' && !getStep(task).isLasting) {
 		markDone(ledger, task, atMs);
@@ -48,7 +48,7 @@
 		markFailed(ledger, task, atMs);
 	}
 
-	releaseTasks(task.job);
+	releaseTasks(ledger, task.job);
 	return true;
 };
 
--- a/packages/core/src/scheduler/decisions.test.ts
+++ b/packages/core/src/scheduler/decisions.test.ts
@@ -4,7 +4,7 @@
 import {expect, test} from 'vitest';
 import {
 	admitJob, applyLedgerCommand, createLedger, createLedgerSnapshot, createLifeId, findTask, getFillerPace,
-	isSuspectedSlow, judgeRun, measurePools, notePace, plainStep, planStarts, planUpkeep, planWorkerMoves, restoreLedger, unknownPace,
+	isSuspectedSlow, judgeRun, measurePool, notePace, plainStep, planStarts, planUpkeep, planWorkerMoves, restoreLedger, unknownPace,
 	type JobSpecification, type Ledger, type MinionRecord, type MovableWorker, type PoolPressure, type StepSpecification, type Task, type UsableMinion,
 } from './index.js';
 
@@ -46,7 +46,7 @@
 };
 
 const plan = (ledger: Ledger, minions: readonly UsableMinion[], copies: readonly Task[] = []) => planStarts({
-	ledger, nowMs, minions, isAllowed: () => true, isAvoided: () => false, copies,
+	ledger, nowMs, minions, isAllowed: () => true, getAvoided: () => undefined, copies,
 });
 
 const assign = (ledger: Ledger, minions: readonly UsableMinion[]) => {
@@ -103,7 +103,7 @@
 	const text = createLedgerSnapshot(ledger);
 	const restored = restoreLedger(text, parse);
 	expect(createLedgerSnapshot(restored)).toBe(text);
-	expect(measurePools(restored, nowMs)).toEqual(measurePools(ledger, nowMs));
+	expect(measurePool(restored, pool, nowMs)).toEqual(measurePool(ledger, pool, nowMs));
 	expect(plan(restored, minions)).toEqual(plan(ledger, minions));
 });
 
--- a/packages/core/src/scheduler/ids.ts
+++ b/packages/core/src/scheduler/ids.ts
@@ -22,14 +22,22 @@
  * @returns Its parts, or nothing if the text has another form.
  */
 export function parseTaskId(id: string): TaskIdParts | undefined {
-	const [job, ...numbers] = id.split('.');
-	const [occurrence, step, index] = numbers.map(Number);
-	const isWhole = [occurrence, step, index].every(number => Number.isSafeInteger(number));
-	return job === undefined || numbers.length !== 3 || !isWhole
-		? undefined
-		: {
-			job: toBrand<JobId>(job), occurrence: occurrence ?? 0, step: step ?? 0, index: index ?? 0,
-		};
+	const jobEnd = id.indexOf('.');
+	const occurrenceEnd = id.indexOf('.', jobEnd + 1);
+	const stepEnd = id.indexOf('.', occurrenceEnd + 1);
+	if (jobEnd === -1 || occurrenceEnd === -1 || stepEnd === -1) {
+		return undefined;
+	}
+
+	const occurrence = Number(id.slice(jobEnd + 1, occurrenceEnd));
+	const step = Number(id.slice(occurrenceEnd + 1, stepEnd));
+	const index = Number(id.slice(stepEnd + 1));
+	const isWhole = Number.isSafeInteger(occurrence) && Number.isSafeInteger(step) && Number.isSafeInteger(index);
+	return isWhole
+		? {
+			job: toBrand<JobId>(id.slice(0, jobEnd)), occurrence, step, index,
+		}
+		: undefined;
 }
 
 /**
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -8,7 +8,7 @@
 	createLifeId, createTaskId, parseTaskId, type TaskIdParts,
 } from './ids.js';
 export {
-	countPendingJobs, createLedger, findQueue, findTask, getShownState, getStep, getStepProgress, isJobId,
+	countPendingJobs, createLedger, findQueue, findTask, getShownState, getStep, getStepProgress, isJobId, listTasks,
 	type FoundQueue, type ShownJobState,
 } from './ledger.js';
 export {createLedgerSnapshot, listForgettableJobs, restoreLedger} from './snapshot.js';
@@ -33,8 +33,7 @@
 export {
 	planWorkerMoves, type MovableWorker, type WorkerMoveInput, type PoolPressure, type WorkerMove,
 } from './plan-worker-moves.js';
-export {
-	idlePool, measurePools, measureWorkAhead, type PoolMeasure,
-} from './measure-pools.js';
+export {measurePool, measureWorkAhead, type PlaceInQueue} from './measure-pools.js';
+export {getPoolWork, idlePool, type PoolWork} from './work-index.js';
 export {plainStep} from './plain-step.js';
 export {getLongestChainMs, getObjectiveMs, getWork} from './estimates.js';
--- a/packages/core/src/scheduler/ledger.ts
+++ b/packages/core/src/scheduler/ledger.ts
@@ -6,6 +6,9 @@
 } from '@samphiremill/common';
 import {createTaskId, parseTaskId} from './ids.js';
 import {addResources, createResources, getRoomTaken} from './resources.js';
+import {
+	createWorkIndex, noteJobReleased, notePoolChanged, noteTaskChanged, noteTeamRoom, unindexJob,
+} from './work-index.js';
 import type {
 	ActiveConfiguration, FleetConfiguration, Job, JobStatus, Ledger, Occurrence, QueueDefinition, StepProgress, StepSpecification, Task, TaskRun,
 } from './types.js';
@@ -22,6 +25,7 @@
 		waves: new Map(),
 		workerOrders: new Map(),
 		controlHosts: new Map(),
+		index: createWorkIndex(),
 	};
 }
 
@@ -99,22 +103,33 @@
 	return Array.from({length: count}, (_, occurrence) => createOccurrence(job, occurrence));
 }
 
+/**
+ * @param job - A job.
+ * @returns All its tasks; none once it is over and nothing of it runs.
+ */
+export function listTasks(job: Job): readonly Task[] {
+	return job.occurrences.flatMap(({steps}) => steps.flatMap(({tasks}) => tasks));
+}
+
 const isIdle = (task: Task) => !task.isDone && task.runs.length === 0;
 
 /**
  * Puts a changed task in the place of the one it was made from, and keeps the counts of its step.
  *
+ * @param ledger - The ledger.
  * @param before - The task as it is.
  * @param change - What changes.
  * @returns The changed task.
  */
-export function replaceTask(before: Task, change: Partial<Pick<Task, 'runs' | 'lastRunNumber' | 'failures' | 'checkpoint' | 'isDone'>>): Task {
+export function replaceTask(ledger: Ledger, before: Task, change: Partial<Pick<Task, 'runs' | 'lastRunNumber' | 'failures' | 'checkpoint' | 'isDone'>>): Task {
 	const after: Task = {...before, ...change};
-	const progress = getStepProgress(before);
+	const steps = before.job.occurrences[before.occurrence]?.steps ?? [];
+	const progress = steps[before.step];
 	if (progress !== undefined) {
 		progress.tasks[before.index] = after;
 		progress.doneCount += Number(after.isDone) - Number(before.isDone);
 		progress.idleCount += Number(isIdle(after)) - Number(isIdle(before));
+		noteTaskChanged(ledger.index, {before, after, steps});
 	}
 
 	return after;
@@ -150,11 +165,18 @@
  * @returns The changed task.
  */
 export function addRun(ledger: Ledger, before: Task, run: TaskRun): Task {
-	const task = replaceTask(before, {runs: [...before.runs, run], lastRunNumber: Math.max(run.number, before.lastRunNumber)});
+	const task = replaceTask(ledger, before, {runs: [...before.runs, run], lastRunNumber: Math.max(run.number, before.lastRunNumber)});
 	countRun(ledger, task, {run, factor: 1});
 	return task;
 }
 
+const noteRoom = ({index, lives}: Ledger, {job}: Task, {life}: TaskRun) => {
+	notePoolChanged(index, lives.get(life)?.record.pool ?? job.pool);
+	if (job.team !== undefined) {
+		noteTeamRoom(index, job.team);
+	}
+};
+
 /**
  * Takes a run from a task and gives its room back.
  *
@@ -164,8 +186,9 @@
  * @returns The changed task.
  */
 export function removeRun(ledger: Ledger, before: Task, run: TaskRun): Task {
-	const task = replaceTask(before, {runs: before.runs.filter(({number}) => number !== run.number)});
+	const task = replaceTask(ledger, before, {runs: before.runs.filter(({number}) => number !== run.number)});
 	countRun(ledger, task, {run, factor: -1});
+	noteRoom(ledger, task, run);
 	return task;
 }
 
@@ -180,16 +203,19 @@
 	job.status = status;
 	job.endedAtMs = atMs;
 	ledger.activeJobs.delete(job);
+	unindexJob(ledger.index, job);
 }
 
 /**
  * Drops the tasks of a job that is over, once nothing of it runs.
  *
+ * @param ledger - The ledger.
  * @param job - The job.
  */
-export function releaseTasks(job: Job): void {
+export function releaseTasks(ledger: Ledger, job: Job): void {
 	if (job.status !== 'active' && job.runCount === 0) {
 		job.occurrences = [];
+		noteJobReleased(ledger.index, job);
 	}
 }
 
--- a/packages/core/src/scheduler/order-work.ts
+++ b/packages/core/src/scheduler/order-work.ts
@@ -5,8 +5,8 @@
 import {
 	getChainLeftMs, getDueMs, getLongestChainMs, getObjectiveMs, getWork, type WidthBound,
 } from './estimates.js';
-import {areDependenciesDone, getStepProgress} from './ledger.js';
 import type {Job, Ledger} from './types.js';
+import {getPoolWork, openDueOccurrences, type OpenStep} from './work-index.js';
 
 /** Orders steps that may start, the first to start first. */
 export type CompareReadySteps = (left: ReadyStep, right: ReadyStep) => number;
@@ -26,46 +26,38 @@
 	readonly isLate: boolean;
 };
 
-const isStepReady = (job: Job, occurrence: number, step: number) => {
-	const progress = getStepProgress({job, occurrence, step});
-	if (progress === undefined || progress.idleCount === 0) {
-		return false;
-	}
-
-	return areDependenciesDone({job, occurrence, step});
+/** What an occurrence may take from when it is due until its last task has to start. */
+type Allowance = {
+	readonly bound: WidthBound;
+	readonly doneSteps: number;
+	readonly allowanceMs: number;
 };
 
-const getSlackMs = (job: Job, occurrence: number, {nowMs, bound}: {readonly nowMs: number; readonly bound: WidthBound}) => {
-	const progress = job.occurrences[occurrence];
-	const chainLeftMs = progress === undefined ? 0 : getChainLeftMs(job, progress, bound);
-	const objectiveMs = getObjectiveMs(job, getLongestChainMs(job.specification.steps, bound));
-	return getDueMs(job, occurrence) + objectiveMs - nowMs - chainLeftMs;
-};
+// Estimates of one occurrence, for as long as none of its steps is done and the pool keeps its size.
+const allowances = new WeakMap<OpenStep['chain'], Allowance>();
 
-const listReadySteps = (job: Job, {nowMs, bound}: {readonly nowMs: number; readonly bound: WidthBound}): readonly ReadyStep[] => {
-	const ready: ReadyStep[] = [];
-	for (const [occurrence, {steps}] of job.occurrences.entries()) {
-		if (job.specification.schedule !== undefined && getDueMs(job, occurrence) > nowMs) {
-			break;
-		}
+const isSameBound = (left: WidthBound, right: WidthBound) =>
+	left.poolMillicores === right.poolMillicores && left.teamMillicores === right.teamMillicores;
 
-		for (const step of steps.keys()) {
-			if (isStepReady(job, occurrence, step)) {
-				const slackMs = getSlackMs(job, occurrence, {nowMs, bound});
-				ready.push({
-					job,
-					occurrence,
-					step,
-					slackMs,
-					work: getWork(job.specification),
-					hasStarted: job.hasStarted,
-					isLasting: job.specification.steps[step]?.isLasting ?? false, isLate: slackMs < 0,
-				});
-			}
-		}
+const getAllowanceMs = ({job, occurrence, chain}: OpenStep, bound: WidthBound): number => {
+	const known = allowances.get(chain);
+	if (known?.doneSteps === chain.doneSteps && isSameBound(known.bound, bound)) {
+		return known.allowanceMs;
 	}
 
-	return ready;
+	const progress = job.occurrences[occurrence];
+	const chainLeftMs = progress === undefined ? 0 : getChainLeftMs(job, progress, bound);
+	const allowanceMs = getObjectiveMs(job, getLongestChainMs(job.specification.steps, bound)) - chainLeftMs;
+	allowances.set(chain, {bound, doneSteps: chain.doneSteps, allowanceMs});
+	return allowanceMs;
+};
+
+const createReadyStep = (open: OpenStep, {nowMs, bound}: {readonly nowMs: number; readonly bound: WidthBound}): ReadyStep => {
+	const {job, occurrence, step, specification: {isLasting}} = open;
+	const slackMs = getDueMs(job, occurrence) + getAllowanceMs(open, bound) - nowMs;
+	return {
+		job, occurrence, step, slackMs, work: getWork(job.specification), hasStarted: job.hasStarted, isLasting, isLate: slackMs < 0,
+	};
 };
 
 /**
@@ -83,33 +75,29 @@
 	|| Number(right.hasStarted) - Number(left.hasStarted)
 	|| (left.hasStarted ? left.slackMs - right.slackMs : left.work - right.work);
 
-/**
- * @param ledger - The ledger.
- * @param view - The Unix time, and the processors of each pool.
- * @returns The steps with tasks to start, by pool, the most urgent first.
- */
-export function orderReadySteps(ledger: Ledger, {nowMs, millicoresByPool, compare = compareReadySteps}: {
+/** A pool whose work is put in order. */
+export type OrderedPool = {
+	readonly pool: PoolId;
+	/** Processors of its minions. */
+	readonly poolMillicores: number;
+	/** The Unix time in milliseconds. */
 	readonly nowMs: number;
-	readonly millicoresByPool: ReadonlyMap<PoolId, number>;
 	readonly compare?: CompareReadySteps;
-}): ReadonlyMap<PoolId, readonly ReadyStep[]> {
-	const byPool = new Map<PoolId, ReadyStep[]>();
-	for (const job of ledger.activeJobs) {
-		const bound = {
-			poolMillicores: millicoresByPool.get(job.pool) ?? 0,
-			teamMillicores: job.team === undefined ? 0 : ledger.configuration?.teamsById.get(job.team)?.maximum.cpuMillicores ?? 0,
-		};
-		const ready = listReadySteps(job, {nowMs, bound});
-		if (ready.length > 0) {
-			const known = byPool.get(job.pool) ?? [];
-			byPool.set(job.pool, known);
-			known.push(...ready);
-		}
-	}
+};
 
-	for (const steps of byPool.values()) {
-		steps.sort(compare);
+/**
+ * @param ledger - The ledger.
+ * @param view - The pool and the time.
+ * @returns The pool's steps with tasks to start, the most urgent first.
+ */
+export function orderReadySteps({index, configuration}: Ledger, {pool, poolMillicores, nowMs, compare = compareReadySteps}: OrderedPool): readonly ReadyStep[] {
+	openDueOccurrences(index, nowMs);
+	const steps: ReadyStep[] = [];
+	for (const open of getPoolWork(index, pool).ready) {
+		const {team} = open.job;
+		const teamMillicores = team === undefined ? 0 : configuration?.teamsById.get(team)?.maximum.cpuMillicores ?? 0;
+		steps.push(createReadyStep(open, {nowMs, bound: {poolMillicores, teamMillicores}}));
 	}
 
-	return byPool;
+	return steps.toSorted(compare);
 }
--- a/packages/core/src/scheduler/plan-starts.ts
+++ b/packages/core/src/scheduler/plan-starts.ts
@@ -28,10 +28,12 @@
 	/** The Unix time in milliseconds. */
 	readonly nowMs: number;
 	readonly minions: readonly UsableMinion[];
+	/** The pools to plan for; all that have minions if absent. */
+	readonly pools?: ReadonlySet<PoolId>;
 	/** Whether a step may run on a life; some queues ask an advice service. */
 	readonly isAllowed: (step: ReadyStep, life: LifeId) => boolean;
-	/** Whether a task is better not run on a life, where it failed before. */
-	readonly isAvoided: (task: Task, life: LifeId) => boolean;
+	/** Lives on which a task is better not run, where it failed before. */
+	readonly getAvoided: (task: Task) => ReadonlySet<LifeId> | undefined;
 	/** Tasks that run already and get a copy, since their run is overdue. */
 	readonly copies: readonly Task[];
 	/** Which work goes first; by default what is nearest to missing its objective. */
@@ -50,6 +52,13 @@
 	readonly assignments: RunAssignment[];
 };
 
+/** A pool as the plan fills it. */
+type PoolPlaces = {
+	readonly places: readonly Place[];
+	/** Rooms that no place of the pool has left; whatever takes as much of each resource needs no look. */
+	refused: readonly Resources[];
+};
+
 const createPlace = (ledger: Ledger, minion: UsableMinion): Place => {
 	const use = ledger.lives.get(minion.record.life);
 	return {
@@ -59,12 +68,15 @@
 	};
 };
 
-const groupByPool = (ledger: Ledger, minions: readonly UsableMinion[]) => {
+const groupByPool = ({ledger, minions, pools}: StartPlanInput) => {
 	const byPool = new Map<PoolId, Place[]>();
 	for (const minion of minions) {
-		const known = byPool.get(minion.record.pool) ?? [];
-		byPool.set(minion.record.pool, known);
-		known.push(createPlace(ledger, minion));
+		const {pool} = minion.record;
+		if (pools === undefined || pools.has(pool)) {
+			const known = byPool.get(pool) ?? [];
+			byPool.set(pool, known);
+			known.push(createPlace(ledger, minion));
+		}
 	}
 
 	return byPool;
@@ -91,6 +103,7 @@
 	readonly ready: ReadyStep;
 	readonly step: StepSpecification;
 	readonly room: Resources;
+	/** How many of the step's tasks run on each life, where that matters. */
 	readonly runsByLife: Map<LifeId, number>;
 };
 
@@ -100,49 +113,74 @@
 	readonly task: Task;
 };
 
-const countRunsByLife = (tasks: readonly Task[]) => {
+const isSpread = ({isLasting, isFiller, maximumPerMinion}: StepSpecification) => isLasting || isFiller || maximumPerMinion !== undefined;
+
+const countRunsByLife = (step: StepSpecification, tasks: readonly Task[]) => {
 	const counts = new Map<LifeId, number>();
-	for (const {life} of tasks.flatMap(({runs}) => runs)) {
-		counts.set(life, (counts.get(life) ?? 0) + 1);
+	if (!isSpread(step)) {
+		return counts;
+	}
+
+	for (const {runs} of tasks) {
+		for (const {life} of runs) {
+			counts.set(life, (counts.get(life) ?? 0) + 1);
+		}
 	}
 
 	return counts;
 };
 
-const canHost = (plan: Plan, {ready, step, room, runsByLife}: StepPlaces, {place, task}: Placement) => {
+const hasRoom = ({runsLeft, free}: Place, room: Resources) => runsLeft > 0 && fitsInto(free, room);
+
+const canHost = (plan: Plan, {ready, step, runsByLife}: StepPlaces, {place, task}: Placement) => {
 	const {record} = place.minion;
-	return place.runsLeft > 0
-		&& fitsInto(place.free, room)
-		&& (step.requiredLabel === undefined || record.labels.includes(step.requiredLabel))
+	return (step.requiredLabel === undefined || record.labels.includes(step.requiredLabel))
 		&& (runsByLife.get(record.life) ?? 0) < (step.maximumPerMinion ?? Number.POSITIVE_INFINITY)
 		&& task.runs.every(({life}) => life !== record.life)
 		&& plan.input.isAllowed(ready, record.life);
 };
 
+type Preference = {
+	readonly rack: RackId | undefined;
+	readonly avoided: ReadonlySet<LifeId> | undefined;
+};
+
 // Lower is better. Lasting tasks and fillers spread out; others fill the fullest minion that has room,
 // so that wide tasks find whole minions.
-const scorePlace = (plan: Plan, {step, runsByLife}: StepPlaces, {place, task, rack}: Placement & {readonly rack: RackId | undefined}) => {
-	const {record, isSuspect, isLeavingSoon} = place.minion;
+const scorePlace = ({step, runsByLife}: StepPlaces, {minion, free}: Place, {rack, avoided}: Preference) => {
+	const {record, isSuspect, isLeavingSoon} = minion;
 	const isFar = rack !== undefined && record.rack !== rack;
-	const free = place.free.cpuMillicores;
 	const spread = step.isLasting || step.isFiller
-		? ((runsByLife.get(record.life) ?? 0) * 1e6) + (isLeavingSoon ? 1e8 : 0) - free
-		: free;
-	return (isSuspect || plan.input.isAvoided(task, record.life) ? 1e12 : 0) + (isFar ? 1e9 : 0) + spread;
+		? ((runsByLife.get(record.life) ?? 0) * 1e6) + (isLeavingSoon ? 1e8 : 0) - free.cpuMillicores
+		: free.cpuMillicores;
+	return (isSuspect || avoided?.has(record.life) ? 1e12 : 0) + (isFar ? 1e9 : 0) + spread;
+};
+
+type ChosenPlace = {
+	readonly place: Place | undefined;
+	/** Whether any place has the room, allowed or not. */
+	readonly isRoomLeft: boolean;
 };
 
-const chooseBestPlace = (places: readonly Place[], score: (place: Place) => number) => {
+const choosePlace = (plan: Plan, stepPlaces: StepPlaces, {places, task, rack}: {readonly places: readonly Place[]; readonly task: Task; readonly rack: RackId | undefined}): ChosenPlace => {
+	const preference = {rack, avoided: plan.input.getAvoided(task)};
 	let best: Place | undefined;
 	let bestScore = Number.POSITIVE_INFINITY;
+	let isRoomLeft = false;
 	for (const place of places) {
-		const placeScore = score(place);
-		if (placeScore < bestScore) {
+		if (!hasRoom(place, stepPlaces.room)) {
+			continue;
+		}
+
+		isRoomLeft = true;
+		const score = scorePlace(stepPlaces, place, preference);
+		if (score < bestScore && canHost(plan, stepPlaces, {place, task})) {
 			best = place;
-			bestScore = placeScore;
+			bestScore = score;
 		}
 	}
 
-	return best;
+	return {place: best, isRoomLeft};
 };
 
 const getPreferredRack = ({step}: StepPlaces, places: readonly Place[]): RackId | undefined => {
@@ -165,7 +203,10 @@
 	const {life} = place.minion.record;
 	addResources(place.free, room, -factor);
 	place.runsLeft -= factor;
-	runsByLife.set(life, (runsByLife.get(life) ?? 0) + factor);
+	if (isSpread(step)) {
+		runsByLife.set(life, (runsByLife.get(life) ?? 0) + factor);
+	}
+
 	if (ready.job.team !== undefined) {
 		addResources(getTeamRoom(plan, ready.job.team), step.request, -factor);
 	}
@@ -174,13 +215,20 @@
 const hasTeamRoom = (plan: Plan, {ready, step}: StepPlaces) =>
 	ready.job.team === undefined || fitsInto(getTeamRoom(plan, ready.job.team), step.request);
 
-const placeTasks = (plan: Plan, stepPlaces: StepPlaces, {places, tasks}: {readonly places: readonly Place[]; readonly tasks: readonly Task[]}): readonly Placement[] => {
+const placeTasks = (plan: Plan, stepPlaces: StepPlaces, {pool, tasks}: {readonly pool: PoolPlaces; readonly tasks: readonly Task[]}): readonly Placement[] => {
 	const placements: Placement[] = [];
+	const {places} = pool;
 	const rack = getPreferredRack(stepPlaces, places);
 	for (const task of tasks) {
-		const place = hasTeamRoom(plan, stepPlaces)
-			? chooseBestPlace(places.filter(candidate => canHost(plan, stepPlaces, {place: candidate, task})), candidate => scorePlace(plan, stepPlaces, {place: candidate, task, rack}))
-			: undefined;
+		if (!hasTeamRoom(plan, stepPlaces)) {
+			break;
+		}
+
+		const {place, isRoomLeft} = choosePlace(plan, stepPlaces, {places, task, rack});
+		if (!isRoomLeft) {
+			pool.refused = [...pool.refused.filter(known => !fitsInto(known, stepPlaces.room)), stepPlaces.room];
+		}
+
 		if (place === undefined) {
 			break;
 		}
@@ -192,34 +240,38 @@
 	return placements;
 };
 
-const planStep = (plan: Plan, ready: ReadyStep, places: readonly Place[]) => {
+const isKnownNotToFit = ({refused}: PoolPlaces, room: Resources) => refused.some(known => fitsInto(room, known));
+
+const planStep = (plan: Plan, ready: ReadyStep, pool: PoolPlaces) => {
 	const step = ready.job.specification.steps[ready.step];
 	const progress = getStepProgress(ready);
-	if (step === undefined || progress === undefined) {
+	const room = step && getRoomTaken(step);
+	if (step === undefined || room === undefined || progress === undefined || isKnownNotToFit(pool, room)) {
 		return;
 	}
 
 	const tasks = progress.tasks.filter(({isDone, runs}) => !isDone && runs.length === 0);
-	const stepPlaces: StepPlaces = {
-		ready, step, room: getRoomTaken(step), runsByLife: countRunsByLife(progress.tasks),
-	};
 	// A gang whose last run has not wholly ended waits for that.
 	if (step.isGang && tasks.length < progress.tasks.length) {
 		return;
 	}
 
-	const placements = placeTasks(plan, stepPlaces, {places, tasks});
+	const stepPlaces: StepPlaces = {
+		ready, step, room, runsByLife: countRunsByLife(step, progress.tasks),
+	};
+	const placements = placeTasks(plan, stepPlaces, {pool, tasks});
 	if (step.isGang && placements.length < tasks.length) {
 		for (const {place} of placements) {
 			takeRoom(plan, stepPlaces, {place, factor: -1});
 		}
 
+		pool.refused = [];
 		return;
 	}
 
-	const gangRun = Math.max(...progress.tasks.map(({lastRunNumber}) => lastRunNumber)) + 1;
+	const gangRun = step.isGang ? Math.max(...progress.tasks.map(({lastRunNumber}) => lastRunNumber)) + 1 : undefined;
 	for (const {place, task} of placements) {
-		plan.assignments.push({task: task.id, run: step.isGang ? gangRun : task.lastRunNumber + 1, life: place.minion.record.life});
+		plan.assignments.push({task: task.id, run: gangRun ?? task.lastRunNumber + 1, life: place.minion.record.life});
 	}
 };
 
@@ -234,14 +286,23 @@
 		job: task.job, occurrence: task.occurrence, step: task.step, slackMs: 0, work: 0, hasStarted: true, isLasting: false, isLate: false,
 	};
 	const stepPlaces: StepPlaces = {
-		ready, step, room: getRoomTaken(step), runsByLife: countRunsByLife(progress.tasks),
+		ready, step, room: getRoomTaken(step), runsByLife: countRunsByLife(step, progress.tasks),
 	};
 	const sound = places.filter(({minion: {isSuspect}}) => !isSuspect);
-	for (const {place} of placeTasks(plan, stepPlaces, {places: sound, tasks: [task]})) {
+	for (const {place} of placeTasks(plan, stepPlaces, {pool: {places: sound, refused: []}, tasks: [task]})) {
 		plan.assignments.push({task: task.id, run: task.lastRunNumber + 1, life: place.minion.record.life});
 	}
 };
 
+const sumMillicores = (places: readonly Place[]) => {
+	let sum = 0;
+	for (const {minion} of places) {
+		sum += minion.record.capacity.cpuMillicores;
+	}
+
+	return sum;
+};
+
 /**
  * Plans starts.
  *
@@ -249,14 +310,16 @@
  * @returns The assignments to agree on, in order.
  */
 export function planStarts(input: StartPlanInput): readonly RunAssignment[] {
-	const {ledger, nowMs, minions} = input;
+	const {ledger, nowMs, compare} = input;
 	const plan: Plan = {input, freeByTeam: new Map(), assignments: []};
-	const placesByPool = groupByPool(ledger, minions);
-	const millicoresByPool = new Map([...placesByPool].map(([pool, places]) => [pool, places.reduce((sum, {minion}) => sum + minion.record.capacity.cpuMillicores, 0)] as const));
-	for (const [pool, steps] of orderReadySteps(ledger, {nowMs, millicoresByPool, ...(input.compare !== undefined && {compare: input.compare})})) {
-		const places = placesByPool.get(pool) ?? [];
+	const placesByPool = groupByPool(input);
+	for (const [pool, places] of placesByPool) {
+		const poolPlaces: PoolPlaces = {places, refused: []};
+		const steps = orderReadySteps(ledger, {
+			pool, poolMillicores: sumMillicores(places), nowMs, ...(compare !== undefined && {compare}),
+		});
 		for (const ready of steps) {
-			planStep(plan, ready, places);
+			planStep(plan, ready, poolPlaces);
 		}
 	}
 
--- a/packages/core/src/scheduler/snapshot.ts
+++ b/packages/core/src/scheduler/snapshot.ts
@@ -4,9 +4,10 @@
 import type {JobId, WorkerId} from '@samphiremill/common';
 import {replaceConfiguration} from './actions/replace-configuration.js';
 import {
-	addRun, createLedger, createOccurrences, findTask, replaceTask,
+	addRun, createLedger, createOccurrences, findTask, listTasks, replaceTask,
 } from './ledger.js';
 import {createResources} from './resources.js';
+import {indexJob, unindexJob} from './work-index.js';
 import type {
 	AcceptedJob, ControlHostRecord, Job, JobStatus, Ledger, MinionRecord, ParseConfiguration, Task, TaskId, TaskRun, UpkeepOrder, UpkeepWave, WorkerOrder,
 } from './types.js';
@@ -40,8 +41,6 @@
 	id, runs, lastRunNumber, failures, checkpoint, isDone,
 });
 
-const listTasks = (job: Job) => job.occurrences.flatMap(({steps}) => steps.flatMap(({tasks}) => tasks));
-
 const saveJob = (job: Job): SavedJob => {
 	const {status, endedAtMs, hasStarted, occurrences: _, runCount: __, ...accepted} = job;
 	const isOver = job.occurrences.length === 0;
@@ -75,7 +74,7 @@
 const restoreTask = (ledger: Ledger, {id, runs, ...saved}: SavedTask) => {
 	const blank = findTask(ledger, id);
 	if (blank !== undefined) {
-		let task = replaceTask(blank, saved);
+		let task = replaceTask(ledger, blank, saved);
 		for (const run of runs) {
 			task = addRun(ledger, task, run);
 		}
@@ -96,9 +95,17 @@
 	}
 
 	job.occurrences = createOccurrences(job);
+	if (job.status === 'active') {
+		indexJob(ledger.index, job);
+	}
+
 	for (const task of tasks) {
 		restoreTask(ledger, task);
 	}
+
+	if (job.status !== 'active' && job.runCount > 0) {
+		unindexJob(ledger.index, job);
+	}
 };
 
 /**
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -5,6 +5,7 @@
 	Brand, DataCentreId, JobId, MinionId, NodeId, PoolId, QueueId, RackId, TeamId, WaveId, WorkerId,
 } from '@samphiremill/common';
 import type {StoreId} from '../replica/index.js';
+import type {WorkIndex} from './work-index.js';
 
 /** One task of one occurrence of a job. */
 export type TaskId = Brand<string, 'TaskId'>;
@@ -204,6 +205,20 @@
 	readonly steps: readonly StepProgress[];
 };
 
+/** The demand on one pool, lasting tasks apart. */
+export type PoolMeasure = {
+	/** Processors that lasting tasks take or wait for. */
+	readonly lastingMillicores: number;
+	/** Lasting tasks that run nowhere. */
+	readonly waitingLastingCount: number;
+	/** Processors that other tasks use. */
+	readonly runningMillicores: number;
+	/** Processors that tasks wait for which could start now. */
+	readonly readyMillicores: number;
+	/** The work that is still to be done, in millicore milliseconds. */
+	readonly workLeft: number;
+};
+
 /** Where a job stands. */
 export type JobStatus = 'active' | 'completed' | 'failed' | 'cancelled';
 
@@ -294,6 +309,8 @@
 	readonly waves: Map<WaveId, UpkeepWave>;
 	readonly workerOrders: Map<WorkerId, WorkerOrder>;
 	readonly controlHosts: Map<NodeId, ControlHostRecord>;
+	/** Derived from the rest, and from the time. */
+	readonly index: WorkIndex;
 };
 
 /** A job that a control host accepts. */
--- /dev/null
+++ b/packages/core/src/scheduler/work-index.ts
@@ -0,0 +1,360 @@
+/**
+ * What the planner and the admission ask of the ledger at every turn, brought up to date by each change,
+ * so that a decision costs what it touches and not all that the ledger holds.
+ */
+import type {JobId, PoolId, TeamId} from '@samphiremill/common';
+import {getDueMs, getWork} from './estimates.js';
+import type {
+	Job, Occurrence, PoolMeasure, StepProgress, StepSpecification, Task, TaskId,
+} from './types.js';
+
+type MutableMeasure = {-readonly [Key in keyof PoolMeasure]: PoolMeasure[Key]};
+
+/** A step of a due occurrence of an active job. */
+export type OpenStep = {
+	readonly job: Job;
+	readonly occurrence: number;
+	readonly step: number;
+	readonly specification: StepSpecification;
+	readonly progress: StepProgress;
+	/** Whether it has tasks that may start now. */
+	isReady: boolean;
+	/** What of its pool's measure is its part. */
+	counted: PoolMeasure;
+	/** Changes with each step of the occurrence that is done. */
+	readonly chain: OccurrenceChain;
+};
+
+/** How far an occurrence has come along its chains of steps. */
+export type OccurrenceChain = {
+	/** How many of its steps are done; estimates of what is left hold while it stays the same. */
+	doneSteps: number;
+};
+
+/** A job none of whose tasks has started. */
+export type UnbegunJob = {
+	/** The work of one occurrence, in millicore milliseconds. */
+	readonly work: number;
+	workLeft: number;
+};
+
+/** What is known of one pool. */
+export type PoolWork = {
+	readonly measure: PoolMeasure;
+	/** Steps with tasks to start, in no order. */
+	readonly ready: ReadonlySet<OpenStep>;
+	readonly unbegun: ReadonlyMap<Job, UnbegunJob>;
+	/** Goes up with each change that may let a task of the pool start. */
+	readonly changeCount: number;
+};
+
+type MutablePoolWork = {
+	readonly measure: MutableMeasure;
+	readonly ready: Set<OpenStep>;
+	readonly unbegun: Map<Job, UnbegunJob>;
+	changeCount: number;
+};
+
+/** The indexes of a ledger. Only `work-index` changes them. */
+export type WorkIndex = {
+	readonly pools: Map<PoolId, MutablePoolWork>;
+	readonly steps: Map<StepProgress, OpenStep>;
+	/** The first occurrence of each scheduled job that was not due yet. */
+	readonly nextDue: Map<Job, number>;
+	/** Ready steps of each team, by pool. */
+	readonly readyByTeam: Map<TeamId, Map<PoolId, number>>;
+	/** Jobs that are over, with runs that are not. */
+	readonly endedWithRuns: Set<JobId>;
+	/** Tasks that are done, with runs that are not. */
+	readonly doneWithRuns: Set<TaskId>;
+};
+
+// A task that runs is half done, for all that is known.
+const shareLeftOfRunning = 0.5;
+
+/** A pool that nothing is asked of. */
+export const idlePool: PoolMeasure = {
+	lastingMillicores: 0, waitingLastingCount: 0, runningMillicores: 0, readyMillicores: 0, workLeft: 0,
+};
+
+/** @returns Indexes of nothing. */
+export function createWorkIndex(): WorkIndex {
+	return {
+		pools: new Map(),
+		steps: new Map(),
+		nextDue: new Map(),
+		readyByTeam: new Map(),
+		endedWithRuns: new Set(),
+		doneWithRuns: new Set(),
+	};
+}
+
+const getMutablePool = (index: WorkIndex, pool: PoolId): MutablePoolWork => {
+	const known = index.pools.get(pool);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const created: MutablePoolWork = {
+		measure: {...idlePool}, ready: new Set(), unbegun: new Map(), changeCount: 0,
+	};
+	index.pools.set(pool, created);
+	return created;
+};
+
+const measureStep = ({count, request: {cpuMillicores}, estimateMs, isFiller, isLasting}: StepSpecification, {doneCount, idleCount}: StepProgress, isReady: boolean): PoolMeasure => {
+	if (isFiller) {
+		return idlePool;
+	}
+
+	if (isLasting) {
+		return {...idlePool, lastingMillicores: cpuMillicores * count, waitingLastingCount: idleCount};
+	}
+
+	const running = count - doneCount - idleCount;
+	return {
+		lastingMillicores: 0,
+		waitingLastingCount: 0,
+		runningMillicores: running * cpuMillicores,
+		readyMillicores: isReady ? idleCount * cpuMillicores : 0,
+		workLeft: (idleCount + (running * shareLeftOfRunning)) * cpuMillicores * estimateMs,
+	};
+};
+
+const addMeasure = (total: MutableMeasure, part: PoolMeasure, factor: 1 | -1) => {
+	total.lastingMillicores += part.lastingMillicores * factor;
+	total.waitingLastingCount += part.waitingLastingCount * factor;
+	total.runningMillicores += part.runningMillicores * factor;
+	total.readyMillicores += part.readyMillicores * factor;
+	total.workLeft += part.workLeft * factor;
+};
+
+const countReadyOfTeam = ({readyByTeam}: WorkIndex, {team, pool}: Job, change: 1 | -1) => {
+	if (team === undefined) {
+		return;
+	}
+
+	const byPool = readyByTeam.get(team) ?? new Map<PoolId, number>();
+	readyByTeam.set(team, byPool);
+	const count = (byPool.get(pool) ?? 0) + change;
+	if (count === 0) {
+		byPool.delete(pool);
+	} else {
+		byPool.set(pool, count);
+	}
+};
+
+const setReady = (index: WorkIndex, pool: MutablePoolWork, open: OpenStep, isReady: boolean) => {
+	if (open.isReady === isReady) {
+		return;
+	}
+
+	open.isReady = isReady;
+	countReadyOfTeam(index, open.job, isReady ? 1 : -1);
+	if (isReady) {
+		pool.ready.add(open);
+	} else {
+		pool.ready.delete(open);
+	}
+};
+
+const setCounted = (pool: MutablePoolWork, open: OpenStep, counted: PoolMeasure) => {
+	addMeasure(pool.measure, open.counted, -1);
+	addMeasure(pool.measure, counted, 1);
+	const unbegun = pool.unbegun.get(open.job);
+	if (unbegun !== undefined) {
+		unbegun.workLeft += counted.workLeft - open.counted.workLeft;
+	}
+
+	open.counted = counted;
+};
+
+const isStepDone = ({doneCount, tasks}: StepProgress) => doneCount === tasks.length;
+
+const refreshStep = (index: WorkIndex, open: OpenStep, steps: readonly StepProgress[]) => {
+	const pool = getMutablePool(index, open.job.pool);
+	const {specification, progress} = open;
+	const hadIdle = open.isReady;
+	const isReady = progress.idleCount > 0 && specification.dependsOn.every(earlier => {
+		const before = steps[earlier];
+		return before !== undefined && isStepDone(before);
+	});
+	setReady(index, pool, open, isReady);
+	setCounted(pool, open, measureStep(specification, progress, isReady));
+	if (isReady && !hadIdle) {
+		pool.changeCount += 1;
+	}
+};
+
+const openOccurrence = (index: WorkIndex, job: Job, occurrence: number) => {
+	const steps = job.occurrences[occurrence]?.steps ?? [];
+	const chain: OccurrenceChain = {doneSteps: 0};
+	for (const [step, progress] of steps.entries()) {
+		const specification = job.specification.steps[step];
+		if (specification !== undefined) {
+			const open: OpenStep = {
+				job, occurrence, step, specification, progress, isReady: false, counted: idlePool, chain,
+			};
+			index.steps.set(progress, open);
+			refreshStep(index, open, steps);
+		}
+	}
+};
+
+/**
+ * Takes an active job in.
+ *
+ * @param index - The indexes.
+ * @param job - The job, with its occurrences. Those of a schedule count from `openDueOccurrences` on.
+ */
+export function indexJob(index: WorkIndex, job: Job): void {
+	if (!job.hasStarted) {
+		getMutablePool(index, job.pool).unbegun.set(job, {work: getWork(job.specification), workLeft: 0});
+	}
+
+	if (job.specification.schedule === undefined) {
+		openOccurrence(index, job, 0);
+	} else {
+		index.nextDue.set(job, 0);
+	}
+}
+
+/**
+ * Opens the occurrences whose time has come.
+ *
+ * @param index - The indexes.
+ * @param nowMs - The Unix time in milliseconds.
+ */
+export function openDueOccurrences(index: WorkIndex, nowMs: number): void {
+	for (const [job, first] of index.nextDue) {
+		let next = first;
+		while (next < job.occurrences.length && getDueMs(job, next) <= nowMs) {
+			openOccurrence(index, job, next);
+			next += 1;
+		}
+
+		if (next >= job.occurrences.length) {
+			index.nextDue.delete(job);
+		} else if (next > first) {
+			index.nextDue.set(job, next);
+		}
+	}
+}
+
+const listSteps = (job: Job): readonly StepProgress[] => job.occurrences.flatMap(({steps}: Occurrence) => steps);
+
+/**
+ * Takes a job out that has ended.
+ *
+ * @param index - The indexes.
+ * @param job - The job, still with its occurrences.
+ */
+export function unindexJob(index: WorkIndex, job: Job): void {
+	const pool = getMutablePool(index, job.pool);
+	for (const progress of listSteps(job)) {
+		const open = index.steps.get(progress);
+		if (open !== undefined) {
+			setReady(index, pool, open, false);
+			setCounted(pool, open, idlePool);
+			index.steps.delete(progress);
+		}
+	}
+
+	pool.unbegun.delete(job);
+	index.nextDue.delete(job);
+	if (job.runCount > 0) {
+		index.endedWithRuns.add(job.id);
+	}
+}
+
+/**
+ * Notes that nothing runs any more of a job that is over.
+ *
+ * @param index - The indexes.
+ * @param job - The job.
+ */
+export function noteJobReleased(index: WorkIndex, job: Job): void {
+	index.endedWithRuns.delete(job.id);
+}
+
+/**
+ * Notes that a task of a job has started.
+ *
+ * @param index - The indexes.
+ * @param job - The job.
+ */
+export function noteJobBegun(index: WorkIndex, job: Job): void {
+	getMutablePool(index, job.pool).unbegun.delete(job);
+}
+
+/**
+ * Notes that the counts of a task's step changed.
+ *
+ * @param index - The indexes.
+ * @param change - The task as it was and as it is, and the steps of its occurrence.
+ */
+export function noteTaskChanged(index: WorkIndex, {before, after, steps}: {
+	readonly before: Task;
+	readonly after: Task;
+	readonly steps: readonly StepProgress[];
+}): void {
+	if (after.isDone && after.runs.length > 0) {
+		index.doneWithRuns.add(after.id);
+	} else {
+		index.doneWithRuns.delete(after.id);
+	}
+
+	const progress = steps[after.step];
+	const open = progress && index.steps.get(progress);
+	if (open === undefined) {
+		return;
+	}
+
+	refreshStep(index, open, steps);
+	if (after.isDone === before.isDone || !isStepDone(open.progress)) {
+		return;
+	}
+
+	open.chain.doneSteps += 1;
+	for (const other of steps) {
+		const later = index.steps.get(other);
+		if (later?.specification.dependsOn.includes(after.step)) {
+			refreshStep(index, later, steps);
+		}
+	}
+}
+
+/**
+ * Notes that a pool has more room, or that more tasks of it may start.
+ *
+ * @param index - The indexes.
+ * @param pool - The pool.
+ */
+export function notePoolChanged(index: WorkIndex, pool: PoolId): void {
+	getMutablePool(index, pool).changeCount += 1;
+}
+
+/**
+ * Notes that a team uses less, which may let its tasks start in any pool.
+ *
+ * @param index - The indexes.
+ * @param team - The team.
+ */
+export function noteTeamRoom(index: WorkIndex, team: TeamId): void {
+	for (const pool of index.readyByTeam.get(team)?.keys() ?? []) {
+		notePoolChanged(index, pool);
+	}
+}
+
+const emptyPool: PoolWork = {
+	measure: idlePool, ready: new Set(), unbegun: new Map(), changeCount: 0,
+};
+
+/**
+ * @param index - The indexes.
+ * @param pool - A pool.
+ * @returns What is known of it. It changes in place.
+ */
+export function getPoolWork(index: WorkIndex, pool: PoolId): PoolWork {
+	return index.pools.get(pool) ?? emptyPool;
+}
--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -3,15 +3,15 @@
  */
 import {
 	admitJob, countPendingJobs, getShownState, getWork, isJobId, isWaveCompleted,
-	type Job, type Ledger, type LedgerCommand, type LifeId,
+	type Job, type Ledger, type LedgerCommand,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
+import type {Decision} from './command-batcher.js';
 import type {DemandMeter} from './demand-meter.js';
 import {createAcceptedJob, getAccess} from './job-access.js';
-import type {Decision} from './leader.js';
 import type {SchedulerMetrics} from './metrics.js';
-import type {MinionSession} from './minion-session.js';
 import type {PoolView} from './pool-view.js';
+import type {SessionRegistry} from './session-registry.js';
 import type {
 	CallerTarget, ClusterAnswer, ClusterCall, ConfigurationFinding, MinionReport,
 } from './types.js';
@@ -21,7 +21,7 @@
 	readonly term: number;
 	readonly log: DecisionLog;
 	readonly metrics: SchedulerMetrics;
-	readonly sessions: ReadonlyMap<LifeId, MinionSession>;
+	readonly sessions: SessionRegistry;
 	readonly demand: DemandMeter;
 	readonly pools: PoolView;
 	readonly getLedger: () => Ledger;
--- /dev/null
+++ b/packages/daemon/src/scheduler/command-batcher.test.ts
@@ -0,0 +1,55 @@
+import {toBrand, type JobId} from '@samphiremill/common';
+import type {LedgerCommand} from '@samphiremill/core';
+import {expect, test} from 'vitest';
+import {createCommandBatcher, type Decision} from './command-batcher.js';
+
+const nextTurn = async () => new Promise<void>(resolve => {
+	setImmediate(resolve);
+});
+
+const cancel = (name: string): LedgerCommand => ({type: 'job/cancelled', id: toBrand<JobId>(name), atMs: 0});
+
+const createLog = () => {
+	const proposed: LedgerCommand[] = [];
+	const settles: Array<(decision: Decision) => void> = [];
+	const submit = createCommandBatcher(async command => {
+		proposed.push(command);
+		return new Promise(resolve => {
+			settles.push(resolve);
+		});
+	});
+	const nameCommands = () => proposed.map(command => command.type === 'batch' ? command.commands.map(part => part.type === 'job/cancelled' ? part.id : '') : command.type);
+	return {settles, submit, nameCommands};
+};
+
+test('commands of one turn are proposed together and settled each by its own outcome', async () => {
+	const {settles, submit, nameCommands} = createLog();
+	const decisions = ['a', 'b'].map(async name => submit(cancel(name)));
+	await nextTurn();
+	expect(nameCommands()).toEqual([['a', 'b']]);
+	settles[0]?.({type: 'applied', outcome: {type: 'batch', outcomes: [{type: 'applied'}, {type: 'ignored'}]}});
+	expect(await Promise.all(decisions)).toEqual([
+		{type: 'applied', outcome: {type: 'applied'}}, {type: 'applied', outcome: {type: 'ignored'}},
+	]);
+});
+
+test('under a flood of commands two proposals are under way at most, and the order stays', async () => {
+	const {settles, submit, nameCommands} = createLog();
+	for (const name of ['a', 'b', 'c', 'd']) {
+		void submit(cancel(name));
+		await nextTurn(); // eslint-disable-line no-await-in-loop -- one turn after the other
+	}
+
+	expect(nameCommands()).toEqual(['job/cancelled', 'job/cancelled']);
+	settles[0]?.({type: 'applied', outcome: {type: 'applied'}});
+	await nextTurn();
+	expect(nameCommands()).toEqual(['job/cancelled', 'job/cancelled', ['c', 'd']]);
+});
+
+test('a proposal of which nothing is known leaves all its commands uncertain', async () => {
+	const {settles, submit} = createLog();
+	const decisions = ['a', 'b'].map(async name => submit(cancel(name)));
+	await nextTurn();
+	settles[0]?.({type: 'unknown'});
+	expect(await Promise.all(decisions)).toEqual([{type: 'unknown'}, {type: 'unknown'}]);
+});
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -40,6 +40,9 @@
 /** How often the leader looks for what time alone brings about. */
 export const leaderTickMs = 100;
 
+/** How often the pace of tasks that fill is set. */
+export const fillerPacePeriodMs = 500;
+
 /** The least time between two plans. */
 export const planGapMs = 8;
 
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -14,12 +14,13 @@
 import type {DecisionLog} from '../runtime/types.js';
 import {openReplicaStore, type ReplicaStore, type StoreError} from '../store/index.js';
 import {createClockGuard} from './clock-guard.js';
+import {createCommandBatcher} from './command-batcher.js';
 import {clusterCallMethod, createClusterClient} from './cluster-client.js';
 import {
 	joinRefreshMs, joinRetryMs, voterAbsenceMs, voterCheckMs,
 } from './constants.js';
 import {
-	startLeader, type Decision, type Leader, type SchedulerLimits,
+	startLeader, type Leader, type SchedulerLimits,
 } from './leader.js';
 import type {SchedulerMetrics} from './metrics.js';
 import {createOrderClock} from './order-clock.js';
@@ -191,7 +192,7 @@
 
 	const canAct = () => replica.hasLeaderLease() && replica.wasConfirmedSince(guard.check());
 
-	const propose = async (command: LedgerCommand): Promise<Decision> => {
+	const propose = createCommandBatcher(async command => {
 		const proposedAtMs = timers.getNow();
 		const result = await replica.propose(command);
 		metrics.record('commit_ms', timers.getNow() - proposedAtMs);
@@ -200,7 +201,7 @@
 		}
 
 		return {type: result.err.type === 'notProposed' ? 'notProposed' : 'unknown'};
-	};
+	});
 
 	const lead = async (term: number) => {
 		const decision = await propose({type: 'term/begun', term});
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -2,25 +2,27 @@
  * The leading control host: it decides on requests, starts and stops tasks, and keeps the minions'
  * leases. All that must outlast it goes through the log first.
  */
+import type {NodeId, TimerService, WorkerId} from '@samphiremill/common';
 import {
-	waitFor, type NodeId, type TimerService, type WorkerId,
-} from '@samphiremill/common';
-import {
-	findTask, getFillerPace, getLongestChainMs, getObjectiveMs, getStep, listForgettableJobs, planStarts,
-	type Job, type Ledger, type LedgerCommand, type LedgerOutcome, type LifeId, type MinionRecord, type RunAssignment,
+	findTask, getLongestChainMs, getObjectiveMs, listForgettableJobs, listTasks,
+	type Job, type Ledger, type LedgerCommand, type MinionRecord, type Task,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
 import {createAdviceDesk, createStepId} from './advice-desk.js';
 import {createCallHandlers} from './call-handlers.js';
+import type {Decision} from './command-batcher.js';
 import {
-	forgetPeriodMs, leaderTickMs, minionAbsenceMs, planGapMs,
+	fillerPacePeriodMs, forgetPeriodMs, leaderTickMs, minionAbsenceMs,
 } from './constants.js';
 import {createDemandMeter} from './demand-meter.js';
+import {paceFillers} from './filler-pacing.js';
 import type {SchedulerMetrics} from './metrics.js';
 import {openMinionSession, type MinionSession} from './minion-session.js';
 import {createPoolView} from './pool-view.js';
 import {createRunHastener} from './run-hastener.js';
 import type {SessionContext} from './session-context.js';
+import {createSessionRegistry} from './session-registry.js';
+import {createStartPlanner} from './start-planner.js';
 import {judgePeriodMs} from './straggler-watch.js';
 import type {
 	AdvicePort, ClusterAnswer, ClusterCall, ConfigurationFinding, MinionPort, WorkerPort,
@@ -43,12 +45,6 @@
 	readonly workerTurnMs: number;
 };
 
-/** How a proposal to the log ended. */
-export type Decision
-	= | {readonly type: 'applied'; readonly outcome: LedgerOutcome | undefined}
-		| {readonly type: 'notProposed'}
-		| {readonly type: 'unknown'};
-
 /** What a leader needs. */
 export type LeaderOptions = {
 	readonly self: NodeId;
@@ -92,12 +88,8 @@
 	const {
 		self, term, limits, timers, log, getWallClock, getLedger, canAct, propose, minions, workers, metrics,
 	} = options;
-	const sessions = new Map<LifeId, MinionSession>();
 	const beganAtMs = timers.getNow();
 	let isStopped = false;
-	let isPlanning = false;
-	let isPlanWanted = false;
-	let planBeganAtMs: number | undefined;
 	const orders = createWorkerOrders({
 		self,
 		term,
@@ -127,9 +119,9 @@
 		advice: options.advice,
 		timers,
 		log,
-		listMinions: pool => [...sessions.values()].filter(({record}) => record.pool === pool).map(({record}) => record),
+		listMinions: pool => [...sessions.listPool(pool)].map(({record}) => record),
 		onAdvised() {
-			wantPlan();
+			planner.wantFullPlan();
 		},
 	});
 
@@ -145,9 +137,12 @@
 		canAct: () => !isStopped && canAct(),
 		decide,
 		getWallClock,
-		onChanged() {
-			syncSessions();
-			wantPlan();
+		onMinionsChanged() {
+			sessions.sync();
+			planner.wantFullPlan();
+		},
+		onRunsEnded() {
+			planner.wantPlan();
 		},
 		onFenced: options.onFenced,
 		getTicket: (task, life) => desk.getTicket(createStepId(task), life),
@@ -173,128 +168,36 @@
 		metrics.count('jobs_ended_total', tookMs > objectiveMs ? `${status}Late` : status);
 	};
 
-	// Sessions follow the lives that the ledger knows.
-	const syncSessions = () => {
-		const {lives} = getLedger();
-		for (const [life, session] of sessions) {
-			if (!lives.has(life)) {
-				session.close();
-				sessions.delete(life);
-			}
-		}
-
-		for (const [life, {record}] of lives) {
-			if (!sessions.has(life)) {
-				sessions.set(life, openMinionSession(record, sessionContext));
-			}
-		}
-
-		minions.retain(new Set([...sessions.values()].map(({record}) => record.address)));
-	};
+	const sessions = createSessionRegistry({
+		getLedger, open: record => openMinionSession(record, sessionContext), retainAddresses: minions.retain,
+	});
 
 	const isPlaceable = ({record: {worker}, isUsable}: MinionSession) => isUsable() && !upkeep.isCordoned(worker) && !moves.isCordoned(worker);
 
-	const logAssignments = (runs: readonly RunAssignment[]) => {
-		const byJob = new Map<string, RunAssignment[]>();
-		for (const run of runs) {
-			const job = run.task.slice(0, run.task.indexOf('.'));
-			byJob.set(job, [...byJob.get(job) ?? [], run]);
-		}
-
-		for (const [job, assigned] of byJob) {
-			log.info(`job ${job}: ${assigned.length} tasks start`, {
-				id: job,
-				starts: assigned.map(({task, run, life}) => `${task.slice(job.length + 1)}#${run}@${getLedger().lives.get(life)?.record.minion ?? life}`).join(' '),
-			});
-		}
-	};
-
-	const listWorkersDue = () => new Set([...getLedger().waves.values()].flatMap(({workers: members, ordered}) => members.filter(worker => !ordered.has(worker))));
-
-	const plan = async () => {
-		const wantedAtMs = timers.getNow();
-		const due = listWorkersDue();
-		const runs = planStarts({
-			ledger: getLedger(),
-			nowMs: getWallClock(),
-			minions: [...sessions.values()].filter(session => isPlaceable(session)).map(session => ({
-				record: session.record, runBound: session.getRunBound(), isLeavingSoon: due.has(session.record.worker), isSuspect: session.isSuspect(),
-			})),
-			isAllowed: desk.isAllowed,
-			isAvoided: (task, life) => hastener.isAvoided(task.id, life),
-			copies: hastener.listWantedCopies(),
-		});
-		if (runs.length === 0) {
-			return;
-		}
-
-		planBeganAtMs = timers.getNow();
-		const decision = await propose({type: 'runs/assigned', term, runs});
-		planBeganAtMs = undefined;
-		if (decision.type !== 'applied' || decision.outcome?.type !== 'assigned' || isStopped) {
-			return;
-		}
-
-		logAssignments(decision.outcome.runs);
-		metrics.record('plan_ms', timers.getNow() - wantedAtMs);
-		for (const assignment of decision.outcome.runs) {
-			metrics.count('runs_assigned_total');
-			sessions.get(assignment.life)?.start(assignment);
-		}
-	};
-
-	const runPlans = async () => {
-		isPlanning = true;
-		while (isPlanWanted && isAtWork()) {
-			isPlanWanted = false;
-			if (canAct()) {
-				await plan(); // eslint-disable-line no-await-in-loop -- each plan builds on the one before
-			}
-
-			await waitFor(timers, planGapMs); // eslint-disable-line no-await-in-loop -- gathers what comes at once
-		}
-
-		isPlanning = false;
-	};
+	const planner = createStartPlanner({
+		term, timers, log, metrics, sessions, desk, hastener, getLedger, getWallClock, canAct, isAtWork, isPlaceable, propose,
+	});
 
-	const wantPlan = () => {
-		isPlanWanted = true;
-		if (!isPlanning && !isStopped) {
-			void runPlans();
+	const stopTaskRuns = (task: Task, reason: string) => {
+		for (const {life} of task.runs) {
+			sessions.get(life)?.stop(task.id, reason);
 		}
 	};
 
 	// What runs of a job that is over, or of a task that another copy has done, is stopped.
 	const stopNeedless = () => {
 		const ledger = getLedger();
-		for (const [life, {runs}] of ledger.lives) {
-			for (const id of runs.keys()) {
-				const task = findTask(ledger, id);
-				if (task !== undefined && (task.job.status !== 'active' || task.isDone)) {
-					sessions.get(life)?.stop(id, task.isDone ? 'another copy is done' : `the job is ${task.job.status}`);
-				}
+		for (const id of ledger.index.endedWithRuns) {
+			const job = ledger.jobs.get(id);
+			for (const task of job === undefined ? [] : listTasks(job)) {
+				stopTaskRuns(task, `the job is ${task.job.status}`);
 			}
 		}
-	};
-
-	// Whether no plan that was begun before that moment is still on its way into the log.
-	const isSettledSince = (sinceMs: number) => planBeganAtMs === undefined || planBeganAtMs > sinceMs;
-
-	const paceFillers = () => {
-		const ledger = getLedger();
-		for (const session of sessions.values()) {
-			const runs = session.listRuns().map(run => ({run, task: findTask(ledger, run.task)}));
-			const fillers = runs.filter(({task}) => task !== undefined && getStep(task).isFiller);
-			if (fillers.length === 0) {
-				continue;
-			}
 
-			const tails = runs.flatMap(({run, task}) => {
-				const boundMs = task && getStep(task).tailBoundMs;
-				return boundMs === undefined || boundMs === 0 ? [] : [{tailMs: run.gauge, boundMs}];
-			});
-			for (const {run} of fillers) {
-				session.setPace(run.task, getFillerPace(tails, run.pacePercent));
+		for (const id of ledger.index.doneWithRuns) {
+			const task = findTask(ledger, id);
+			if (task !== undefined) {
+				stopTaskRuns(task, 'another copy is done');
 			}
 		}
 	};
@@ -304,7 +207,7 @@
 			const hasRuns = (getLedger().lives.get(session.record.life)?.runs.size ?? 0) > 0;
 			if (!hasRuns && timers.getNow() - session.getHeardAtMs() > minionAbsenceMs) {
 				log.info(`minion ${session.record.minion} is gone: neither reports nor answers`, {minion: session.record.minion, life: session.record.life});
-				void decide({type: 'minion/left', term, life: session.record.life}).then(sessionContext.onChanged);
+				void decide({type: 'minion/left', term, life: session.record.life}).then(sessionContext.onMinionsChanged);
 			}
 		}
 	};
@@ -315,7 +218,7 @@
 		log,
 		workers,
 		orders,
-		isSettledSince,
+		isSettledSince: planner.isSettledSince,
 		listRunning: () => [...sessions.values()].map(({record, isUsable}) => ({
 			worker: record.worker,
 			life: record.life,
@@ -331,15 +234,15 @@
 		moveMs: limits.workerMoveMs,
 		decide,
 		term,
-		onChanged: sessionContext.onChanged,
+		onChanged: sessionContext.onMinionsChanged,
 	});
 
 	const pools = createPoolView({
-		timers, demand, getLedger, getWallClock, isPlaceable, listSessions: () => sessions.values(), listSwitchedOff: moves.listSwitchedOff, getIncomingMillicores: moves.getIncomingMillicores,
+		timers, demand, sessions, getLedger, getWallClock, isPlaceable, listSwitchedOff: moves.listSwitchedOff, getIncomingMillicores: moves.getIncomingMillicores,
 	});
 
 	const upkeep = createUpkeepDuty({
-		timers, log, metrics, workers, orders, sessions, getLedger, getWallClock, listSwitchedOff: moves.listSwitchedOff, isMoving: moves.isMoving, listPressed: pools.listPressed, isSettledSince, term, decide, onChanged: sessionContext.onChanged,
+		timers, log, metrics, workers, orders, sessions, getLedger, getWallClock, listSwitchedOff: moves.listSwitchedOff, isMoving: moves.isMoving, listPressed: pools.listPressed, isSettledSince: planner.isSettledSince, term, decide, onChanged: sessionContext.onMinionsChanged,
 	});
 
 	const tick = () => {
@@ -359,7 +262,7 @@
 		}
 
 		dropAbsentMinions();
-		wantPlan();
+		planner.wantFullPlan();
 	};
 
 	const forget = () => {
@@ -372,13 +275,15 @@
 	};
 
 	const answer = createCallHandlers({
-		term, log, metrics, sessions, demand, pools, getLedger, getWallClock, propose, decide, checkConfiguration: options.checkConfiguration, wantPlan, stopNeedless, onChanged: sessionContext.onChanged,
+		term, log, metrics, sessions, demand, pools, getLedger, getWallClock, propose, decide, checkConfiguration: options.checkConfiguration, wantPlan: planner.wantFullPlan, stopNeedless, onChanged: sessionContext.onMinionsChanged,
 	});
 
-	syncSessions();
+	sessions.sync();
 	const cancelTimers = [
 		timers.scheduleEvery(leaderTickMs, tick),
-		timers.scheduleEvery(leaderTickMs * 5, paceFillers),
+		timers.scheduleEvery(fillerPacePeriodMs, () => {
+			paceFillers(sessions.values(), getLedger());
+		}),
 		timers.scheduleEvery(judgePeriodMs, () => {
 			if (canAct()) {
 				hastener.look(sessions.values());
@@ -386,7 +291,7 @@
 		}),
 		timers.scheduleEvery(forgetPeriodMs, forget),
 	];
-	wantPlan();
+	planner.wantFullPlan();
 
 	return {
 		term,
@@ -397,9 +302,7 @@
 				cancel();
 			}
 
-			for (const session of sessions.values()) {
-				session.close();
-			}
+			sessions.closeAll();
 		},
 	};
 }
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -151,14 +151,14 @@
 		});
 		context.onEndsNoted(activeJobs);
 		dropEndedControls();
-		context.onChanged();
+		context.onRunsEnded();
 		return isNoted;
 	};
 
 	const leave = async (reason: string) => {
 		log.info(`minion ${record.minion} is gone: ${reason}`, {minion: record.minion, life: record.life, reason});
 		await context.decide({type: 'minion/left', term: fencingToken, life: record.life});
-		context.onChanged();
+		context.onMinionsChanged();
 	};
 
 	const {sendStop, startControl, stopControl} = createRunOrders({
@@ -306,7 +306,7 @@
 
 		startUnsent();
 		if (!wasSynced) {
-			context.onChanged();
+			context.onMinionsChanged();
 		}
 	};
 
@@ -444,7 +444,7 @@
 			if (report.isDraining && !isDraining) {
 				isDraining = true;
 				log.info(`minion ${record.minion} drains`, {minion: record.minion, life: record.life, remainingMs: report.remainingMs});
-				context.onChanged();
+				context.onMinionsChanged();
 			}
 		},
 		tick() {
--- a/packages/daemon/src/scheduler/pool-view.ts
+++ b/packages/daemon/src/scheduler/pool-view.ts
@@ -3,12 +3,13 @@
  */
 import type {PoolId, TimerService} from '@samphiremill/common';
 import {
-	idlePool, measurePools, measureWorkAhead,
+	measurePool, measureWorkAhead,
 	type Ledger, type PoolLoad, type PoolPressure, type Resources, type TeamDefinition,
 } from '@samphiremill/core';
 import {peakMemoryMs} from './constants.js';
 import type {DemandMeter} from './demand-meter.js';
 import type {MinionSession} from './minion-session.js';
+import type {SessionRegistry} from './session-registry.js';
 import type {ListedWorker} from './types.js';
 
 /** What the view rests on. */
@@ -17,7 +18,7 @@
 	readonly demand: DemandMeter;
 	readonly getLedger: () => Ledger;
 	readonly getWallClock: () => number;
-	readonly listSessions: () => Iterable<MinionSession>;
+	readonly sessions: SessionRegistry;
 	/** Whether a minion may be given work. */
 	readonly isPlaceable: (session: MinionSession) => boolean;
 	readonly listSwitchedOff: () => readonly ListedWorker[];
@@ -58,22 +59,21 @@
  * @param options - What the view rests on.
  * @returns The view.
  */
-export function createPoolView({timers, demand, getLedger, getWallClock, listSessions, isPlaceable, listSwitchedOff, getIncomingMillicores}: PoolViewOptions): PoolView {
+export function createPoolView({timers, demand, sessions, getLedger, getWallClock, isPlaceable, listSwitchedOff, getIncomingMillicores}: PoolViewOptions): PoolView {
 	const beganAtMs = timers.getNow();
 
-	const listPlaceable = (pool: PoolId) => [...listSessions()].filter(session => session.record.pool === pool && isPlaceable(session));
+	const listPlaceable = (pool: PoolId) => [...sessions.listPool(pool)].filter(session => isPlaceable(session));
 
 	// Before its first burst a pool is expected to need its part of the fleet.
 	const getExpectedPeak = (poolCount: number) => {
-		const all = [...[...listSessions()].map(({record}) => record.capacity.cpuMillicores), ...listSwitchedOff().map(({millicores}) => millicores)];
+		const all = [...[...sessions.values()].map(({record}) => record.capacity.cpuMillicores), ...listSwitchedOff().map(({millicores}) => millicores)];
 		return timers.getNow() - beganAtMs < peakMemoryMs ? all.reduce((sum, millicores) => sum + millicores, 0) / Math.max(1, poolCount) : 0;
 	};
 
 	const listPressures = (): readonly PoolPressure[] => {
-		const measures = measurePools(getLedger(), getWallClock());
 		const expectedPeak = getExpectedPeak(getLedger().configuration?.pools.length ?? 0);
 		return (getLedger().configuration?.pools ?? []).map(({pool, isStandby}) => {
-			const {lastingMillicores, waitingLastingCount, runningMillicores, readyMillicores, workLeft} = measures.get(pool) ?? idlePool;
+			const {lastingMillicores, waitingLastingCount, runningMillicores, readyMillicores, workLeft} = measurePool(getLedger(), pool, getWallClock());
 			const cpuMillicores = sumMillicores(listPlaceable(pool).map(({record}) => record.capacity));
 			const incomingMillicores = getIncomingMillicores(pool);
 			return {
@@ -91,7 +91,7 @@
 	};
 
 	const getLoad = (pool: PoolId, {team, work}: PoolClaim): PoolLoad => {
-		const {lastingMillicores} = measurePools(getLedger(), getWallClock()).get(pool) ?? idlePool;
+		const {lastingMillicores} = measurePool(getLedger(), pool, getWallClock());
 		const capacities = listPlaceable(pool).map(({record}) => record.capacity);
 		const cpuMillicores = sumMillicores(capacities);
 		return {
--- a/packages/daemon/src/scheduler/run-hastener.ts
+++ b/packages/daemon/src/scheduler/run-hastener.ts
@@ -14,7 +14,8 @@
 	readonly look: (sessions: Iterable<MinionSession>) => void;
 	/** Notes that a task is better not run on a life again. */
 	readonly avoid: (task: TaskId, life: LifeId) => void;
-	readonly isAvoided: (task: TaskId, life: LifeId) => boolean;
+	/** Lives on which a task is better not run again. */
+	readonly getAvoided: (task: TaskId) => ReadonlySet<LifeId> | undefined;
 	/** Tasks that get a copy. */
 	readonly listWantedCopies: () => readonly Task[];
 	/** Forgets tasks that are over. */
@@ -86,7 +87,7 @@
 			}
 		},
 		avoid: avoidLife,
-		isAvoided: (task, life) => failedLives.get(task)?.has(life) ?? false,
+		getAvoided: task => failedLives.get(task),
 		listWantedCopies: () => [...wantedCopies]
 			.map(id => findTask(getLedger(), id))
 			.filter(task => task !== undefined),
--- a/packages/daemon/src/scheduler/session-context.ts
+++ b/packages/daemon/src/scheduler/session-context.ts
@@ -25,8 +25,10 @@
 	/** Resolves once the command is applied; false if it was not, or may not have been. */
 	readonly decide: (command: LedgerCommand) => Promise<boolean>;
 	readonly getWallClock: () => number;
-	/** Something changed that a plan may use. */
-	readonly onChanged: () => void;
+	/** Minions came, went, or may be given work again. */
+	readonly onMinionsChanged: () => void;
+	/** Ends of runs were noted. */
+	readonly onRunsEnded: () => void;
 	/** A minion follows a newer leader. */
 	readonly onFenced: () => void;
 	readonly getTicket: (task: Task, life: LifeId) => Ticket | undefined;
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -14,7 +14,8 @@
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
 import {createSchedulerMetrics} from './metrics.js';
-import {startLeader, type Decision, type Leader} from './leader.js';
+import type {Decision} from './command-batcher.js';
+import {startLeader, type Leader} from './leader.js';
 import {createOrderClock} from './order-clock.js';
 import type {
 	ClusterAnswer, FinishedEntry, HoldReport, MinionAnswer, MinionPort, StartResult, WorkerOrderAuthority, WorkerPort,
--- a/packages/daemon/src/scheduler/upkeep-duty.ts
+++ b/packages/daemon/src/scheduler/upkeep-duty.ts
@@ -4,11 +4,11 @@
 import type {PoolId, TimerService, WorkerId} from '@samphiremill/common';
 import {
 	planUpkeep,
-	type Ledger, type LedgerCommand, type LifeId, type Task, type UpkeepRequest, type WorkerView,
+	type Ledger, type LedgerCommand, type Task, type UpkeepRequest, type WorkerView,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
 import type {SchedulerMetrics} from './metrics.js';
-import type {MinionSession} from './minion-session.js';
+import type {SessionRegistry} from './session-registry.js';
 import type {ListedWorker, WorkerPort} from './types.js';
 import type {WorkerOrders} from './worker-orders.js';
 
@@ -19,7 +19,7 @@
 	readonly metrics: SchedulerMetrics;
 	readonly workers: WorkerPort;
 	readonly orders: WorkerOrders;
-	readonly sessions: ReadonlyMap<LifeId, MinionSession>;
+	readonly sessions: SessionRegistry;
 	readonly getLedger: () => Ledger;
 	readonly getWallClock: () => number;
 	readonly listSwitchedOff: () => readonly ListedWorker[];
