--- a/packages/core/src/scheduler/order-work.ts
+++ b/packages/core/src/scheduler/order-work.ts
@@ -3,9 +3,12 @@
  */
 import type {PoolId} from '@samphiremill/common';
 import {
-	getChainLeftMs, getDueMs, getLongestChainMs, getObjectiveMs, getWork, type WidthBound,
+	getChainLeftMs, getLongestChainMs, getObjectiveMs, type WidthBound,
 } from './estimates.js';
-import type {Job, Ledger} from './types.js';
+import {fitsInto, getRoomTaken} from './resources.js';
+import type {
+	Job, Ledger, Resources, StepProgress, StepSpecification,
+} from './types.js';
 import {getPoolWork, openDueOccurrences, type OpenStep} from './work-index.js';
 
 /** Orders steps that may start, the first to start first. */
@@ -16,6 +19,8 @@
 	readonly job: Job;
 	readonly occurrence: number;
 	readonly step: number;
+	readonly specification: StepSpecification;
+	readonly progress: StepProgress;
 	/** Time to spare until the objective is missed, in milliseconds. */
 	readonly slackMs: number;
 	/** The work of the whole occurrence, in millicore milliseconds. */
@@ -53,10 +58,10 @@
 };
 
 const createReadyStep = (open: OpenStep, {nowMs, bound}: {readonly nowMs: number; readonly bound: WidthBound}): ReadyStep => {
-	const {job, occurrence, step, specification: {isLasting}} = open;
-	const slackMs = getDueMs(job, occurrence) + getAllowanceMs(open, bound) - nowMs;
+	const {job, occurrence, step, specification, progress, work, dueMs} = open;
+	const slackMs = dueMs + getAllowanceMs(open, bound) - nowMs;
 	return {
-		job, occurrence, step, slackMs, work: getWork(job.specification), hasStarted: job.hasStarted, isLasting, isLate: slackMs < 0,
+		job, occurrence, step, specification, progress, slackMs, work, hasStarted: job.hasStarted, isLasting: specification.isLasting, isLate: slackMs < 0,
 	};
 };
 
@@ -82,18 +87,24 @@
 	readonly poolMillicores: number;
 	/** The Unix time in milliseconds. */
 	readonly nowMs: number;
+	/** The most of each resource that a minion of it has left; steps that take more are left out. */
+	readonly largestRoom: Resources;
 	readonly compare?: CompareReadySteps;
 };
 
 /**
  * @param ledger - The ledger.
  * @param view - The pool and the time.
- * @returns The pool's steps with tasks to start, the most urgent first.
+ * @returns The pool's steps with tasks to start that may find room, the most urgent first.
  */
-export function orderReadySteps({index, configuration}: Ledger, {pool, poolMillicores, nowMs, compare = compareReadySteps}: OrderedPool): readonly ReadyStep[] {
+export function orderReadySteps({index, configuration}: Ledger, {pool, poolMillicores, nowMs, largestRoom, compare = compareReadySteps}: OrderedPool): readonly ReadyStep[] {
 	openDueOccurrences(index, nowMs);
 	const steps: ReadyStep[] = [];
 	for (const open of getPoolWork(index, pool).ready) {
+		if (!fitsInto(largestRoom, getRoomTaken(open.specification))) {
+			continue;
+		}
+
 		const {team} = open.job;
 		const teamMillicores = team === undefined ? 0 : configuration?.teamsById.get(team)?.maximum.cpuMillicores ?? 0;
 		steps.push(createReadyStep(open, {nowMs, bound: {poolMillicores, teamMillicores}}));
--- a/packages/core/src/scheduler/plan-starts.ts
+++ b/packages/core/src/scheduler/plan-starts.ts
@@ -243,10 +243,9 @@
 const isKnownNotToFit = ({refused}: PoolPlaces, room: Resources) => refused.some(known => fitsInto(room, known));
 
 const planStep = (plan: Plan, ready: ReadyStep, pool: PoolPlaces) => {
-	const step = ready.job.specification.steps[ready.step];
-	const progress = getStepProgress(ready);
-	const room = step && getRoomTaken(step);
-	if (step === undefined || room === undefined || progress === undefined || isKnownNotToFit(pool, room)) {
+	const {specification: step, progress} = ready;
+	const room = getRoomTaken(step);
+	if (isKnownNotToFit(pool, room)) {
 		return;
 	}
 
@@ -283,7 +282,7 @@
 	}
 
 	const ready: ReadyStep = {
-		job: task.job, occurrence: task.occurrence, step: task.step, slackMs: 0, work: 0, hasStarted: true, isLasting: false, isLate: false,
+		job: task.job, occurrence: task.occurrence, step: task.step, specification: step, progress, slackMs: 0, work: 0, hasStarted: true, isLasting: false, isLate: false,
 	};
 	const stepPlaces: StepPlaces = {
 		ready, step, room: getRoomTaken(step), runsByLife: countRunsByLife(step, progress.tasks),
@@ -303,6 +302,19 @@
 	return sum;
 };
 
+const getLargestRoom = (places: readonly Place[]): Resources => {
+	const largest = createResources();
+	for (const {free, runsLeft} of places) {
+		if (runsLeft > 0) {
+			largest.cpuMillicores = Math.max(largest.cpuMillicores, free.cpuMillicores);
+			largest.memoryMb = Math.max(largest.memoryMb, free.memoryMb);
+			largest.gpus = Math.max(largest.gpus, free.gpus);
+		}
+	}
+
+	return largest;
+};
+
 /**
  * Plans starts.
  *
@@ -316,7 +328,7 @@
 	for (const [pool, places] of placesByPool) {
 		const poolPlaces: PoolPlaces = {places, refused: []};
 		const steps = orderReadySteps(ledger, {
-			pool, poolMillicores: sumMillicores(places), nowMs, ...(compare !== undefined && {compare}),
+			pool, poolMillicores: sumMillicores(places), nowMs, largestRoom: getLargestRoom(places), ...(compare !== undefined && {compare}),
 		});
 		for (const ready of steps) {
 			planStep(plan, ready, poolPlaces);
--- a/packages/core/src/scheduler/work-index.ts
+++ b/packages/core/src/scheduler/work-index.ts
@@ -17,6 +17,10 @@
 	readonly step: number;
 	readonly specification: StepSpecification;
 	readonly progress: StepProgress;
+	/** The work of the whole occurrence, in millicore milliseconds. */
+	readonly work: number;
+	/** When the occurrence is due to start, as Unix time in milliseconds. */
+	readonly dueMs: number;
 	/** Whether it has tasks that may start now. */
 	isReady: boolean;
 	/** What of its pool's measure is its part. */
@@ -189,11 +193,13 @@
 const openOccurrence = (index: WorkIndex, job: Job, occurrence: number) => {
 	const steps = job.occurrences[occurrence]?.steps ?? [];
 	const chain: OccurrenceChain = {doneSteps: 0};
+	const work = getWork(job.specification);
+	const dueMs = getDueMs(job, occurrence);
 	for (const [step, progress] of steps.entries()) {
 		const specification = job.specification.steps[step];
 		if (specification !== undefined) {
 			const open: OpenStep = {
-				job, occurrence, step, specification, progress, isReady: false, counted: idlePool, chain,
+				job, occurrence, step, specification, progress, work, dueMs, isReady: false, counted: idlePool, chain,
 			};
 			index.steps.set(progress, open);
 			refreshStep(index, open, steps);
