Close runs that were given up before their minion's lease is granted anew

A zone is cut off, starts are on their way into the cut, the leases lapse, the tasks are given up. The cut heals, the first look is answered, the lease is granted anew, and then the delayed starts arrive: the minion measures a start's deadline against the lease in force, so it carries them out. Run 1 ended as done while run 2 was on its way elsewhere.

Ruled out: clocks (the minion's lease was over by 2.9 s), a wrong lapse (its word of the ends is right).

The ledger now keeps, with each life, the runs that were given up there. After a silence the session stops each of them before it grants the lease again: until then the minion refuses a late start for its lease, after it for its number. A minion with such runs is not forgotten for 30 s.

--- a/packages/core/src/scheduler/actions/change-minions.ts
+++ b/packages/core/src/scheduler/actions/change-minions.ts
@@ -1,5 +1,6 @@
-import {createResources} from '../resources.js';
-import {findTask, releaseTasks, removeRun} from '../ledger.js';
+import {
+	createLifeUse, findTask, releaseTasks, removeRun,
+} from '../ledger.js';
 import {notePoolChanged} from '../work-index.js';
 import type {
 	Ledger, LedgerOutcome, LifeId, MinionRecord,
@@ -54,7 +55,7 @@
 		}
 	}
 
-	ledger.lives.set(record.life, {record, runs: new Map(), used: createResources()});
+	ledger.lives.set(record.life, createLifeUse(record));
 	notePoolChanged(ledger.index, record.pool);
 	return {type: 'applied'};
 }
--- a/packages/core/src/scheduler/actions/end-runs.ts
+++ b/packages/core/src/scheduler/actions/end-runs.ts
@@ -49,6 +49,7 @@
 	}
 
 	const task = replaceTask(ledger, found, {lapsedRuns: found.lapsedRuns.filter(({number}) => number !== end.run)});
+	ledger.lives.get(end.life)?.lapsed.delete(end.task);
 	noteEnding(ledger, task, {ending: end.ending, atMs});
 	return true;
 };
@@ -63,8 +64,12 @@
 	const ended = removeRun(ledger, found, run);
 	const task = replaceTask(ledger, ended, {
 		...(end.checkpoint !== '' && {checkpoint: end.checkpoint}),
-		...(end.ending === 'lapsed' && !getStep(ended).isLasting && {lapsedRuns: [...ended.lapsedRuns, run].slice(-rememberedLapses)}),
+		...(end.ending === 'lapsed' && {lapsedRuns: [...ended.lapsedRuns, run].slice(-rememberedLapses)}),
 	});
+	if (end.ending === 'lapsed') {
+		ledger.lives.get(run.life)?.lapsed.set(end.task, run.number);
+	}
+
 	noteEnding(ledger, task, {ending: end.ending, atMs});
 	releaseTasks(ledger, task.job);
 	return true;
--- a/packages/core/src/scheduler/ledger.ts
+++ b/packages/core/src/scheduler/ledger.ts
@@ -10,7 +10,7 @@
 	createWorkIndex, noteJobReleased, notePoolChanged, noteTaskChanged, noteTeamRoom, unindexJob,
 } from './work-index.js';
 import type {
-	ActiveConfiguration, FleetConfiguration, Job, JobStatus, Ledger, Occurrence, QueueDefinition, RunEnd, StepProgress, StepSpecification, Task, TaskRun,
+	ActiveConfiguration, FleetConfiguration, Job, JobStatus, Ledger, LifeUse, MinionRecord, Occurrence, QueueDefinition, RunEnd, StepProgress, StepSpecification, Task, TaskRun,
 } from './types.js';
 
 /** @returns A ledger that holds nothing. */
@@ -29,6 +29,16 @@
 	};
 }
 
+/**
+ * @param record - A life of a minion that begins.
+ * @returns Its use, with nothing run.
+ */
+export function createLifeUse(record: MinionRecord): LifeUse {
+	return {
+		record, runs: new Map(), lapsed: new Map(), used: createResources(),
+	};
+}
+
 /**
  * @param task - A task.
  * @returns The step it belongs to.
--- a/packages/core/src/scheduler/snapshot.ts
+++ b/packages/core/src/scheduler/snapshot.ts
@@ -4,9 +4,8 @@
 import type {JobId, WorkerId} from '@samphiremill/common';
 import {replaceConfiguration} from './actions/replace-configuration.js';
 import {
-	addRun, createLedger, createOccurrences, findTask, listTasks, replaceTask,
+	addRun, createLedger, createLifeUse, createOccurrences, findTask, listTasks, replaceTask,
 } from './ledger.js';
-import {createResources} from './resources.js';
 import {indexJob, unindexJob} from './work-index.js';
 import type {
 	AcceptedJob, ControlHostRecord, Job, JobStatus, Ledger, MinionRecord, ParseConfiguration, Task, TaskId, TaskRun, UpkeepOrder, UpkeepWave, WorkerOrder,
@@ -78,6 +77,10 @@
 		for (const run of runs) {
 			task = addRun(ledger, task, run);
 		}
+
+		for (const {number, life} of task.lapsedRuns) {
+			ledger.lives.get(life)?.lapsed.set(id, number);
+		}
 	}
 };
 
@@ -123,7 +126,7 @@
 	}
 
 	for (const record of saved.minions) {
-		ledger.lives.set(record.life, {record, runs: new Map(), used: createResources()});
+		ledger.lives.set(record.life, createLifeUse(record));
 	}
 
 	for (const job of saved.jobs) {
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -285,6 +285,8 @@
 	readonly record: MinionRecord;
 	/** The number of each run, by its task. A minion has at most one run of a task. */
 	readonly runs: Map<TaskId, number>;
+	/** Runs that were given up when its lease ran out, by their tasks. Orders to start them may still arrive. */
+	readonly lapsed: Map<TaskId, number>;
 	readonly used: MutableResources;
 };
 
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -62,6 +62,9 @@
 /** A minion that has neither reported nor answered for this long is forgotten once nothing runs on it. */
 export const minionAbsenceMs = 12_000;
 
+/** The same for one that orders to start runs which were given up may still reach. */
+export const doubtfulAbsenceMs = 30_000;
+
 /** Minions that one request for advice names, at most. */
 export const advisedMinions = 30;
 
--- a/packages/daemon/src/scheduler/leader.test.ts
+++ b/packages/daemon/src/scheduler/leader.test.ts
@@ -111,6 +111,15 @@
 	expect(world.listBroken()).toEqual([]);
 });
 
+test.each([6000, 6400, 6800, 7200])('a start that arrives after its run was given up is not carried out (silence of %i ms)', async silenceMs => {
+	const world = await start({seed: 12, minionCount: 3});
+	world.silence(0, silenceMs);
+	const {id} = world.submit([{count: 3, isLasting: true, maximumPerMinion: 2}]);
+	await world.advance(12_000);
+	expect(world.countRuns(id)).toBe(3);
+	expect(world.listBroken()).toEqual([]);
+});
+
 test('runs that were assigned are started, also when the leader did not learn that they were', async () => {
 	const world = await start({seed: 11});
 	world.loseOutcome('runs/assigned');
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -12,7 +12,7 @@
 import {createCallHandlers} from './call-handlers.js';
 import type {Decision} from './command-batcher.js';
 import {
-	fillerPacePeriodMs, forgetPeriodMs, leaderTickMs, minionAbsenceMs,
+	doubtfulAbsenceMs, fillerPacePeriodMs, forgetPeriodMs, leaderTickMs, minionAbsenceMs,
 } from './constants.js';
 import {createDemandMeter} from './demand-meter.js';
 import {paceFillers} from './filler-pacing.js';
@@ -205,7 +205,8 @@
 	const dropAbsentMinions = () => {
 		for (const session of sessions.values()) {
 			const hasRuns = (getLedger().lives.get(session.record.life)?.runs.size ?? 0) > 0;
-			if (!hasRuns && timers.getNow() - session.getHeardAtMs() > minionAbsenceMs) {
+			const absenceMs = session.hasOpenLapses() ? doubtfulAbsenceMs : minionAbsenceMs;
+			if (!hasRuns && timers.getNow() - session.getHeardAtMs() > absenceMs) {
 				log.info(`minion ${session.record.minion} is gone: neither reports nor answers`, {minion: session.record.minion, life: session.record.life});
 				void decide({type: 'minion/left', term, life: session.record.life}).then(sessionContext.onMinionsChanged);
 			}
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -45,6 +45,8 @@
 	readonly getHeardAtMs: () => number;
 	/** Another life of the minion answers at its address: closes what may have started there, and leaves. */
 	readonly giveWay: () => Promise<void>;
+	/** Whether orders to start runs that were given up may still arrive. */
+	readonly hasOpenLapses: () => boolean;
 	readonly close: () => void;
 };
 
@@ -65,6 +67,8 @@
 		life: record.life, minion: record.minion, bornAtMs: record.bornAtMs, address: record.address,
 	};
 	const controls = new Map<TaskId, RunControl>();
+	/** Runs that were given up, and that the minion will not start any more. */
+	const closedRuns = new Map<TaskId, number>();
 	const lease = createMinionLease({timers, leaseMs, inheritedSinceMs: context.termBeganAtMs});
 	let lastSeen = 0;
 	let isSynced = false;
@@ -290,6 +294,21 @@
 		return handingOver;
 	};
 
+	// A start that was sent before the lease ran out may still be on its way. Until the lease is granted anew
+	// the minion refuses it as late; after a stop of the run it does so for good.
+	const closeLapsedRuns = async (): Promise<boolean> => {
+		const open = [...context.getLedger().lives.get(record.life)?.lapsed ?? []].filter(([task, run]) => closedRuns.get(task) !== run);
+		const closed = await Promise.all(open.map(async ([task, run]) => {
+			const isClosed = await sendStop(task, run);
+			if (isClosed) {
+				closedRuns.set(task, run);
+			}
+
+			return isClosed;
+		}));
+		return closed.every(Boolean);
+	};
+
 	const takeHoldReport = async (report: HoldReport, sentAtMs: number) => {
 		if (report.bornAtMs !== undefined && report.bornAtMs !== record.bornAtMs) {
 			await giveWay();
@@ -297,6 +316,10 @@
 		}
 
 		const wasSynced = isSynced;
+		if (!wasSynced && !(await closeLapsedRuns())) {
+			return;
+		}
+
 		isSynced = true;
 		for (const entry of report.running) {
 			noteRunning(entry);
@@ -495,6 +518,7 @@
 		listRuns: () => [...controls.values()].map(control => toRunView(control)),
 		getHeardAtMs: () => heardAtMs,
 		giveWay,
+		hasOpenLapses: () => [...context.getLedger().lives.get(record.life)?.lapsed ?? []].some(([task, run]) => closedRuns.get(task) !== run),
 		close() {
 			isClosed = true;
 		},
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -59,6 +59,8 @@
 	isGone: boolean;
 	isStalled: boolean;
 	lastLapseNumber: number;
+	/** Orders on the way through a silent link, which arrive when it works again. */
+	delayed: Array<() => void>;
 };
 
 /** A running world. */
@@ -105,6 +107,7 @@
 const crashMs = 3000;
 const workingAfterMs = 100;
 const noticeMs = 4500;
+const delayedArrivalMs = 450;
 const startOfDayMs = 1_700_000_000_000;
 
 const silentLog: DecisionLog = {
@@ -183,7 +186,7 @@
 		};
 		nextLife += 1;
 		const created: FakeMinion = {
-			record, clockRate: 0.98 + (random() * 0.02), bornAtMs: timers.getNow(), runs: new Map(), highestRuns: new Map(), finished: [], nextNumber: 1, fencingToken: 0, deadlineMs: 0, isSilent: false, isGone: false, isStalled: false, lastLapseNumber: 0,
+			record, clockRate: 0.98 + (random() * 0.02), bornAtMs: timers.getNow(), runs: new Map(), highestRuns: new Map(), finished: [], nextNumber: 1, fencingToken: 0, deadlineMs: 0, isSilent: false, isGone: false, isStalled: false, lastLapseNumber: 0, delayed: [],
 		};
 		minions.set(record.address, created);
 		return created;
@@ -325,13 +328,17 @@
 		const minion = minions.get(address);
 		const isLost = random() < lossChance;
 		if (minion === undefined || minion.isGone || minion.isSilent || isLost) {
-			if (isLost && minion !== undefined && random() < 0.5) {
-				timers.scheduleOnce(2000 + (random() * 10_000), () => {
-					if (!minion.isGone) {
-						settle(minion);
-						void carryOut(minion);
-					}
-				});
+			const carryOutLate = () => {
+				if (minion !== undefined && !minion.isGone) {
+					settle(minion);
+					void carryOut(minion);
+				}
+			};
+
+			if (minion?.isSilent) {
+				minion.delayed.push(carryOutLate);
+			} else if (isLost && random() < 0.5) {
+				timers.scheduleOnce(2000 + (random() * 10_000), carryOutLate);
 			}
 
 			await pause(timeoutMs);
@@ -400,7 +407,8 @@
 				return answer(minion, {type: 'refused' as const, reason: 'oldRun' as const});
 			}
 
-			if (order.deadlineMs <= getClock(minion)) {
+			// A late order is carried out if the lease was granted anew meanwhile.
+			if (Math.max(order.deadlineMs, minion.deadlineMs) <= getClock(minion)) {
 				return answer(minion, {type: 'refused' as const, reason: 'lateDeadline' as const});
 			}
 
@@ -653,6 +661,11 @@
 				minion.isSilent = true;
 				timers.scheduleOnce(durationMs, () => {
 					minion.isSilent = false;
+					timers.scheduleOnce(delayedArrivalMs, () => {
+						for (const carryOutLate of minion.delayed.splice(0)) {
+							carryOutLate();
+						}
+					});
 				});
 			}
 		},
