--- a/packages/core/src/replica/constants.ts
+++ b/packages/core/src/replica/constants.ts
@@ -6,6 +6,7 @@
 	electionTimeoutMs: 1000,
 	leaderLeaseMs: 750,
 	retransmitTimeoutMs: 500,
+	commitNoticeMs: 0,
 	proposalTimeoutMs: 5000,
 	confirmationPeriodMs: 400,
 	pollSpacingMs: 250,
--- a/packages/core/src/replica/replication.ts
+++ b/packages/core/src/replica/replication.ts
@@ -209,8 +209,13 @@
 	};
 };
 
+const isNoticeDue = <Command>({leadership}: ReplicaState<Command>, {cfg: {limits}, nowMs}: ReplicaContext) => {
+	const lastRoundMs = (leadership?.nextHeartbeatMs ?? nowMs) - limits.heartbeatPeriodMs;
+	return nowMs - lastRoundMs >= limits.commitNoticeMs;
+};
+
 /**
- * Commits what has become possible, and tells the peers at once where no entries will.
+ * Commits what has become possible, and tells the peers soon where no entries will.
  *
  * @param state - The state.
  * @param context - The set-up and the time.
@@ -219,7 +224,7 @@
 export function commitAndAnnounce<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
 	return chainSteps(
 		advanceCommit(state, context),
-		next => next.commitIndex > state.commitIndex && next.commitIndex === getLastIndex(next.log)
+		next => next.commitIndex > state.commitIndex && next.commitIndex === getLastIndex(next.log) && isNoticeDue(next, context)
 			? sendRound(next, context)
 			: createStep(next),
 	);
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -91,6 +91,8 @@
 	/** How long a leader answers reads by itself after a quorum heard from it. */
 	readonly leaderLeaseMs: number;
 	readonly retransmitTimeoutMs: number;
+	/** Least time from one round of heartbeats to one that only tells of a commit, in milliseconds. */
+	readonly commitNoticeMs: number;
 	readonly proposalTimeoutMs: number;
 	/** How often a node renews its configuration lease. */
 	readonly confirmationPeriodMs: number;
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -35,5 +35,8 @@
 } from './plan-worker-moves.js';
 export {measurePool, measureWorkAhead, type PlaceInQueue} from './measure-pools.js';
 export {getPoolWork, idlePool, type PoolWork} from './work-index.js';
+export {
+	forecastBursts, getReadiness, noBursts, noteInflow, type BurstForecast, type BurstHistory,
+} from './forecast-bursts.js';
 export {plainStep} from './plain-step.js';
 export {getLongestChainMs, getObjectiveMs, getWork} from './estimates.js';
--- a/packages/core/src/scheduler/plan-worker-moves.ts
+++ b/packages/core/src/scheduler/plan-worker-moves.ts
@@ -25,6 +25,8 @@
 	readonly inflowMillicores: number;
 	/** The highest inflow that is remembered. */
 	readonly peakInflowMillicores: number;
+	/** How surely a burst of it is about to begin, from 0 to 1. */
+	readonly readiness: number;
 };
 
 /** A worker as the plan sees it. */
@@ -77,9 +79,12 @@
 	return Math.min(Math.max(runnableMillicores, inflowMillicores), inflowMillicores + (workLeftThen / clearingMs));
 }
 
+// A pool is ready for the whole of a burst that is about to begin.
+const getReadyMillicores = ({peakInflowMillicores, readiness}: PoolPressure, shareOfPeak: number) => peakInflowMillicores * Math.max(shareOfPeak, readiness);
+
 const getKeptMillicores = (pressure: PoolPressure, {moveMs, shareOfPeak}: {readonly moveMs: number; readonly shareOfPeak: number}) => Math.max(
 	Math.max(pressure.runnableMillicores, getWantedMillicores(pressure, moveMs)) * reserveFactor,
-	pressure.peakInflowMillicores * shareOfPeak,
+	getReadyMillicores(pressure, shareOfPeak),
 );
 
 const countKinds = (workers: readonly MovableWorker[]) => {
@@ -117,6 +122,8 @@
 	readonly to: PoolId;
 	/** Processors that the pool lacks. */
 	readonly missing: number;
+	/** Processors that it is to have in all. */
+	readonly wanted: number;
 	/** It gets a worker, however little it lacks. */
 	readonly isOneNeeded: boolean;
 };
@@ -124,27 +131,36 @@
 const listShortages = (pools: readonly PoolPressure[], getShortage: (pressure: PoolPressure) => Omit<Shortage, 'to'>): readonly Shortage[] => pools
 	.filter(({isStandby}) => !isStandby)
 	.map(pressure => ({to: pressure.pool, ...getShortage(pressure)}))
-	.filter(({missing, isOneNeeded}) => missing > 0 || isOneNeeded)
-	.toSorted((left, right) => right.missing - left.missing);
+	.filter(({missing, isOneNeeded}) => missing > 0 || isOneNeeded);
+
+type OpenShortage = Shortage & {
+	readonly lacking: number;
+	readonly count: number;
+};
+
+const isFilled = ({lacking, isOneNeeded, count}: OpenShortage, millicores: number) =>
+	lacking <= millicores * leastMissingShare && !(isOneNeeded && count === 0);
 
+const getLackingShare = ({lacking, wanted}: OpenShortage) => lacking / Math.max(1, wanted);
+
+// Each worker goes to the pool that lacks the largest part of what it wants, so that pools that are short
+// at the same time are served alike.
 const fillShortages = (shortages: readonly Shortage[], sources: readonly MovableWorker[]): readonly WorkerMove[] => {
-	let next = 0;
-	return shortages.flatMap(({to, missing, isOneNeeded}) => {
-		const chosen: MovableWorker[] = [];
-		let lacking = missing;
-		for (const source of sources.slice(next)) {
-			const isEnough = lacking <= source.millicores * leastMissingShare && !(isOneNeeded && chosen.length === 0);
-			if (isEnough) {
-				break;
-			}
-
-			lacking -= source.millicores;
-			chosen.push(source);
+	let open: readonly OpenShortage[] = shortages.map(shortage => ({...shortage, lacking: shortage.missing, count: 0}));
+	const moves: WorkerMove[] = [];
+	for (const {worker, pool: from, millicores} of sources) {
+		open = open.filter(shortage => !isFilled(shortage, millicores));
+		const [next, ...others] = open.toSorted((left, right) => Number(right.isOneNeeded && right.count === 0) - Number(left.isOneNeeded && left.count === 0)
+			|| getLackingShare(right) - getLackingShare(left));
+		if (next === undefined) {
+			break;
 		}
 
-		next += chosen.length;
-		return chosen.map(({worker, pool: from}) => ({worker, from, to}));
-	});
+		moves.push({worker, from, to: next.to});
+		open = [{...next, lacking: next.lacking - millicores, count: next.count + 1}, ...others];
+	}
+
+	return moves;
 };
 
 // The input as it stands once moves are under way.
@@ -164,7 +180,7 @@
 };
 
 /**
- * Plans moves: to the pools that are short, the shortest first, from the standby pool and from pools
+ * Plans moves: to the pools that are short, each in proportion, from the standby pool and from pools
  * with idle workers; then to pools that are not ready for a burst; and to the standby pool, what no
  * pool needs.
  *
@@ -178,13 +194,15 @@
 
 	const urgent = fillShortages(listShortages(input.pools, pressure => ({
 		missing: getWantedMillicores(pressure, moveMs) - pressure.millicores,
+		wanted: getWantedMillicores(pressure, moveMs),
 		// A step may ask for a minion without another task of it.
 		isOneNeeded: pressure.waitingLastingCount > 0 && pressure.incomingMillicores === 0,
 	})), [...listSwitchedOff(input), ...listSpareWorkers(input, leastShareOfPeak)]);
 
 	const served = takeMoves(input, urgent);
 	const precautions = fillShortages(listShortages(served.pools, pressure => ({
-		missing: (pressure.peakInflowMillicores * readyShareOfPeak) - pressure.millicores,
+		missing: getReadyMillicores(pressure, readyShareOfPeak) - pressure.millicores,
+		wanted: getReadyMillicores(pressure, readyShareOfPeak),
 		isOneNeeded: false,
 	})), [...listSwitchedOff(served), ...listSpareWorkers(served, readyShareOfPeak)]);
 
--- a/packages/daemon/src/peers/connection.ts
+++ b/packages/daemon/src/peers/connection.ts
@@ -2,6 +2,7 @@
  * One TCP connection of a peer link: its handshake, its frames, and when it was last used.
  */
 import type {Socket} from 'node:net';
+import process from 'node:process';
 import type {MonotonicMs, NodeId} from '@samphiremill/common';
 import type {ConnectionId} from '@samphiremill/core';
 import {maximumFrameBytes, maximumHandshakeFrameBytes, maximumSendBufferBytes} from './constants.js';
@@ -65,6 +66,16 @@
 	let isEstablished = false;
 	let times: ConnectionTimes = {lastReceivedAtMs: getNow(), lastSentAtMs: getNow(), lastUsedAtMs: getNow()};
 
+	// Frames of one turn leave in one write.
+	const corkUntilNextTick = () => {
+		if (socket.writableCorked === 0) {
+			socket.cork();
+			process.nextTick(() => {
+				socket.uncork();
+			});
+		}
+	};
+
 	const write = (value: unknown, isHeartbeat = false): SendOutcome => {
 		const frame = encodeFrame(value);
 		if (frame.length > maximumFrameBytes) {
@@ -76,6 +87,7 @@
 			return 'bufferFull';
 		}
 
+		corkUntilNextTick();
 		socket.write(frame);
 		counters.add('sentFrames');
 		counters.add('sentBytes', frame.length);
--- a/packages/daemon/src/peers/frames.test.ts
+++ b/packages/daemon/src/peers/frames.test.ts
@@ -20,3 +20,15 @@
 		expect(JSON.stringify(decoded)).toBe(JSON.stringify(values));
 	}), {seed: 1});
 });
+
+test('entries that go to several peers are encoded as any other value', () => {
+	const entry = fc.record({index: fc.nat(), payload: fc.jsonValue()});
+	const shared = fc.array(entry, {maxLength: 4});
+	fc.assert(fc.property(shared, fc.array(fc.nat(), {minLength: 1, maxLength: 3}), (entries, rounds) => {
+		for (const round of rounds) {
+			const message = {jsonrpc: '2.0', method: 'message', params: {type: 'replica/append', round, entries}};
+			const result = createFrameDecoder().decode(encodeFrame(message), maximumFrameBytes);
+			expect(JSON.stringify(result.ok ? result.value : [])).toBe(JSON.stringify([message]));
+		}
+	}), {seed: 1});
+});
--- a/packages/daemon/src/peers/frames.ts
+++ b/packages/daemon/src/peers/frames.ts
@@ -18,12 +18,46 @@
 	readonly decode: (chunk: Uint8Array, maximumBytes: number) => Result<readonly unknown[], FrameError>;
 };
 
+type JsonObject = Readonly<Record<string, unknown>>;
+
+// Neither the message nor its parameters are empty without the entries.
+type MessageWithEntries = {
+	readonly method: string;
+	readonly params: {readonly type: string; readonly entries: readonly JsonObject[]};
+};
+
+const isMessageWithEntries = (value: unknown): value is MessageWithEntries => typeof value === 'object' && value !== null
+	&& 'params' in value && typeof value.params === 'object' && value.params !== null
+	&& 'method' in value && 'type' in value.params
+	&& 'entries' in value.params && Array.isArray(value.params.entries);
+
+// Entries of a log go to several peers and never change, so each is encoded once.
+const encodedEntries = new WeakMap<JsonObject, string>();
+
+const encodeEntry = (entry: JsonObject): string => {
+	const known = encodedEntries.get(entry) ?? JSON.stringify(entry);
+	encodedEntries.set(entry, known);
+	return known;
+};
+
+const openObject = (value: JsonObject) => JSON.stringify(value).slice(0, -1);
+
+const encodeJson = (value: unknown): string => {
+	if (!isMessageWithEntries(value)) {
+		return JSON.stringify(value);
+	}
+
+	const {params: {entries, ...fields}, ...envelope} = value;
+	const encoded = entries.map(entry => encodeEntry(entry)).join(',');
+	return `${openObject(envelope)},"params":${openObject(fields)},"entries":[${encoded}]}}`;
+};
+
 /**
  * @param value - Any JSON value.
  * @returns Its frame.
  */
 export function encodeFrame(value: unknown): Uint8Array {
-	const body = Buffer.from(JSON.stringify(value));
+	const body = Buffer.from(encodeJson(value));
 	const prefix = Buffer.alloc(framePrefixBytes);
 	prefix.writeUInt32BE(body.length);
 	return Buffer.concat([prefix, body]);
--- a/packages/daemon/src/scheduler/command-batcher.ts
+++ b/packages/daemon/src/scheduler/command-batcher.ts
@@ -15,7 +15,7 @@
 	readonly settle: (decision: Decision) => void;
 };
 
-const maximumProposalsUnderWay = 2;
+const maximumProposalsUnderWay = 1;
 const maximumCommandsPerProposal = 256;
 
 const getOutcome = (decision: Decision, position: number): Decision => {
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -78,12 +78,13 @@
 
 const handOverWaitMs = 400;
 
-/** Limits for hosts a few milliseconds apart. */
+/** Limits for hosts a few milliseconds apart. Followers need no commit before the next heartbeat. */
 const replicaLimits: ReplicaLimits = {
 	...defaultReplicaLimits,
 	heartbeatPeriodMs: 100,
 	electionTimeoutMs: 600,
 	leaderLeaseMs: 450,
+	commitNoticeMs: 100,
 	snapshotEveryEntries: 3000,
 	trailingEntries: 1500,
 };
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -239,7 +239,7 @@
 	});
 
 	const pools = createPoolView({
-		timers, demand, sessions, getLedger, getWallClock, isPlaceable, listSwitchedOff: moves.listSwitchedOff, getIncomingMillicores: moves.getIncomingMillicores,
+		timers, demand, sessions, getLedger, getWallClock, isPlaceable, listSwitchedOff: moves.listSwitchedOff, getIncomingMillicores: moves.getIncomingMillicores, moveMs: limits.workerMoveMs,
 	});
 
 	const upkeep = createUpkeepDuty({
--- a/packages/daemon/src/scheduler/pool-view.ts
+++ b/packages/daemon/src/scheduler/pool-view.ts
@@ -3,7 +3,7 @@
  */
 import type {PoolId, TimerService} from '@samphiremill/common';
 import {
-	measurePool, measureWorkAhead,
+	forecastBursts, getReadiness, measurePool, measureWorkAhead, noBursts, noteInflow,
 	type Ledger, type PoolLoad, type PoolPressure, type Resources, type TeamDefinition,
 } from '@samphiremill/core';
 import {peakMemoryMs} from './constants.js';
@@ -24,6 +24,8 @@
 	readonly listSwitchedOff: () => readonly ListedWorker[];
 	/** Processors on their way to a pool. */
 	readonly getIncomingMillicores: (pool: PoolId) => number;
+	/** How long the platform takes to move a worker, in milliseconds. */
+	readonly moveMs: number;
 };
 
 /** A job that asks for a place. */
@@ -42,6 +44,9 @@
 	readonly listPressed: () => ReadonlySet<PoolId>;
 };
 
+// What a worker that was moved takes until its minion has reported and was looked at.
+const arrivalMs = 1000;
+
 // A pool of which this part of its processors is wanted keeps its workers.
 const pressedShare = 0.6;
 
@@ -59,8 +64,9 @@
  * @param options - What the view rests on.
  * @returns The view.
  */
-export function createPoolView({timers, demand, sessions, getLedger, getWallClock, isPlaceable, listSwitchedOff, getIncomingMillicores}: PoolViewOptions): PoolView {
+export function createPoolView({timers, demand, sessions, getLedger, getWallClock, isPlaceable, listSwitchedOff, getIncomingMillicores, moveMs}: PoolViewOptions): PoolView {
 	const beganAtMs = timers.getNow();
+	let bursts = noBursts;
 
 	const listPlaceable = (pool: PoolId) => [...sessions.listPool(pool)].filter(session => isPlaceable(session));
 
@@ -70,9 +76,21 @@
 		return timers.getNow() - beganAtMs < peakMemoryMs ? all.reduce((sum, millicores) => sum + millicores, 0) / Math.max(1, poolCount) : 0;
 	};
 
+	const noteBursts = (pools: readonly PoolId[], expectedPeak: number) => {
+		for (const pool of pools) {
+			bursts = noteInflow(bursts, {
+				pool, nowMs: timers.getNow(), inflowMillicores: demand.getRate(pool), peakInflowMillicores: Math.max(expectedPeak, demand.getPeakRate(pool)),
+			});
+		}
+
+		return forecastBursts(bursts, pools);
+	};
+
 	const listPressures = (): readonly PoolPressure[] => {
-		const expectedPeak = getExpectedPeak(getLedger().configuration?.pools.length ?? 0);
-		return (getLedger().configuration?.pools ?? []).map(({pool, isStandby}) => {
+		const definitions = getLedger().configuration?.pools ?? [];
+		const expectedPeak = getExpectedPeak(definitions.length);
+		const forecasts = noteBursts(definitions.filter(({isStandby}) => !isStandby).map(({pool}) => pool), expectedPeak);
+		return definitions.map(({pool, isStandby}) => {
 			const {lastingMillicores, waitingLastingCount, runningMillicores, readyMillicores, workLeft} = measurePool(getLedger(), pool, getWallClock());
 			const cpuMillicores = sumMillicores(listPlaceable(pool).map(({record}) => record.capacity));
 			const incomingMillicores = getIncomingMillicores(pool);
@@ -86,6 +104,7 @@
 				workLeft,
 				inflowMillicores: demand.getRate(pool),
 				peakInflowMillicores: Math.max(expectedPeak, demand.getPeakRate(pool)),
+				readiness: getReadiness(forecasts, {pool, nowMs: timers.getNow(), leadMs: moveMs + arrivalMs}),
 			};
 		});
 	};
