--- a/bench/job-graphs.ts
+++ b/bench/job-graphs.ts
@@ -178,6 +178,7 @@
 		if (admission.type === 'accepted') {
 			applyLedgerCommand(ledger, {
 				type: 'job/accepted',
+				term: 0,
 				job: {
 					...queuePolicy, id: getId(index), queue: toBrand<QueueId>('q'), pool, team: undefined, priority: 0, maximumAttempts: 4, advice: undefined, specification: arrival.specification, acceptedAtMs: nowMs,
 				},
--- a/bench/scheduler.ts
+++ b/bench/scheduler.ts
@@ -55,6 +55,7 @@
 		nextJob += 1;
 		apply(ledger, {
 			type: 'job/accepted',
+			term: 0,
 			job: {
 				id, queue: toBrand<QueueId>('q'), pool, team: undefined, priority: 0, maximumAttempts: 4, stretchFactor: 1.6, startLatencyMs: 600, advice: undefined, specification: drawSpecification(random), acceptedAtMs: startMs,
 			},
--- a/packages/core/src/scheduler/actions/change-minions.ts
+++ b/packages/core/src/scheduler/actions/change-minions.ts
@@ -35,6 +35,23 @@
 	return {type: 'applied'};
 }
 
+/**
+ * Notes that a minion will leave.
+ *
+ * @param ledger - The ledger.
+ * @param life - Its life.
+ * @returns Whether that is new.
+ */
+export function noteMinionDraining(ledger: Ledger, life: LifeId): LedgerOutcome {
+	const use = ledger.lives.get(life);
+	if (use === undefined || use.isDraining) {
+		return {type: 'ignored'};
+	}
+
+	use.isDraining = true;
+	return {type: 'applied'};
+}
+
 /**
  * Takes a new life of a minion in. Earlier lives of the same minion, on the same worker or at the same
  * address are over.
--- a/packages/core/src/scheduler/apply-ledger-command.ts
+++ b/packages/core/src/scheduler/apply-ledger-command.ts
@@ -2,7 +2,7 @@
 import {acceptJob} from './actions/accept-job.js';
 import {assignRuns} from './actions/assign-runs.js';
 import {cancelJob} from './actions/cancel-job.js';
-import {addMinion, removeMinion} from './actions/change-minions.js';
+import {addMinion, noteMinionDraining, removeMinion} from './actions/change-minions.js';
 import {noteUpkeepBegun, noteUpkeepOrdered, startWave} from './actions/change-waves.js';
 import {endRuns} from './actions/end-runs.js';
 import {noteWorkerOrderEnded, noteWorkerOrdered} from './actions/note-worker-orders.js';
@@ -69,6 +69,10 @@
 			return removeMinion(ledger, command.life);
 		}
 
+		case 'minion/draining': {
+			return noteMinionDraining(ledger, command.life);
+		}
+
 		case 'wave/started': {
 			return startWave(ledger, command.wave);
 		}
--- a/packages/core/src/scheduler/decisions.test.ts
+++ b/packages/core/src/scheduler/decisions.test.ts
@@ -27,6 +27,7 @@
 	const id = toBrand<JobId>(name.padStart(16, '0'));
 	applyLedgerCommand(ledger, {
 		type: 'job/accepted',
+		term: 0,
 		job: {
 			id, queue: toBrand<QueueId>('q'), pool, team: undefined, priority: 0, maximumAttempts: 3, stretchFactor: 1.6, startLatencyMs: 600, advice: undefined, specification, acceptedAtMs,
 		},
@@ -219,7 +220,9 @@
 test('pools that are short at the same time share the workers that come, each in proportion', () => {
 	const other = toBrand<PoolId>('desk');
 	const spare = ['a', 'b', 'c', 'd', 'e', 'f'].map(name => createMovable(name, standby));
-	const short = {millicores: 0, runnableMillicores: 400_000, workLeft: 400_000_000, inflowMillicores: 200_000};
+	const short = {
+		millicores: 0, runnableMillicores: 400_000, workLeft: 400_000_000, inflowMillicores: 200_000,
+	};
 	const countByPool = (pressures: ReadonlyArray<Partial<PoolPressure>>) => {
 		const moves = planMoves(pressures, spare);
 		return {counter: moves.filter(move => move.endsWith('counter')).length, desk: moves.filter(move => move.endsWith('desk')).length};
--- a/packages/core/src/scheduler/ledger.ts
+++ b/packages/core/src/scheduler/ledger.ts
@@ -35,7 +35,7 @@
  */
 export function createLifeUse(record: MinionRecord): LifeUse {
 	return {
-		record, runs: new Map(), lapsed: new Map(), used: createResources(),
+		record, runs: new Map(), lapsed: new Map(), used: createResources(), isDraining: false,
 	};
 }
 
--- a/packages/core/src/scheduler/snapshot.ts
+++ b/packages/core/src/scheduler/snapshot.ts
@@ -2,13 +2,14 @@
  * The ledger as text. Jobs that are over keep only their status.
  */
 import type {JobId, WorkerId} from '@samphiremill/common';
+import {noteMinionDraining} from './actions/change-minions.js';
 import {replaceConfiguration} from './actions/replace-configuration.js';
 import {
 	addRun, createLedger, createLifeUse, createOccurrences, findTask, listTasks, replaceTask,
 } from './ledger.js';
 import {indexJob, unindexJob} from './work-index.js';
 import type {
-	AcceptedJob, ControlHostRecord, Job, JobStatus, Ledger, MinionRecord, ParseConfiguration, Task, TaskId, TaskRun, UpkeepOrder, UpkeepWave, WorkerOrder,
+	AcceptedJob, ControlHostRecord, Job, JobStatus, Ledger, LifeId, MinionRecord, ParseConfiguration, Task, TaskId, TaskRun, UpkeepOrder, UpkeepWave, WorkerOrder,
 } from './types.js';
 
 type SavedTask = Pick<Task, 'lastRunNumber' | 'lapsedRuns' | 'failures' | 'checkpoint' | 'isDone'> & {
@@ -31,6 +32,7 @@
 	readonly document: string | undefined;
 	readonly jobs: readonly SavedJob[];
 	readonly minions: readonly MinionRecord[];
+	readonly drainingLives: readonly LifeId[];
 	readonly waves: ReadonlyArray<Omit<UpkeepWave, 'ordered'> & {readonly ordered: ReadonlyArray<readonly [WorkerId, UpkeepOrder]>}>;
 	readonly workerOrders: ReadonlyArray<readonly [WorkerId, WorkerOrder]>;
 	readonly controlHosts: readonly ControlHostRecord[];
@@ -63,6 +65,7 @@
 		document: ledger.configuration?.document,
 		jobs: [...ledger.jobs.values()].map(job => saveJob(job)),
 		minions: [...ledger.lives.values()].map(({record}) => record),
+		drainingLives: [...ledger.lives.values()].filter(({isDraining}) => isDraining).map(({record}) => record.life),
 		waves: [...ledger.waves.values()].map(wave => ({...wave, ordered: [...wave.ordered]})),
 		workerOrders: [...ledger.workerOrders],
 		controlHosts: [...ledger.controlHosts.values()],
@@ -129,6 +132,10 @@
 		ledger.lives.set(record.life, createLifeUse(record));
 	}
 
+	for (const life of saved.drainingLives) {
+		noteMinionDraining(ledger, life);
+	}
+
 	for (const job of saved.jobs) {
 		restoreJob(ledger, job);
 	}
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -288,6 +288,8 @@
 	/** Runs that were given up when its lease ran out, by their tasks. Orders to start them may still arrive. */
 	readonly lapsed: Map<TaskId, number>;
 	readonly used: MutableResources;
+	/** It said that it will leave. */
+	isDraining: boolean;
 };
 
 /** Resources that a ledger counts in place. */
@@ -339,13 +341,16 @@
 	/** Opens the time of a leader. */
 	= | {readonly type: 'term/begun'; readonly term: number}
 		| {readonly type: 'configuration/replaced'; readonly document: string}
-		| {readonly type: 'job/accepted'; readonly job: AcceptedJob}
+	/** Void unless `term` is still the newest, so that a refusal by a later leader stays true. */
+		| {readonly type: 'job/accepted'; readonly term: number; readonly job: AcceptedJob}
 		| {readonly type: 'job/cancelled'; readonly id: JobId; readonly atMs: number}
 	/** Void unless `term` is still the newest. */
 		| {readonly type: 'runs/assigned'; readonly term: number; readonly runs: readonly RunAssignment[]}
 		| {readonly type: 'runs/ended'; readonly term: number; readonly ends: readonly RunEnd[]; readonly atMs: number}
 		| {readonly type: 'minion/joined'; readonly term: number; readonly record: MinionRecord}
 		| {readonly type: 'minion/left'; readonly term: number; readonly life: LifeId}
+	/** The minion said that it will leave. */
+		| {readonly type: 'minion/draining'; readonly term: number; readonly life: LifeId}
 		| {readonly type: 'wave/started'; readonly wave: Omit<UpkeepWave, 'ordered'>}
 		| {readonly type: 'wave/workerOrdered'; readonly term: number; readonly wave: WaveId; readonly worker: WorkerId; readonly life: LifeId | undefined}
 	/** The life that ran on the worker is over. */
--- a/packages/core/src/scheduler/work-index.test.ts
+++ b/packages/core/src/scheduler/work-index.test.ts
@@ -126,6 +126,7 @@
 	const accept = ({choice, steps, isScheduled}: Change, nowMs: number) => {
 		apply({
 			type: 'job/accepted',
+			term: 0,
 			job: {
 				id: toBrand<JobId>(takeName()), queue: toBrand<QueueId>('q'), pool: pools[choice % 2] ?? toBrand('counter'), team: choice % 3 === 0 ? toBrand<TeamId>('parish') : undefined, priority: 0, maximumAttempts: 2, stretchFactor: 1.6, startLatencyMs: 600, advice: undefined, acceptedAtMs: nowMs,
 				specification: {
--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -1,14 +1,15 @@
 /**
  * What the leader answers to callers, minions, operators and control hosts.
  */
+import type {JobId} from '@samphiremill/common';
 import {
 	admitJob, countPendingJobs, getShownState, getWork, isJobId, isWaveCompleted,
-	type Job, type Ledger, type LedgerCommand,
+	type Job, type JobSpecification, type Ledger, type LedgerCommand,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
 import type {Decision} from './command-batcher.js';
 import type {DemandMeter} from './demand-meter.js';
-import {createAcceptedJob, getAccess} from './job-access.js';
+import {createAcceptedJob, getAccess, type GrantedAccess} from './job-access.js';
 import type {SchedulerMetrics} from './metrics.js';
 import type {PoolView} from './pool-view.js';
 import type {SessionRegistry} from './session-registry.js';
@@ -40,13 +41,16 @@
  * @returns Answers a call.
  */
 export function createCallHandlers({term, log, metrics, sessions, demand, pools, getLedger, getWallClock, propose, decide, checkConfiguration, wantPlan, stopNeedless, onChanged}: CallHandlersOptions): (call: ClusterCall) => Promise<ClusterAnswer> {
+	/** Jobs on their way into the log. A resend of one gets the answer of the first, so that no refusal comes beside an acceptance. */
+	const submitting = new Map<JobId, Promise<ClusterAnswer>>();
+
 	const submitJob = async ({target, specification}: ClusterCall & {type: 'job/submit'}): Promise<ClusterAnswer> => {
 		const access = getAccess(getLedger(), target);
 		if (access.type === 'denied') {
 			return access.answer;
 		}
 
-		const {found: {queue, rest: id}, team} = access;
+		const {found: {rest: id}} = access;
 		if (!isJobId(id)) {
 			return {type: 'invalidRequest', message: `"${id}" is not a job id of 16 hexadecimal digits`};
 		}
@@ -55,6 +59,21 @@
 			return {type: 'accepted'};
 		}
 
+		const known = submitting.get(id);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const answer = admit(id, access, specification);
+		submitting.set(id, answer);
+		try {
+			return await answer;
+		} finally {
+			submitting.delete(id);
+		}
+	};
+
+	const admit = async (id: JobId, {found: {queue}, team, configuration}: GrantedAccess, specification: JobSpecification): Promise<ClusterAnswer> => {
 		const work = getWork(specification);
 		demand.note(queue.pool, {id, work});
 		const load = pools.getLoad(queue.pool, {team, work});
@@ -67,7 +86,7 @@
 			expectedMs: Math.round(admission.expectedMs),
 			workAheadCoreMs: Math.round(load.workAhead / 1000),
 			poolMillicores: load.cpuMillicores,
-			configuration: access.configuration.version,
+			configuration: configuration.version,
 		};
 		if (admission.type === 'refused') {
 			metrics.count('jobs_refused_total', admission.reason);
@@ -77,13 +96,15 @@
 
 		const decision = await propose({
 			type: 'job/accepted',
+			term,
 			job: createAcceptedJob({
 				id, queue, team, specification, acceptedAtMs: getWallClock(),
 			}),
 		});
-		log.info(`job ${id}: ${decision.type === 'applied' ? 'accepted' : decision.type}`, inputs);
-		if (decision.type !== 'applied') {
-			return {type: decision.type === 'notProposed' ? 'unavailable' : 'uncertain'};
+		const isAccepted = decision.type === 'applied' && getLedger().jobs.has(id);
+		log.info(`job ${id}: ${isAccepted ? 'accepted' : decision.type}`, inputs);
+		if (!isAccepted) {
+			return {type: decision.type === 'unknown' ? 'uncertain' : 'unavailable'};
 		}
 
 		metrics.count('jobs_accepted_total');
@@ -163,6 +184,16 @@
 			onChanged();
 		}
 
+		if (report.isDraining && getLedger().lives.get(record.life)?.isDraining === false) {
+			// A later leader must know it before the minion reports to it.
+			const isNoted = await decide({type: 'minion/draining', term, life: record.life});
+			if (!isNoted) {
+				return {type: 'unavailable'};
+			}
+
+			log.info(`minion ${record.minion} drains`, {minion: record.minion, life: record.life, remainingMs: report.remainingMs});
+		}
+
 		sessions.get(record.life)?.takeReport(report);
 		return {type: 'done'};
 	};
--- a/packages/daemon/src/scheduler/cluster-client.ts
+++ b/packages/daemon/src/scheduler/cluster-client.ts
@@ -111,6 +111,11 @@
 
 				const hadLeader = leader !== undefined;
 				const result = await attempt(call, remainingMs); // eslint-disable-line no-await-in-loop -- one host after the other
+				// An earlier attempt may have been carried out, whatever a later one is told.
+				if (isUncertain && result.type === 'answered' && result.answer.type === 'refused') {
+					return {type: 'uncertain'};
+				}
+
 				if (isFinal(result)) {
 					return result;
 				}
--- a/packages/daemon/src/scheduler/job-access.ts
+++ b/packages/daemon/src/scheduler/job-access.ts
@@ -8,9 +8,17 @@
 } from '@samphiremill/core';
 import type {CallerTarget, ClusterAnswer} from './types.js';
 
+/** A caller may have what it asks for. */
+export type GrantedAccess = {
+	readonly type: 'granted';
+	readonly found: FoundQueue;
+	readonly team: TeamDefinition | undefined;
+	readonly configuration: ActiveConfiguration;
+};
+
 /** Whether a caller may have what it asks for. */
 export type Access
-	= | {readonly type: 'granted'; readonly found: FoundQueue; readonly team: TeamDefinition | undefined; readonly configuration: ActiveConfiguration}
+	= | GrantedAccess
 		| {readonly type: 'denied'; readonly answer: ClusterAnswer};
 
 const deny = (answer: ClusterAnswer): Access => ({type: 'denied', answer});
--- a/packages/daemon/src/scheduler/leader.test.ts
+++ b/packages/daemon/src/scheduler/leader.test.ts
@@ -130,6 +130,37 @@
 	expect(world.listBroken()).toEqual([]);
 });
 
+test('a minion that is silent for less than its lease keeps its running work', async () => {
+	const world = await start({seed: 13, minionCount: 2});
+	const {id} = world.submit([{count: 4, isLasting: true}]);
+	await world.advance(1000);
+	world.silence(0, 2500);
+	await world.advance(6000);
+	expect(world.countStarts()).toBe(4);
+	expect(world.countRuns(id)).toBe(4);
+	expect(world.listBroken()).toEqual([]);
+});
+
+test('a minion that said it will leave gets no work of the next leader either', async () => {
+	const world = await start({seed: 14, minionCount: 2});
+	world.drain(0);
+	await world.advance(700);
+	await world.changeLeader();
+	await world.advance(60);
+	world.submit([{count: 6, estimateMs: 500}]);
+	await world.advance(300);
+	expect({leaving: world.countStartsOn(0), staying: world.countStartsOn(1)}).toEqual({leaving: 0, staying: 6});
+});
+
+test('a job that is handed in again while it goes into the log gets the answer of the first', async () => {
+	const world = await start({seed: 15});
+	const {id, answer} = world.submit([{count: 2}]);
+	const again = world.submitAgain(id, [{count: 2, request: {cpuMillicores: 1e9, memoryMb: 1, gpus: 0}}]);
+	await world.advance(4000);
+	expect([await answer, await again]).toEqual([{type: 'accepted'}, {type: 'accepted'}]);
+	expect(world.countStarts()).toBe(2);
+});
+
 test('a wave empties and services every worker within its bound and the disruption budgets', async () => {
 	const world = await start({seed: 5, minionCount: 5, standbyWorkers: 1});
 	world.submit([{
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -73,7 +73,6 @@
 	let lastSeen = 0;
 	let isSynced = false;
 	let isClosed = false;
-	let isDraining = false;
 	let health: MinionHealth = unknownHealth;
 	let pace: MinionPace = unknownPace;
 	let heardAtMs: number = timers.getNow();
@@ -85,6 +84,7 @@
 	/** The last look got no answer. */
 	let isSilent = false;
 	const isOpen = () => !isClosed;
+	const isDraining = () => context.getLedger().lives.get(record.life)?.isDraining ?? false;
 
 	const isAnswering = () => isSynced && !isSilent && timers.getNow() - heardAtMs < holdWaitMs + holdSlackMs;
 
@@ -360,7 +360,8 @@
 
 	const hold = async (): Promise<'again' | 'pause'> => {
 		const sentAtMs = timers.getNow();
-		const waitMs = isSynced ? getHoldWaitMs() : 0;
+		// A silent minion is to be granted time again as soon as it answers.
+		const waitMs = isSynced && !isSilent ? getHoldWaitMs() : 0;
 		const answer = await minions.hold({
 			target,
 			fencingToken,
@@ -476,11 +477,6 @@
 
 			sequence = report.sequence;
 			heardAtMs = timers.getNow();
-			if (report.isDraining && !isDraining) {
-				isDraining = true;
-				log.info(`minion ${record.minion} drains`, {minion: record.minion, life: record.life, remainingMs: report.remainingMs});
-				context.onMinionsChanged();
-			}
 		},
 		tick() {
 			adoptUnknownRuns();
@@ -503,9 +499,9 @@
 				void lapse();
 			}
 		},
-		isUsable: () => isAnswering() && handingOver === undefined && !isDraining && !isClosed && timers.getNow() >= unhealthyUntilMs,
+		isUsable: () => isAnswering() && handingOver === undefined && !isDraining() && !isClosed && timers.getNow() >= unhealthyUntilMs,
 		isAnswering,
-		isDraining: () => isDraining,
+		isDraining,
 		getRunBound: () => getRunBound(health, timers.getNow()),
 		isSuspect: () => isSuspectedSlow(pace, timers.getNow()),
 		notePace(slowness) {
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -61,6 +61,7 @@
 	lastLapseNumber: number;
 	/** Orders on the way through a silent link, which arrive when it works again. */
 	delayed: Array<() => void>;
+	isDraining: boolean;
 };
 
 /** A running world. */
@@ -68,11 +69,15 @@
 	readonly pool: PoolId;
 	readonly advance: (durationMs: number) => Promise<void>;
 	readonly submit: (steps: ReadonlyArray<Partial<StepSpecification>>) => {readonly id: JobId; readonly answer: Promise<ClusterAnswer>};
+	/** Hands a job in under an id that was handed in before. */
+	readonly submitAgain: (id: JobId, steps: ReadonlyArray<Partial<StepSpecification>>) => Promise<ClusterAnswer>;
 	readonly cancel: (id: JobId) => Promise<ClusterAnswer>;
 	readonly getState: (id: JobId) => string | undefined;
 	/** Another host leads; the old one notices nothing but that its orders are refused. */
 	readonly changeLeader: () => Promise<void>;
 	readonly silence: (index: number, durationMs: number) => void;
+	/** It says in its next reports that it will leave. */
+	readonly drain: (index: number) => void;
 	readonly crash: (index: number) => void;
 	/** It crashes and begins another life at once, under its id and at its address. */
 	readonly rebear: (index: number) => void;
@@ -81,6 +86,8 @@
 	/** The next command of that type is applied, but its leader does not learn so. */
 	readonly loseOutcome: (type: LedgerCommand['type']) => void;
 	readonly countRuns: (id: JobId) => number;
+	/** How many starts the minion carried out. */
+	readonly countStartsOn: (index: number) => number;
 	readonly listBroken: () => readonly string[];
 	readonly listMoves: () => readonly string[];
 	readonly startWave: (workerCount: number, maximumAtOnce: number) => Promise<ClusterAnswer>;
@@ -186,7 +193,7 @@
 		};
 		nextLife += 1;
 		const created: FakeMinion = {
-			record, clockRate: 0.98 + (random() * 0.02), bornAtMs: timers.getNow(), runs: new Map(), highestRuns: new Map(), finished: [], nextNumber: 1, fencingToken: 0, deadlineMs: 0, isSilent: false, isGone: false, isStalled: false, lastLapseNumber: 0, delayed: [],
+			record, clockRate: 0.98 + (random() * 0.02), bornAtMs: timers.getNow(), runs: new Map(), highestRuns: new Map(), finished: [], nextNumber: 1, fencingToken: 0, deadlineMs: 0, isSilent: false, isGone: false, isStalled: false, lastLapseNumber: 0, delayed: [], isDraining: false,
 		};
 		minions.set(record.address, created);
 		return created;
@@ -587,12 +594,12 @@
 	};
 
 	const sendReports = () => {
-		for (const {record, isGone, isSilent} of minions.values()) {
+		for (const {record, isGone, isSilent, isDraining} of minions.values()) {
 			if (!isGone && !isSilent) {
 				void leader?.answer({
 					type: 'minion/report',
 					report: {
-						record, sequence: timers.getNow(), isDraining: false, remainingMs: undefined,
+						record, sequence: timers.getNow(), isDraining, remainingMs: undefined,
 					},
 				});
 			}
@@ -625,6 +632,11 @@
 		});
 	};
 
+	const submitJob = async (id: JobId, steps: ReadonlyArray<Partial<StepSpecification>>): Promise<ClusterAnswer> => {
+		const specification: JobSpecification = {payload: 'x', steps: steps.map(step => ({...plainStep, ...step})), schedule: undefined};
+		return leader?.answer({type: 'job/submit', target: getTarget(id), specification}) ?? {type: 'unavailable'};
+	};
+
 	const getTarget = (id: JobId) => ({host, path: `${pathPrefix}${id}`, key});
 	const findMinion = (index: number) => [...minions.values()].filter(({isGone}) => !isGone)[index];
 
@@ -639,10 +651,9 @@
 		submit(steps) {
 			const id = toBrand<JobId>(nextJob.toString(16).padStart(16, '0'));
 			nextJob += 1;
-			const specification: JobSpecification = {payload: 'x', steps: steps.map(step => ({...plainStep, ...step})), schedule: undefined};
-			const submitted = leader?.answer({type: 'job/submit', target: getTarget(id), specification});
-			return {id, answer: submitted ?? Promise.resolve({type: 'unavailable'})};
+			return {id, answer: submitJob(id, steps)};
 		},
+		submitAgain: submitJob,
 		cancel: async id => leader?.answer({type: 'job/cancel', target: getTarget(id)}) ?? {type: 'unavailable'},
 		getState: id => ledger.jobs.get(id)?.status,
 		async changeLeader() {
@@ -675,6 +686,12 @@
 				minion.isStalled = true;
 			}
 		},
+		drain(index) {
+			const minion = findMinion(index);
+			if (minion !== undefined) {
+				minion.isDraining = true;
+			}
+		},
 		rebear(index) {
 			const minion = findMinion(index);
 			if (minion !== undefined) {
@@ -690,6 +707,7 @@
 		loseOutcome(type) {
 			lostOutcome = type;
 		},
+		countStartsOn: index => findMinion(index)?.highestRuns.size ?? 0,
 		countRuns: id => listRunning().filter(({id: task}) => task.startsWith(id)).length,
 		listBroken: () => broken,
 		listMoves: () => moves,
