--- /dev/null
+++ b/packages/daemon/src/scheduler/clock-guard.test.ts
@@ -0,0 +1,26 @@
+import {expect, test} from 'vitest';
+import {createClockGuard} from './clock-guard.js';
+
+const createClocks = () => {
+	const clocks = {monotonicMs: 1000, wallMs: 1_700_000_000_000};
+	const guard = createClockGuard({getNow: () => clocks.monotonicMs, getWallClock: () => clocks.wallMs});
+	const pass = (monotonicMs: number, wallMs = monotonicMs) => {
+		clocks.monotonicMs += monotonicMs;
+		clocks.wallMs += wallMs;
+		return guard.check();
+	};
+
+	return pass;
+};
+
+test('a suspension in which only the time of day went on voids what was known before it', () => {
+	const pass = createClocks();
+	expect([pass(100), pass(0, 5000), pass(100), pass(100)]).toEqual([Number.NEGATIVE_INFINITY, 1100, 1100, 1100]);
+});
+
+test('a jump of the time of day either way does, and its slow drift does not', () => {
+	const back = createClocks();
+	expect([back(100, -4000), back(200)]).toEqual([1100, 1100]);
+	const drifting = createClocks();
+	expect([drifting(1000, 1020), drifting(1000, 980)]).toEqual([Number.NEGATIVE_INFINITY, Number.NEGATIVE_INFINITY]);
+});
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -14,6 +14,7 @@
 import {
 	doubtfulAbsenceMs, fillerPacePeriodMs, forgetPeriodMs, leaderTickMs, minionAbsenceMs,
 } from './constants.js';
+import {createErrorContainer} from './contain-errors.js';
 import {createDemandMeter} from './demand-meter.js';
 import {paceFillers} from './filler-pacing.js';
 import type {SchedulerMetrics} from './metrics.js';
@@ -103,6 +104,7 @@
 	const demand = createDemandMeter(timers);
 
 	const hastener = createRunHastener({getLedger, log});
+	const contain = createErrorContainer(log);
 
 	const isAtWork = () => !isStopped;
 
@@ -252,17 +254,17 @@
 		}
 
 		for (const session of sessions.values()) {
-			session.tick();
+			contain(`the session with minion ${session.record.minion}`, session.tick);
 		}
 
-		hastener.forgetTasks();
-		stopNeedless();
+		contain('slow runs', hastener.forgetTasks);
+		contain('stops', stopNeedless);
 		if (limits.hasWorkerOrders) {
-			upkeep.tick();
-			moves.tick();
+			contain('upkeep', upkeep.tick);
+			contain('moves', moves.tick);
 		}
 
-		dropAbsentMinions();
+		contain('absent minions', dropAbsentMinions);
 		planner.wantFullPlan();
 	};
 
@@ -283,14 +285,20 @@
 	const cancelTimers = [
 		timers.scheduleEvery(leaderTickMs, tick),
 		timers.scheduleEvery(fillerPacePeriodMs, () => {
-			paceFillers(sessions.values(), getLedger());
+			contain('fillers', () => {
+				paceFillers(sessions.values(), getLedger());
+			});
 		}),
 		timers.scheduleEvery(judgePeriodMs, () => {
 			if (canAct()) {
-				hastener.look(sessions.values());
+				contain('slow runs', () => {
+					hastener.look(sessions.values());
+				});
 			}
 		}),
-		timers.scheduleEvery(forgetPeriodMs, forget),
+		timers.scheduleEvery(forgetPeriodMs, () => {
+			contain('forgetting', forget);
+		}),
 	];
 	planner.wantFullPlan();
 
--- a/packages/daemon/src/scheduler/start-planner.ts
+++ b/packages/daemon/src/scheduler/start-planner.ts
@@ -138,12 +138,21 @@
 		}
 	};
 
+	const planOrLog = async () => {
+		try {
+			await plan();
+		} catch (err) {
+			isFullPlanWanted = true;
+			log.error('an unexpected error in the planning of starts', {err: err instanceof Error ? err.stack : String(err)});
+		}
+	};
+
 	const runPlans = async () => {
 		isPlanning = true;
 		while (isPlanWanted && isAtWork()) {
 			isPlanWanted = false;
 			if (canAct()) {
-				await plan(); // eslint-disable-line no-await-in-loop -- each plan builds on the one before
+				await planOrLog(); // eslint-disable-line no-await-in-loop -- each plan builds on the one before
 			}
 
 			await waitFor(timers, planGapMs); // eslint-disable-line no-await-in-loop -- gathers what comes at once
