--- a/packages/daemon/src/scheduler/cluster-client.test.ts
+++ b/packages/daemon/src/scheduler/cluster-client.test.ts
@@ -1,5 +1,5 @@
 import {
-	createFailure, createVirtualTimerService, toBrand, type NodeId,
+	createFailure, createSuccess, createVirtualTimerService, toBrand, type NodeId,
 } from '@samphiremill/common';
 import {expect, test} from 'vitest';
 import {createClusterClient} from './cluster-client.js';
@@ -54,3 +54,30 @@
 	expect(endedAtMs).toBeLessThanOrEqual(1000 + attemptMs + 100);
 	expect(await result).toEqual({type: outcome});
 });
+
+test.each([[['lost', 'refused'], 'uncertain'], [['refused'], 'answered']] as const)('a refusal says that nothing was done only if no earlier attempt may have been carried out (%j)', async (outcomes, expected) => {
+	const timers = createVirtualTimerService(0);
+	let attempt = 0;
+	const refusal = {
+		type: 'answer', leader: 'control-1', answer: {type: 'refused', reason: 'poolFull', retryAfterMs: 1000},
+	};
+	const client = createClusterClient({
+		timers,
+		self: toBrand<NodeId>('entry'),
+		seeds: [toBrand<NodeId>('control-1'), toBrand<NodeId>('control-2')],
+		transport: {
+			async request() {
+				attempt += 1;
+				return outcomes[attempt - 1] === 'lost' ? createFailure({type: 'peer/noAnswer'}) : createSuccess<unknown>(refusal);
+			},
+		},
+	});
+	const result = client.call(call, {timeoutMs: 3000});
+	for (let passedMs = 0; passedMs < 1000; passedMs += 50) {
+		timers.advance(50);
+		await Promise.resolve(); // eslint-disable-line no-await-in-loop -- time moves on step by step
+	}
+
+	const {type} = await result;
+	expect(type).toBe(expected);
+});
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -106,3 +106,15 @@
  * next. A new leader expects a burst of every pool for as long.
  */
 export const peakMemoryMs = 45_000;
+
+/** Up to this many minions the leader has all connections itself. */
+export const minionsServedDirectly = 100;
+
+/** How often the leader looks which control hosts can relay calls to minions. */
+export const relayCheckMs = 250;
+
+/** What a relayed call may take beyond the time that the minion has. */
+export const relaySlackMs = 50;
+
+/** For how long a minion is called directly after its relay did not reach it. */
+export const relayAvoidanceMs = 5000;
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -17,12 +17,15 @@
 import {createCommandBatcher} from './command-batcher.js';
 import {clusterCallMethod, createClusterClient} from './cluster-client.js';
 import {
-	joinRefreshMs, joinRetryMs, voterAbsenceMs, voterCheckMs,
+	joinRefreshMs, joinRetryMs, minionsServedDirectly, voterAbsenceMs, voterCheckMs,
 } from './constants.js';
 import {
 	startLeader, type Leader, type SchedulerLimits,
 } from './leader.js';
 import type {SchedulerMetrics} from './metrics.js';
+import {
+	carryOutMinionCall, createRelayedMinions, minionCallMethod, type MinionCall,
+} from './minion-relay.js';
 import {createOrderClock} from './order-clock.js';
 import type {
 	AdvicePort, ClusterAnswer, ClusterCall, ClusterReply, ConfigurationFinding, MinionPort, WorkerPort,
@@ -120,6 +123,11 @@
 	});
 
 	const answerPeer = async ({method, params}: PeerRequest): Promise<unknown> => {
+		if (method === minionCallMethod) {
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- links are authenticated, and both ends run the same build
+			return carryOutMinionCall(params as MinionCall, {minions: options.minions, term: ledger.term});
+		}
+
 		if (method !== clusterCallMethod) {
 			throw new Error(`no method ${method}`);
 		}
@@ -191,6 +199,15 @@
 		},
 	});
 
+	// Few minions are served best without the way over another host.
+	const listRelays = () => ledger.lives.size <= minionsServedDirectly
+		? []
+		: transport.listLinkedPeers().filter(node => ledger.controlHosts.has(node));
+
+	const relayedMinions = createRelayedMinions({
+		direct: options.minions, transport, timers, listRelays,
+	});
+
 	const canAct = () => replica.hasLeaderLease() && replica.wasConfirmedSince(guard.check());
 
 	const propose = createCommandBatcher(async command => {
@@ -232,7 +249,7 @@
 				leader = undefined;
 				replica.transferLeadership();
 			},
-			minions: options.minions,
+			minions: relayedMinions,
 			advice: options.advice,
 			workers: options.workers,
 			checkConfiguration: options.checkConfiguration,
--- /dev/null
+++ b/packages/daemon/src/scheduler/minion-relay.test.ts
@@ -0,0 +1,120 @@
+import {
+	createFailure, createSuccess, createVirtualTimerService, toBrand, type MinionId, type NodeId,
+} from '@samphiremill/common';
+import type {LifeId, TaskId} from '@samphiremill/core';
+import {expect, test} from 'vitest';
+import {carryOutMinionCall, createRelayedMinions, type MinionCall} from './minion-relay.js';
+import type {MinionPort} from './types.js';
+
+const hosts = ['host-1', 'host-2'].map(name => toBrand<NodeId>(name));
+
+const createStop = (address: string, fencingToken = 3) => ({
+	target: {
+		life: toBrand<LifeId>('i-1@1'), minion: toBrand<MinionId>('i-1'), bornAtMs: 1, address,
+	}, fencingToken, task: toBrand<TaskId>('a.0.0.0'), run: 1, timeoutMs: 450,
+});
+
+const createPort = (calls: string[]): MinionPort => ({
+	hold: async () => ({type: 'noAnswer'}),
+	start: async () => ({type: 'noAnswer'}),
+	async stop({target}) {
+		calls.push(`direct ${target.address}`);
+		return {type: 'answered', value: 'stopping', clockMs: 5};
+	},
+	pace: async () => ({type: 'noAnswer'}),
+	retain: () => undefined,
+});
+
+type Outcome = 'answered' | 'silent' | 'unreachable' | 'lostMinion';
+
+const createWorld = () => {
+	const timers = createVirtualTimerService();
+	const calls: string[] = [];
+	const world = {outcome: 'answered' as Outcome, relays: hosts};
+	const minions = createRelayedMinions({
+		timers,
+		direct: createPort(calls),
+		listRelays: () => world.relays,
+		transport: {
+			async request({to, params}) {
+				const {order} = params as MinionCall; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- sent below
+				calls.push(`${to} ${order.target.address}`);
+				switch (world.outcome) {
+					case 'answered': {
+						return createSuccess({type: 'answered', value: 'stopping', clockMs: 5});
+					}
+
+					case 'lostMinion': {
+						return createSuccess({type: 'noAnswer'});
+					}
+
+					case 'silent': {
+						return createFailure({type: 'peer/noAnswer' as const});
+					}
+
+					case 'unreachable': {
+						return createFailure({type: 'peer/notSent' as const});
+					}
+				}
+			},
+		},
+	});
+	const stop = async (address: string) => {
+		const {type} = await minions.stop(createStop(address));
+		return type;
+	};
+
+	return {
+		timers, calls, world, stop,
+	};
+};
+
+test('each minion has its relay, and none of them is called twice for one order', async () => {
+	const {calls, stop} = createWorld();
+	for (const address of ['10.0.0.1:80', '10.0.0.2:80', '10.0.0.3:80', '10.0.0.1:80']) {
+		expect(await stop(address)).toBe('answered'); // eslint-disable-line no-await-in-loop -- one call after the other
+	}
+
+	expect(calls.length).toBe(4);
+	expect(calls[3]).toBe(calls[0]);
+	expect(new Set(calls.map(call => call.split(' ')[0])).size).toBe(2);
+});
+
+test('an order that never left is sent directly, one that may have arrived is not', async () => {
+	const {calls, world, stop} = createWorld();
+	world.outcome = 'unreachable';
+	expect(await stop('10.0.0.1:80')).toBe('answered');
+	expect(calls.length).toBe(2);
+	world.outcome = 'silent';
+	expect(await stop('10.0.0.2:80')).toBe('noAnswer');
+	expect(calls.length).toBe(3);
+});
+
+test('a minion that its relay does not reach is called directly for a while', async () => {
+	const {
+		timers, calls, world, stop,
+	} = createWorld();
+	world.outcome = 'lostMinion';
+	expect(await stop('10.0.0.1:80')).toBe('noAnswer');
+	expect(await stop('10.0.0.1:80')).toBe('answered');
+	expect(calls.at(-1)).toBe('direct 10.0.0.1:80');
+	world.outcome = 'answered';
+	timers.advance(5100);
+	await stop('10.0.0.1:80');
+	expect(calls.at(-1)).not.toBe('direct 10.0.0.1:80');
+});
+
+test('without relays every call is made here', async () => {
+	const {calls, world, stop} = createWorld();
+	world.relays = [];
+	expect(await stop('10.0.0.1:80')).toBe('answered');
+	expect(calls).toEqual(['direct 10.0.0.1:80']);
+});
+
+test('a relay that knows a newer term does not carry out the orders of an older one', async () => {
+	const calls: string[] = [];
+	const call: MinionCall = {type: 'stop', order: createStop('10.0.0.1:80', 3)};
+	expect(await carryOutMinionCall(call, {minions: createPort(calls), term: 4})).toEqual({type: 'notSent'});
+	expect(calls).toEqual([]);
+	expect(await carryOutMinionCall(call, {minions: createPort(calls), term: 3})).toEqual({type: 'answered', value: 'stopping', clockMs: 5});
+});
