--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -7,16 +7,17 @@
 	type MinionHealth, type MinionPace, type MinionRecord, type RunAssignment, type RunEnd, type TaskId,
 } from '@samphiremill/core';
 import {
-	holdRetryMs, holdSlackMs, holdWaitMs, longestGiveWayMs, orderRetryMs, orderTimeoutMs, warmUpWaitMs,
+	holdRetryMs, holdSlackMs, holdWaitMs, orderTimeoutMs, warmUpWaitMs,
 } from './constants.js';
 import {createMinionLease} from './minion-lease.js';
 import {
-	createRunControl, fullPacePercent, isDoubtful, toRunView, type RunControl, type RunView,
+	createRunControl, fullPacePercent, toRunView, type RunControl, type RunView,
 } from './run-control.js';
-import {createRunEnd, createRunOrders} from './run-orders.js';
+import {createRunClosing} from './run-closing.js';
+import {createRunEnd, createRunOrders, toRunEnds} from './run-orders.js';
 import type {SessionContext} from './session-context.js';
 import type {
-	FinishedEntry, HoldReport, MinionAnswer, MinionReport, MinionTarget, RunningEntry,
+	HoldReport, MinionAnswer, MinionReport, MinionTarget, RunningEntry,
 } from './types.js';
 
 /** The leader's view of one life of a minion. */
@@ -67,8 +68,6 @@
 		life: record.life, minion: record.minion, bornAtMs: record.bornAtMs, address: record.address,
 	};
 	const controls = new Map<TaskId, RunControl>();
-	/** Runs that were given up, and that the minion will not start any more. */
-	const closedRuns = new Map<TaskId, number>();
 	const lease = createMinionLease({timers, leaseMs, inheritedSinceMs: context.termBeganAtMs});
 	let lastSeen = 0;
 	let isSynced = false;
@@ -79,8 +78,6 @@
 	let unhealthyUntilMs = 0;
 	let sequence = -1;
 	let isLapsing = false;
-	/** Under way once another life was seen at the address. */
-	let handingOver: Promise<void> | undefined;
 	/** The last look got no answer. */
 	let isSilent = false;
 	const isOpen = () => !isClosed;
@@ -149,6 +146,12 @@
 		}
 
 		noteHealth(live);
+		for (const {task, run, ending} of live.filter(end => isLate(end))) {
+			log.info(`task ${task}: run ${run} was given up, and had ended as ${ending}`, {
+				id: task, run, minion: record.minion, ending,
+			});
+		}
+
 		for (const {ending} of live) {
 			metrics.count('runs_ended_total', ending);
 		}
@@ -234,11 +237,6 @@
 		});
 	};
 
-	const takeFinished = (entries: readonly FinishedEntry[]): readonly RunEnd[] => entries
-		.map(({task, run, ending, checkpoint}) => ({
-			task, run, life: record.life, ending, checkpoint,
-		}));
-
 	const startUnsent = () => {
 		for (const control of controls.values()) {
 			if (control.phase === 'unsent') {
@@ -247,76 +245,25 @@
 		}
 	};
 
-	const lookAtNextLife = async (): Promise<HoldReport | undefined> => {
-		const answer = await minions.hold({
-			target, fencingToken, lastSeen: 0, deadlineMs: undefined, waitMs: 0, timeoutMs: holdSlackMs,
-		});
-		return answer.type === 'answered' && answer.value !== 'fenced' ? answer.value : undefined;
-	};
-
-	// What may have started in the next life is stopped there. Returns what may still run.
-	const stopInNextLife = async (doubtful: readonly RunControl[]): Promise<readonly RunControl[]> => {
-		const stops = await Promise.all(doubtful.map(async ({assignment: {task, run}}) => sendStop(task, run)));
-		const report = stops.every(Boolean) ? await lookAtNextLife() : undefined;
-		if (report === undefined) {
-			return doubtful;
-		}
-
-		await endRuns(takeFinished(report.finished));
-		const running = new Set(report.running.map(({task}) => task));
-		return doubtful.filter(({assignment: {task}}) => running.has(task));
-	};
-
-	const closeDoubtful = async (doubtful: readonly RunControl[]) => {
-		const untilMs = timers.getNow() + longestGiveWayMs;
-		let left = doubtful;
-		while (left.length > 0 && isOpen() && timers.getNow() < untilMs) {
-			left = await stopInNextLife(left); // eslint-disable-line no-await-in-loop -- until none is left
-			if (left.length > 0) {
-				await waitFor(timers, orderRetryMs); // eslint-disable-line no-await-in-loop -- until none is left
-			}
-		}
-	};
-
-	const handOver = async () => {
-		const known = [...controls.values()];
-		log.info(`minion ${record.minion} began another life`, {
-			minion: record.minion, life: record.life, runs: known.length, doubtful: known.filter(control => isDoubtful(control)).map(({assignment: {task}}) => task),
-		});
-		await endRuns(known.filter(control => !isDoubtful(control)).map(({assignment}) => createRunEnd(assignment, 'lapsed')));
-		await closeDoubtful(known.filter(control => isDoubtful(control)));
-		await leave('it began another life');
-		handingOver = undefined;
-	};
-
-	const giveWay = async () => {
-		handingOver ??= handOver();
-		return handingOver;
-	};
-
-	// A start that was sent before the lease ran out may still be on its way. Until the lease is granted anew
-	// the minion refuses it as late; after a stop of the run it does so for good.
-	const closeLapsedRuns = async (): Promise<boolean> => {
-		const open = [...context.getLedger().lives.get(record.life)?.lapsed ?? []].filter(([task, run]) => closedRuns.get(task) !== run);
-		const closed = await Promise.all(open.map(async ([task, run]) => {
-			const isClosed = await sendStop(task, run);
-			if (isClosed) {
-				closedRuns.set(task, run);
-			}
-
-			return isClosed;
-		}));
-		return closed.every(Boolean);
-	};
+	const closing = createRunClosing({
+		record,
+		target,
+		context,
+		listControls: () => [...controls.values()],
+		isOpen,
+		sendStop,
+		endRuns,
+		leave,
+	});
 
 	const takeHoldReport = async (report: HoldReport, sentAtMs: number) => {
 		if (report.bornAtMs !== undefined && report.bornAtMs !== record.bornAtMs) {
-			await giveWay();
+			await closing.giveWay();
 			return;
 		}
 
 		const wasSynced = isSynced;
-		if (!wasSynced && !(await closeLapsedRuns())) {
+		if (!wasSynced && !(await closing.closeLapsedRuns())) {
 			return;
 		}
 
@@ -326,7 +273,7 @@
 		}
 
 		const highest = Math.max(lastSeen, ...report.finished.map(({number}) => number));
-		const ends = [...takeFinished(report.finished), ...listMissing(report, sentAtMs)];
+		const ends = [...toRunEnds(report.finished, record.life), ...listMissing(report, sentAtMs)];
 		// An end is confirmed to the minion only once it is in the log.
 		if (await endRuns(ends)) {
 			lastSeen = highest;
@@ -495,11 +442,11 @@
 			}
 
 			const hasRuns = (context.getLedger().lives.get(record.life)?.runs.size ?? 0) > 0;
-			if (hasRuns && !isLapsing && handingOver === undefined && lease.isOver(isSynced) && context.canAct()) {
+			if (hasRuns && !isLapsing && !closing.isGivingWay() && lease.isOver(isSynced) && context.canAct()) {
 				void lapse();
 			}
 		},
-		isUsable: () => isAnswering() && handingOver === undefined && !isDraining() && !isClosed && timers.getNow() >= unhealthyUntilMs,
+		isUsable: () => isAnswering() && !closing.isGivingWay() && !isDraining() && !isClosed && timers.getNow() >= unhealthyUntilMs,
 		isAnswering,
 		isDraining,
 		getRunBound: () => getRunBound(health, timers.getNow()),
@@ -513,8 +460,8 @@
 		},
 		listRuns: () => [...controls.values()].map(control => toRunView(control)),
 		getHeardAtMs: () => heardAtMs,
-		giveWay,
-		hasOpenLapses: () => [...context.getLedger().lives.get(record.life)?.lapsed ?? []].some(([task, run]) => closedRuns.get(task) !== run),
+		giveWay: closing.giveWay,
+		hasOpenLapses: closing.hasOpenLapses,
 		close() {
 			isClosed = true;
 		},
--- a/packages/daemon/src/scheduler/run-orders.ts
+++ b/packages/daemon/src/scheduler/run-orders.ts
@@ -3,13 +3,15 @@
  */
 import {waitFor} from '@samphiremill/common';
 import {
-	findTask, type MinionRecord, type RunAssignment, type RunEnd, type RunEnding, type TaskId,
+	findTask, type LifeId, type MinionRecord, type RunAssignment, type RunEnd, type RunEnding, type TaskId,
 } from '@samphiremill/core';
 import {orderRetryMs, orderTimeoutMs} from './constants.js';
 import type {MinionLease} from './minion-lease.js';
 import type {RunControl} from './run-control.js';
 import type {SessionContext} from './session-context.js';
-import type {MinionAnswer, MinionTarget, StartResult} from './types.js';
+import type {
+	FinishedEntry, MinionAnswer, MinionTarget, StartResult,
+} from './types.js';
 
 /** What the orders need of the session. */
 export type RunOrdersOptions = {
@@ -48,6 +50,17 @@
 	};
 }
 
+/**
+ * @param entries - Ends as a minion lists them.
+ * @param life - Its life.
+ * @returns The ends.
+ */
+export function toRunEnds(entries: readonly FinishedEntry[], life: LifeId): readonly RunEnd[] {
+	return entries.map(({task, run, ending, checkpoint}) => ({
+		task, run, life, ending, checkpoint,
+	}));
+}
+
 /**
  * @param options - What the orders need.
  * @returns The orders.
