Bound messages of the replicated log by their size

Cause (from reading): a message holds up to 64 entries, and since commits are grouped an entry may hold some hundred commands; more than 1 MB is dropped as oversized, each time again, so that a follower which lagged behind never caught up. Without grouping an entry was small.

The entries of a message now stay within 256 KB, measured by their encoded text, which is kept anyway; a proposal holds 128 KB of payloads at most. Tests for both bounds.

--- a/packages/core/src/replica/constants.ts
+++ b/packages/core/src/replica/constants.ts
@@ -19,6 +19,7 @@
 	snapshotEveryEntries: 1000,
 	trailingEntries: 500,
 	maximumBatchEntries: 64,
+	maximumBatchBytes: 262_144,
 	maximumInFlightMessages: 4,
 	maximumChunkLength: 32_768,
 	maximumPendingRequests: 4096,
--- a/packages/core/src/replica/feed.ts
+++ b/packages/core/src/replica/feed.ts
@@ -3,7 +3,7 @@
 import {registerAsker} from './confirmation.js';
 import {subscriptionMs} from './constants.js';
 import {acceptEntries} from './following.js';
-import {getEntries} from './log.js';
+import {getEntries, takeEntriesWithin} from './log.js';
 import type {FeedMessage, PullMessage} from './messages.js';
 import {isVotingReplica} from './quorum.js';
 import {
@@ -30,8 +30,11 @@
 			: [createSend(to, {type: 'replica/snapshotOffer', index: snapshot.index, length: snapshot.data.length})]);
 	}
 
-	const sentIndex = Math.min(commitIndex, previousIndex + cfg.limits.maximumBatchEntries);
-	const entries = getEntries(log, {from: previousIndex + 1, until: sentIndex + 1});
+	const lastIndex = Math.min(commitIndex, previousIndex + cfg.limits.maximumBatchEntries);
+	const found = getEntries(log, {from: previousIndex + 1, until: lastIndex + 1});
+	const {measureEntry} = cfg;
+	const entries = measureEntry === undefined ? found : takeEntriesWithin(found, {measureEntry, maximumBytes: cfg.limits.maximumBatchBytes});
+	const sentIndex = previousIndex + entries.length;
 	const renewedAtMs = state.feed.subscribers.get(to)?.renewedAtMs ?? nowMs;
 	const subscribers = state.feed.subscribers.set(to, {sentIndex, renewedAtMs});
 	return createStep({...state, feed: {...state.feed, subscribers}}, [createSend(to, {
--- a/packages/core/src/replica/log.test.ts
+++ b/packages/core/src/replica/log.test.ts
@@ -2,7 +2,7 @@
 import {expect, test} from 'vitest';
 import {rememberedRequests} from './constants.js';
 import {
-	appendEntries, compactLog, createLog, getRequestsUpTo, truncateLog,
+	appendEntries, compactLog, createLog, getRequestsUpTo, takeEntriesWithin, truncateLog,
 } from './log.js';
 import type {LogEntry, RequestId} from './types.js';
 
@@ -25,3 +25,9 @@
 	const log = truncateLog(appendEntries(createLog<string>({index: 0, term: 0}), createEntries(1, 6)), 4);
 	expect([3, 4, 5].map(index => hasRequest(log, index))).toEqual([true, false, false]);
 });
+
+test('entries for one message stay within its size, and a single larger one is sent alone', () => {
+	const entries = createEntries(1, 11);
+	const take = (maximumBytes: number) => takeEntriesWithin(entries, {measureEntry: ({index}) => index * 100, maximumBytes}).map(({index}) => index);
+	expect([take(50), take(299), take(300), take(1000), take(1e9)]).toEqual([[1], [1], [1, 2], [1, 2, 3, 4], [1, 2, 3, 4, 5, 6, 7, 8, 9, 10]]);
+});
--- a/packages/core/src/replica/log.ts
+++ b/packages/core/src/replica/log.ts
@@ -68,6 +68,23 @@
 	return log.entries.slice(Math.max(0, range.from - log.baseIndex - 1), Math.max(0, range.until - log.baseIndex - 1)).toArray();
 }
 
+/**
+ * @param entries - Entries to send.
+ * @param bounds - The size of an entry, and of all together, in bytes.
+ * @returns As many of the first ones as stay within the bound, but at least one.
+ */
+export function takeEntriesWithin<Command>(
+	entries: ReadonlyArray<LogEntry<Command>>,
+	{measureEntry, maximumBytes}: {readonly measureEntry: (entry: LogEntry<unknown>) => number; readonly maximumBytes: number},
+): ReadonlyArray<LogEntry<Command>> {
+	let bytes = 0;
+	const firstBeyond = entries.findIndex((entry, position) => {
+		bytes += measureEntry(entry);
+		return position > 0 && bytes > maximumBytes;
+	});
+	return firstBeyond === -1 ? entries : entries.slice(0, firstBeyond);
+}
+
 const getRequests = <Command>(entries: Iterable<LogEntry<Command>>): readonly IndexedRequest[] =>
 	[...entries].flatMap(({index, payload}) => payload.type === 'command' ? [{requestId: payload.requestId, index}] : []);
 
--- a/packages/core/src/replica/sending.ts
+++ b/packages/core/src/replica/sending.ts
@@ -1,6 +1,8 @@
 import type {NodeId} from '@samphiremill/common';
 import {hasLeaderLease} from './leader-lease.js';
-import {getEntries, getLastIndex, getTerm} from './log.js';
+import {
+	getEntries, getLastIndex, getTerm, takeEntriesWithin,
+} from './log.js';
 import type {AppendMessage, ConfirmationEcho} from './messages.js';
 import {
 	createSend, createStep, type ReplicaContext, type ReplicaStep,
@@ -24,13 +26,20 @@
 		: {...state, leadership: {...leadership, progress: leadership.progress.set(peer, progress)}};
 }
 
+// A message that is larger than a peer accepts would be dropped each time, and the peer never catch up.
+const getBatch = <Command>({log}: ReplicaState<Command>, {cfg}: ReplicaContext, from: number) => {
+	const {measureEntry, limits: {maximumBatchEntries, maximumBatchBytes}} = cfg;
+	const entries = getEntries(log, {from, until: from + maximumBatchEntries});
+	return measureEntry === undefined ? entries : takeEntriesWithin(entries, {measureEntry, maximumBytes: maximumBatchBytes});
+};
+
 const createAppend = <Command>(
 	state: ReplicaState<Command>,
-	{round, previousIndex, maximumEntries, confirms}: {
+	context: ReplicaContext,
+	{round, previousIndex, confirms}: {
 		readonly round: number;
 		readonly previousIndex: number;
 		readonly confirms: ConfirmationEcho | undefined;
-		readonly maximumEntries: number;
 	},
 ): AppendMessage<Command> | undefined => {
 	if (state.clusterId === undefined) {
@@ -47,7 +56,7 @@
 		round,
 		previousIndex: isCompacted ? 0 : previousIndex,
 		previousTerm: previousTerm ?? 0,
-		entries: isCompacted ? [] : getEntries(state.log, {from: previousIndex + 1, until: previousIndex + 1 + maximumEntries}),
+		entries: isCompacted ? [] : getBatch(state, context, previousIndex + 1),
 		commitIndex: isCompacted ? 0 : state.commitIndex,
 		...(confirms !== undefined && !isCompacted && {confirms}),
 	};
@@ -73,10 +82,9 @@
 	}
 
 	const previousIndex = progress.nextIndex - 1;
-	const message = createAppend(state, {
+	const message = createAppend(state, context, {
 		round: leadership.round,
 		previousIndex,
-		maximumEntries: context.cfg.limits.maximumBatchEntries,
 		confirms: hasLeaderLease(state, context) ? progress.echo : undefined,
 	});
 	if (message === undefined) {
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -109,6 +109,8 @@
 	readonly snapshotEveryEntries: number;
 	readonly trailingEntries: number;
 	readonly maximumBatchEntries: number;
+	/** How large the entries of one message may be together, if there is more than one. */
+	readonly maximumBatchBytes: number;
 	readonly maximumInFlightMessages: number;
 	readonly maximumChunkLength: number;
 	readonly maximumPendingRequests: number;
@@ -123,6 +125,8 @@
 	readonly limits: ReplicaLimits;
 	/** Spreads election timeouts. */
 	readonly random: RandomSource;
+	/** The size of an entry on the wire in bytes; entries are not bounded by size if absent. */
+	readonly measureEntry?: (entry: LogEntry<unknown>) => number;
 };
 
 /** What a replica does at this moment. An observer neither votes nor counts for a quorum. */
--- a/packages/daemon/src/peers/frames.ts
+++ b/packages/daemon/src/peers/frames.ts
@@ -40,6 +40,14 @@
 	return known;
 };
 
+/**
+ * @param entry - An entry of a log.
+ * @returns How long it is in a frame, in characters.
+ */
+export function getEncodedLength(entry: JsonObject): number {
+	return encodeEntry(entry).length;
+}
+
 const openObject = (value: JsonObject) => JSON.stringify(value).slice(0, -1);
 
 const encodeJson = (value: unknown): string => {
--- a/packages/daemon/src/peers/index.ts
+++ b/packages/daemon/src/peers/index.ts
@@ -1,2 +1,3 @@
 export type * from './types.js';
 export * from './transport.js';
+export {getEncodedLength} from './frames.js';
--- a/packages/daemon/src/scheduler/command-batcher.test.ts
+++ b/packages/daemon/src/scheduler/command-batcher.test.ts
@@ -1,4 +1,6 @@
-import {toBrand, type JobId} from '@samphiremill/common';
+import {
+	toBrand, type JobId, type PoolId, type QueueId,
+} from '@samphiremill/common';
 import type {LedgerCommand} from '@samphiremill/core';
 import {expect, test} from 'vitest';
 import {createCommandBatcher, type Decision} from './command-batcher.js';
@@ -46,6 +48,26 @@
 	expect(nameCommands()).toEqual(['job/cancelled', ['b', 'c', 'd']]);
 });
 
+test('jobs with large payloads go in several proposals, each well within a message', async () => {
+	const {settles, submit, nameCommands} = createLog();
+	const accept = (name: string): LedgerCommand => ({
+		type: 'job/accepted',
+		term: 1,
+		job: {
+			id: toBrand<JobId>(name), queue: toBrand<QueueId>('q'), pool: toBrand<PoolId>('counter'), team: undefined, priority: 0, maximumAttempts: 1, stretchFactor: 1, startLatencyMs: 1, advice: undefined, acceptedAtMs: 0,
+			specification: {payload: 'x'.repeat(60_000), steps: [], schedule: undefined},
+		},
+	});
+	for (const name of ['a', 'b', 'c', 'd', 'e']) {
+		void submit(accept(name));
+	}
+
+	await nextTurn();
+	settles[0]?.({type: 'unknown'});
+	await nextTurn();
+	expect(nameCommands().map(names => names.length)).toEqual([2, 2]);
+});
+
 test('a proposal of which nothing is known leaves all its commands uncertain', async () => {
 	const {settles, submit} = createLog();
 	const decisions = ['a', 'b'].map(async name => submit(cancel(name)));
--- a/packages/daemon/src/scheduler/command-batcher.ts
+++ b/packages/daemon/src/scheduler/command-batcher.ts
@@ -17,6 +17,7 @@
 
 const maximumProposalsUnderWay = 1;
 const maximumCommandsPerProposal = 256;
+const maximumPayloadPerProposal = 131_072;
 
 const getOutcome = (decision: Decision, position: number): Decision => {
 	if (decision.type !== 'applied') {
@@ -27,6 +28,18 @@
 	return {type: 'applied', outcome: outcome?.type === 'batch' ? outcome.outcomes[position] : undefined};
 };
 
+// All but jobs are small.
+const getPayloadLength = (command: LedgerCommand) => command.type === 'job/accepted' ? command.job.specification.payload.length : 0;
+
+const takeBatch = (queue: readonly QueuedCommand[]): readonly QueuedCommand[] => {
+	let length = 0;
+	const firstBeyond = queue.findIndex(({command}, position) => {
+		length += getPayloadLength(command);
+		return position >= maximumCommandsPerProposal || (position > 0 && length > maximumPayloadPerProposal);
+	});
+	return firstBeyond === -1 ? queue : queue.slice(0, firstBeyond);
+};
+
 /**
  * @param propose - Proposes one command to the log.
  * @returns Proposes a command, alone or with others; they are applied in the order of the calls.
@@ -37,7 +50,7 @@
 	let isGathering = false;
 
 	const proposeNext = async () => {
-		const batch = queue.slice(0, maximumCommandsPerProposal);
+		const batch = takeBatch(queue);
 		queue = queue.slice(batch.length);
 		underWay += 1;
 		const [only] = batch;
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -9,7 +9,7 @@
 	applyLedgerCommand, createLedger, createLedgerSnapshot, defaultReplicaLimits, restoreLedger,
 	type Ledger, type LedgerCommand, type LedgerOutcome, type NodeAddress, type ParseConfiguration, type ReplicaLimits, type ReplicaMessage, type VoterIdentity,
 } from '@samphiremill/core';
-import {createPeerTransport, type PeerRequest} from '../peers/index.js';
+import {createPeerTransport, getEncodedLength, type PeerRequest} from '../peers/index.js';
 import {createReplicaHost, type ReplicaHost} from '../replica-host.js';
 import type {DecisionLog} from '../runtime/types.js';
 import {openReplicaStore, type ReplicaStore, type StoreError} from '../store/index.js';
@@ -170,7 +170,7 @@
 
 	const replica: ReplicaHost<LedgerCommand, LedgerOutcome> = createReplicaHost<LedgerCommand, LedgerOutcome>({
 		cfg: {
-			self, nodes: createNodes(settings.seeds), limits: replicaLimits, random,
+			self, nodes: createNodes(settings.seeds), limits: replicaLimits, random, measureEntry: getEncodedLength,
 		},
 		store,
 		timers,
