--- a/bench/scheduler.ts
+++ b/bench/scheduler.ts
@@ -134,8 +134,14 @@
 	}
 
 	return [
-		size.minions, size.jobs, formatMs(planMs, 0.5), formatMs(planMs, 0.99), formatMs(admissionMs, 0.5), formatMs(admissionMs, 0.99),
-		Math.round(starts / loopMs * 1000), Math.round(loopMs / Math.max(1, starts) * microsecondsPerMillisecond),
+		size.minions,
+		size.jobs,
+		formatMs(planMs, 0.5),
+		formatMs(planMs, 0.99),
+		formatMs(admissionMs, 0.5),
+		formatMs(admissionMs, 0.99),
+		Math.round(starts / loopMs * 1000),
+		Math.round(loopMs / Math.max(1, starts) * microsecondsPerMillisecond),
 	];
 };
 
