--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -7,6 +7,7 @@
 export * from './ids.js';
 export * from './assert-never.js';
 export * from './result.js';
+export * from './describe-error.js';
 export * from './findings.js';
 export * from './rendezvous.js';
 export * from './random.js';
--- a/packages/daemon/src/scheduler/contain-errors.ts
+++ b/packages/daemon/src/scheduler/contain-errors.ts
@@ -2,6 +2,7 @@
  * Keeps an unexpected error to the duty that it came up in, so that the leader's other duties, above all
  * the leases of minions, go on.
  */
+import {describeError} from '@samphiremill/common';
 import type {DecisionLog} from '../runtime/types.js';
 
 /**
@@ -13,7 +14,7 @@
 		try {
 			act();
 		} catch (err) {
-			log.error(`an unexpected error in ${duty}`, {duty, err: err instanceof Error ? err.stack : String(err)});
+			log.error(`an unexpected error in ${duty}`, {duty, err: describeError(err)});
 		}
 	};
 }
--- a/packages/daemon/src/scheduler/start-planner.ts
+++ b/packages/daemon/src/scheduler/start-planner.ts
@@ -2,7 +2,9 @@
  * Plans starts whenever something changed that may let a task start, pool by pool, and has them sent
  * once they are in the log.
  */
-import {waitFor, type PoolId, type TimerService} from '@samphiremill/common';
+import {
+	describeError, waitFor, type PoolId, type TimerService,
+} from '@samphiremill/common';
 import {
 	getPoolWork, planStarts, type Ledger, type LedgerCommand, type RunAssignment, type Task, type UsableMinion,
 } from '@samphiremill/core';
@@ -143,7 +145,7 @@
 			await plan();
 		} catch (err) {
 			isFullPlanWanted = true;
-			log.error('an unexpected error in the planning of starts', {err: err instanceof Error ? err.stack : String(err)});
+			log.error('an unexpected error in the planning of starts', {err: describeError(err)});
 		}
 	};
 
