--- a/packages/core/src/scheduler/actions/end-runs.ts
+++ b/packages/core/src/scheduler/actions/end-runs.ts
@@ -1,6 +1,6 @@
 import {rememberedLapses} from '../constants.js';
 import {
-	endJob, findTask, getStep, getStepProgress, isLateWord, releaseTasks, removeRun, replaceTask,
+	endJob, findTask, getStep, getStepProgress, isLateEnd, releaseTasks, removeRun, replaceTask,
 } from '../ledger.js';
 import type {
 	Job, Ledger, LedgerOutcome, RunEnd, RunEnding, Task,
@@ -41,10 +41,10 @@
 	}
 };
 
-// The run was given up, but the minion tells how it ended before its lease ran out. What is done is not
+// The run was given up, but the minion reports how it ended before its lease ran out. What is done is not
 // done again, and a failure is an attempt.
-const takeLateWord = (ledger: Ledger, found: Task, {end, atMs}: {readonly end: RunEnd; readonly atMs: number}): boolean => {
-	if (!isLateWord(found, end)) {
+const takeLateEnd = (ledger: Ledger, found: Task, {end, atMs}: {readonly end: RunEnd; readonly atMs: number}): boolean => {
+	if (!isLateEnd(found, end)) {
 		return false;
 	}
 
@@ -58,7 +58,7 @@
 	const found = findTask(ledger, end.task);
 	const run = found?.runs.find(({number, life}) => number === end.run && life === end.life);
 	if (found === undefined || run === undefined) {
-		return found !== undefined && takeLateWord(ledger, found, {end, atMs});
+		return found !== undefined && takeLateEnd(ledger, found, {end, atMs});
 	}
 
 	const ended = removeRun(ledger, found, run);
--- a/packages/core/src/scheduler/constants.ts
+++ b/packages/core/src/scheduler/constants.ts
@@ -55,5 +55,5 @@
 /** How long a suspicion lasts without a new sign. */
 export const suspicionMs = 6000;
 
-/** How many runs of a task that were given up are remembered, for a late word of their ends. */
+/** How many runs of a task that were given up are remembered, since their ends may still be reported. */
 export const rememberedLapses = 4;
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -8,7 +8,7 @@
 	createLifeId, createTaskId, parseTaskId, type TaskIdParts,
 } from './ids.js';
 export {
-	countPendingJobs, createLedger, findQueue, findTask, getShownState, getStep, getStepProgress, isJobId, isLateWord, listTasks,
+	countPendingJobs, createLedger, findQueue, findTask, getShownState, getStep, getStepProgress, isJobId, isLateEnd, listTasks,
 	type FoundQueue, type ShownJobState,
 } from './ledger.js';
 export {createLedgerSnapshot, listForgettableJobs, restoreLedger} from './snapshot.js';
--- a/packages/core/src/scheduler/ledger.ts
+++ b/packages/core/src/scheduler/ledger.ts
@@ -206,9 +206,9 @@
 /**
  * @param task - A task.
  * @param end - The end of one of its runs, as its minion tells it.
- * @returns Whether it tells what became of a run that was given up.
+ * @returns Whether it reports what became of a run that was given up.
  */
-export function isLateWord({lapsedRuns}: Task, {run, life, ending}: RunEnd): boolean {
+export function isLateEnd({lapsedRuns}: Task, {run, life, ending}: RunEnd): boolean {
 	return (ending === 'done' || ending === 'failed') && lapsedRuns.some(lapsed => lapsed.number === run && lapsed.life === life);
 }
 
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -186,7 +186,7 @@
 	readonly index: number;
 	readonly runs: readonly TaskRun[];
 	readonly lastRunNumber: number;
-	/** Runs that were given up when a lease ran out; the minion's word of their end still counts. */
+	/** Runs that were given up when a lease ran out; its report of their end still counts. */
 	readonly lapsedRuns: readonly TaskRun[];
 	readonly failures: number;
 	/** The newest saved progress; empty if there is none. */
--- a/packages/daemon/src/scheduler/contain-errors.test.ts
+++ b/packages/daemon/src/scheduler/error-boundary.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from 'vitest';
 import type {DecisionLog} from '../runtime/types.js';
-import {createErrorContainer} from './contain-errors.js';
+import {createErrorBoundary} from './error-boundary.js';
 
 test('a duty that fails is logged, and the others go on', () => {
 	const lines: string[] = [];
@@ -13,7 +13,7 @@
 		},
 	};
 	const done: string[] = [];
-	const contain = createErrorContainer(log);
+	const contain = createErrorBoundary(log);
 	for (const duty of ['leases', 'moves', 'upkeep']) {
 		contain(duty, () => {
 			if (duty === 'moves') {
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -14,7 +14,7 @@
 import {
 	doubtfulAbsenceMs, fillerPacePeriodMs, forgetPeriodMs, leaderTickMs, minionAbsenceMs,
 } from './constants.js';
-import {createErrorContainer} from './contain-errors.js';
+import {createErrorBoundary} from './error-boundary.js';
 import {createDemandMeter} from './demand-meter.js';
 import {paceFillers} from './filler-pacing.js';
 import type {SchedulerMetrics} from './metrics.js';
@@ -104,7 +104,7 @@
 	const demand = createDemandMeter(timers);
 
 	const hastener = createRunHastener({getLedger, log});
-	const contain = createErrorContainer(log);
+	const contain = createErrorBoundary(log);
 
 	const isAtWork = () => !isStopped;
 
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -3,7 +3,7 @@
  */
 import {waitFor} from '@samphiremill/common';
 import {
-	findTask, getRunBound, getStep, isLateWord, isSuspectedSlow, notePace, noteRunDone, noteRunFailed, unknownHealth, unknownPace,
+	findTask, getRunBound, getStep, isLateEnd, isSuspectedSlow, notePace, noteRunDone, noteRunFailed, unknownHealth, unknownPace,
 	type MinionHealth, type MinionPace, type MinionRecord, type RunAssignment, type RunEnd, type TaskId,
 } from '@samphiremill/core';
 import {
@@ -90,7 +90,7 @@
 
 	const isLate = (end: RunEnd) => {
 		const task = findTask(context.getLedger(), end.task);
-		return task !== undefined && isLateWord(task, end);
+		return task !== undefined && isLateEnd(task, end);
 	};
 
 	const isCurrent = (control: RunControl) => !isClosed
