Choose the entries of a message in one place, and take out what the indexes made dead

The bound of a message by its size stood in sending and in feeding; an ended run replaced its task twice where nothing more changed; areDependenciesDone and the planner's option for pools had no reader left. Behaviour stays.

--- a/packages/core/src/replica/feed.ts
+++ b/packages/core/src/replica/feed.ts
@@ -3,7 +3,7 @@
 import {registerAsker} from './confirmation.js';
 import {subscriptionMs} from './constants.js';
 import {acceptEntries} from './following.js';
-import {getEntries, takeEntriesWithin} from './log.js';
+import {getMessageEntries} from './log.js';
 import type {FeedMessage, PullMessage} from './messages.js';
 import {isVotingReplica} from './quorum.js';
 import {
@@ -30,10 +30,7 @@
 			: [createSend(to, {type: 'replica/snapshotOffer', index: snapshot.index, length: snapshot.data.length})]);
 	}
 
-	const lastIndex = Math.min(commitIndex, previousIndex + cfg.limits.maximumBatchEntries);
-	const found = getEntries(log, {from: previousIndex + 1, until: lastIndex + 1});
-	const {measureEntry} = cfg;
-	const entries = measureEntry === undefined ? found : takeEntriesWithin(found, {measureEntry, maximumBytes: cfg.limits.maximumBatchBytes});
+	const entries = getMessageEntries(log, cfg, {from: previousIndex + 1, until: commitIndex + 1});
 	const sentIndex = previousIndex + entries.length;
 	const renewedAtMs = state.feed.subscribers.get(to)?.renewedAtMs ?? nowMs;
 	const subscribers = state.feed.subscribers.set(to, {sentIndex, renewedAtMs});
--- a/packages/core/src/replica/log.ts
+++ b/packages/core/src/replica/log.ts
@@ -1,7 +1,7 @@
 import {List, Map as ImmutableMap} from 'immutable';
 import {rememberedRequests} from './constants.js';
 import type {
-	IndexedRequest, LogEntry, ReplicaLog, RequestId, VoterIdentity,
+	IndexedRequest, LogEntry, ReplicaConfig, ReplicaLog, RequestId, VoterIdentity,
 } from './types.js';
 
 /**
@@ -68,6 +68,24 @@
 	return log.entries.slice(Math.max(0, range.from - log.baseIndex - 1), Math.max(0, range.until - log.baseIndex - 1)).toArray();
 }
 
+/**
+ * Takes the entries of one message. A message that is larger than a peer accepts would be dropped each
+ * time, and the peer never catch up.
+ *
+ * @param log - The log.
+ * @param cfg - The bounds of a message, and the size of an entry.
+ * @param range - The first index and the index after the last that may be sent.
+ * @returns As many entries as one message may hold.
+ */
+export function getMessageEntries<Command>(
+	log: ReplicaLog<Command>,
+	{measureEntry, limits: {maximumBatchEntries, maximumBatchBytes}}: ReplicaConfig,
+	{from, until}: {readonly from: number; readonly until: number},
+): ReadonlyArray<LogEntry<Command>> {
+	const entries = getEntries(log, {from, until: Math.min(until, from + maximumBatchEntries)});
+	return measureEntry === undefined ? entries : takeEntriesWithin(entries, {measureEntry, maximumBytes: maximumBatchBytes});
+}
+
 /**
  * @param entries - Entries to send.
  * @param bounds - The size of an entry, and of all together, in bytes.
--- a/packages/core/src/replica/sending.ts
+++ b/packages/core/src/replica/sending.ts
@@ -1,8 +1,6 @@
 import type {NodeId} from '@samphiremill/common';
 import {hasLeaderLease} from './leader-lease.js';
-import {
-	getEntries, getLastIndex, getTerm, takeEntriesWithin,
-} from './log.js';
+import {getLastIndex, getMessageEntries, getTerm} from './log.js';
 import type {AppendMessage, ConfirmationEcho} from './messages.js';
 import {
 	createSend, createStep, type ReplicaContext, type ReplicaStep,
@@ -26,13 +24,6 @@
 		: {...state, leadership: {...leadership, progress: leadership.progress.set(peer, progress)}};
 }
 
-// A message that is larger than a peer accepts would be dropped each time, and the peer never catch up.
-const getBatch = <Command>({log}: ReplicaState<Command>, {cfg}: ReplicaContext, from: number) => {
-	const {measureEntry, limits: {maximumBatchEntries, maximumBatchBytes}} = cfg;
-	const entries = getEntries(log, {from, until: from + maximumBatchEntries});
-	return measureEntry === undefined ? entries : takeEntriesWithin(entries, {measureEntry, maximumBytes: maximumBatchBytes});
-};
-
 const createAppend = <Command>(
 	state: ReplicaState<Command>,
 	context: ReplicaContext,
@@ -56,7 +47,7 @@
 		round,
 		previousIndex: isCompacted ? 0 : previousIndex,
 		previousTerm: previousTerm ?? 0,
-		entries: isCompacted ? [] : getBatch(state, context, previousIndex + 1),
+		entries: isCompacted ? [] : getMessageEntries(state.log, context.cfg, {from: previousIndex + 1, until: getLastIndex(state.log) + 1}),
 		commitIndex: isCompacted ? 0 : state.commitIndex,
 		...(confirms !== undefined && !isCompacted && {confirms}),
 	};
--- a/packages/core/src/scheduler/actions/end-runs.ts
+++ b/packages/core/src/scheduler/actions/end-runs.ts
@@ -3,7 +3,7 @@
 	endJob, findTask, getStep, getStepProgress, isLateEnd, releaseTasks, removeRun, replaceTask,
 } from '../ledger.js';
 import type {
-	Job, Ledger, LedgerOutcome, RunEnd, RunEnding, Task,
+	Job, Ledger, LedgerOutcome, RunEnd, RunEnding, Task, TaskRun,
 } from '../types.js';
 
 const isCompleted = (job: Job) =>
@@ -54,6 +54,11 @@
 	return true;
 };
 
+const rememberLapse = (ledger: Ledger, before: Task, run: TaskRun): Task => {
+	ledger.lives.get(run.life)?.lapsed.set(before.id, run.number);
+	return replaceTask(ledger, before, {lapsedRuns: [...before.lapsedRuns, run].slice(-rememberedLapses)});
+};
+
 const endRun = (ledger: Ledger, {end, atMs}: {readonly end: RunEnd; readonly atMs: number}): boolean => {
 	const found = findTask(ledger, end.task);
 	const run = found?.runs.find(({number, life}) => number === end.run && life === end.life);
@@ -62,13 +67,8 @@
 	}
 
 	const ended = removeRun(ledger, found, run);
-	const task = replaceTask(ledger, ended, {
-		...(end.checkpoint !== '' && {checkpoint: end.checkpoint}),
-		...(end.ending === 'lapsed' && {lapsedRuns: [...ended.lapsedRuns, run].slice(-rememberedLapses)}),
-	});
-	if (end.ending === 'lapsed') {
-		ledger.lives.get(run.life)?.lapsed.set(end.task, run.number);
-	}
+	const saved = end.checkpoint === '' ? ended : replaceTask(ledger, ended, {checkpoint: end.checkpoint});
+	const task = end.ending === 'lapsed' ? rememberLapse(ledger, saved, run) : saved;
 
 	noteEnding(ledger, task, {ending: end.ending, atMs});
 	releaseTasks(ledger, task.job);
--- a/packages/core/src/scheduler/ledger.ts
+++ b/packages/core/src/scheduler/ledger.ts
@@ -60,18 +60,6 @@
 	return task.job.occurrences[task.occurrence]?.steps[task.step];
 }
 
-/**
- * @param place - A step of an occurrence.
- * @returns Whether all steps that it depends on are done.
- */
-export function areDependenciesDone({job, occurrence, step}: Pick<Task, 'job' | 'step' | 'occurrence'>): boolean {
-	const dependsOn = job.specification.steps[step]?.dependsOn ?? [];
-	return dependsOn.every(earlier => {
-		const before = getStepProgress({job, occurrence, step: earlier});
-		return before !== undefined && before.doneCount === before.tasks.length;
-	});
-}
-
 /**
  * @param ledger - The ledger.
  * @param id - A task's id.
--- a/packages/core/src/scheduler/plan-starts.ts
+++ b/packages/core/src/scheduler/plan-starts.ts
@@ -27,9 +27,8 @@
 	readonly ledger: Ledger;
 	/** The Unix time in milliseconds. */
 	readonly nowMs: number;
+	/** Starts are planned for the pools of these minions. */
 	readonly minions: readonly UsableMinion[];
-	/** The pools to plan for; all that have minions if absent. */
-	readonly pools?: ReadonlySet<PoolId>;
 	/** Whether a step may run on a life; some queues ask an advice service. */
 	readonly isAllowed: (step: ReadyStep, life: LifeId) => boolean;
 	/** Lives on which a task is better not run, where it failed before. */
@@ -68,15 +67,13 @@
 	};
 };
 
-const groupByPool = ({ledger, minions, pools}: StartPlanInput) => {
+const groupByPool = ({ledger, minions}: StartPlanInput) => {
 	const byPool = new Map<PoolId, Place[]>();
 	for (const minion of minions) {
 		const {pool} = minion.record;
-		if (pools === undefined || pools.has(pool)) {
-			const known = byPool.get(pool) ?? [];
-			byPool.set(pool, known);
-			known.push(createPlace(ledger, minion));
-		}
+		const known = byPool.get(pool) ?? [];
+		byPool.set(pool, known);
+		known.push(createPlace(ledger, minion));
 	}
 
 	return byPool;
