Two failing tests: the leader acts on runs that it is about to give up

- The lease of a silent minion runs out, the command that gives its runs up waits for the log; the minion answers meanwhile, gets its lease anew and the starts again.
Once the command is applied, the tasks start a second time: 'twice at 9325 ms ... run 2 on i-1 beside i-1'.
- An assignment is on its way into the log while its minion begins another life under its id.

The model's leader now commits in groups, as the real one does, and a commit may take long: without that the second could not happen there.

--- a/packages/daemon/src/scheduler/leader.test.ts
+++ b/packages/daemon/src/scheduler/leader.test.ts
@@ -120,6 +120,27 @@
 	expect(world.listBroken()).toEqual([]);
 });
 
+test.each([4800, 5100, 5400, 5700])('a run that is given up is not started again while that goes into the log (silence of %i ms)', async silenceMs => {
+	const world = await start({seed: 16, minionCount: 3});
+	world.silence(0, silenceMs);
+	world.delayCommit('runs/ended', 2000);
+	const {id} = world.submit([{count: 3, isLasting: true, maximumPerMinion: 2}]);
+	await world.advance(12_000);
+	expect(world.countRuns(id)).toBe(3);
+	expect(world.listBroken()).toEqual([]);
+});
+
+test('an assignment that is committed while its minion begins another life starts nothing there', async () => {
+	const world = await start({seed: 17, minionCount: 2});
+	world.delayCommit('runs/assigned', 1500);
+	const {id} = world.submit([{count: 4, estimateMs: 500}]);
+	await world.advance(100);
+	world.rebear(0);
+	await world.advance(8000);
+	expect(world.getState(id)).toBe('completed');
+	expect(world.listBroken()).toEqual([]);
+});
+
 test('runs that were assigned are started, also when the leader did not learn that they were', async () => {
 	const world = await start({seed: 11});
 	world.loseOutcome('runs/assigned');
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -14,7 +14,7 @@
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
 import {createSchedulerMetrics} from './metrics.js';
-import type {Decision} from './command-batcher.js';
+import {createCommandBatcher, type Decision} from './command-batcher.js';
 import {startLeader, type Leader} from './leader.js';
 import {createOrderClock} from './order-clock.js';
 import type {
@@ -85,6 +85,8 @@
 	readonly stall: (index: number) => void;
 	/** The next command of that type is applied, but its leader does not learn so. */
 	readonly loseOutcome: (type: LedgerCommand['type']) => void;
+	/** The next command of that type, and what is proposed after it, waits so long for the log. */
+	readonly delayCommit: (type: LedgerCommand['type'], delayMs: number) => void;
 	readonly countRuns: (id: JobId) => number;
 	/** How many starts the minion carried out. */
 	readonly countStartsOn: (index: number) => number;
@@ -542,9 +544,21 @@
 
 	let waveMaximum = 0;
 	let lostOutcome: LedgerCommand['type'] | undefined;
+	let delayedCommit: {readonly type: LedgerCommand['type']; readonly delayMs: number} | undefined;
+
+	const takeCommitDelayMs = (command: LedgerCommand): number => {
+		const types = command.type === 'batch' ? command.commands.map(({type}) => type) : [command.type];
+		if (delayedCommit === undefined || !types.includes(delayedCommit.type)) {
+			return commitMs;
+		}
+
+		const {delayMs} = delayedCommit;
+		delayedCommit = undefined;
+		return delayMs;
+	};
 
 	const propose = async (command: LedgerCommand, ofTerm: number): Promise<Decision> => {
-		await pause(commitMs);
+		await pause(takeCommitDelayMs(command));
 		// A deposed leader's proposals may still reach the log.
 		if (ofTerm !== term && random() < 0.5) {
 			return {type: 'unknown'};
@@ -576,7 +590,7 @@
 			getLedger: () => ledger,
 			canAct: () => term === ofTerm,
 			getOrderNotedAtMs: orderClock.getNotedAtMs,
-			propose: async command => propose(command, ofTerm),
+			propose: createCommandBatcher(async command => propose(command, ofTerm)),
 			onFenced: () => undefined,
 			minions: port,
 			advice: {
@@ -707,6 +721,9 @@
 		loseOutcome(type) {
 			lostOutcome = type;
 		},
+		delayCommit(type, delayMs) {
+			delayedCommit = {type, delayMs};
+		},
 		countStartsOn: index => findMinion(index)?.highestRuns.size ?? 0,
 		countRuns: id => listRunning().filter(({id: task}) => task.startsWith(id)).length,
 		listBroken: () => broken,
