--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -13,6 +13,7 @@
 		| 'runs_assigned_total'
 		| 'runs_ended_total'
 		| 'leases_lapsed_total'
+		| 'unassigned_runs_total'
 		| 'upkeeps_ordered_total'
 		| 'moves_begun_total'
 		| 'terms_led_total'
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -16,6 +16,7 @@
 import {createRunClosing} from './run-closing.js';
 import {createRunEnd, createRunOrders, toRunEnds} from './run-orders.js';
 import type {SessionContext} from './session-context.js';
+import {createUnassignedRuns} from './unassigned-runs.js';
 import type {
 	HoldReport, MinionAnswer, MinionReport, MinionTarget, RunningEntry,
 } from './types.js';
@@ -188,14 +189,20 @@
 		},
 	});
 
-	const noteRunning = ({task, run, percent, gauge}: RunningEntry) => {
+	const unassignedRuns = createUnassignedRuns({record, context, sendStop});
+
+	const findControl = ({task, run}: RunningEntry): RunControl | undefined => {
 		const control = controls.get(task);
-		if (control?.assignment.run !== run || !isAssigned(task, run)) {
-			// Neither assigned nor ended here: an order of an earlier leader, or one that arrived late.
-			void sendStop(task, run);
+		return control?.assignment.run === run && isAssigned(task, run) ? control : undefined;
+	};
+
+	const noteRunning = (entry: RunningEntry) => {
+		const control = findControl(entry);
+		if (control === undefined) {
 			return;
 		}
 
+		const {percent, gauge} = entry;
 		if (control.phase === 'starting' || control.phase === 'unsent') {
 			control.phase = 'running';
 		}
@@ -272,6 +279,8 @@
 			noteRunning(entry);
 		}
 
+		unassignedRuns.stop(report.running.filter(entry => findControl(entry) === undefined));
+
 		const highest = Math.max(lastSeen, ...report.finished.map(({number}) => number));
 		const ends = [...toRunEnds(report.finished, record.life), ...listMissing(report, sentAtMs)];
 		// An end is confirmed to the minion only once it is in the log.
@@ -360,7 +369,11 @@
 		log.warn(`the lease on minion ${record.minion} ran out with ${runs.length} runs`, {
 			minion: record.minion, life: record.life, silentMs: Math.round(timers.getNow() - heardAtMs), tasks: runs.map(([task]) => task),
 		});
-		await endRuns(runs.map(([task, number]) => createRunEnd({task, run: number, life: record.life}, 'lapsed')));
+		const lapsedAtMs = timers.getNow();
+		const isNoted = await endRuns(runs.map(([task, number]) => createRunEnd({task, run: number, life: record.life}, 'lapsed')));
+		log.info(`the log ${isNoted ? 'took' : 'may not have taken'} that ${runs.length} runs on minion ${record.minion} are given up`, {
+			minion: record.minion, life: record.life, isNoted, tookMs: Math.round(timers.getNow() - lapsedAtMs), heardMsAgo: Math.round(timers.getNow() - heardAtMs),
+		});
 		isLapsing = false;
 	};
 
