Give a run up for good before the log has taken it

Cause: when the lease on a minion has run out, its session proposes that the runs there are over, and goes on as before until the log has taken that. If the minion answers meanwhile, the ledger names no runs that were given up yet, so the session closed nothing, granted the lease anew and sent the starts again. Then the command was applied, and the same tasks started a second time. Commits are made one after the other, so any slow one (a disk, a link between control hosts, a busy leader) holds the lapse up. If the outcome stayed unknown, the window lasted until the log had it.

Ruled out: the lease's clock (the minion's runs were over), starts on their way (closed since, once the lapse is in the ledger).

Why this works: from the moment of the decision a run that is given up is not assigned any more for its session, whatever the ledger says: its start is not repeated, its listing is stopped, and no report is taken and no lease granted until the ledger agrees and the minion has confirmed the stops. Starts leave only for a minion that was looked at since its lease ran out.

--- a/packages/daemon/src/scheduler/minion-lease.ts
+++ b/packages/daemon/src/scheduler/minion-lease.ts
@@ -19,11 +19,12 @@
 	/** Takes in the minion's clock, just read. */
 	readonly noteClock: (minionMs: number) => void;
 	/**
-	 * @param isSilent - Whether the last look got no answer. It may have been carried out, so a silent
-	 * minion is granted no more time.
+	 * Grants the minion more time. A silent minion must not be granted any: a call without an answer may have
+	 * been carried out.
+	 *
 	 * @returns Until when, on the minion's clock, its runs may go on; nothing while its clock is unknown.
 	 */
-	readonly grant: (isSilent: boolean) => number | undefined;
+	readonly grant: () => number | undefined;
 	/** Whether everything there has ended for certain, if it was not looked at since. */
 	readonly isOver: (wasLookedAt: boolean) => boolean;
 	/** Forgets what was granted; everything there has ended. */
@@ -42,9 +43,9 @@
 		noteClock(minionMs) {
 			clock = {minionMs, receivedAtMs: timers.getNow()};
 		},
-		grant(isSilent) {
-			if (clock === undefined || isSilent) {
-				return clock && latestDeadlineMs;
+		grant() {
+			if (clock === undefined) {
+				return undefined;
 			}
 
 			const deadlineMs = getLeaseDeadline(clock, {nowMs: timers.getNow(), leaseMs});
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -78,6 +78,8 @@
 	let heardAtMs: number = timers.getNow();
 	let unhealthyUntilMs = 0;
 	let sequence = -1;
+	/** Runs that were given up when the lease ran out; the log may not have taken it yet. */
+	const givenUpRuns = new Map<TaskId, number>();
 	let isLapsing = false;
 	/** The last look got no answer. */
 	let isSilent = false;
@@ -86,14 +88,23 @@
 
 	const isAnswering = () => isSynced && !isSilent && timers.getNow() - heardAtMs < holdWaitMs + holdSlackMs;
 
+	const listAssigned = () => [...context.getLedger().lives.get(record.life)?.runs ?? []];
+
+	// A run that was given up may be assigned elsewhere at any moment, whatever the ledger says so far.
 	const isAssigned = (task: TaskId, run: number) =>
-		context.getLedger().lives.get(record.life)?.runs.get(task) === run;
+		context.getLedger().lives.get(record.life)?.runs.get(task) === run && givenUpRuns.get(task) !== run;
+
+	const isGivingUp = () => [...givenUpRuns].some(([task, run]) => context.getLedger().lives.get(record.life)?.runs.get(task) === run);
 
 	const isLate = (end: RunEnd) => {
 		const task = findTask(context.getLedger(), end.task);
 		return task !== undefined && isLateEnd(task, end);
 	};
 
+	// A silent minion may have begun another life, in which nobody would know of the run. One that was not looked
+	// at since its lease ran out may still start what was given up.
+	const mayStart = () => isSynced && !isSilent;
+
 	const isCurrent = (control: RunControl) => !isClosed
 		&& controls.get(control.assignment.task) === control
 		&& isAssigned(control.assignment.task, control.assignment.run);
@@ -140,12 +151,7 @@
 		}
 	};
 
-	const endRuns = async (ends: readonly RunEnd[]): Promise<boolean> => {
-		const live = ends.filter(end => isAssigned(end.task, end.run) || isLate(end));
-		if (live.length === 0) {
-			return true;
-		}
-
+	const noteEnds = async (live: readonly RunEnd[]): Promise<boolean> => {
 		noteHealth(live);
 		for (const {task, run, ending} of live.filter(end => isLate(end))) {
 			log.info(`task ${task}: run ${run} was given up, and had ended as ${ending}`, {
@@ -168,6 +174,11 @@
 		return isNoted;
 	};
 
+	const endRuns = async (ends: readonly RunEnd[]): Promise<boolean> => {
+		const live = ends.filter(end => isAssigned(end.task, end.run) || isLate(end));
+		return live.length === 0 || noteEnds(live);
+	};
+
 	const leave = async (reason: string) => {
 		log.info(`minion ${record.minion} is gone: ${reason}`, {minion: record.minion, life: record.life, reason});
 		await context.decide({type: 'minion/left', term: fencingToken, life: record.life});
@@ -180,7 +191,7 @@
 		context,
 		lease,
 		isCurrent,
-		isSilent: () => isSilent,
+		mayStart,
 		noteHeard,
 		endRuns,
 		leave,
@@ -263,6 +274,9 @@
 		leave,
 	});
 
+	// What was given up has to be over in the log and closed on the minion before its lease is granted anew.
+	const closeGivenUpRuns = async () => !isGivingUp() && await closing.closeLapsedRuns() && !isGivingUp();
+
 	const takeHoldReport = async (report: HoldReport, sentAtMs: number) => {
 		if (report.bornAtMs !== undefined && report.bornAtMs !== record.bornAtMs) {
 			await closing.giveWay();
@@ -270,11 +284,12 @@
 		}
 
 		const wasSynced = isSynced;
-		if (!wasSynced && !(await closing.closeLapsedRuns())) {
+		if (!wasSynced && !(await closeGivenUpRuns())) {
 			return;
 		}
 
 		isSynced = true;
+		givenUpRuns.clear();
 		for (const entry of report.running) {
 			noteRunning(entry);
 		}
@@ -323,7 +338,7 @@
 			fencingToken,
 			// After a silence another life may answer, whose ends nobody has seen.
 			lastSeen: isSilent ? 0 : lastSeen,
-			deadlineMs: isSynced && !isSilent ? lease.grant(false) : undefined,
+			deadlineMs: isSynced && !isSilent ? lease.grant() : undefined,
 			waitMs,
 			timeoutMs: waitMs + holdSlackMs,
 		});
@@ -364,13 +379,17 @@
 		isLapsing = true;
 		isSynced = false;
 		lease.reset();
-		const runs = [...context.getLedger().lives.get(record.life)?.runs ?? []];
+		const runs = listAssigned();
+		for (const [task, number] of runs) {
+			givenUpRuns.set(task, number);
+		}
+
 		metrics.count('leases_lapsed_total');
 		log.warn(`the lease on minion ${record.minion} ran out with ${runs.length} runs`, {
 			minion: record.minion, life: record.life, silentMs: Math.round(timers.getNow() - heardAtMs), tasks: runs.map(([task]) => task),
 		});
 		const lapsedAtMs = timers.getNow();
-		const isNoted = await endRuns(runs.map(([task, number]) => createRunEnd({task, run: number, life: record.life}, 'lapsed')));
+		const isNoted = await noteEnds(runs.map(([task, number]) => createRunEnd({task, run: number, life: record.life}, 'lapsed')));
 		log.info(`the log ${isNoted ? 'took' : 'may not have taken'} that ${runs.length} runs on minion ${record.minion} are given up`, {
 			minion: record.minion, life: record.life, isNoted, tookMs: Math.round(timers.getNow() - lapsedAtMs), heardMsAgo: Math.round(timers.getNow() - heardAtMs),
 		});
@@ -379,8 +398,8 @@
 
 	// Runs that an earlier leader assigned, or this one without learning that the log took them.
 	const adoptUnknownRuns = () => {
-		for (const [task, number] of context.getLedger().lives.get(record.life)?.runs ?? []) {
-			if (controls.get(task)?.assignment.run !== number) {
+		for (const [task, number] of listAssigned()) {
+			if (isAssigned(task, number) && controls.get(task)?.assignment.run !== number) {
 				controls.set(task, createRunControl({task, run: number, life: record.life}, {isInherited: true}));
 			}
 		}
@@ -454,8 +473,7 @@
 				}
 			}
 
-			const hasRuns = (context.getLedger().lives.get(record.life)?.runs.size ?? 0) > 0;
-			if (hasRuns && !isLapsing && !closing.isGivingWay() && lease.isOver(isSynced) && context.canAct()) {
+			if (listAssigned().length > 0 && !isLapsing && !closing.isGivingWay() && lease.isOver(isSynced) && context.canAct()) {
 				void lapse();
 			}
 		},
--- a/packages/daemon/src/scheduler/run-closing.ts
+++ b/packages/daemon/src/scheduler/run-closing.ts
@@ -59,18 +59,17 @@
 			return true;
 		}
 
-		const closed = await Promise.all(open.map(async ([task, run]) => {
-			const isClosed = await sendStop(task, run);
-			if (isClosed) {
+		await Promise.all(open.map(async ([task, run]) => {
+			if (await sendStop(task, run)) {
 				closedRuns.set(task, run);
 			}
-
-			return isClosed;
 		}));
+		// More may have been given up meanwhile.
+		const left = listOpenLapses();
 		log.info(`minion ${record.minion} is told not to start ${open.length} runs that were given up`, {
-			minion: record.minion, life: record.life, confirmed: closed.filter(Boolean).length, tasks: open.map(([task, run]) => `${task}#${run}`),
+			minion: record.minion, life: record.life, left: left.length, tasks: open.map(([task, run]) => `${task}#${run}`),
 		});
-		return closed.every(Boolean);
+		return left.length === 0;
 	};
 
 	const lookAtNextLife = async (): Promise<HoldReport | undefined> => {
--- a/packages/daemon/src/scheduler/run-orders.ts
+++ b/packages/daemon/src/scheduler/run-orders.ts
@@ -21,8 +21,8 @@
 	readonly lease: MinionLease;
 	/** Whether the run is still assigned and not ended. */
 	readonly isCurrent: (control: RunControl) => boolean;
-	/** Whether the last look got no answer. */
-	readonly isSilent: () => boolean;
+	/** Whether the minion may be sent starts, which grant it its lease. */
+	readonly mayStart: () => boolean;
 	readonly noteHeard: (answer: MinionAnswer<unknown>) => void;
 	readonly endRuns: (ends: readonly RunEnd[]) => Promise<boolean>;
 	/** The minion began another life. */
@@ -65,7 +65,7 @@
  * @param options - What the orders need.
  * @returns The orders.
  */
-export function createRunOrders({record, target, context, lease, isCurrent, isSilent, noteHeard, endRuns, leave, noteRefusal}: RunOrdersOptions): RunOrders {
+export function createRunOrders({record, target, context, lease, isCurrent, mayStart, noteHeard, endRuns, leave, noteRefusal}: RunOrdersOptions): RunOrders {
 	const {timers, minions, log, fencingToken} = context;
 
 	const sendStop = async (task: TaskId, run: number): Promise<boolean> => {
@@ -168,9 +168,8 @@
 	const sendStart = async (control: RunControl): Promise<'over' | 'again'> => {
 		const {task: id, run} = control.assignment;
 		const task = findTask(context.getLedger(), id);
-		const deadlineMs = lease.grant(isSilent());
-		// A silent minion may have begun another life, in which nobody would know of the run.
-		if (task === undefined || deadlineMs === undefined || isSilent() || !context.canAct()) {
+		const deadlineMs = mayStart() && context.canAct() ? lease.grant() : undefined;
+		if (task === undefined || deadlineMs === undefined) {
 			return 'again';
 		}
 
