Send no start into the life that a minion begins while its session gives way

Cause: a minion crashes and begins another life under its id and at its address. The session sees the new life in the answer to its look and lets the old one go with all its runs. An assignment that was on its way into the log comes back meanwhile, and its start was sent at once, to the same address and id: the new life carried it out. Commits go one after the other, so the departure was in the log right after the assignment, and the tasks were free again while they ran.

Ruled out: orders of another leader (one term), starts without an answer (stopped in the new life before).

Why this works: no start leaves from the moment the other life was seen; what is not started goes back to its queue with the departure.

--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -101,9 +101,9 @@
 		return task !== undefined && isLateEnd(task, end);
 	};
 
-	// A silent minion may have begun another life, in which nobody would know of the run. One that was not looked
-	// at since its lease ran out may still start what was given up.
-	const mayStart = () => isSynced && !isSilent;
+	// A minion that is silent or gives way may have begun another life, in which nobody would know of the run. One
+	// that was not looked at since its lease ran out may still start what was given up.
+	const mayStart = () => isSynced && !isSilent && !closing.isGivingWay();
 
 	const isCurrent = (control: RunControl) => !isClosed
 		&& controls.get(control.assignment.task) === control
