Let a session that saw another life of its minion give way for good

Giving way for good alone would leave the runs assigned if the next life falls silent before the log takes the departure ('expected 2 to be 4'), so the session goes on handing over with each tick until the log has it.

--- a/packages/daemon/src/scheduler/leader.test.ts
+++ b/packages/daemon/src/scheduler/leader.test.ts
@@ -141,6 +141,19 @@
 	expect(world.listBroken()).toEqual([]);
 });
 
+test('a minion whose departure the log did not take is let go, also if its next life falls silent', async () => {
+	const world = await start({seed: 18, minionCount: 2});
+	const {id} = world.submit([{count: 4, isLasting: true}]);
+	await world.advance(1000);
+	world.dropCommands(['runs/ended', 'minion/left', 'minion/joined', 'batch'], 2500);
+	world.rebear(0);
+	await world.advance(2000);
+	world.silence(0, 30_000);
+	await world.advance(9000);
+	expect(world.countRuns(id)).toBe(4);
+	expect(world.listBroken()).toEqual([]);
+});
+
 test('runs that were assigned are started, also when the leader did not learn that they were', async () => {
 	const world = await start({seed: 11});
 	world.loseOutcome('runs/assigned');
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -473,7 +473,9 @@
 				}
 			}
 
-			if (listAssigned().length > 0 && !isLapsing && !closing.isGivingWay() && lease.isOver(isSynced) && context.canAct()) {
+			if (closing.isGivingWay()) {
+				void closing.giveWay();
+			} else if (listAssigned().length > 0 && !isLapsing && lease.isOver(isSynced) && context.canAct()) {
 				void lapse();
 			}
 		},
--- a/packages/daemon/src/scheduler/run-closing.ts
+++ b/packages/daemon/src/scheduler/run-closing.ts
@@ -31,6 +31,7 @@
 export type RunClosing = {
 	/** Another life of the minion answers at its address: closes what may have started there, and leaves. */
 	readonly giveWay: () => Promise<void>;
+	/** Whether another life was seen; stays so, since the log may not have taken the departure. */
 	readonly isGivingWay: () => boolean;
 	/** Resolves to whether the minion starts none of the runs that were given up. */
 	readonly closeLapsedRuns: () => Promise<boolean>;
@@ -46,8 +47,9 @@
 	const {timers, minions, log, fencingToken} = context;
 	/** Runs that were given up, and that the minion will not start any more. */
 	const closedRuns = new Map<TaskId, number>();
-	/** Under way once another life was seen at the address. */
-	let givingWay: Promise<void> | undefined;
+	/** Another life was seen at the address, so the session orders nothing any more. */
+	let hasOtherLife = false;
+	let handingOver: Promise<void> | undefined;
 
 	const listOpenLapses = () => [...context.getLedger().lives.get(record.life)?.lapsed ?? []].filter(([task, run]) => closedRuns.get(task) !== run);
 
@@ -113,15 +115,16 @@
 		await closeDoubtful(doubtful);
 		await closeLapsedRuns();
 		await leave('it began another life');
-		givingWay = undefined;
+		handingOver = undefined;
 	};
 
 	return {
 		async giveWay() {
-			givingWay ??= handOver();
-			return givingWay;
+			hasOtherLife = true;
+			handingOver ??= handOver();
+			return handingOver;
 		},
-		isGivingWay: () => givingWay !== undefined,
+		isGivingWay: () => hasOtherLife,
 		closeLapsedRuns,
 		hasOpenLapses: () => listOpenLapses().length > 0,
 	};
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -85,6 +85,8 @@
 	readonly stall: (index: number) => void;
 	/** The next command of that type is applied, but its leader does not learn so. */
 	readonly loseOutcome: (type: LedgerCommand['type']) => void;
+	/** Commands of these types do not go into the log for a while, and their leader does not learn so. */
+	readonly dropCommands: (types: ReadonlyArray<LedgerCommand['type']>, durationMs: number) => void;
 	/** The next command of that type, and what is proposed after it, waits so long for the log. */
 	readonly delayCommit: (type: LedgerCommand['type'], delayMs: number) => void;
 	readonly countRuns: (id: JobId) => number;
@@ -544,6 +546,7 @@
 
 	let waveMaximum = 0;
 	let lostOutcome: LedgerCommand['type'] | undefined;
+	let dropped: {readonly types: ReadonlyArray<LedgerCommand['type']>; readonly untilMs: number} | undefined;
 	let delayedCommit: {readonly type: LedgerCommand['type']; readonly delayMs: number} | undefined;
 
 	const takeCommitDelayMs = (command: LedgerCommand): number => {
@@ -564,6 +567,10 @@
 			return {type: 'unknown'};
 		}
 
+		if (dropped?.types.includes(command.type) && timers.getNow() < dropped.untilMs) {
+			return {type: 'unknown'};
+		}
+
 		orderClock.note(command);
 		const outcome = applyLedgerCommand(ledger, command, parse);
 		if (command.type === lostOutcome) {
@@ -721,6 +728,9 @@
 		loseOutcome(type) {
 			lostOutcome = type;
 		},
+		dropCommands(types, durationMs) {
+			dropped = {types, untilMs: timers.getNow() + durationMs};
+		},
 		delayCommit(type, delayMs) {
 			delayedCommit = {type, delayMs};
 		},
