A proposal that throws no longer stops the batcher

Cause: proposeNext counted a proposal as under way and lowered the count only after propose returned. One that threw left the count at 1: its callers waited for ever, and so did every later command of the control host. Change: the commands of a proposal that throws (or rejects) are settled as unknown, since it may have got into the log; the next proposal goes on, and the control host logs the error, which the background's handler did before. Before: the new test fails in both cases (rejects, throws): no answer within its 4 s, and an unhandled rejection. After: the 6 tests of the file pass.

--- a/packages/daemon/src/scheduler/command-batcher.test.ts
+++ b/packages/daemon/src/scheduler/command-batcher.test.ts
@@ -19,6 +19,8 @@
 		return new Promise(resolve => {
 			settles.push(resolve);
 		});
+	}, err => {
+		throw err;
 	});
 	const nameCommands = () => proposed.map(command => command.type === 'batch' ? command.commands.map(part => part.type === 'job/cancelled' ? part.id : '') : command.type);
 	return {settles, submit, nameCommands};
@@ -75,3 +77,28 @@
 	settles[0]?.({type: 'unknown'});
 	expect(await Promise.all(decisions)).toEqual([{type: 'unknown'}, {type: 'unknown'}]);
 });
+
+test.each([
+	['rejects', async () => {
+		throw new Error('an unforeseen state');
+	}],
+	['throws', () => {
+		throw new Error('an unforeseen state');
+	}],
+])('a proposal that %s leaves its commands uncertain, is told of, and the next ones go on', async (_, fail) => {
+	const told: unknown[] = [];
+	let failuresLeft = 2;
+	// eslint-disable-next-line @typescript-eslint/promise-function-async -- one case throws before there is a promise
+	const submit = createCommandBatcher((): Promise<Decision> => {
+		failuresLeft -= 1;
+		return failuresLeft < 0 ? Promise.resolve({type: 'applied', outcome: undefined}) : fail();
+	}, err => {
+		told.push(err);
+	});
+	const single = submit(cancel('a'));
+	await nextTurn();
+	const several = ['b', 'c'].map(async name => submit(cancel(name)));
+	expect(await Promise.all([single, ...several])).toEqual([{type: 'unknown'}, {type: 'unknown'}, {type: 'unknown'}]);
+	expect(await submit(cancel('d'))).toEqual({type: 'applied', outcome: undefined});
+	expect(told).toEqual([new Error('an unforeseen state'), new Error('an unforeseen state')]);
+});
--- a/packages/daemon/src/scheduler/command-batcher.ts
+++ b/packages/daemon/src/scheduler/command-batcher.ts
@@ -41,23 +41,34 @@
 };
 
 /**
- * @param propose - Proposes one command to the log.
+ * @param propose - Proposes one command to the log. If it throws, nothing is known of its commands.
+ * @param onError - Takes what `propose` threw.
  * @returns Proposes a command, alone or with others; they are applied in the order of the calls.
  */
-export function createCommandBatcher(propose: (command: LedgerCommand) => Promise<Decision>): (command: LedgerCommand) => Promise<Decision> {
+export function createCommandBatcher(propose: (command: LedgerCommand) => Promise<Decision>, onError: (err: unknown) => void): (command: LedgerCommand) => Promise<Decision> {
 	let queue: QueuedCommand[] = [];
 	let underWay = 0;
 	let isGathering = false;
 
+	// A proposal that throws may have got into the log, and the next one must not wait for it.
+	const decide = async (command: LedgerCommand): Promise<Decision> => {
+		try {
+			return await propose(command);
+		} catch (err) {
+			onError(err);
+			return {type: 'unknown'};
+		}
+	};
+
 	const proposeNext = async () => {
 		const batch = takeBatch(queue);
 		queue = queue.slice(batch.length);
 		underWay += 1;
 		const [only] = batch;
 		if (only !== undefined && batch.length === 1) {
-			only.settle(await propose(only.command));
+			only.settle(await decide(only.command));
 		} else {
-			const decision = await propose({type: 'batch', commands: batch.map(({command}) => command)});
+			const decision = await decide({type: 'batch', commands: batch.map(({command}) => command)});
 			for (const [position, {settle}] of batch.entries()) {
 				settle(getOutcome(decision, position));
 			}
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -3,7 +3,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import {
-	createFailure, createSuccess, toBrand, waitFor, type DataCentreId, type NodeId, type RandomSource, type RegionId, type Result, type TimerService,
+	createFailure, createSuccess, describeError, toBrand, waitFor, type DataCentreId, type NodeId, type RandomSource, type RegionId, type Result, type TimerService,
 } from '@samphiremill/common';
 import {
 	applyLedgerCommand, createLedger, createLedgerSnapshot, defaultReplicaLimits, restoreLedger,
@@ -219,6 +219,8 @@
 		}
 
 		return {type: result.err.type === 'notProposed' ? 'notProposed' : 'unknown'};
+	}, err => {
+		log.error('an unexpected error ended a proposal', {err: describeError(err)});
 	});
 
 	const lead = async (term: number) => {
