--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -597,7 +597,9 @@
 			getLedger: () => ledger,
 			canAct: () => term === ofTerm,
 			getOrderNotedAtMs: orderClock.getNotedAtMs,
-			propose: createCommandBatcher(async command => propose(command, ofTerm)),
+			propose: createCommandBatcher(async command => propose(command, ofTerm), err => {
+				throw err;
+			}),
 			onFenced: () => undefined,
 			minions: port,
 			advice: {
