Look at a minion again while the log is slow to take the ends it listed

Cause: the lease on a minion is granted with each look, and the next look waited until the log had taken the ends of the last one.

Evidence: leader.test 'keeps its running work while the log is slow' failed before (5 starts in place of 3). Why this works: ends go into the log one report at a time as before, and an unconfirmed end is listed again; the look no longer waits for them longer than it waits for an end.

--- a/packages/daemon/src/scheduler/leader.test.ts
+++ b/packages/daemon/src/scheduler/leader.test.ts
@@ -141,6 +141,18 @@
 	expect(world.listBroken()).toEqual([]);
 });
 
+test('a minion keeps its running work while the log is slow to take the end of another run there', async () => {
+	const world = await start({seed: 19, minionCount: 1});
+	const {id} = world.submit([{count: 2, isLasting: true}]);
+	await world.advance(1000);
+	world.delayCommit('runs/ended', 6000);
+	world.submit([{count: 1, estimateMs: 300}]);
+	await world.advance(10_000);
+	expect(world.countStarts()).toBe(3);
+	expect(world.countRuns(id)).toBe(2);
+	expect(world.listBroken()).toEqual([]);
+});
+
 test('a minion whose departure the log did not take is let go, also if its next life falls silent', async () => {
 	const world = await start({seed: 18, minionCount: 2});
 	const {id} = world.submit([{count: 4, isLasting: true}]);
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -81,6 +81,8 @@
 	/** Runs that were given up when the lease ran out; the log may not have taken it yet. */
 	const givenUpRuns = new Map<TaskId, number>();
 	let isLapsing = false;
+	/** Listed ends are on their way into the log. */
+	let notingEnds: Promise<void> | undefined;
 	/** The last look got no answer. */
 	let isSilent = false;
 	const isOpen = () => !isClosed;
@@ -274,6 +276,17 @@
 		leave,
 	});
 
+	const noteListedEnds = async (report: HoldReport, sentAtMs: number) => {
+		const highest = Math.max(lastSeen, ...report.finished.map(({number}) => number));
+		const ends = [...toRunEnds(report.finished, record.life), ...listMissing(report, sentAtMs)];
+		// An end is confirmed to the minion only once it is in the log.
+		if (await endRuns(ends)) {
+			lastSeen = highest;
+		}
+
+		notingEnds = undefined;
+	};
+
 	// What was given up has to be over in the log and closed on the minion before its lease is granted anew.
 	const closeGivenUpRuns = async () => !isGivingUp() && await closing.closeLapsedRuns() && !isGivingUp();
 
@@ -296,13 +309,10 @@
 
 		unassignedRuns.stop(report.running.filter(entry => findControl(entry) === undefined));
 
-		const highest = Math.max(lastSeen, ...report.finished.map(({number}) => number));
-		const ends = [...toRunEnds(report.finished, record.life), ...listMissing(report, sentAtMs)];
-		// An end is confirmed to the minion only once it is in the log.
-		if (await endRuns(ends)) {
-			lastSeen = highest;
-		}
-
+		// Each look grants the lease, so a slow log must not keep the next one waiting. What is listed meanwhile will
+		// be listed again.
+		notingEnds ??= noteListedEnds(report, sentAtMs);
+		await Promise.race([notingEnds, waitFor(timers, holdWaitMs)]);
 		startUnsent();
 		if (!wasSynced) {
 			context.onMinionsChanged();
