Read and close in a minion's next life all that it may have started, as long as a lease can last

Cause: a start names a minion by its id, so the next life under that id carries it out. When a session saw that life, it closed only runs whose first listing it was waiting for, for 4 s. Open were runs that had been given up when the lease ran out, starts without an answer whose run had ended by a later copy, what the next life listed as ended while it could not be reached, and everything after 4 s, though the new life holds a start for the longest lease that it takes.

The model's minions now shorten leases to the longest one, crash without a connection that tells so, may be cut off from the leader alone, and take late orders in the next life; the log may stall.

Why this works: every start that may still be carried out is stopped in the new life, and what that life lists is in the log, before the old one is let go; the wait is the longest lease on the slowest clock.

--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -31,8 +31,8 @@
 /** Pause before an unanswered order is repeated. */
 export const orderRetryMs = 100;
 
-/** How long runs that may have started in the next life of a minion are waited for. */
-export const longestGiveWayMs = 4000;
+/** For how long a start without an answer may still be carried out. */
+export const lateStartMs = 30_000;
 
 /** Pause after a hold that could not be sent. */
 export const holdRetryMs = 250;
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -36,6 +36,8 @@
 export type SchedulerLimits = {
 	/** The length of every lease on a minion, in milliseconds. */
 	readonly leaseMs: number;
+	/** The longest lease that a minion takes, whatever deadline it is given, in milliseconds. */
+	readonly longestHoldMs: number;
 	/** How long the end of a job is told after it, in milliseconds. */
 	readonly retentionMs: number;
 	/** Whether the platform switches workers between pools and has them maintained. */
@@ -134,6 +136,7 @@
 		log,
 		fencingToken: term,
 		leaseMs: limits.leaseMs,
+		longestHoldMs: limits.longestHoldMs,
 		termBeganAtMs: beganAtMs,
 		getLedger,
 		canAct: () => !isStopped && canAct(),
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -194,6 +194,9 @@
 		lease,
 		isCurrent,
 		mayStart,
+		noteUnanswered(assignment) {
+			closing.noteUnanswered(assignment);
+		},
 		noteHeard,
 		endRuns,
 		leave,
--- a/packages/daemon/src/scheduler/run-closing.test.ts
+++ b/packages/daemon/src/scheduler/run-closing.test.ts
@@ -8,7 +8,7 @@
 	record: {minion: 'i-1', life: 'i-1@1'} as unknown as RunClosingOptions['record'],
 	target: {minion: 'i-1'} as unknown as RunClosingOptions['target'],
 	context: {
-		timers: createVirtualTimerService(0), getLedger: createLedger, log: {info: () => undefined},
+		timers: createVirtualTimerService(0), getLedger: createLedger, longestHoldMs: 6000, log: {info: () => undefined},
 	} as unknown as RunClosingOptions['context'],
 	listControls: () => [],
 	isOpen: () => true,
--- a/packages/daemon/src/scheduler/run-closing.ts
+++ b/packages/daemon/src/scheduler/run-closing.ts
@@ -3,10 +3,10 @@
  * that were given up, and those that may reach the next life of their minion.
  */
 import {waitFor} from '@samphiremill/common';
-import type {
-	MinionRecord, RunEnd, TaskId,
+import {
+	getInheritedLeaseMs, type MinionRecord, type RunAssignment, type RunEnd, type TaskId,
 } from '@samphiremill/core';
-import {holdSlackMs, longestGiveWayMs, orderRetryMs} from './constants.js';
+import {holdSlackMs, lateStartMs, orderRetryMs} from './constants.js';
 import {isDoubtful, type RunControl} from './run-control.js';
 import {createRunEnd, toRunEnds} from './run-orders.js';
 import type {SessionContext} from './session-context.js';
@@ -33,6 +33,8 @@
 	readonly giveWay: () => Promise<void>;
 	/** Whether another life was seen; stays so, since the log may not have taken the departure. */
 	readonly isGivingWay: () => boolean;
+	/** Takes in that a start got no answer, so that it may be carried out later, also by the next life. */
+	readonly noteUnanswered: (assignment: RunAssignment) => void;
 	/** Resolves to whether the minion starts none of the runs that were given up. */
 	readonly closeLapsedRuns: () => Promise<boolean>;
 	/** Whether orders to start runs that were given up may still be carried out. */
@@ -44,7 +46,9 @@
  * @returns The closing.
  */
 export function createRunClosing({record, target, context, listControls, isOpen, sendStop, endRuns, leave}: RunClosingOptions): RunClosing {
-	const {timers, minions, log, fencingToken} = context;
+	const {timers, minions, log, fencingToken, longestHoldMs} = context;
+	/** Starts that got no answer, by the time of the last one. */
+	const lateStarts = new Map<TaskId, {readonly run: number; readonly sentAtMs: number}>();
 	/** Runs that were given up, and that the minion will not start any more. */
 	const closedRuns = new Map<TaskId, number>();
 	/** Another life was seen at the address, so the session orders nothing any more. */
@@ -81,25 +85,43 @@
 		return answer.type === 'answered' && answer.value !== 'fenced' ? answer.value : undefined;
 	};
 
-	// What may have started in the next life is stopped there. Returns what may still run.
-	const stopInNextLife = async (doubtful: readonly RunControl[]): Promise<readonly RunControl[]> => {
-		const stops = await Promise.all(doubtful.map(async ({assignment: {task, run}}) => sendStop(task, run)));
+	const forgetLateStarts = () => {
+		for (const [task, {sentAtMs}] of lateStarts) {
+			if (timers.getNow() - sentAtMs < lateStartMs) {
+				return;
+			}
+
+			lateStarts.delete(task);
+		}
+	};
+
+	// What the next life may have started: runs whose order was not seen to be carried out, given up or not, and late
+	// copies of orders that were.
+	const listOpenRuns = (doubtful: readonly RunControl[]): ReadonlyMap<TaskId, number> => new Map([
+		...[...lateStarts].map(([task, {run}]) => [task, run] as const),
+		...context.getLedger().lives.get(record.life)?.lapsed ?? [],
+		...doubtful.map(({assignment: {task, run}}) => [task, run] as const),
+	]);
+
+	// Stops the runs in the next life, and takes the ends that it lists into the log. Returns what may still run.
+	const stopInNextLife = async (open: ReadonlyMap<TaskId, number>): Promise<ReadonlyMap<TaskId, number>> => {
+		const stops = await Promise.all([...open].map(async ([task, run]) => sendStop(task, run)));
 		const report = stops.every(Boolean) ? await lookAtNextLife() : undefined;
-		if (report === undefined) {
-			return doubtful;
+		if (report === undefined || !await endRuns(toRunEnds(report.finished, record.life))) {
+			return open;
 		}
 
-		await endRuns(toRunEnds(report.finished, record.life));
 		const running = new Set(report.running.map(({task}) => task));
-		return doubtful.filter(({assignment: {task}}) => running.has(task));
+		return new Map([...open].filter(([task]) => running.has(task)));
 	};
 
-	const closeDoubtful = async (doubtful: readonly RunControl[]) => {
-		const untilMs = timers.getNow() + longestGiveWayMs;
-		let left = doubtful;
-		while (left.length > 0 && isOpen() && timers.getNow() < untilMs) {
+	// A start that reached the next life has granted it the longest lease: its deadline is on the clock of the last one.
+	const closeOpenRuns = async (open: ReadonlyMap<TaskId, number>) => {
+		const untilMs = timers.getNow() + getInheritedLeaseMs(longestHoldMs);
+		let left = open;
+		while (left.size > 0 && isOpen() && timers.getNow() < untilMs) {
 			left = await stopInNextLife(left); // eslint-disable-line no-await-in-loop -- until none is left
-			if (left.length > 0) {
+			if (left.size > 0) {
 				await waitFor(timers, orderRetryMs); // eslint-disable-line no-await-in-loop -- until none is left
 			}
 		}
@@ -108,12 +130,13 @@
 	const handOver = async () => {
 		const known = listControls();
 		const doubtful = known.filter(control => isDoubtful(control));
+		forgetLateStarts();
+		const open = listOpenRuns(doubtful);
 		log.info(`minion ${record.minion} began another life`, {
-			minion: record.minion, life: record.life, runs: known.length, doubtful: doubtful.map(({assignment: {task}}) => task),
+			minion: record.minion, life: record.life, runs: known.length, open: [...open].map(([task, run]) => `${task}#${run}`),
 		});
 		await endRuns(known.filter(control => !isDoubtful(control)).map(({assignment}) => createRunEnd(assignment, 'lapsed')));
-		await closeDoubtful(doubtful);
-		await closeLapsedRuns();
+		await closeOpenRuns(open);
 		await leave('it began another life');
 		handingOver = undefined;
 	};
@@ -125,6 +148,12 @@
 			return handingOver;
 		},
 		isGivingWay: () => hasOtherLife,
+		noteUnanswered({task, run}) {
+			forgetLateStarts();
+			// The map stays in the order of the times.
+			lateStarts.delete(task);
+			lateStarts.set(task, {run, sentAtMs: timers.getNow()});
+		},
 		closeLapsedRuns,
 		hasOpenLapses: () => listOpenLapses().length > 0,
 	};
--- a/packages/daemon/src/scheduler/run-orders.ts
+++ b/packages/daemon/src/scheduler/run-orders.ts
@@ -27,6 +27,8 @@
 	readonly endRuns: (ends: readonly RunEnd[]) => Promise<boolean>;
 	/** The minion began another life. */
 	readonly leave: (reason: string) => Promise<void>;
+	/** A start got no answer. */
+	readonly noteUnanswered: (assignment: RunAssignment) => void;
 	/** The minion takes no work at this moment. */
 	readonly noteRefusal: () => void;
 };
@@ -65,7 +67,7 @@
  * @param options - What the orders need.
  * @returns The orders.
  */
-export function createRunOrders({record, target, context, lease, isCurrent, mayStart, noteHeard, endRuns, leave, noteRefusal}: RunOrdersOptions): RunOrders {
+export function createRunOrders({record, target, context, lease, isCurrent, mayStart, noteUnanswered, noteHeard, endRuns, leave, noteRefusal}: RunOrdersOptions): RunOrders {
 	const {timers, minions, log, fencingToken} = context;
 
 	const sendStop = async (task: TaskId, run: number): Promise<boolean> => {
@@ -193,6 +195,7 @@
 
 			case 'noAnswer': {
 				control.mayStartLate = true;
+				noteUnanswered(control.assignment);
 				return 'again';
 			}
 
--- a/packages/daemon/src/scheduler/session-context.ts
+++ b/packages/daemon/src/scheduler/session-context.ts
@@ -17,6 +17,8 @@
 	readonly metrics: SchedulerMetrics;
 	readonly fencingToken: number;
 	readonly leaseMs: number;
+	/** The longest lease that a minion takes, whatever deadline it is given, in milliseconds. */
+	readonly longestHoldMs: number;
 	/** When the term began, on the monotonic clock. */
 	readonly termBeganAtMs: number;
 	readonly getLedger: () => Ledger;
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -53,6 +53,7 @@
 	readonly highestRuns: Map<string, number>;
 	finished: FinishedEntry[];
 	nextNumber: number;
+	startCount: number;
 	fencingToken: number;
 	deadlineMs: number;
 	isSilent: boolean;
@@ -75,12 +76,23 @@
 	readonly getState: (id: JobId) => string | undefined;
 	/** Another host leads; the old one notices nothing but that its orders are refused. */
 	readonly changeLeader: () => Promise<void>;
-	readonly silence: (index: number, durationMs: number) => void;
+	readonly silence: (index: number, durationMs: number, arrivalMs?: number) => void;
 	/** It says in its next reports that it will leave. */
 	readonly drain: (index: number) => void;
 	readonly crash: (index: number) => void;
 	/** It crashes and begins another life at once, under its id and at its address. */
 	readonly rebear: (index: number) => void;
+	/** The same, but no connection tells the leader of the crash. */
+	readonly rebearUnnoticed: (index: number) => void;
+	/** No call of the leader reaches it; its reports arrive, by way of other hosts. */
+	readonly cutFromLeader: (index: number, durationMs: number) => void;
+	/** The log takes nothing for so long; the leader keeps its lease. */
+	readonly stallLog: (durationMs: number) => void;
+	/** Orders without an answer that are carried out late reach whatever life of the minion is at the address. */
+	readonly sendLateOrdersToNextLife: () => void;
+	/** It says that it leaves, gets no confirmation, and ends so long after it. */
+	readonly leaveUnconfirmed: (index: number, endsAfterMs: number) => void;
+	readonly listRunsByLife: () => readonly string[];
 	/** What starts on the minion from now on never ends by itself. */
 	readonly stall: (index: number) => void;
 	/** The next command of that type is applied, but its leader does not learn so. */
@@ -98,6 +110,7 @@
 	readonly isWaveCompleted: () => Promise<boolean>;
 	readonly getLedger: () => Ledger;
 	readonly countStarts: () => number;
+	readonly getNow: () => number;
 };
 
 const pool = toBrand<PoolId>('counter');
@@ -108,6 +121,7 @@
 const pathPrefix = '/reservations/';
 const key = 'key-1';
 const leaseMs = 4500;
+const longestHoldMs = 7500;
 const longestStopMs = 300;
 const commitMs = 8;
 const stepMs = 5;
@@ -163,6 +177,8 @@
 	let nextLife = 1;
 	let startCount = 0;
 	const noted = new Set<string>();
+	const endedAtMs = new Map<string, number>();
+	const startedAtMs = new Map<string, number>();
 	const stopped = new Set<string>();
 	const lastAtWorkMs = new Map<string, number>();
 	const upkeeps = new Map<WorkerId, number>();
@@ -197,7 +213,7 @@
 		};
 		nextLife += 1;
 		const created: FakeMinion = {
-			record, clockRate: 0.98 + (random() * 0.02), bornAtMs: timers.getNow(), runs: new Map(), highestRuns: new Map(), finished: [], nextNumber: 1, fencingToken: 0, deadlineMs: 0, isSilent: false, isGone: false, isStalled: false, lastLapseNumber: 0, delayed: [], isDraining: false,
+			record, clockRate: 0.98 + (random() * 0.02), bornAtMs: timers.getNow(), runs: new Map(), highestRuns: new Map(), finished: [], nextNumber: 1, startCount: 0, fencingToken: 0, deadlineMs: 0, isSilent: false, isGone: false, isStalled: false, lastLapseNumber: 0, delayed: [], isDraining: false,
 		};
 		minions.set(record.address, created);
 		return created;
@@ -212,6 +228,7 @@
 			minion.finished.push({
 				number: minion.nextNumber, task: toBrand<TaskId>(id), run: run.run, ending, checkpoint: saved,
 			});
+			endedAtMs.set(`${minion.record.life}/${minion.nextNumber}`, timers.getNow());
 			minion.nextNumber += 1;
 		}
 	};
@@ -327,6 +344,10 @@
 			// An end from before a lapse stands for nothing after it.
 			if (number <= lastSeen && ending === 'done' && number > minion.lastLapseNumber) {
 				noted.add(task);
+				const known = findTask(ledger, task);
+				if ((startedAtMs.get(task) ?? 0) > (endedAtMs.get(`${minion.record.life}/${number}`) ?? 0) && !(known && getStep(known).allowsCopies)) {
+					report('afterDone', `${task} was started after its run on ${minion.record.minion} had ended; that end is confirmed now`);
+				}
 			}
 		}
 
@@ -340,9 +361,10 @@
 		const isLost = random() < lossChance;
 		if (minion === undefined || minion.isGone || minion.isSilent || isLost) {
 			const carryOutLate = () => {
-				if (minion !== undefined && !minion.isGone) {
-					settle(minion);
-					void carryOut(minion);
+				const there = isLateToNextLife ? minions.get(address) : minion;
+				if (there !== undefined && !there.isGone && !there.isSilent && (minion === undefined || minion.record.minion === there.record.minion)) {
+					settle(there);
+					void carryOut(there);
 				}
 			};
 
@@ -387,12 +409,13 @@
 			}
 
 			if (order.deadlineMs !== undefined) {
-				minion.deadlineMs = Math.max(minion.deadlineMs, order.deadlineMs);
+				minion.deadlineMs = Math.max(minion.deadlineMs, Math.min(order.deadlineMs, getClock(minion) + longestHoldMs));
 			}
 
 			noteEnds(minion, order.lastSeen);
 			const untilMs = timers.getNow() + order.waitMs;
-			while (minion.finished.length === 0 && timers.getNow() < untilMs && !minion.isGone) {
+			const isWaiting = () => minion.finished.length === 0 && timers.getNow() < untilMs && (!minion.isGone || isCrashUnnoticed);
+			while (isWaiting()) {
 				await pause(stepMs); // eslint-disable-line no-await-in-loop -- waits for an end
 				settle(minion);
 			}
@@ -425,7 +448,9 @@
 
 			checkStart(minion, order);
 			startCount += 1;
-			minion.deadlineMs = Math.max(minion.deadlineMs, order.deadlineMs);
+			minion.startCount += 1;
+			startedAtMs.set(order.task, timers.getNow());
+			minion.deadlineMs = Math.max(minion.deadlineMs, Math.min(order.deadlineMs, getClock(minion) + longestHoldMs));
 			minion.highestRuns.set(order.task, order.run);
 			const task = findTask(ledger, order.task);
 			const isLasting = task !== undefined && getStep(task).isLasting;
@@ -545,6 +570,10 @@
 	};
 
 	let waveMaximum = 0;
+	let isCrashUnnoticed = false;
+	let isLateToNextLife = false;
+	const leaving = new Set<string>();
+	const stillReporting = new Set<string>();
 	let lostOutcome: LedgerCommand['type'] | undefined;
 	let dropped: {readonly types: ReadonlyArray<LedgerCommand['type']>; readonly untilMs: number} | undefined;
 	let delayedCommit: {readonly type: LedgerCommand['type']; readonly delayMs: number} | undefined;
@@ -560,7 +589,27 @@
 		return delayMs;
 	};
 
+	let stalledUntilMs = 0;
+	let tail: Promise<void> = Promise.resolve();
+
+	// As in the replicated log: entries stay in order, and a proposal without a commit for 5 s is told to be unknown.
 	const propose = async (command: LedgerCommand, ofTerm: number): Promise<Decision> => {
+		const before = tail;
+		const applied = (async (): Promise<Decision> => {
+			await before;
+			if (stalledUntilMs > timers.getNow()) {
+				await pause(stalledUntilMs - timers.getNow());
+			}
+
+			return apply(command, ofTerm);
+		})();
+		tail = applied.then(() => undefined);
+		return stalledUntilMs > timers.getNow()
+			? Promise.race([applied, pause(5000).then((): Decision => ({type: 'unknown'}))])
+			: applied;
+	};
+
+	const apply = async (command: LedgerCommand, ofTerm: number): Promise<Decision> => {
 		await pause(takeCommitDelayMs(command));
 		// A deposed leader's proposals may still reach the log.
 		if (ofTerm !== term && random() < 0.5) {
@@ -589,7 +638,7 @@
 			self: toBrand<NodeId>(`host-${term}`),
 			term,
 			limits: {
-				leaseMs, retentionMs: 120_000, hasWorkerOrders: standbyWorkers > 0, workerMoveMs: moveMs, workerTurnMs: orderTurnMs,
+				leaseMs, longestHoldMs, retentionMs: 120_000, hasWorkerOrders: standbyWorkers > 0, workerMoveMs: moveMs, workerTurnMs: orderTurnMs,
 			},
 			timers,
 			log: silentLog,
@@ -618,7 +667,7 @@
 
 	const sendReports = () => {
 		for (const {record, isGone, isSilent, isDraining} of minions.values()) {
-			if (!isGone && !isSilent) {
+			if (!isGone && (!isSilent || stillReporting.has(record.life)) && !leaving.has(record.life)) {
 				void leader?.answer({
 					type: 'minion/report',
 					report: {
@@ -689,13 +738,13 @@
 				old?.stop();
 			});
 		},
-		silence(index, durationMs) {
+		silence(index, durationMs, arrivalMs = delayedArrivalMs) {
 			const minion = findMinion(index);
 			if (minion !== undefined) {
 				minion.isSilent = true;
 				timers.scheduleOnce(durationMs, () => {
 					minion.isSilent = false;
-					timers.scheduleOnce(delayedArrivalMs, () => {
+					timers.scheduleOnce(arrivalMs, () => {
 						for (const carryOutLate of minion.delayed.splice(0)) {
 							carryOutLate();
 						}
@@ -715,6 +764,40 @@
 				minion.isDraining = true;
 			}
 		},
+		rebearUnnoticed(index) {
+			isCrashUnnoticed = true;
+			const minion = findMinion(index);
+			if (minion !== undefined) {
+				loseMinion(minion, {downMs: rebirthMs, before: minion.record});
+			}
+		},
+		cutFromLeader(index, durationMs) {
+			const minion = findMinion(index);
+			if (minion !== undefined) {
+				stillReporting.add(minion.record.life);
+				minion.isSilent = true;
+				timers.scheduleOnce(durationMs, () => {
+					minion.isSilent = false;
+				});
+			}
+		},
+		stallLog(durationMs) {
+			stalledUntilMs = timers.getNow() + durationMs;
+		},
+		sendLateOrdersToNextLife() {
+			isLateToNextLife = true;
+		},
+		leaveUnconfirmed(index, endsAfterMs) {
+			const minion = findMinion(index);
+			if (minion !== undefined) {
+				leaving.add(minion.record.life);
+				void leader?.answer({type: 'minion/leave', minion: minion.record.minion, bornAtMs: minion.record.bornAtMs});
+				timers.scheduleOnce(endsAfterMs, () => {
+					minion.isGone = true;
+				});
+			}
+		},
+		listRunsByLife: () => listRunning().map(({minion, id, run}) => `${id}#${run.run}@${minion.record.life}`),
 		rebear(index) {
 			const minion = findMinion(index);
 			if (minion !== undefined) {
@@ -736,7 +819,7 @@
 		delayCommit(type, delayMs) {
 			delayedCommit = {type, delayMs};
 		},
-		countStartsOn: index => findMinion(index)?.highestRuns.size ?? 0,
+		countStartsOn: index => findMinion(index)?.startCount ?? 0,
 		countRuns: id => listRunning().filter(({id: task}) => task.startsWith(id)).length,
 		listBroken: () => broken,
 		listMoves: () => moves,
@@ -753,5 +836,6 @@
 		},
 		getLedger: () => ledger,
 		countStarts: () => startCount,
+		getNow: timers.getNow,
 	};
 }
