Send no start to a minion that said it will leave

Test: next-life.test 'said it will leave is sent no start', failed before ('after: 1'). A run that was not started goes back to its queue; one whose order may still arrive is stopped there first.

--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -194,6 +194,7 @@
 		lease,
 		isCurrent,
 		mayStart,
+		isDraining,
 		noteUnanswered(assignment) {
 			closing.noteUnanswered(assignment);
 		},
--- a/packages/daemon/src/scheduler/next-life.test.ts
+++ b/packages/daemon/src/scheduler/next-life.test.ts
@@ -84,6 +84,20 @@
 	expect(world.getState(id)).toBe('active');
 });
 
+test('a minion that said it will leave is sent no start later than 2 s after that was confirmed', async () => {
+	const world = createTestWorld({seed: 26, minionCount: 2});
+	await world.advance(1500);
+	world.cutFromLeader(0, 3500);
+	world.submit([{count: 2, isLasting: true, maximumPerMinion: 1}]);
+	world.drain(0);
+	await world.advance(1000);
+	const isDraining = [...world.getLedger().lives.values()].map(life => life.isDraining);
+	await world.advance(2000);
+	const before = world.countStartsOn(0);
+	await world.advance(1500);
+	expect({isDraining, before, after: world.countStartsOn(0)}).toEqual({isDraining: [true, false], before: 0, after: 0});
+});
+
 test.each([120, 160, 200, 240])('a session that gives way starts nothing in the next life when the log does not answer its departure in time (%i ms)', async extraMs => {
 	const world = createTestWorld({seed: 31, minionCount: 2});
 	await world.advance(1500);
--- a/packages/daemon/src/scheduler/run-orders.ts
+++ b/packages/daemon/src/scheduler/run-orders.ts
@@ -27,6 +27,8 @@
 	readonly endRuns: (ends: readonly RunEnd[]) => Promise<boolean>;
 	/** The minion began another life. */
 	readonly leave: (reason: string) => Promise<void>;
+	/** Whether the minion will leave. */
+	readonly isDraining: () => boolean;
 	/** A start got no answer. */
 	readonly noteUnanswered: (assignment: RunAssignment) => void;
 	/** The minion takes no work at this moment. */
@@ -67,7 +69,7 @@
  * @param options - What the orders need.
  * @returns The orders.
  */
-export function createRunOrders({record, target, context, lease, isCurrent, mayStart, noteUnanswered, noteHeard, endRuns, leave, noteRefusal}: RunOrdersOptions): RunOrders {
+export function createRunOrders({record, target, context, lease, isCurrent, mayStart, isDraining, noteUnanswered, noteHeard, endRuns, leave, noteRefusal}: RunOrdersOptions): RunOrders {
 	const {timers, minions, log, fencingToken} = context;
 
 	const sendStop = async (task: TaskId, run: number): Promise<boolean> => {
@@ -168,6 +170,11 @@
 	};
 
 	const sendStart = async (control: RunControl): Promise<'over' | 'again'> => {
+		if (isDraining()) {
+			await refuseRun(control, 'it will leave');
+			return 'over';
+		}
+
 		const {task: id, run} = control.assignment;
 		const task = findTask(context.getLedger(), id);
 		const deadlineMs = mayStart() && context.canAct() ? lease.grant() : undefined;
