Write log lines in pieces that a pipe takes whole

Test: bounded-writer.test 'a backlog is written in pieces', failed before (one write of 20,537 bytes).

--- a/packages/daemon/src/runtime/bounded-writer.test.ts
+++ b/packages/daemon/src/runtime/bounded-writer.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {createVirtualTimerService} from '@samphiremill/common';
 import {expect, test} from 'vitest';
 import {createBoundedWriter} from './bounded-writer.js';
@@ -45,6 +46,27 @@
 	`);
 });
 
+test('a backlog is written in pieces that a pipe takes whole, each of whole lines', async () => {
+	const timers = createVirtualTimerService();
+	const written: string[] = [];
+	const writer = createBoundedWriter({
+		timers,
+		limits: {maximumLinesPerSecond: 1000, maximumBufferedBytes: 100_000},
+		async writeText(text) {
+			written.push(text);
+		},
+	});
+	const lines = [...Array.from({length: 60}, (_, index) => `line ${index} ${'x'.repeat(200)}`), 'y'.repeat(5000), 'ü'.repeat(1500), 'last'];
+	for (const line of lines) {
+		writer.writeLine(line);
+	}
+
+	await writer.flush();
+	expect(written.join('')).toBe(`${lines.join('\n')}\n`);
+	expect(written.every(text => text.endsWith('\n'))).toBe(true);
+	expect(written.map(text => Buffer.byteLength(text)).filter(length => length > 4096)).toEqual([5001]);
+});
+
 test('lines beyond the budget of a second are left out and counted', async () => {
 	const timers = createVirtualTimerService();
 	const written: string[] = [];
--- a/packages/daemon/src/runtime/bounded-writer.ts
+++ b/packages/daemon/src/runtime/bounded-writer.ts
@@ -2,6 +2,7 @@
  * Writes log lines in the background. Lines wait in a buffer of a fixed size; what a budget of lines a
  * second or the buffer has no room for is left out, counted, and the count is written.
  */
+import {Buffer} from 'node:buffer';
 import {write} from 'node:fs';
 import type {CancelTimer, TimerService} from '@samphiremill/common';
 
@@ -30,6 +31,8 @@
 const flushPeriodMs = 50;
 const budgetPeriodMs = 1000;
 const standardOutput = 1;
+/** A pipe takes a write of this length (PIPE_BUF) whole or not at all; longer ones may be cut within a line. */
+const wholeWriteBytes = 4096;
 
 /** Writes to standard output on a thread of its own, so that a reader that stops holds nothing up. */
 export const writeToStandardOutput: WriteText = async text => new Promise((resolve, reject) => {
@@ -51,25 +54,38 @@
 	readonly timers: TimerService;
 	readonly limits?: WriterLimits;
 }): BoundedWriter {
-	let buffered = '';
+	let buffered: string[] = [];
+	let bufferedLength = 0;
 	let writing: Promise<void> | undefined;
 	let linesInPeriod = 0;
 	let periodBeganAtMs: number = timers.getNow();
 	let droppedInPeriod = 0;
 	let droppedLines = 0;
 
+	// Whole lines that a pipe takes in one piece, or one line that is longer.
+	const takeLines = (): readonly string[] => {
+		let bytes = 0;
+		const firstBeyond = buffered.findIndex(line => {
+			bytes += Buffer.byteLength(line);
+			return bytes > wholeWriteBytes;
+		});
+		const taken = firstBeyond === -1 ? buffered : buffered.slice(0, Math.max(1, firstBeyond));
+		buffered = buffered.slice(taken.length);
+		bufferedLength -= taken.reduce((sum, line) => sum + line.length, 0);
+		return taken;
+	};
+
 	const writeOnce = async () => {
-		const text = buffered;
-		buffered = '';
+		const lines = takeLines();
 		try {
-			await writeText(text);
+			await writeText(lines.join(''));
 		} catch {
 			// Nobody can be told where the log itself fails, so the lines count as left out.
-			droppedLines += text.split('\n').length - 1;
+			droppedLines += lines.length;
 		}
 	};
 
-	const hasLines = () => buffered !== '';
+	const hasLines = () => buffered.length > 0;
 
 	const drain = async () => {
 		while (hasLines()) {
@@ -85,7 +101,8 @@
 	};
 
 	const append = (line: string) => {
-		buffered += `${line}\n`;
+		buffered.push(`${line}\n`);
+		bufferedLength += line.length + 1;
 	};
 
 	const beginPeriod = () => {
@@ -110,7 +127,7 @@
 	return {
 		writeLine(line) {
 			linesInPeriod += 1;
-			if (linesInPeriod > limits.maximumLinesPerSecond || buffered.length + line.length > limits.maximumBufferedBytes) {
+			if (linesInPeriod > limits.maximumLinesPerSecond || bufferedLength + line.length > limits.maximumBufferedBytes) {
 				droppedInPeriod += 1;
 				droppedLines += 1;
 				return;
