Leave late reports of ended lives aside: they kept hundreds of switched-off workers from coming back

With 1,100 minions their reports wait a second or so at the leader, so those that were sent before the move are taken after it, and the life joins again: 355 lives joined twice, 349 of them at second -5, none of which ever answers. Each is looked at without a pause, by its relay and then directly, with a new connection for each look, and for 12 s its worker counts as switched on, so that no pool gets it when the first burst comes. 172 of them were given up in seconds 0 to 4, as "neither reports nor answers".

The leader now remembers for 60 s which lives have ended for certain (moved, replaced at their address, signed off by name); a report of one is acknowledged and logged, and changes nothing. One that was only silent still comes back.

Conclusion: a cause, not the only one. From second 4 on the leader stands still for 0.3 to 1 s again and again, and loses its lead at 11.4; control hosts still have 4,390 descriptors of 4,096. Another leader does not know the lives that ended under the one before.

--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -9,6 +9,7 @@
 import type {DecisionLog} from '../runtime/types.js';
 import type {Decision} from './command-batcher.js';
 import type {DemandMeter} from './demand-meter.js';
+import type {EndedLives} from './ended-lives.js';
 import {createAcceptedJob, getAccess, type GrantedAccess} from './job-access.js';
 import type {SchedulerMetrics} from './metrics.js';
 import type {PoolView} from './pool-view.js';
@@ -29,6 +30,7 @@
 	readonly getWallClock: () => number;
 	readonly propose: (command: LedgerCommand) => Promise<Decision>;
 	readonly decide: (command: LedgerCommand) => Promise<boolean>;
+	readonly endedLives: EndedLives;
 	readonly checkConfiguration: (document: string) => readonly ConfigurationFinding[];
 	readonly wantPlan: () => void;
 	readonly stopNeedless: () => void;
@@ -40,7 +42,7 @@
  * @param options - What the answers rest on.
  * @returns Answers a call.
  */
-export function createCallHandlers({term, log, metrics, sessions, demand, pools, getLedger, getWallClock, propose, decide, checkConfiguration, wantPlan, stopNeedless, onChanged}: CallHandlersOptions): (call: ClusterCall) => Promise<ClusterAnswer> {
+export function createCallHandlers({term, log, metrics, sessions, demand, pools, getLedger, getWallClock, propose, decide, endedLives, checkConfiguration, wantPlan, stopNeedless, onChanged}: CallHandlersOptions): (call: ClusterCall) => Promise<ClusterAnswer> {
 	/** Jobs on their way into the log. A resend of one gets the answer of the first, so that no refusal comes beside an acceptance. */
 	const submitting = new Map<JobId, Promise<ClusterAnswer>>();
 
@@ -171,6 +173,11 @@
 	const takeReport = async (report: MinionReport): Promise<ClusterAnswer> => {
 		const {record} = report;
 		if (!getLedger().lives.has(record.life)) {
+			if (endedLives.has(record.life)) {
+				log.info(`a late report of minion ${record.minion}, which has ended, is left aside`, {minion: record.minion, life: record.life, worker: record.worker});
+				return {type: 'done'};
+			}
+
 			const earlier = [...sessions.values()].filter(({record: known}) => known.minion === record.minion && known.address === record.address && known.bornAtMs < record.bornAtMs);
 			await Promise.all(earlier.map(async session => session.giveWay()));
 			const isJoined = await decide({type: 'minion/joined', term, record});
@@ -202,6 +209,11 @@
 		const lives = [...sessions.values()].filter(({record}) => record.minion === minion && (bornAtMs === undefined || record.bornAtMs === bornAtMs));
 		for (const {record} of lives) {
 			log.info(`minion ${minion} left`, {minion, life: record.life});
+			// A report that names no life may be of an earlier one.
+			if (bornAtMs !== undefined) {
+				endedLives.note(record.life);
+			}
+
 			const isNoted = await decide({type: 'minion/left', term, life: record.life}); // eslint-disable-line no-await-in-loop -- hardly ever more than one
 			if (!isNoted) {
 				return {type: 'unavailable'};
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -65,6 +65,9 @@
 /** The same for one that orders to start runs which were given up may still reach. */
 export const doubtfulAbsenceMs = 30_000;
 
+/** For how long reports of a life that has ended may still arrive. */
+export const endedLifeMemoryMs = 60_000;
+
 /** Minions that one request for advice names, at most. */
 export const advisedMinions = 30;
 
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -16,6 +16,7 @@
 } from './constants.js';
 import {createErrorBoundary} from './error-boundary.js';
 import {createDemandMeter} from './demand-meter.js';
+import {createEndedLives} from './ended-lives.js';
 import {paceFillers} from './filler-pacing.js';
 import type {SchedulerMetrics} from './metrics.js';
 import {openMinionSession, type MinionSession} from './minion-session.js';
@@ -107,10 +108,11 @@
 
 	const hastener = createRunHastener({getLedger, log});
 	const contain = createErrorBoundary(log);
+	const endedLives = createEndedLives(timers);
 
 	const isAtWork = () => !isStopped;
 
-	const decide = async (command: LedgerCommand): Promise<boolean> => {
+	const decideHere = async (command: LedgerCommand): Promise<boolean> => {
 		if (isStopped) {
 			return false;
 		}
@@ -119,6 +121,15 @@
 		return decision.type === 'applied' && !isStopped;
 	};
 
+	const decide = async (command: LedgerCommand): Promise<boolean> => {
+		// Noted first: a report may come as soon as the log has it.
+		if (command.type === 'minion/left') {
+			endedLives.note(command.life);
+		}
+
+		return decideHere(command);
+	};
+
 	const desk = createAdviceDesk({
 		advice: options.advice,
 		timers,
@@ -213,7 +224,8 @@
 			const absenceMs = session.hasOpenLapses() ? doubtfulAbsenceMs : minionAbsenceMs;
 			if (!hasRuns && timers.getNow() - session.getHeardAtMs() > absenceMs) {
 				log.info(`minion ${session.record.minion} is gone: neither reports nor answers`, {minion: session.record.minion, life: session.record.life});
-				void decide({type: 'minion/left', term, life: session.record.life}).then(sessionContext.onMinionsChanged);
+				// It may only have been cut off, and may come back.
+				void decideHere({type: 'minion/left', term, life: session.record.life}).then(sessionContext.onMinionsChanged);
 			}
 		}
 	};
@@ -281,7 +293,7 @@
 	};
 
 	const answer = createCallHandlers({
-		term, log, metrics, sessions, demand, pools, getLedger, getWallClock, propose, decide, checkConfiguration: options.checkConfiguration, wantPlan: planner.wantFullPlan, stopNeedless, onChanged: sessionContext.onMinionsChanged,
+		term, log, metrics, sessions, demand, pools, getLedger, getWallClock, propose, endedLives, decide: decideHere, checkConfiguration: options.checkConfiguration, wantPlan: planner.wantFullPlan, stopNeedless, onChanged: sessionContext.onMinionsChanged,
 	});
 
 	sessions.sync();
