Log the seconds in which the leader's process is busy, with what its duties took

The logs did not show why a leader with 1,100 minions stands still. Once a second, and only if the process was at work for 60 % of it, one line names the time at work, the part of it spent on collecting garbage, and the milliseconds of each duty.

--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -121,3 +121,9 @@
 
 /** For how long a minion is called directly after its relay did not reach it. */
 export const relayAvoidanceMs = 5000;
+
+/** Over which time the work of the leader's duties is added up. */
+export const dutyTimesPeriodMs = 1000;
+
+/** From this part of the time on the process counts as busy. */
+export const busyShare = 0.6;
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -2,6 +2,7 @@
  * The leading control host: it decides on requests, starts and stops tasks, and keeps the minions'
  * leases. All that must outlast it goes through the log first.
  */
+import {PerformanceObserver, performance} from 'node:perf_hooks';
 import type {NodeId, TimerService, WorkerId} from '@samphiremill/common';
 import {
 	findTask, getLongestChainMs, getObjectiveMs, listForgettableJobs, listTasks,
@@ -14,6 +15,7 @@
 import {
 	doubtfulAbsenceMs, fillerPacePeriodMs, forgetPeriodMs, leaderTickMs, minionAbsenceMs,
 } from './constants.js';
+import {createDutyTimes} from './duty-times.js';
 import {createErrorBoundary} from './error-boundary.js';
 import {createDemandMeter} from './demand-meter.js';
 import {createEndedLives} from './ended-lives.js';
@@ -109,6 +111,14 @@
 	const hastener = createRunHastener({getLedger, log});
 	const contain = createErrorBoundary(log);
 	const endedLives = createEndedLives(timers);
+	let collectionMs = 0;
+	const collections = new PerformanceObserver(list => {
+		for (const {duration} of list.getEntries()) {
+			collectionMs += duration;
+		}
+	});
+	collections.observe({entryTypes: ['gc']});
+	const times = createDutyTimes({timers, log, getWork: () => ({activeMs: performance.eventLoopUtilization().active, collectionMs})});
 
 	const isAtWork = () => !isStopped;
 
@@ -154,7 +164,7 @@
 		decide,
 		getWallClock,
 		onMinionsChanged() {
-			sessions.sync();
+			times.measure('changes of minions', sessions.sync);
 			planner.wantFullPlan();
 		},
 		onRunsEnded() {
@@ -191,7 +201,7 @@
 	const isPlaceable = ({record: {worker}, isUsable}: MinionSession) => isUsable() && !upkeep.isCordoned(worker) && !moves.isCordoned(worker);
 
 	const planner = createStartPlanner({
-		term, timers, log, metrics, sessions, desk, hastener, getLedger, getWallClock, canAct, isAtWork, isPlaceable, propose,
+		term, timers, log, metrics, sessions, desk, hastener, getLedger, getWallClock, canAct, isAtWork, isPlaceable, propose, measure: times.measure,
 	});
 
 	const stopTaskRuns = (task: Task, reason: string) => {
@@ -268,15 +278,23 @@
 			return;
 		}
 
-		for (const session of sessions.values()) {
-			contain(`the session with minion ${session.record.minion}`, session.tick);
-		}
-
+		times.report();
+		times.measure('sessions', () => {
+			for (const session of sessions.values()) {
+				contain(`the session with minion ${session.record.minion}`, session.tick);
+			}
+		});
 		contain('slow runs', hastener.forgetTasks);
-		contain('stops', stopNeedless);
+		times.measure('stops', () => {
+			contain('stops', stopNeedless);
+		});
 		if (limits.hasWorkerOrders) {
-			contain('upkeep', upkeep.tick);
-			contain('moves', moves.tick);
+			times.measure('upkeep', () => {
+				contain('upkeep', upkeep.tick);
+			});
+			times.measure('moves', () => {
+				contain('moves', moves.tick);
+			});
 		}
 
 		contain('absent minions', dropAbsentMinions);
@@ -300,14 +318,18 @@
 	const cancelTimers = [
 		timers.scheduleEvery(leaderTickMs, tick),
 		timers.scheduleEvery(fillerPacePeriodMs, () => {
-			contain('fillers', () => {
-				paceFillers(sessions.values(), getLedger());
+			times.measure('fillers', () => {
+				contain('fillers', () => {
+					paceFillers(sessions.values(), getLedger());
+				});
 			});
 		}),
 		timers.scheduleEvery(judgePeriodMs, () => {
 			if (canAct()) {
-				contain('slow runs', () => {
-					hastener.look(sessions.values());
+				times.measure('slow runs', () => {
+					contain('slow runs', () => {
+						hastener.look(sessions.values());
+					});
 				});
 			}
 		}),
@@ -319,9 +341,10 @@
 
 	return {
 		term,
-		answer: async call => isStopped || !canAct() ? {type: 'unavailable'} : answer(call),
+		answer: async call => isStopped || !canAct() ? {type: 'unavailable'} : times.measure(call.type, async () => answer(call)),
 		stop() {
 			isStopped = true;
+			collections.disconnect();
 			for (const cancel of cancelTimers) {
 				cancel();
 			}
--- a/packages/daemon/src/scheduler/start-planner.ts
+++ b/packages/daemon/src/scheduler/start-planner.ts
@@ -12,6 +12,7 @@
 import type {AdviceDesk} from './advice-desk.js';
 import type {Decision} from './command-batcher.js';
 import {planGapMs} from './constants.js';
+import type {DutyTimes} from './duty-times.js';
 import type {SchedulerMetrics} from './metrics.js';
 import type {MinionSession} from './minion-session.js';
 import type {RunHastener} from './run-hastener.js';
@@ -33,6 +34,7 @@
 	/** Whether a minion may be given work. */
 	readonly isPlaceable: (session: MinionSession) => boolean;
 	readonly propose: (command: LedgerCommand) => Promise<Decision>;
+	readonly measure: DutyTimes['measure'];
 };
 
 /** The planner of one leader. */
@@ -49,7 +51,9 @@
  * @param options - What the planner needs.
  * @returns The planner.
  */
-export function createStartPlanner({term, timers, log, metrics, sessions, desk, hastener, getLedger, getWallClock, canAct, isAtWork, isPlaceable, propose}: StartPlannerOptions): StartPlanner {
+export function createStartPlanner({
+	term, timers, log, metrics, sessions, desk, hastener, getLedger, getWallClock, canAct, isAtWork, isPlaceable, propose, measure,
+}: StartPlannerOptions): StartPlanner {
 	const plannedCounts = new Map<PoolId, number>();
 	let isPlanning = false;
 	let isPlanWanted = false;
@@ -119,7 +123,7 @@
 
 	const plan = async () => {
 		const plannedAtMs = timers.getNow();
-		const runs = listAssignments();
+		const runs = measure('plans', listAssignments);
 		if (runs.length === 0) {
 			return;
 		}
