--- a/packages/daemon/src/scheduler/late-reports.test.ts
+++ b/packages/daemon/src/scheduler/late-reports.test.ts
@@ -56,7 +56,7 @@
 		self: toBrand<NodeId>('host-1'),
 		term: 1,
 		limits: {
-			leaseMs: 3200, retentionMs: 120_000, hasWorkerOrders: true, workerMoveMs: 1500, workerTurnMs: 0,
+			leaseMs: 3200, longestHoldMs: 6000, retentionMs: 120_000, hasWorkerOrders: true, workerMoveMs: 1500, workerTurnMs: 0,
 		},
 		timers,
 		log: {
