--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -78,11 +78,11 @@
 	let heardAtMs: number = timers.getNow();
 	let unhealthyUntilMs = 0;
 	let sequence = -1;
-	/** Runs that were given up when the lease ran out; the log may not have taken it yet. */
-	const givenUpRuns = new Map<TaskId, number>();
+	/** Runs that lapsed with the lease. They stay so, also while the command that says it is not committed. */
+	const lapsedRuns = new Map<TaskId, number>();
 	let isLapsing = false;
-	/** Listed ends are on their way into the log. */
-	let notingEnds: Promise<void> | undefined;
+	/** Settles once the ends of a listing are committed, or their outcome is unknown. */
+	let endsUnderWay: Promise<void> | undefined;
 	/** The last look got no answer. */
 	let isSilent = false;
 	const isOpen = () => !isClosed;
@@ -90,13 +90,13 @@
 
 	const isAnswering = () => isSynced && !isSilent && timers.getNow() - heardAtMs < holdWaitMs + holdSlackMs;
 
-	const listAssigned = () => [...context.getLedger().lives.get(record.life)?.runs ?? []];
+	const listLedgerRuns = () => [...context.getLedger().lives.get(record.life)?.runs ?? []];
 
-	// A run that was given up may be assigned elsewhere at any moment, whatever the ledger says so far.
+	// A run that lapsed may be assigned elsewhere as soon as the lapse is committed.
 	const isAssigned = (task: TaskId, run: number) =>
-		context.getLedger().lives.get(record.life)?.runs.get(task) === run && givenUpRuns.get(task) !== run;
+		context.getLedger().lives.get(record.life)?.runs.get(task) === run && lapsedRuns.get(task) !== run;
 
-	const isGivingUp = () => [...givenUpRuns].some(([task, run]) => context.getLedger().lives.get(record.life)?.runs.get(task) === run);
+	const hasUncommittedLapse = () => [...lapsedRuns].some(([task, run]) => context.getLedger().lives.get(record.life)?.runs.get(task) === run);
 
 	const isLate = (end: RunEnd) => {
 		const task = findTask(context.getLedger(), end.task);
@@ -153,22 +153,22 @@
 		}
 	};
 
-	const noteEnds = async (live: readonly RunEnd[]): Promise<boolean> => {
-		noteHealth(live);
-		for (const {task, run, ending} of live.filter(end => isLate(end))) {
+	const commitEnds = async (ends: readonly RunEnd[]): Promise<boolean> => {
+		noteHealth(ends);
+		for (const {task, run, ending} of ends.filter(end => isLate(end))) {
 			log.info(`task ${task}: run ${run} was given up, and had ended as ${ending}`, {
 				id: task, run, minion: record.minion, ending,
 			});
 		}
 
-		for (const {ending} of live) {
+		for (const {ending} of ends) {
 			metrics.count('runs_ended_total', ending);
 		}
 
-		const jobs = new Set(live.flatMap(({task}) => findTask(context.getLedger(), task)?.job ?? []));
+		const jobs = new Set(ends.flatMap(({task}) => findTask(context.getLedger(), task)?.job ?? []));
 		const activeJobs = [...jobs].filter(({status}) => status === 'active');
 		const isNoted = await context.decide({
-			type: 'runs/ended', term: fencingToken, ends: live, atMs: context.getWallClock(),
+			type: 'runs/ended', term: fencingToken, ends, atMs: context.getWallClock(),
 		});
 		context.onEndsNoted(activeJobs);
 		dropEndedControls();
@@ -178,7 +178,7 @@
 
 	const endRuns = async (ends: readonly RunEnd[]): Promise<boolean> => {
 		const live = ends.filter(end => isAssigned(end.task, end.run) || isLate(end));
-		return live.length === 0 || noteEnds(live);
+		return live.length === 0 || commitEnds(live);
 	};
 
 	const leave = async (reason: string) => {
@@ -280,19 +280,17 @@
 		leave,
 	});
 
-	const noteListedEnds = async (report: HoldReport, sentAtMs: number) => {
+	const commitListedEnds = async (report: HoldReport, sentAtMs: number) => {
 		const highest = Math.max(lastSeen, ...report.finished.map(({number}) => number));
 		const ends = [...toRunEnds(report.finished, record.life), ...listMissing(report, sentAtMs)];
 		// An end is confirmed to the minion only once it is in the log.
 		if (await endRuns(ends)) {
 			lastSeen = highest;
 		}
-
-		notingEnds = undefined;
 	};
 
-	// What was given up has to be over in the log and closed on the minion before its lease is granted anew.
-	const closeGivenUpRuns = async () => !isGivingUp() && await closing.closeLapsedRuns() && !isGivingUp();
+	// Lapses have to be committed, and their late starts stopped on the minion, before its lease is granted anew.
+	const settleLapses = async () => !hasUncommittedLapse() && await closing.closeLapsedRuns() && !hasUncommittedLapse();
 
 	const takeHoldReport = async (report: HoldReport, sentAtMs: number) => {
 		if (report.bornAtMs !== undefined && report.bornAtMs !== record.bornAtMs) {
@@ -301,12 +299,12 @@
 		}
 
 		const wasSynced = isSynced;
-		if (!wasSynced && !(await closeGivenUpRuns())) {
+		if (!wasSynced && !(await settleLapses())) {
 			return;
 		}
 
 		isSynced = true;
-		givenUpRuns.clear();
+		lapsedRuns.clear();
 		for (const entry of report.running) {
 			noteRunning(entry);
 		}
@@ -315,8 +313,10 @@
 
 		// Each look grants the lease, so a slow log must not keep the next one waiting. What is listed meanwhile will
 		// be listed again.
-		notingEnds ??= noteListedEnds(report, sentAtMs);
-		await Promise.race([notingEnds, waitFor(timers, holdWaitMs)]);
+		endsUnderWay ??= commitListedEnds(report, sentAtMs).finally(() => {
+			endsUnderWay = undefined;
+		});
+		await Promise.race([endsUnderWay, waitFor(timers, holdWaitMs)]);
 		startUnsent();
 		if (!wasSynced) {
 			context.onMinionsChanged();
@@ -393,26 +393,26 @@
 		isLapsing = true;
 		isSynced = false;
 		lease.reset();
-		const runs = listAssigned();
+		const runs = listLedgerRuns();
 		for (const [task, number] of runs) {
-			givenUpRuns.set(task, number);
+			lapsedRuns.set(task, number);
 		}
 
 		metrics.count('leases_lapsed_total');
 		log.warn(`the lease on minion ${record.minion} ran out with ${runs.length} runs`, {
 			minion: record.minion, life: record.life, silentMs: Math.round(timers.getNow() - heardAtMs), tasks: runs.map(([task]) => task),
 		});
-		const lapsedAtMs = timers.getNow();
-		const isNoted = await noteEnds(runs.map(([task, number]) => createRunEnd({task, run: number, life: record.life}, 'lapsed')));
-		log.info(`the log ${isNoted ? 'took' : 'may not have taken'} that ${runs.length} runs on minion ${record.minion} are given up`, {
-			minion: record.minion, life: record.life, isNoted, tookMs: Math.round(timers.getNow() - lapsedAtMs), heardMsAgo: Math.round(timers.getNow() - heardAtMs),
+		const proposedAtMs = timers.getNow();
+		const isNoted = await commitEnds(runs.map(([task, number]) => createRunEnd({task, run: number, life: record.life}, 'lapsed')));
+		log.info(`lapse of ${runs.length} runs on minion ${record.minion}: ${isNoted ? 'committed' : 'outcome unknown'}`, {
+			minion: record.minion, life: record.life, isNoted, tookMs: Math.round(timers.getNow() - proposedAtMs), silentMs: Math.round(timers.getNow() - heardAtMs),
 		});
 		isLapsing = false;
 	};
 
 	// Runs that an earlier leader assigned, or this one without learning that the log took them.
 	const adoptUnknownRuns = () => {
-		for (const [task, number] of listAssigned()) {
+		for (const [task, number] of listLedgerRuns()) {
 			if (isAssigned(task, number) && controls.get(task)?.assignment.run !== number) {
 				controls.set(task, createRunControl({task, run: number, life: record.life}, {isInherited: true}));
 			}
@@ -489,7 +489,7 @@
 
 			if (closing.isGivingWay()) {
 				void closing.giveWay();
-			} else if (listAssigned().length > 0 && !isLapsing && lease.isOver(isSynced) && context.canAct()) {
+			} else if (listLedgerRuns().length > 0 && !isLapsing && lease.isOver(isSynced) && context.canAct()) {
 				void lapse();
 			}
 		},
--- a/packages/daemon/src/scheduler/run-closing.ts
+++ b/packages/daemon/src/scheduler/run-closing.ts
@@ -71,11 +71,11 @@
 			}
 		}));
 		// More may have been given up meanwhile.
-		const left = listOpenLapses();
+		const stillOpen = listOpenLapses();
 		log.info(`minion ${record.minion} is told not to start ${open.length} runs that were given up`, {
-			minion: record.minion, life: record.life, left: left.length, tasks: open.map(([task, run]) => `${task}#${run}`),
+			minion: record.minion, life: record.life, stillOpen: stillOpen.length, tasks: open.map(([task, run]) => `${task}#${run}`),
 		});
-		return left.length === 0;
+		return stillOpen.length === 0;
 	};
 
 	const lookAtNextLife = async (): Promise<HoldReport | undefined> => {
