Hold workers that were switched off when their upkeep began: the platform moves none of them

A wave begins with its switched-off workers, and a burst has the leader move switched-off workers at the same time. Only workers that are up, or whose upkeep is not known to have begun, were held. So the moves chose workers that are down for their upkeep, got the refusal 'busy', counted them as on their way until then, and chose them again a second later.

--- /dev/null
+++ b/packages/core/src/scheduler/plan-upkeep.test.ts
@@ -0,0 +1,81 @@
+/**
+ * Load pattern: a wave begins with workers that are switched off, in the seconds in which a burst has the
+ * leader move switched-off workers to the pool that is short.
+ */
+import {toBrand, type PoolId, type WaveId, type WorkerId} from '@samphiremill/common';
+import {expect, test} from 'vitest';
+import {
+	applyLedgerCommand, createLedger, planUpkeep, planWorkerMoves, type Ledger, type PoolPressure,
+} from './index.js';
+
+const counter = toBrand<PoolId>('counter');
+const standby = toBrand<PoolId>('standby');
+const wave = toBrand<WaveId>('1');
+const names = ['worker-1', 'worker-2', 'worker-3', 'worker-4'].map(name => toBrand<WorkerId>(name));
+const millicores = 32_000;
+const moveMs = 1500;
+const nowMs = 1_700_000_000_000;
+const parse = () => undefined;
+
+const createPressure = (pool: PoolId, pressure: Partial<PoolPressure>): PoolPressure => ({
+	pool, isStandby: false, millicores: 0, incomingMillicores: 0, waitingLastingCount: 0, runnableMillicores: 0, workLeft: 0, inflowMillicores: 0, peakInflowMillicores: 0, readiness: 0, ...pressure,
+});
+
+const startWave = (maximumAtOnce: number) => {
+	const ledger = createLedger();
+	applyLedgerCommand(ledger, {
+		type: 'wave/started', wave: {
+			wave, workers: names.slice(0, 2), maximumAtOnce, startedAtMs: nowMs, dueAtMs: nowMs + 60_000,
+		},
+	}, parse);
+	return ledger;
+};
+
+const begin = (ledger: Ledger, worker: WorkerId, atMs: number) => {
+	applyLedgerCommand(ledger, {
+		type: 'wave/workerOrdered', term: 0, wave, worker, life: undefined,
+	}, parse);
+	applyLedgerCommand(ledger, {
+		type: 'wave/workerBegun', term: 0, wave, worker, atMs,
+	}, parse);
+};
+
+const look = (ledger: Ledger, afterMs: number) => planUpkeep({
+	ledger, nowMs: nowMs + afterMs, workers: new Map(), switchedOff: new Set(names), isPressed: () => false, cordoned: new Set(), isServing: () => true,
+});
+
+// A burst that two workers more are enough for, as the moves see it.
+const listMoved = (cordoned: ReadonlySet<WorkerId>) => planWorkerMoves({
+	pools: [
+		createPressure(counter, {runnableMillicores: 2 * millicores, inflowMillicores: 2 * millicores}),
+		createPressure(standby, {isStandby: true}),
+	],
+	workers: names.filter(worker => !cordoned.has(worker)).map(worker => ({
+		worker, pool: standby, millicores, kind: '', idleMs: Number.POSITIVE_INFINITY,
+	})),
+	moveMs,
+}).map(({worker}) => worker);
+
+test('a burst gets workers that are up, and not those that are switched off and due for their upkeep now', () => {
+	const ledger = startWave(2);
+	const {requests, cordoned} = look(ledger, 0);
+	expect(requests.map(({worker}) => worker)).toEqual(names.slice(0, 2));
+	expect(listMoved(cordoned)).toEqual(names.slice(2));
+});
+
+test('a switched-off worker is moved again once its upkeep is over, be it the last of its wave', () => {
+	const ledger = startWave(2);
+	for (const worker of names.slice(0, 2)) {
+		begin(ledger, worker, nowMs);
+	}
+
+	expect(listMoved(look(ledger, 300).cordoned)).toEqual(names.slice(2));
+	expect(listMoved(look(ledger, 1900).cordoned)).toEqual(names.slice(2));
+	expect(look(ledger, 3600).cordoned).toEqual(new Set());
+});
+
+test('a switched-off worker that the wave has no room for yet may be moved', () => {
+	const {requests, cordoned} = look(startWave(1), 0);
+	expect(requests.map(({worker}) => worker)).toEqual(names.slice(0, 1));
+	expect(cordoned).toEqual(new Set(names.slice(0, 1)));
+});
--- a/packages/core/src/scheduler/plan-upkeep.ts
+++ b/packages/core/src/scheduler/plan-upkeep.ts
@@ -42,7 +42,7 @@
 
 /** What the leader does for waves now. */
 export type UpkeepPlan = {
-	/** Workers that get no new work. */
+	/** Workers that get no new work and are not moved. */
 	readonly cordoned: ReadonlySet<WorkerId>;
 	/** Tasks to stop, so that they go on elsewhere. */
 	readonly evictions: readonly Task[];
@@ -102,6 +102,15 @@
 	return !isBack && nowMs - order.begunAtMs < boundMs;
 };
 
+// The platform moves no worker that is down for its upkeep. A worker that was switched off then still looks
+// like one that may be moved.
+const isHeld = (input: UpkeepPlanInput, worker: WorkerId, order: UpkeepOrder) =>
+	order.begunAtMs === undefined || (order.life === undefined && isDown(input, worker, order));
+
+const listHeld = (input: UpkeepPlanInput, wave: UpkeepWave): readonly WorkerId[] => [...wave.ordered]
+	.filter(([worker, order]) => isHeld(input, worker, order))
+	.map(([worker]) => worker);
+
 // A pool in which tasks wait keeps its workers, as long as the wave can still be done in time.
 const isHurried = ({nowMs}: UpkeepPlanInput, wave: UpkeepWave) => {
 	const rounds = Math.ceil((wave.workers.length - wave.ordered.size) / Math.max(1, wave.maximumAtOnce));
@@ -132,14 +141,11 @@
 		.filter(([, {begunAtMs}]) => begunAtMs === undefined)
 		.map(([worker, {life}]) => ({wave: wave.wave, worker, life}));
 	const requests: UpkeepRequest[] = [...unconfirmed];
-	for (const {worker} of unconfirmed) {
-		cordoned.add(worker);
-	}
-
 	let room = wave.maximumAtOnce - [...wave.ordered].filter(([worker, order]) => isDown(input, worker, order)).length;
 	for (const worker of listSwitchedOff(input, wave)) {
 		if (room > 0) {
 			room -= 1;
+			cordoned.add(worker);
 			requests.push({wave: wave.wave, worker, life: undefined});
 		}
 	}
@@ -177,11 +183,15 @@
  */
 export function planUpkeep(input: UpkeepPlanInput): UpkeepPlan {
 	const budgets: Budgets = new Map();
-	const plans = [...input.ledger.waves.values()]
+	const waves = [...input.ledger.waves.values()];
+	const plans = waves
 		.filter(wave => !isWaveCompleted(wave))
 		.map(wave => planWave(input, budgets, wave));
 	return {
-		cordoned: new Set(plans.flatMap(({cordoned}) => [...cordoned])),
+		cordoned: new Set([
+			...waves.flatMap(wave => listHeld(input, wave)),
+			...plans.flatMap(({cordoned}) => [...cordoned]),
+		]),
 		evictions: plans.flatMap(({evictions}) => evictions),
 		requests: plans.flatMap(({requests}) => requests),
 	};
