--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -11,9 +11,10 @@
 } from './constants.js';
 import {createMinionLease} from './minion-lease.js';
 import {
-	createRunControl, fullPacePercent, toRunView, type RunControl, type RunView,
+	createRunControl, toRunView, type RunControl, type RunView,
 } from './run-control.js';
 import {createRunClosing} from './run-closing.js';
+import {listMissingRuns, noteListed} from './run-listing.js';
 import {createRunEnd, createRunOrders, toRunEnds} from './run-orders.js';
 import type {SessionContext} from './session-context.js';
 import {createUnassignedRuns} from './unassigned-runs.js';
@@ -52,8 +53,6 @@
 	readonly close: () => void;
 };
 
-const fullListLength = 500;
-
 /**
  * Opens the session of a life. It begins with a look at what runs there.
  *
@@ -213,54 +212,6 @@
 		return control?.assignment.run === run && isAssigned(task, run) ? control : undefined;
 	};
 
-	const noteRunning = (entry: RunningEntry) => {
-		const control = findControl(entry);
-		if (control === undefined) {
-			return;
-		}
-
-		const {percent, gauge} = entry;
-		if (control.phase === 'starting' || control.phase === 'unsent') {
-			control.phase = 'running';
-		}
-
-		control.startedAtMs ??= timers.getNow();
-		if (percent > control.percent || control.listedAtMs === undefined) {
-			control.progressedAtMs = timers.getNow();
-		}
-
-		control.listedAtMs = timers.getNow();
-		control.percent = percent;
-		control.gauge = gauge;
-		if (percent >= fullPacePercent) {
-			control.servingSinceMs ??= timers.getNow();
-		} else {
-			control.servingSinceMs = undefined;
-		}
-	};
-
-	const listMissing = (report: HoldReport, sentAtMs: number): readonly RunEnd[] => {
-		if (report.finished.length >= fullListLength) {
-			return [];
-		}
-
-		const listed = new Set<string>([...report.running, ...report.finished].map(({task, run}) => `${task}/${run}`));
-		return [...controls.values()].flatMap(control => {
-			const {assignment, stopAckedAtMs, listedFromMs, phase} = control;
-			if (listed.has(`${assignment.task}/${assignment.run}`)) {
-				return [];
-			}
-
-			if (stopAckedAtMs !== undefined && stopAckedAtMs < sentAtMs) {
-				return [createRunEnd(assignment, control.endingWithoutListing ?? 'stopped')];
-			}
-
-			return phase === 'running' && listedFromMs !== undefined && listedFromMs < sentAtMs
-				? [createRunEnd(assignment, 'lapsed')]
-				: [];
-		});
-	};
-
 	const startUnsent = () => {
 		for (const control of controls.values()) {
 			if (control.phase === 'unsent') {
@@ -282,7 +233,7 @@
 
 	const commitListedEnds = async (report: HoldReport, sentAtMs: number) => {
 		const highest = Math.max(lastSeen, ...report.finished.map(({number}) => number));
-		const ends = [...toRunEnds(report.finished, record.life), ...listMissing(report, sentAtMs)];
+		const ends = [...toRunEnds(report.finished, record.life), ...listMissingRuns(controls.values(), report, sentAtMs)];
 		// An end is confirmed to the minion only once it is in the log.
 		if (await endRuns(ends)) {
 			lastSeen = highest;
@@ -305,11 +256,17 @@
 
 		isSynced = true;
 		lapsedRuns.clear();
+		const unassigned: RunningEntry[] = [];
 		for (const entry of report.running) {
-			noteRunning(entry);
+			const control = findControl(entry);
+			if (control === undefined) {
+				unassigned.push(entry);
+			} else {
+				noteListed(control, entry, timers.getNow());
+			}
 		}
 
-		unassignedRuns.stop(report.running.filter(entry => findControl(entry) === undefined));
+		unassignedRuns.stop(unassigned);
 
 		// Each look grants the lease, so a slow log must not keep the next one waiting. What is listed meanwhile will
 		// be listed again.
