--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -1,17 +1,19 @@
 /**
  * What the leader answers to callers, minions, operators and control hosts.
  */
-import type {JobId} from '@samphiremill/common';
+import {waitFor, type JobId, type TimerService} from '@samphiremill/common';
 import {
 	admitJob, countPendingJobs, getShownState, getWork, isJobId, isWaveCompleted,
 	type Job, type JobSpecification, type Ledger, type LedgerCommand,
 } from '@samphiremill/core';
 import type {DecisionLog} from '../runtime/types.js';
 import type {Decision} from './command-batcher.js';
+import {departurePollMs, departureStopMs} from './constants.js';
 import type {DemandMeter} from './demand-meter.js';
 import type {EndedLives} from './ended-lives.js';
 import {createAcceptedJob, getAccess, type GrantedAccess} from './job-access.js';
 import type {SchedulerMetrics} from './metrics.js';
+import type {MinionSession} from './minion-session.js';
 import type {PoolView} from './pool-view.js';
 import type {SessionRegistry} from './session-registry.js';
 import type {
@@ -22,6 +24,7 @@
 export type CallHandlersOptions = {
 	readonly term: number;
 	readonly log: DecisionLog;
+	readonly timers: TimerService;
 	readonly metrics: SchedulerMetrics;
 	readonly sessions: SessionRegistry;
 	readonly demand: DemandMeter;
@@ -42,7 +45,7 @@
  * @param options - What the answers rest on.
  * @returns Answers a call.
  */
-export function createCallHandlers({term, log, metrics, sessions, demand, pools, getLedger, getWallClock, propose, decide, endedLives, checkConfiguration, wantPlan, stopNeedless, onChanged}: CallHandlersOptions): (call: ClusterCall) => Promise<ClusterAnswer> {
+export function createCallHandlers({term, timers, log, metrics, sessions, demand, pools, getLedger, getWallClock, propose, decide, endedLives, checkConfiguration, wantPlan, stopNeedless, onChanged}: CallHandlersOptions): (call: ClusterCall) => Promise<ClusterAnswer> {
 	/** Jobs on their way into the log. A resend of one gets the answer of the first, so that no refusal comes beside an acceptance. */
 	const submitting = new Map<JobId, Promise<ClusterAnswer>>();
 
@@ -205,17 +208,39 @@
 		return {type: 'done'};
 	};
 
+	// The minion goes on until it has its answer, so its runs are stopped before their tasks are free again.
+	const stopRuns = async ({record: {life}, listRuns, stop}: MinionSession): Promise<boolean> => {
+		const hasRuns = () => (getLedger().lives.get(life)?.runs.size ?? 0) > 0;
+		const untilMs = timers.getNow() + departureStopMs;
+		for (const {task} of listRuns()) {
+			stop(task, 'its minion leaves');
+		}
+
+		while (hasRuns() && timers.getNow() < untilMs) {
+			await waitFor(timers, departurePollMs); // eslint-disable-line no-await-in-loop -- until none is left
+		}
+
+		return !hasRuns();
+	};
+
+	const letGo = async (session: MinionSession): Promise<boolean> => {
+		const {life} = session.record;
+		const isDraining = getLedger().lives.get(life)?.isDraining === true || await decide({type: 'minion/draining', term, life});
+		return isDraining && await stopRuns(session) && decide({type: 'minion/left', term, life});
+	};
+
 	const takeLeave = async ({minion, bornAtMs}: ClusterCall & {type: 'minion/leave'}): Promise<ClusterAnswer> => {
-		const lives = [...sessions.values()].filter(({record}) => record.minion === minion && (bornAtMs === undefined || record.bornAtMs === bornAtMs));
-		for (const {record} of lives) {
-			log.info(`minion ${minion} left`, {minion, life: record.life});
+		const leaving = [...sessions.values()].filter(({record}) => record.minion === minion && (bornAtMs === undefined || record.bornAtMs === bornAtMs));
+		for (const session of leaving) {
+			const {life} = session.record;
 			// A report that names no life may be of an earlier one.
 			if (bornAtMs !== undefined) {
-				endedLives.note(record.life);
+				endedLives.note(life);
 			}
 
-			const isNoted = await decide({type: 'minion/left', term, life: record.life}); // eslint-disable-line no-await-in-loop -- hardly ever more than one
-			if (!isNoted) {
+			const hasLeft = await letGo(session); // eslint-disable-line no-await-in-loop -- hardly ever more than one
+			log.info(`minion ${minion} ${hasLeft ? 'left' : 'leaves, and still has runs'}`, {minion, life, runs: session.listRuns().length});
+			if (!hasLeft) {
 				return {type: 'unavailable'};
 			}
 		}
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -65,6 +65,10 @@
 /** The same for one that orders to start runs which were given up may still reach. */
 export const doubtfulAbsenceMs = 30_000;
 
+/** How long the runs of a minion that leaves are waited for, and how often they are looked at; its call waits for a second. */
+export const departureStopMs = 800;
+export const departurePollMs = 20;
+
 /** For how long reports of a life that has ended may still arrive. */
 export const endedLifeMemoryMs = 60_000;
 
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -311,7 +311,7 @@
 	};
 
 	const answer = createCallHandlers({
-		term, log, metrics, sessions, demand, pools, getLedger, getWallClock, propose, endedLives, decide: decideHere, checkConfiguration: options.checkConfiguration, wantPlan: planner.wantFullPlan, stopNeedless, onChanged: sessionContext.onMinionsChanged,
+		term, timers, log, metrics, sessions, demand, pools, getLedger, getWallClock, propose, endedLives, decide: decideHere, checkConfiguration: options.checkConfiguration, wantPlan: planner.wantFullPlan, stopNeedless, onChanged: sessionContext.onMinionsChanged,
 	});
 
 	sessions.sync();
