--- a/packages/core/src/scheduler/plan-upkeep.test.ts
+++ b/packages/core/src/scheduler/plan-upkeep.test.ts
@@ -2,7 +2,9 @@
  * Load pattern: a wave begins with workers that are switched off, in the seconds in which a burst has the
  * leader move switched-off workers to the pool that is short.
  */
-import {toBrand, type PoolId, type WaveId, type WorkerId} from '@samphiremill/common';
+import {
+	toBrand, type PoolId, type WaveId, type WorkerId,
+} from '@samphiremill/common';
 import {expect, test} from 'vitest';
 import {
 	applyLedgerCommand, createLedger, planUpkeep, planWorkerMoves, type Ledger, type PoolPressure,
