Starts that the next incarnation may have carried out count for the longest lease

Cause: after an unnoticed restart a start reaches the next incarnation of its minion. Its deadline is on the clock of the previous incarnation, so it grants the longest lease that the minion accepts, while the leader counts on its own, shorter one.

Change: a run whose start got no answer and that was never listed lapses only after the longest lease, and so does everything on an incarnation that follows another one, for the first such span. Starts that were answered need nothing: the answer shows the clock of the new incarnation, and the lease is then counted by it (a check of clocks that go back was tried and changed no test).

A new leader does not know that an incarnation follows another one; that remains.

--- a/packages/core/src/scheduler/ids.ts
+++ b/packages/core/src/scheduler/ids.ts
@@ -42,3 +42,8 @@
 export function createIncarnationId(minion: MinionId, bornAtMs: number): IncarnationId {
 	return toBrand<IncarnationId>(`${minion}@${bornAtMs}`);
 }
+
+/** Returns whether the id is one of an incarnation of the minion. */
+export function isIncarnationOf(life: IncarnationId, minion: MinionId): boolean {
+	return life.slice(0, life.lastIndexOf('@')) === minion;
+}
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -5,7 +5,7 @@
 export type * from './types.js';
 export {applyLedgerCommand} from './apply-ledger-command.js';
 export {
-	createIncarnationId, createTaskId, parseTaskId, type TaskIdParts,
+	createIncarnationId, createTaskId, isIncarnationOf, parseTaskId, type TaskIdParts,
 } from './ids.js';
 export {
 	countPendingJobs, createLedger, findQueue, findTask, getPublicJobState, getStep, getStepProgress, isJobId, isLateRunEnd, listTasks,
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -156,6 +156,7 @@
 		termBeganAtMs: termStartedAtMs,
 		getLedger,
 		canAct: () => !isStopped && canAct(),
+		hasEarlierIncarnation: endedIncarnations.hasEarlier,
 		commit,
 		getWallClock,
 		onMinionsChanged() {
--- a/packages/daemon/src/scheduler/minion-lease.ts
+++ b/packages/daemon/src/scheduler/minion-lease.ts
@@ -11,6 +11,8 @@
 	readonly leaseMs: number;
 	/** Start of the term on the monotonic clock. Leases granted by earlier leaders may still be valid for some time after it. */
 	readonly inheritedSinceMs: number;
+	/** Until when a lease that was granted by a start of the previous incarnation may be valid, on the monotonic clock. */
+	readonly foreignLeaseUntilMs: number;
 };
 
 /** The lease of one minion incarnation. */
@@ -36,7 +38,7 @@
 };
 
 /** Creates a lease with no deadline granted and an unknown minion clock. */
-export function createMinionLease({timers, leaseMs, inheritedSinceMs}: MinionLeaseOptions): MinionLease {
+export function createMinionLease({timers, leaseMs, inheritedSinceMs, foreignLeaseUntilMs}: MinionLeaseOptions): MinionLease {
 	let clock: ClockReading | undefined;
 	let latestDeadlineMs = 0;
 
@@ -55,6 +57,10 @@
 		},
 		isExpired(isSynced) {
 			const nowMs = timers.getNow();
+			if (nowMs < foreignLeaseUntilMs) {
+				return false;
+			}
+
 			if (clock === undefined || latestDeadlineMs === 0) {
 				return !isSynced && nowMs - inheritedSinceMs > getInheritedLeaseMs(leaseMs);
 			}
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -4,7 +4,7 @@
  */
 import {waitFor} from '@samphiremill/common';
 import {
-	findTask, getRunLimit, getStep, isLateRunEnd, isSuspectedSlow, recordSlowness, recordRunDone, recordRunFailed, initialMinionHealth, initialMinionSpeed,
+	findTask, getInheritedLeaseMs, getRunLimit, getStep, isLateRunEnd, isSuspectedSlow, recordSlowness, recordRunDone, recordRunFailed, initialMinionHealth, initialMinionSpeed,
 	type MinionHealth, type MinionSpeed, type MinionRecord, type RunAssignment, type RunEnd, type TaskId,
 } from '@samphiremill/core';
 import {
@@ -71,7 +71,14 @@
 		life: record.life, minion: record.minion, bornAtMs: record.bornAtMs, address: record.address,
 	};
 	const trackedRuns = new Map<TaskId, TrackedRun>();
-	const lease = createMinionLease({timers, leaseMs, inheritedSinceMs: context.termBeganAtMs});
+	const longestLeaseMs = getInheritedLeaseMs(context.longestHoldMs);
+	const lease = createMinionLease({
+		timers,
+		leaseMs,
+		inheritedSinceMs: context.termBeganAtMs,
+		// The deadline of a start that was sent to the previous incarnation is on that incarnation's clock.
+		foreignLeaseUntilMs: context.hasEarlierIncarnation(record.minion) ? timers.getNow() + longestLeaseMs : 0,
+	});
 	let lastSeen = 0;
 	let isSynced = false;
 	let isClosed = false;
@@ -350,11 +357,20 @@
 		}
 	};
 
+	// A start without an answer may have reached the next incarnation, and granted it the longest lease.
+	const mayOutliveLease = (task: TaskId, run: number) => {
+		const trackedRun = trackedRuns.get(task);
+		return trackedRun?.assignment.run === run && trackedRun.unansweredAtMs !== undefined && trackedRun.listedAtMs === undefined
+			&& timers.getNow() - trackedRun.unansweredAtMs < longestLeaseMs;
+	};
+
+	const listExpiredRuns = () => listLedgerRuns().filter(([task, run]) => !mayOutliveLease(task, run));
+
 	const expireLease = async () => {
 		isExpiringLease = true;
 		isSynced = false;
 		lease.reset();
-		const runs = listLedgerRuns();
+		const runs = listExpiredRuns();
 		for (const [task, number] of runs) {
 			lapsedRuns.set(task, number);
 		}
@@ -450,7 +466,7 @@
 
 			if (lateStartGuard.isSuperseded()) {
 				void lateStartGuard.handleNextIncarnation();
-			} else if (listLedgerRuns().length > 0 && !isExpiringLease && lease.isExpired(isSynced) && context.canAct()) {
+			} else if (!isExpiringLease && context.canAct() && lease.isExpired(isSynced) && listExpiredRuns().length > 0) {
 				void expireLease();
 			}
 		},
--- a/packages/daemon/src/scheduler/run-orders.ts
+++ b/packages/daemon/src/scheduler/run-orders.ts
@@ -192,6 +192,7 @@
 
 			case 'noAnswer': {
 				trackedRun.mayStartLate = true;
+				trackedRun.unansweredAtMs = timers.getNow();
 				recordUnansweredStart(trackedRun.assignment);
 				return 'again';
 			}
--- a/packages/daemon/src/scheduler/tracked-run.ts
+++ b/packages/daemon/src/scheduler/tracked-run.ts
@@ -32,6 +32,8 @@
 	readonly isInherited: boolean;
 	/** Whether a start order was sent and not answered, so that the minion may still execute it. */
 	mayStartLate: boolean;
+	/** When the latest start order without an answer timed out. */
+	unansweredAtMs: number | undefined;
 	startedAtMs: number | undefined;
 	/** A listing that was requested after this time must include the run. */
 	listingExpectedFromMs: number | undefined;
@@ -57,6 +59,7 @@
 		isStopRequested: false,
 		isInherited,
 		mayStartLate: false,
+		unansweredAtMs: undefined,
 		startedAtMs: undefined,
 		listingExpectedFromMs: undefined,
 		stopAckedAtMs: undefined,
