State of the pools once a second, in the log and as gauges

So that a late job can be traced to the capacity, demand and forecast of its pool without a replay: one line a second of the leader, 32 pools at most, and the same figures as metrics. The line of an accepted job tells its work.

--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -86,6 +86,7 @@
 			pool: queue.pool,
 			team: team?.team,
 			expectedMs: Math.round(admission.expectedMs),
+			workCoreMs: Math.round(work / 1000),
 			workAheadCoreMs: Math.round(load.workAhead / 1000),
 			poolMillicores: load.cpuMillicores,
 			configuration: configuration.version,
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -131,3 +131,7 @@
 
 /** The process counts as busy when it is active for more than this part of the period. */
 export const busyThreshold = 0.6;
+
+/** How often the state of the pools is logged, and how many pools at most. */
+export const poolReportPeriodMs = 1000;
+export const maximumReportedPools = 32;
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -13,7 +13,7 @@
 import {createCallHandlers} from './call-handlers.js';
 import type {ProposalResult} from './command-batcher.js';
 import {
-	lapsedStartAbsenceTimeoutMs, fillerPacePeriodMs, jobCleanupPeriodMs, leaderTickPeriodMs, minionAbsenceTimeoutMs,
+	lapsedStartAbsenceTimeoutMs, fillerPacePeriodMs, jobCleanupPeriodMs, leaderTickPeriodMs, minionAbsenceTimeoutMs, poolReportPeriodMs,
 } from './constants.js';
 import {createDutyTimes} from './duty-times.js';
 import {createErrorBoundary} from './error-boundary.js';
@@ -22,6 +22,7 @@
 import {paceFillers} from './filler-pacing.js';
 import type {SchedulerMetrics} from './metrics.js';
 import {openMinionSession, type MinionSession} from './minion-session.js';
+import {reportPools} from './pool-report.js';
 import {createPoolView} from './pool-view.js';
 import {createStragglerMitigator} from './straggler-mitigator.js';
 import type {SessionContext} from './session-context.js';
@@ -329,6 +330,13 @@
 				});
 			}
 		}),
+		timers.scheduleEvery(poolReportPeriodMs, () => {
+			if (canAct()) {
+				runIsolated('report on pools', () => {
+					reportPools(pools.listPoolBalances(), {log, metrics});
+				});
+			}
+		}),
 		timers.scheduleEvery(jobCleanupPeriodMs, () => {
 			runIsolated('forgetting', forgetEndedJobs);
 		}),
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -23,10 +23,15 @@
 /** Names of the latency histograms, in milliseconds. */
 export type SchedulerLatency = 'commit_ms' | 'plan_ms' | 'request_ms';
 
-/** Counters and histograms. */
+/** Names of the gauges. */
+export type SchedulerGauge = 'pool_cores' | 'pool_burst_readiness';
+
+/** Counters, gauges and histograms. */
 export type SchedulerMetrics = {
 	readonly count: (name: SchedulerCounter, label?: string) => void;
 	readonly record: (name: SchedulerLatency, durationMs: number) => void;
+	/** Replaces all series of a gauge: values by their labels in the text format. */
+	readonly setGauges: (name: SchedulerGauge, values: ReadonlyMap<string, number>) => void;
 	/** Returns all series in the Prometheus text format. */
 	readonly format: () => string;
 };
@@ -41,6 +46,7 @@
 /** Creates metrics without any series yet. */
 export function createSchedulerMetrics(): SchedulerMetrics {
 	const counters = new Map<string, number>();
+	const gauges = new Map<SchedulerGauge, ReadonlyMap<string, number>>();
 	const histograms = new Map<SchedulerLatency, ReturnType<typeof createHistogram>>();
 
 	const formatHistogram = ([name, histogram]: [SchedulerLatency, ReturnType<typeof createHistogram>]) => [
@@ -58,8 +64,12 @@
 			histograms.set(name, histogram);
 			histogram.recordValue(Math.min(highestTrackableMs, Math.max(1, Math.round(durationMs))));
 		},
+		setGauges(name, values) {
+			gauges.set(name, values);
+		},
 		format: () => [
 			...[...counters].map(([series, value]) => `${prefix}${series} ${value}`),
+			...[...gauges].flatMap(([name, values]) => [...values].map(([labels, value]) => `${prefix}${name}{${labels}} ${value}`)),
 			...[...histograms].flatMap(entry => formatHistogram(entry)),
 			'',
 		].join('\n'),
