Bursts are detected after a few jobs and sized by earlier bursts

The measured inflow lags a burst that rises over seconds, so workers are ordered for what it was, and arrive 1.65 s later.

Change: a burst starts when the rate, less the standard deviation of its count, exceeds a fifth of the expected peak (core/pools/inflow). During its rise the pool is sized by the average of the expected peak, that of the pool's earlier bursts or of other pools, and of what was submitted since (core/pools/expected-inflow). It ends when the lower bound has fallen, too: without that a waning burst counted as several.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,6 +13,7 @@
 export * from './node/index.js';
 export * from './peer-link/index.js';
 export * from './placement/index.js';
+export * from './pools/index.js';
 export * from './replica/index.js';
 export * from './scheduler/index.js';
 export * from './shares/index.js';
--- a/packages/core/src/scheduler/forecast-bursts.test.ts
+++ b/packages/core/src/scheduler/forecast-bursts.test.ts
@@ -16,7 +16,7 @@
 		for (let atMs = turn * burstMs; atMs < (turn + 1) * burstMs; atMs += 100) {
 			for (const pool of pools) {
 				history = recordInflow(history, {
-					pool, nowMs: atMs, inflowMillicores: pool === bursting ? 1000 : 1000 * idleShareOfPeak, peakInflowMillicores: 1000,
+					pool, nowMs: atMs, inflowMillicores: pool === bursting ? 1000 : 1000 * idleShareOfPeak, inflowLowerBoundMillicores: pool === bursting ? 500 : 0, peakInflowMillicores: 1000,
 				});
 			}
 		}
@@ -61,3 +61,14 @@
 	expect([10_000, 11_000, 13_500, 15_000, 15_100].map(nowMs => at(nowMs))).toEqual([0, 1, 1, 1, 0]);
 	expect(at(13_500, counter)).toBe(0);
 });
+
+test('a burst that ebbs and flows counts once, as long as jobs keep coming', () => {
+	let history = emptyBurstHistory;
+	for (let atMs = 0; atMs < 2000; atMs += 100) {
+		history = recordInflow(history, {
+			pool: counter!, nowMs: atMs, inflowMillicores: atMs % 400 === 0 ? 600 : 100, inflowLowerBoundMillicores: 250, peakInflowMillicores: 1000,
+		});
+	}
+
+	expect(history.bursts).toHaveLength(1);
+});
--- a/packages/core/src/scheduler/forecast-bursts.ts
+++ b/packages/core/src/scheduler/forecast-bursts.ts
@@ -26,6 +26,8 @@
 	readonly pool: PoolId;
 	readonly nowMs: number;
 	readonly inflowMillicores: number;
+	/** A rate that the inflow exceeds with some confidence. */
+	readonly inflowLowerBoundMillicores: number;
 	/** The highest inflow in the observed period. */
 	readonly peakInflowMillicores: number;
 };
@@ -42,27 +44,26 @@
 /** A history without any bursts. */
 export const emptyBurstHistory: BurstHistory = {bursts: [], bursting: new Set()};
 
-// A burst starts when the inflow reaches the first share of the pool's peak inflow, and ends when it falls below the
-// second. In between, nothing changes (hysteresis).
-const startShareOfPeak = 0.5;
-const endShareOfPeak = 0.2;
+// A burst starts when the inflow exceeds this share of the pool's peak inflow with some confidence, and ends when the
+// measured inflow falls below it.
+const burstShareOfPeak = 0.2;
 const maximumBurstsKept = 24;
 const minimumGaps = 2;
 // A predicted burst that has not started this long after its expected start is no longer expected.
 const maximumDelayMs = 1500;
 
 /** Adds a sample of a pool's demand to the history: the start or the end of a burst, if the sample shows one. */
-export function recordInflow(history: BurstHistory, {pool, nowMs, inflowMillicores, peakInflowMillicores}: InflowReading): BurstHistory {
+export function recordInflow(history: BurstHistory, {pool, nowMs, inflowMillicores, inflowLowerBoundMillicores, peakInflowMillicores}: InflowReading): BurstHistory {
 	const {bursts, bursting} = history;
 	const isBursting = bursting.has(pool);
-	if (!isBursting && peakInflowMillicores > 0 && inflowMillicores >= peakInflowMillicores * startShareOfPeak) {
+	if (!isBursting && peakInflowMillicores > 0 && inflowLowerBoundMillicores >= peakInflowMillicores * burstShareOfPeak) {
 		return {
 			bursts: [...bursts, {pool, startedAtMs: nowMs}].slice(-maximumBurstsKept),
 			bursting: new Set([...bursting, pool]),
 		};
 	}
 
-	return isBursting && inflowMillicores < peakInflowMillicores * endShareOfPeak
+	return isBursting && Math.max(inflowMillicores, inflowLowerBoundMillicores) < peakInflowMillicores * burstShareOfPeak
 		? {bursts, bursting: new Set([...bursting].filter(other => other !== pool))}
 		: history;
 }
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -135,3 +135,6 @@
 /** How often the state of the pools is logged, and how many pools at most. */
 export const poolReportPeriodMs = 1000;
 export const maximumReportedPools = 32;
+
+/** How long single arrivals of jobs are kept to measure the inflow. */
+export const arrivalRetentionMs = 6000;
--- a/packages/daemon/src/scheduler/demand-meter.ts
+++ b/packages/daemon/src/scheduler/demand-meter.ts
@@ -2,7 +2,10 @@
  * Rates of the work that callers submit, by pool: over the last seconds, and the peak of a longer time.
  */
 import type {JobId, PoolId, TimerService} from '@samphiremill/common';
-import {peakDemandRetentionMs} from './constants.js';
+import {
+	getInflow, getInflowLowerBound, inflowWindowMs, type Arrival,
+} from '@samphiremill/core';
+import {arrivalRetentionMs, peakDemandRetentionMs} from './constants.js';
 
 /** Measures the work that is submitted. */
 export type DemandMeter = {
@@ -10,20 +13,16 @@
 	readonly recordJob: (pool: PoolId, job: {readonly id: JobId; readonly work: number}) => void;
 	/** Returns the work per millisecond, in millicores. */
 	readonly getRate: (pool: PoolId) => number;
-	/** Returns the highest remembered rate over `maximumWindowMs`, in millicores. */
+	/** Returns a rate that the submitted work exceeds with some confidence, in millicores. */
+	readonly getRateLowerBound: (pool: PoolId) => number;
+	/** Returns the highest remembered rate over the longest window, in millicores. */
 	readonly getPeakRate: (pool: PoolId) => number;
+	/** Returns the work that was submitted since a time at most `arrivalRetentionMs` ago, in millicore milliseconds. */
+	readonly getWorkSince: (pool: PoolId, sinceMs: number) => number;
 };
 
-type Arrival = {
-	readonly id: JobId;
-	readonly atMs: number;
-	readonly work: number;
-};
+type IdentifiedArrival = Arrival & {readonly id: JobId};
 
-// A rate is taken over the shortest window that holds this many jobs, since single jobs differ a lot in work.
-const jobsPerWindow = 8;
-const minimumWindowMs = 400;
-const maximumWindowMs = 3000;
 const peakPeriodMs = 5000;
 
 type Peak = {
@@ -31,15 +30,13 @@
 	readonly rate: number;
 };
 
+const sumWorkSince = (arrivals: readonly Arrival[], sinceMs: number) => arrivals.reduce((sum, {atMs, work}) => sum + (atMs > sinceMs ? work : 0), 0);
+
 export function createDemandMeter(timers: TimerService): DemandMeter {
-	const arrivals = new Map<PoolId, readonly Arrival[]>();
+	const arrivals = new Map<PoolId, readonly IdentifiedArrival[]>();
 	const peaks = new Map<PoolId, readonly Peak[]>();
 
-	const getRecent = (pool: PoolId) => (arrivals.get(pool) ?? []).filter(({atMs}) => timers.getNow() - atMs < maximumWindowMs);
-
-	const getAverageRate = (recent: readonly Arrival[], windowMs: number) => recent
-		.filter(({atMs}) => timers.getNow() - atMs <= windowMs)
-		.reduce((sum, {work}) => sum + work, 0) / windowMs;
+	const getRecent = (pool: PoolId) => (arrivals.get(pool) ?? []).filter(({atMs}) => timers.getNow() - atMs < arrivalRetentionMs);
 
 	const listPeaks = (pool: PoolId) => (peaks.get(pool) ?? []).filter(({sinceMs}) => timers.getNow() - sinceMs < peakDemandRetentionMs);
 
@@ -57,13 +54,11 @@
 			const recent = getRecent(pool);
 			const now = recent.some(arrival => arrival.id === id) ? recent : [...recent, {id, atMs: timers.getNow(), work}];
 			arrivals.set(pool, now);
-			recordPeak(pool, getAverageRate(now, maximumWindowMs));
-		},
-		getRate(pool) {
-			const recent = getRecent(pool);
-			const earliest = recent.at(-jobsPerWindow);
-			return getAverageRate(recent, earliest === undefined ? maximumWindowMs : Math.max(minimumWindowMs, timers.getNow() - earliest.atMs));
+			recordPeak(pool, sumWorkSince(now, timers.getNow() - inflowWindowMs) / inflowWindowMs);
 		},
+		getRate: pool => getInflow(getRecent(pool), timers.getNow()),
+		getRateLowerBound: pool => getInflowLowerBound(getRecent(pool), timers.getNow()),
 		getPeakRate: pool => Math.max(0, ...listPeaks(pool).map(({rate}) => rate)),
+		getWorkSince: (pool, sinceMs) => sumWorkSince(getRecent(pool), sinceMs),
 	};
 }
--- a/packages/daemon/src/scheduler/leader.test.ts
+++ b/packages/daemon/src/scheduler/leader.test.ts
@@ -62,7 +62,7 @@
 	}
 
 	await world.advance(9000);
-	expect(world.listMoves().map(move => move.replace(/-\d+/v, ''))).toEqual(['worker to reserve', 'spare to counter', 'spare to counter', expect.stringMatching(/ to reserve$/v), expect.stringMatching(/ to reserve$/v)]);
+	expect(world.listMoves().map(move => move.replace(/-\d+/v, ''))).toEqual(['worker to reserve', 'spare to counter', 'spare to counter', 'worker to counter', expect.stringMatching(/ to reserve$/v), expect.stringMatching(/ to reserve$/v), expect.stringMatching(/ to reserve$/v)]);
 	expect(world.listViolations()).toEqual([]);
 });
 
--- a/packages/daemon/src/scheduler/pool-report.test.ts
+++ b/packages/daemon/src/scheduler/pool-report.test.ts
@@ -10,13 +10,17 @@
 	runnableMillicores: 30_040, workLeft, inflowMillicores: 20_000, peakInflowMillicores: 90_000, readiness: 0.5,
 });
 
+const ignore = () => undefined;
+
 const collect = (balances: readonly PoolBalance[]) => {
-	const lines: unknown[] = [];
+	const lines: Array<{readonly message: string; readonly fields: Readonly<Record<string, unknown>> | undefined}> = [];
 	const metrics = createSchedulerMetrics();
 	const log = {
-		debug() {}, warn() {}, error() {},
+		debug: ignore,
+		warn: ignore,
+		error: ignore,
 		info(message: string, fields?: Readonly<Record<string, unknown>>) {
-			lines.push({message, ...fields});
+			lines.push({message, fields});
 		},
 	};
 	reportPools(balances, {log, metrics});
@@ -28,21 +32,23 @@
 		{
 		  "lines": [
 		    {
+		      "fields": {
+		        "omitted": 0,
+		        "pools": [
+		          {
+		            "capacity": 48,
+		            "incoming": 16,
+		            "inflow": 20,
+		            "peakInflow": 90,
+		            "pool": "counter",
+		            "readiness": 0.5,
+		            "runnable": 30,
+		            "waitingLasting": 0,
+		            "workLeft": 3,
+		          },
+		        ],
+		      },
 		      "message": "state of the pools",
-		      "omitted": 0,
-		      "pools": [
-		        {
-		          "capacity": 48,
-		          "incoming": 16,
-		          "inflow": 20,
-		          "peakInflow": 90,
-		          "pool": "counter",
-		          "readiness": 0.5,
-		          "runnable": 30,
-		          "waitingLasting": 0,
-		          "workLeft": 3,
-		        },
-		      ],
 		    },
 		  ],
 		  "series": "samphiremill_pool_cores{pool="counter",kind="capacity"} 48
@@ -58,6 +64,9 @@
 
 test('of many pools only the most loaded are reported', () => {
 	const balances = Array.from({length: maximumReportedPools + 8}, (_, index) => createBalance(`pool-${index}`, index * 1e6));
-	const [line] = collect(balances).lines as ReadonlyArray<{readonly pools: ReadonlyArray<{readonly pool: string}>; readonly omitted: number}>;
-	expect({count: line?.pools.length, first: line?.pools[0]?.pool, omitted: line?.omitted}).toEqual({count: 32, first: 'pool-39', omitted: 8});
+	const {lines, series} = collect(balances);
+	expect(lines[0]?.fields).toMatchObject({omitted: 8});
+	expect(lines[0]?.fields?.['pools']).toHaveLength(maximumReportedPools);
+	expect(series).toContain('pool="pool-39"');
+	expect(series).not.toContain('pool="pool-7"');
 });
--- a/packages/daemon/src/scheduler/pool-view.ts
+++ b/packages/daemon/src/scheduler/pool-view.ts
@@ -3,7 +3,7 @@
  */
 import type {PoolId, TimerService} from '@samphiremill/common';
 import {
-	forecastBursts, getBurstConfidence, measurePoolWorkload, measureWorkAhead, emptyBurstHistory, recordInflow,
+	getExpectedInflow, forecastBursts, getBurstConfidence, measurePoolWorkload, measureWorkAhead, emptyBurstHistory, recordInflow,
 	type Ledger, type PoolLoad, type PoolBalance, type Resources, type TeamDefinition,
 } from '@samphiremill/core';
 import {peakDemandRetentionMs} from './constants.js';
@@ -75,13 +75,29 @@
 	const recordInflows = (pools: readonly PoolId[], expectedPeak: number) => {
 		for (const pool of pools) {
 			bursts = recordInflow(bursts, {
-				pool, nowMs: timers.getNow(), inflowMillicores: demand.getRate(pool), peakInflowMillicores: Math.max(expectedPeak, demand.getPeakRate(pool)),
+				pool, nowMs: timers.getNow(), inflowMillicores: demand.getRate(pool), inflowLowerBoundMillicores: demand.getRateLowerBound(pool), peakInflowMillicores: Math.max(expectedPeak, demand.getPeakRate(pool)),
 			});
 		}
 
 		return forecastBursts(bursts, pools);
 	};
 
+	// Before the first burst of a pool, it is expected to be like those of the other pools.
+	const getExpectedBurstInflow = (pool: PoolId, expectedPeak: number) => {
+		const peaks = [...new Set(bursts.bursts.map(burst => burst.pool))].filter(other => other !== pool).map(other => demand.getPeakRate(other));
+		const typicalPeak = peaks.length === 0 ? expectedPeak : peaks.reduce((sum, peak) => sum + peak, 0) / peaks.length;
+		return Math.max(demand.getPeakRate(pool), typicalPeak);
+	};
+
+	const getInflow = (pool: PoolId, expectedPeak: number) => {
+		const burst = bursts.bursting.has(pool) ? bursts.bursts.findLast(other => other.pool === pool) : undefined;
+		return getExpectedInflow(demand.getRate(pool), burst && {
+			ageMs: timers.getNow() - burst.startedAtMs,
+			submittedWork: demand.getWorkSince(pool, burst.startedAtMs),
+			expectedInflowMillicores: getExpectedBurstInflow(pool, expectedPeak),
+		});
+	};
+
 	const listPoolBalances = (): readonly PoolBalance[] => {
 		const definitions = getLedger().configuration?.pools ?? [];
 		const expectedPeak = getExpectedPeak(definitions.length);
@@ -98,7 +114,7 @@
 				waitingLastingCount: waitingLongRunningCount,
 				runnableMillicores: runningMillicores + readyMillicores,
 				workLeft,
-				inflowMillicores: demand.getRate(pool),
+				inflowMillicores: getInflow(pool, expectedPeak),
 				peakInflowMillicores: Math.max(expectedPeak, demand.getPeakRate(pool)),
 				readiness: getBurstConfidence(forecasts, {pool, nowMs: timers.getNow(), leadMs: moveMs + arrivalDelayMs}),
 			};
