Decisions of the scheduler come in as arguments, and those on pools stand in one folder

core/pools holds the demand on pools, its forecast and the plan of worker moves; the files are moved, not changed. daemon/scheduler/policy.ts names the replaceable decisions; the leader passes each to the part that uses it, so that an ablation replaces one of them. What a burst is expected to reach is a function of the known peaks in place of a closure over the meters. No decision changes.

--- a/packages/core/src/pools/expected-inflow.ts
+++ b/packages/core/src/pools/expected-inflow.ts
@@ -14,6 +14,26 @@
 	readonly expectedInflowMillicores: number;
 };
 
+/** What is known of the peak inflow of a pool and of its like, in millicores. */
+export type KnownPeaks = {
+	/** The highest remembered inflow of the pool. */
+	readonly ownMillicores: number;
+	/** The highest remembered inflows of the other pools that had a burst. */
+	readonly othersMillicores: readonly number[];
+	/** What to expect if no pool had a burst. */
+	readonly defaultMillicores: number;
+};
+
+/** Returns the inflow that a burst of a pool is expected to reach. Before its first burst, it is expected to be like the other pools. */
+export function getExpectedPeak({ownMillicores, othersMillicores, defaultMillicores}: KnownPeaks): number {
+	let sum = 0;
+	for (const millicores of othersMillicores) {
+		sum += millicores;
+	}
+
+	return Math.max(ownMillicores, othersMillicores.length === 0 ? defaultMillicores : sum / othersMillicores.length);
+}
+
 // The expectation weighs as much as this much time of observed inflow.
 const expectationWeightMs = 2000;
 // A burst is past its rise after this time, and the measured inflow alone counts.
--- a/packages/core/src/scheduler/decisions.test.ts
+++ b/packages/core/src/scheduler/decisions.test.ts
@@ -2,10 +2,11 @@
 	toBrand, type JobId, type MinionId, type PoolId, type QueueId, type WaveId, type WorkerId,
 } from '@samphiremill/common';
 import {expect, test} from 'vitest';
+import {planWorkerMoves, type MovableWorker, type PoolBalance} from '../pools/index.js';
 import {
 	admitJob, applyLedgerCommand, createLedger, createLedgerSnapshot, createIncarnationId, findTask, getFillerPacePercent,
-	isSuspectedSlow, assessRun, measurePoolWorkload, recordSlowness, plainStep, planStarts, planMaintenance, planWorkerMoves, restoreLedger, initialMinionSpeed,
-	type JobSpecification, type Ledger, type MinionRecord, type MovableWorker, type PoolBalance, type StepSpecification, type Task, type UsableMinion,
+	isSuspectedSlow, assessRun, measurePoolWorkload, recordSlowness, plainStep, planStarts, planMaintenance, restoreLedger, initialMinionSpeed,
+	type JobSpecification, type Ledger, type MinionRecord, type StepSpecification, type Task, type UsableMinion,
 } from './index.js';
 
 const pool = toBrand<PoolId>('counter');
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -25,18 +25,12 @@
 	isSuspectedSlow, assessRun, recordSlowness, predictTotalMs, initialMinionSpeed, type MinionSpeed, type RunVerdict,
 } from './assess-runs.js';
 export {planStarts, type StartPlanInput, type UsableMinion} from './plan-starts.js';
-export {type CompareReadySteps, type ReadyStep} from './order-work.js';
+export {compareReadySteps, type CompareReadySteps, type ReadyStep} from './order-work.js';
 export {getFillerPacePercent, type TailLatency} from './pace-fillers.js';
 export {
 	isWaveCompleted, planMaintenance, type MaintenancePlan, type MaintenancePlanInput, type MaintenanceRequest, type WorkerView,
 } from './plan-maintenance.js';
-export {
-	planWorkerMoves, type MovableWorker, type WorkerMoveInput, type PoolBalance, type WorkerMove,
-} from './plan-worker-moves.js';
 export {measurePoolWorkload, measureWorkAhead, type QueuePosition} from './measure-pools.js';
 export {getPoolIndex, emptyWorkload, type PoolIndex} from './work-index.js';
-export {
-	forecastBursts, getBurstConfidence, emptyBurstHistory, recordInflow, type BurstForecast, type BurstHistory,
-} from './forecast-bursts.js';
 export {plainStep} from './plain-step.js';
 export {getLongestChainMs, getObjectiveMs, getOccurrenceWork} from './estimates.js';
--- a/packages/core/src/scheduler/plan-maintenance.test.ts
+++ b/packages/core/src/scheduler/plan-maintenance.test.ts
@@ -6,8 +6,9 @@
 	toBrand, type PoolId, type WaveId, type WorkerId,
 } from '@samphiremill/common';
 import {expect, test} from 'vitest';
+import {planWorkerMoves, type PoolBalance} from '../pools/index.js';
 import {
-	applyLedgerCommand, createLedger, planMaintenance, planWorkerMoves, type Ledger, type PoolBalance,
+	applyLedgerCommand, createLedger, planMaintenance, type Ledger,
 } from './index.js';
 
 const counter = toBrand<PoolId>('counter');
--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -3,7 +3,7 @@
  */
 import {waitFor, type JobId, type TimerService} from '@samphiremill/common';
 import {
-	admitJob, countPendingJobs, getPublicJobState, getOccurrenceWork, isJobId, isWaveCompleted,
+	countPendingJobs, getPublicJobState, getOccurrenceWork, isJobId, isWaveCompleted,
 	type Job, type JobSpecification, type Ledger, type LedgerCommand,
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
@@ -14,6 +14,7 @@
 import {createAcceptedJob, checkAccess, type GrantedAccess} from './job-access.js';
 import type {SchedulerMetrics} from './metrics.js';
 import type {MinionSession} from './minion-session.js';
+import type {SchedulerPolicy} from './policy.js';
 import type {PoolView} from './pool-view.js';
 import type {SessionRegistry} from './session-registry.js';
 import type {
@@ -29,6 +30,7 @@
 	readonly sessions: SessionRegistry;
 	readonly demand: DemandMeter;
 	readonly pools: PoolView;
+	readonly admitJob: SchedulerPolicy['admitJob'];
 	readonly getLedger: () => Ledger;
 	readonly getWallClock: () => number;
 	readonly propose: (command: LedgerCommand) => Promise<ProposalResult>;
@@ -42,7 +44,7 @@
 };
 
 /** Creates the function that answers calls to one leader. */
-export function createCallHandlers({term, timers, log, metrics, sessions, demand, pools, getLedger, getWallClock, propose, commit, endedIncarnations, checkConfiguration, requestPlan, stopUnneededRuns, onChanged}: CallHandlersOptions): (call: ClusterCall) => Promise<ClusterAnswer> {
+export function createCallHandlers({term, timers, log, metrics, sessions, demand, pools, admitJob, getLedger, getWallClock, propose, commit, endedIncarnations, checkConfiguration, requestPlan, stopUnneededRuns, onChanged}: CallHandlersOptions): (call: ClusterCall) => Promise<ClusterAnswer> {
 	/** Submissions that are being decided. A resent job gets the answer of the first submission, so that it is not both accepted and refused. */
 	const submitting = new Map<JobId, Promise<ClusterAnswer>>();
 
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -22,6 +22,7 @@
 import {paceFillers} from './filler-pacing.js';
 import type {SchedulerMetrics} from './metrics.js';
 import {openMinionSession, type MinionSession} from './minion-session.js';
+import {defaultPolicy, type SchedulerPolicy} from './policy.js';
 import {reportPools} from './pool-report.js';
 import {createPoolView} from './pool-view.js';
 import {createStragglerMitigator} from './straggler-mitigator.js';
@@ -61,6 +62,8 @@
 	readonly log: StructuredLogger;
 	readonly getWallClock: () => number;
 	readonly getLedger: () => Ledger;
+	/** The decisions; `defaultPolicy` by default. */
+	readonly policy?: SchedulerPolicy;
 	/** Whether this host is certain to lead at this time. */
 	readonly canAct: () => boolean;
 	/** When this host learnt of the latest order for a worker, on the monotonic clock. */
@@ -88,7 +91,7 @@
 /** Starts the leader of a term. The first command of the term must have been committed and applied. */
 export function startLeader(options: LeaderOptions): Leader {
 	const {
-		self, term, limits, timers, log, getWallClock, getLedger, canAct, propose, minions, workers, metrics,
+		self, term, limits, timers, log, getWallClock, getLedger, canAct, propose, minions, workers, metrics, policy = defaultPolicy,
 	} = options;
 	const termStartedAtMs = timers.getNow();
 	let isStopped = false;
@@ -198,7 +201,7 @@
 	const isPlaceable = ({record: {worker}, isUsable}: MinionSession) => isUsable() && !maintenance.isCordoned(worker) && !moves.isCordoned(worker);
 
 	const planner = createStartPlanner({
-		term, timers, log, metrics, sessions, adviceCache, stragglerMitigator, getLedger, getWallClock, canAct, isActive, isPlaceable, propose, measure: dutyTimes.measure,
+		term, timers, log, metrics, sessions, adviceCache, stragglerMitigator, getLedger, getWallClock, canAct, isActive, isPlaceable, propose, measure: dutyTimes.measure, compareReadySteps: policy.compareReadySteps,
 	});
 
 	const stopTaskRuns = (task: Task, reason: string) => {
@@ -244,6 +247,7 @@
 		workers,
 		orders,
 		areEarlierPlansSettled: planner.areEarlierPlansSettled,
+		planWorkerMoves: policy.planWorkerMoves,
 		listRunning: () => [...sessions.values()].map(({record, isUsable}) => ({
 			worker: record.worker,
 			life: record.life,
@@ -263,7 +267,7 @@
 	});
 
 	const pools = createPoolView({
-		timers, demand, sessions, getLedger, getWallClock, isPlaceable, listSwitchedOff: moves.listSwitchedOff, getIncomingMillicores: moves.getIncomingMillicores, moveMs: limits.workerMoveMs,
+		timers, demand, policy, sessions, getLedger, getWallClock, isPlaceable, listSwitchedOff: moves.listSwitchedOff, getIncomingMillicores: moves.getIncomingMillicores, moveMs: limits.workerMoveMs,
 	});
 
 	const maintenance = createMaintenanceController({
@@ -308,7 +312,7 @@
 	};
 
 	const answer = createCallHandlers({
-		term, timers, log, metrics, sessions, demand, pools, getLedger, getWallClock, propose, endedIncarnations, commit: commitCurrentTerm, checkConfiguration: options.checkConfiguration, requestPlan: planner.requestFullPlan, stopUnneededRuns, onChanged: sessionContext.onMinionsChanged,
+		term, timers, log, metrics, sessions, demand, pools, admitJob: policy.admitJob, getLedger, getWallClock, propose, endedIncarnations, commit: commitCurrentTerm, checkConfiguration: options.checkConfiguration, requestPlan: planner.requestFullPlan, stopUnneededRuns, onChanged: sessionContext.onMinionsChanged,
 	});
 
 	sessions.sync();
--- a/packages/daemon/src/scheduler/pool-report.test.ts
+++ b/packages/daemon/src/scheduler/pool-report.test.ts
@@ -66,7 +66,7 @@
 	const balances = Array.from({length: maximumReportedPools + 8}, (_, index) => createBalance(`pool-${index}`, index * 1e6));
 	const {lines, series} = collect(balances);
 	expect(lines[0]?.fields).toMatchObject({omitted: 8});
-	expect(lines[0]?.fields?.['pools']).toHaveLength(maximumReportedPools);
+	expect(lines[0]?.fields?.pools).toHaveLength(maximumReportedPools);
 	expect(series).toContain('pool="pool-39"');
 	expect(series).not.toContain('pool="pool-7"');
 });
--- a/packages/daemon/src/scheduler/pool-view.ts
+++ b/packages/daemon/src/scheduler/pool-view.ts
@@ -3,12 +3,13 @@
  */
 import type {PoolId, TimerService} from '@samphiremill/common';
 import {
-	getExpectedInflow, forecastBursts, getBurstConfidence, measurePoolWorkload, measureWorkAhead, emptyBurstHistory, recordInflow,
+	getExpectedPeak, getBurstConfidence, measurePoolWorkload, measureWorkAhead, emptyBurstHistory, recordInflow,
 	type Ledger, type PoolLoad, type PoolBalance, type Resources, type TeamDefinition,
 } from '@samphiremill/core';
 import {peakDemandRetentionMs} from './constants.js';
 import type {DemandMeter} from './demand-meter.js';
 import type {MinionSession} from './minion-session.js';
+import type {SchedulerPolicy} from './policy.js';
 import type {SessionRegistry} from './session-registry.js';
 import type {ListedWorker} from './types.js';
 
@@ -16,6 +17,7 @@
 export type PoolViewOptions = {
 	readonly timers: TimerService;
 	readonly demand: DemandMeter;
+	readonly policy: Pick<SchedulerPolicy, 'forecastBursts' | 'getExpectedInflow'>;
 	readonly getLedger: () => Ledger;
 	readonly getWallClock: () => number;
 	readonly sessions: SessionRegistry;
@@ -60,48 +62,47 @@
 		gpus: Math.max(...capacities.map(({gpus}) => gpus)),
 	};
 
-export function createPoolView({timers, demand, sessions, getLedger, getWallClock, isPlaceable, listSwitchedOff, getIncomingMillicores, moveMs}: PoolViewOptions): PoolView {
+export function createPoolView({timers, demand, policy, sessions, getLedger, getWallClock, isPlaceable, listSwitchedOff, getIncomingMillicores, moveMs}: PoolViewOptions): PoolView {
 	const termStartedAtMs = timers.getNow();
 	let bursts = emptyBurstHistory;
 
 	const listPlaceable = (pool: PoolId) => [...sessions.listPool(pool)].filter(session => isPlaceable(session));
 
 	// A new leader has not seen a burst of any pool yet. For some time it expects each pool to need an equal part of the fleet.
-	const getExpectedPeak = (poolCount: number) => {
+	const getDefaultPeak = (poolCount: number) => {
 		const all = [...[...sessions.values()].map(({record}) => record.capacity.cpuMillicores), ...listSwitchedOff().map(({millicores}) => millicores)];
 		return timers.getNow() - termStartedAtMs < peakDemandRetentionMs ? all.reduce((sum, millicores) => sum + millicores, 0) / Math.max(1, poolCount) : 0;
 	};
 
-	const recordInflows = (pools: readonly PoolId[], expectedPeak: number) => {
+	const recordInflows = (pools: readonly PoolId[], defaultPeak: number) => {
 		for (const pool of pools) {
 			bursts = recordInflow(bursts, {
-				pool, nowMs: timers.getNow(), inflowMillicores: demand.getRate(pool), inflowLowerBoundMillicores: demand.getRateLowerBound(pool), peakInflowMillicores: Math.max(expectedPeak, demand.getPeakRate(pool)),
+				pool, nowMs: timers.getNow(), inflowMillicores: demand.getRate(pool), inflowLowerBoundMillicores: demand.getRateLowerBound(pool), peakInflowMillicores: Math.max(defaultPeak, demand.getPeakRate(pool)),
 			});
 		}
 
-		return forecastBursts(bursts, pools);
+		return policy.forecastBursts(bursts, pools);
 	};
 
-	// Before the first burst of a pool, it is expected to be like those of the other pools.
-	const getExpectedBurstInflow = (pool: PoolId, expectedPeak: number) => {
-		const peaks = [...new Set(bursts.bursts.map(burst => burst.pool))].filter(other => other !== pool).map(other => demand.getPeakRate(other));
-		const typicalPeak = peaks.length === 0 ? expectedPeak : peaks.reduce((sum, peak) => sum + peak, 0) / peaks.length;
-		return Math.max(demand.getPeakRate(pool), typicalPeak);
-	};
+	const getBurstPeak = (pool: PoolId, defaultMillicores: number) => getExpectedPeak({
+		ownMillicores: demand.getPeakRate(pool),
+		othersMillicores: [...new Set(bursts.bursts.map(burst => burst.pool))].filter(other => other !== pool).map(other => demand.getPeakRate(other)),
+		defaultMillicores,
+	});
 
-	const getInflow = (pool: PoolId, expectedPeak: number) => {
+	const getInflow = (pool: PoolId, defaultPeak: number) => {
 		const burst = bursts.bursting.has(pool) ? bursts.bursts.findLast(other => other.pool === pool) : undefined;
-		return getExpectedInflow(demand.getRate(pool), burst && {
+		return policy.getExpectedInflow(demand.getRate(pool), burst && {
 			ageMs: timers.getNow() - burst.startedAtMs,
 			submittedWork: demand.getWorkSince(pool, burst.startedAtMs),
-			expectedInflowMillicores: getExpectedBurstInflow(pool, expectedPeak),
+			expectedInflowMillicores: getBurstPeak(pool, defaultPeak),
 		});
 	};
 
 	const listPoolBalances = (): readonly PoolBalance[] => {
 		const definitions = getLedger().configuration?.pools ?? [];
-		const expectedPeak = getExpectedPeak(definitions.length);
-		const forecasts = recordInflows(definitions.filter(({isStandby}) => !isStandby).map(({pool}) => pool), expectedPeak);
+		const defaultPeak = getDefaultPeak(definitions.length);
+		const forecasts = recordInflows(definitions.filter(({isStandby}) => !isStandby).map(({pool}) => pool), defaultPeak);
 		return definitions.map(({pool, isStandby}) => {
 			const {longRunningMillicores, waitingLongRunningCount, runningMillicores, readyMillicores, workLeft} = measurePoolWorkload(getLedger(), pool, getWallClock());
 			const cpuMillicores = sumMillicores(listPlaceable(pool).map(({record}) => record.capacity));
@@ -114,8 +115,8 @@
 				waitingLastingCount: waitingLongRunningCount,
 				runnableMillicores: runningMillicores + readyMillicores,
 				workLeft,
-				inflowMillicores: getInflow(pool, expectedPeak),
-				peakInflowMillicores: Math.max(expectedPeak, demand.getPeakRate(pool)),
+				inflowMillicores: getInflow(pool, defaultPeak),
+				peakInflowMillicores: Math.max(defaultPeak, demand.getPeakRate(pool)),
 				readiness: getBurstConfidence(forecasts, {pool, nowMs: timers.getNow(), leadMs: moveMs + arrivalDelayMs}),
 			};
 		});
--- a/packages/daemon/src/scheduler/start-planner.ts
+++ b/packages/daemon/src/scheduler/start-planner.ts
@@ -13,6 +13,7 @@
 import type {ProposalResult} from './command-batcher.js';
 import {planIntervalMs} from './constants.js';
 import type {DutyTimes} from './duty-times.js';
+import type {SchedulerPolicy} from './policy.js';
 import type {SchedulerMetrics} from './metrics.js';
 import type {MinionSession} from './minion-session.js';
 import type {StragglerMitigator} from './straggler-mitigator.js';
@@ -35,6 +36,7 @@
 	readonly isPlaceable: (session: MinionSession) => boolean;
 	readonly propose: (command: LedgerCommand) => Promise<ProposalResult>;
 	readonly measure: DutyTimes['measure'];
+	readonly compareReadySteps: SchedulerPolicy['compareReadySteps'];
 };
 
 /** The planner of one leader. */
@@ -48,7 +50,7 @@
 };
 
 export function createStartPlanner({
-	term, timers, log, metrics, sessions, adviceCache, stragglerMitigator, getLedger, getWallClock, canAct, isActive, isPlaceable, propose, measure,
+	term, timers, log, metrics, sessions, adviceCache, stragglerMitigator, getLedger, getWallClock, canAct, isActive, isPlaceable, propose, measure, compareReadySteps,
 }: StartPlannerOptions): StartPlanner {
 	const plannedChangeCounts = new Map<PoolId, number>();
 	let isPlanning = false;
@@ -114,6 +116,7 @@
 				isAllowed: adviceCache.isAllowed,
 				getAvoidedIncarnations: ({id}) => stragglerMitigator.getAvoidedIncarnations(id),
 				copies,
+				compare: compareReadySteps,
 			});
 	};
 
--- a/packages/daemon/src/scheduler/worker-moves.ts
+++ b/packages/daemon/src/scheduler/worker-moves.ts
@@ -3,13 +3,14 @@
  */
 import type {PoolId, TimerService, WorkerId} from '@samphiremill/common';
 import {
-	planWorkerMoves, type LedgerCommand, type IncarnationId, type PoolBalance, type WorkerMove,
+	type LedgerCommand, type IncarnationId, type PoolBalance, type WorkerMove,
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
 import {
 	workerListPeriodMs, moveArrivalTimeoutMs, moveSettleDelayMs, refusedMoveDelayMs,
 } from './constants.js';
 import type {SchedulerMetrics} from './metrics.js';
+import type {SchedulerPolicy} from './policy.js';
 import type {ListedWorker, WorkerPort} from './types.js';
 import type {WorkerOrders} from './worker-orders.js';
 
@@ -41,6 +42,7 @@
 	readonly moveMs: number;
 	/** Whether no assignment that was proposed at or before that time is still uncommitted. */
 	readonly areEarlierPlansSettled: (timeMs: number) => boolean;
+	readonly planWorkerMoves: SchedulerPolicy['planWorkerMoves'];
 	readonly term: number;
 	readonly commit: (command: LedgerCommand) => Promise<boolean>;
 	readonly onChanged: () => void;
@@ -66,7 +68,7 @@
 	readonly confirmedAtMs: number | undefined;
 };
 
-export function createWorkerMoves({timers, log, metrics, workers, orders, listRunning, listPoolBalances, isStandbyPool, isCordonedForMaintenance, moveMs, areEarlierPlansSettled, term, commit, onChanged}: WorkerMovesOptions): WorkerMoves {
+export function createWorkerMoves({timers, log, metrics, workers, orders, listRunning, listPoolBalances, isStandbyPool, isCordonedForMaintenance, moveMs, areEarlierPlansSettled, planWorkerMoves, term, commit, onChanged}: WorkerMovesOptions): WorkerMoves {
 	const active = new Map<WorkerId, ActiveMove>();
 	const idleSince = new Map<WorkerId, number>();
 	const refusedAtMs = new Map<WorkerId, number>();
