--- a/packages/core/src/pools/forecast-bursts.ts
+++ b/packages/core/src/pools/forecast-bursts.ts
@@ -44,8 +44,8 @@
 /** A history without any bursts. */
 export const emptyBurstHistory: BurstHistory = {bursts: [], bursting: new Set()};
 
-// A burst starts when the inflow exceeds this share of the pool's peak inflow with some confidence, and ends when the
-// measured inflow falls below it.
+// A burst starts when the inflow exceeds this share of the pool's peak inflow with some confidence, and ends when both
+// the measured inflow and its lower bound are below it.
 const burstShareOfPeak = 0.2;
 const maximumBurstsKept = 24;
 const minimumGaps = 2;
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -23,7 +23,7 @@
 import type {SchedulerMetrics} from './metrics.js';
 import {openMinionSession, type MinionSession} from './minion-session.js';
 import {defaultPolicy, type SchedulerPolicy} from './policy.js';
-import {reportPools} from './pool-report.js';
+import {clearPoolGauges, reportPools} from './pool-report.js';
 import {createPoolView} from './pool-view.js';
 import {createStragglerMitigator} from './straggler-mitigator.js';
 import type {SessionContext} from './session-context.js';
@@ -352,6 +352,7 @@
 		answer: async call => isStopped || !canAct() ? {type: 'unavailable'} : dutyTimes.measure(call.type, async () => answer(call)),
 		stop() {
 			isStopped = true;
+			clearPoolGauges(metrics);
 			collections.disconnect();
 			for (const cancel of cancelTimers) {
 				cancel();
--- a/packages/daemon/src/scheduler/pool-report.test.ts
+++ b/packages/daemon/src/scheduler/pool-report.test.ts
@@ -3,7 +3,7 @@
 import {expect, test} from 'vitest';
 import {maximumReportedPools} from './constants.js';
 import {createSchedulerMetrics} from './metrics.js';
-import {reportPools} from './pool-report.js';
+import {clearPoolGauges, reportPools} from './pool-report.js';
 
 const createBalance = (name: string, workLeft: number): PoolBalance => ({
 	pool: toBrand<PoolId>(name), isStandby: false, millicores: 48_000, incomingMillicores: 16_000, waitingLastingCount: 0,
@@ -70,3 +70,14 @@
 	expect(series).toContain('pool="pool-39"');
 	expect(series).not.toContain('pool="pool-7"');
 });
+
+test('a host that no longer leads shows no gauges', () => {
+	const metrics = createSchedulerMetrics();
+	reportPools([createBalance('counter', 2_600_000)], {
+		log: {
+			debug: ignore, info: ignore, warn: ignore, error: ignore,
+		}, metrics,
+	});
+	clearPoolGauges(metrics);
+	expect(metrics.format()).toBe('');
+});
--- a/packages/daemon/src/scheduler/pool-report.ts
+++ b/packages/daemon/src/scheduler/pool-report.ts
@@ -22,6 +22,12 @@
 	readiness: Math.round(readiness * 100) / 100,
 });
 
+/** Removes the gauges, which only the leader knows. */
+export function clearPoolGauges(metrics: SchedulerMetrics): void {
+	metrics.setGauges('pool_cores', new Map());
+	metrics.setGauges('pool_burst_readiness', new Map());
+}
+
 /** Logs the balances of the pools, the most loaded first, and sets their gauges. */
 export function reportPools(balances: readonly PoolBalance[], {log, metrics}: {readonly log: StructuredLogger; readonly metrics: SchedulerMetrics}): void {
 	const reported = balances.toSorted((left, right) => right.workLeft - left.workLeft).slice(0, maximumReportedPools);
