--- a/packages/core/src/replica/index.ts
+++ b/packages/core/src/replica/index.ts
@@ -13,4 +13,6 @@
 	applyPersistedWrite, createPersistedState, getRecoveredReplica, type PersistedWrite, type PersistedState,
 } from './persisted-state.js';
 export {getConfirmedSendMs, hasLeaderLease} from './leader-lease.js';
+export {getLastIndex} from './log.js';
+export {getQuorumSize, hasVoter} from './quorum.js';
 export type {ReplicaContext, ReplicaStep} from './replica-step.js';
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -7,6 +7,15 @@
 /** An entry host that has had no answer from a leader for this long refuses callers at once. */
 export const leaderContactTimeoutMs = 2500;
 
+/** How often a control host checks whether a leader acts. While none does, each check is logged. */
+export const leadershipCheckPeriodMs = 1000;
+
+/** Writes and commits that wait for this long stand in the way of a leader. */
+export const leadershipStallMs = 1000;
+
+/** A leader that a control host has not heard from for this long counts as lost there; longer than an election timeout. */
+export const leaderSilenceMs = 1200;
+
 /** Delay between two attempts of a call to the control hosts. */
 export const callRetryDelayMs = 100;
 
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -6,7 +6,7 @@
 	createFailure, createSuccess, describeError, toBrand, waitFor, type DataCentreId, type NodeId, type RandomSource, type RegionId, type Result, type TimerService,
 } from '@samphiremill/common';
 import {
-	applyLedgerCommand, createLedger, createLedgerSnapshot, defaultReplicaLimits, restoreLedger,
+	applyLedgerCommand, createLedger, createLedgerSnapshot, defaultReplicaLimits, getLastIndex, hasVoter, restoreLedger,
 	type Ledger, type LedgerCommand, type LedgerOutcome, type NodeAddress, type ParseConfiguration, type ReplicaLimits, type ReplicaMessage, type VoterIdentity,
 } from '@samphiremill/core';
 import {createPeerTransport, getEncodedLength, type PeerRequest} from '../peers/index.js';
@@ -17,11 +17,13 @@
 import {createCommandBatcher} from './command-batcher.js';
 import {clusterCallMethod, createClusterClient} from './cluster-client.js';
 import {
-	joinRefreshPeriodMs, joinRetryPeriodMs, maximumDirectMinions, voterAbsenceTimeoutMs, voterCheckPeriodMs,
+	joinRefreshPeriodMs, joinRetryPeriodMs, leadershipCheckPeriodMs, maximumDirectMinions, voterAbsenceTimeoutMs, voterCheckPeriodMs,
 } from './constants.js';
 import {
 	startLeader, type Leader, type SchedulerLimits,
 } from './leader.js';
+import {createLeadershipReport} from './leadership-report.js';
+import type {LeadershipStatus} from './leadership-status.js';
 import type {SchedulerMetrics} from './metrics.js';
 import {
 	executeMinionCall, createRelayedMinionPort, minionCallMethod, type MinionCall,
@@ -71,6 +73,8 @@
 	/** Has the leader answer a call, on this host or another. */
 	readonly call: (call: ClusterCall, options: {readonly timeoutMs: number}) => Promise<ClusterAnswer>;
 	readonly getLeader: () => NodeId | undefined;
+	/** Returns what this host knows of the leadership; `undefined` in the first second. */
+	readonly getLeadership: () => LeadershipStatus | undefined;
 	readonly setSeeds: (seeds: readonly NodeId[]) => void;
 	/** Transfers leadership to another host and stops. */
 	readonly stop: () => Promise<void>;
@@ -328,17 +332,35 @@
 		}
 	};
 
+	const leadershipReport = createLeadershipReport({log, metrics, nowMs: timers.getNow()});
+
+	const reportLeadership = () => {
+		const state = replica.getState();
+		leadershipReport.record({
+			self,
+			replica: state,
+			lastIndex: getLastIndex(state.log),
+			isVoter: hasVoter(state.voters, {node: self, storeId}),
+			hasDuties: leader !== undefined,
+			hasLeaderLease: replica.hasLeaderLease(),
+			linkedPeers: transport.listLinkedPeers(),
+			nowMs: timers.getNow(),
+		});
+	};
+
 	let isChangingVoters = false;
 	const startedAtMs = timers.getNow();
 	await transport.start();
 	const cancelTimers = [
 		timers.scheduleEvery(joinRetryPeriodMs, announceSelf),
 		timers.scheduleEvery(voterCheckPeriodMs, maintainVoters),
+		timers.scheduleEvery(leadershipCheckPeriodMs, reportLeadership),
 	];
 
 	return createSuccess({
 		call,
 		getLeader: () => replica.getState().leader,
+		getLeadership: leadershipReport.getStatus,
 		setSeeds(seeds) {
 			client.addHosts(seeds);
 			replica.setNodes(createNodes(seeds));
--- a/packages/daemon/src/scheduler/entry-host.ts
+++ b/packages/daemon/src/scheduler/entry-host.ts
@@ -7,8 +7,11 @@
 } from '@samphiremill/common';
 import type {NodeAddress, RequestLimits} from '@samphiremill/core';
 import {createPeerTransport} from '../peers/index.js';
+import type {StructuredLogger} from '../runtime/types.js';
 import {createClusterClient} from './cluster-client.js';
 import {leaderContactTimeoutMs, limitsPollPeriodMs} from './constants.js';
+import {createLeaderContact} from './leader-contact.js';
+import type {SchedulerMetrics} from './metrics.js';
 import type {ClusterCall, ClusterCallResult} from './types.js';
 
 /** Settings of an entry host. */
@@ -37,11 +40,13 @@
 const unknownRegion = toBrand<RegionId>('-');
 
 /** Starts an entry host. */
-export async function startEntryHost({settings, timers, random, getWallClock}: {
+export async function startEntryHost({settings, timers, random, getWallClock, log, metrics}: {
 	readonly settings: EntryHostSettings;
 	readonly timers: TimerService;
 	readonly random: RandomSource;
 	readonly getWallClock: () => number;
+	readonly log: StructuredLogger;
+	readonly metrics: SchedulerMetrics;
 }): Promise<EntryHost> {
 	const resolvePeer = (node: NodeId): NodeAddress => ({
 		node, host: node, peerPort: settings.peerPort, dataCentre: unknownDataCentre, region: unknownRegion, isVoter: false,
@@ -61,20 +66,18 @@
 	const client = createClusterClient({
 		transport, timers, self: settings.self, seeds: settings.seeds,
 	});
-	const startedAtMs = timers.getNow();
-	let lastContactAtMs: number | undefined;
+	const contact = createLeaderContact({
+		timers, log, metrics, timeoutMs: leaderContactTimeoutMs, getHosts: client.getHosts,
+	});
 	const listeners: Array<(limits: RequestLimits) => void> = [];
 
-	// A change of leader takes less time than the timeout. A host that has just started waits as long for its first contact.
-	const isLeaderUnreachable = () => timers.getNow() - (lastContactAtMs ?? startedAtMs) >= leaderContactTimeoutMs;
-
 	const pollLimits = async () => {
 		const result = await client.call({type: 'limits/read'}, {timeoutMs: limitsPollPeriodMs});
 		if (result.type !== 'answered') {
 			return;
 		}
 
-		lastContactAtMs = timers.getNow();
+		contact.recordAnswer();
 		if (result.answer.type === 'limits') {
 			for (const listener of listeners) {
 				listener(result.answer.limits);
@@ -83,13 +86,14 @@
 	};
 
 	const cancelPolling = timers.scheduleEvery(limitsPollPeriodMs, () => {
+		contact.report();
 		void pollLimits();
 	});
 	void pollLimits();
 
 	return {
-		call: async (call, {timeoutMs}) => client.call(call, {timeoutMs, shouldGiveUp: isLeaderUnreachable}),
-		isInContact: () => lastContactAtMs !== undefined && !isLeaderUnreachable(),
+		call: async (call, {timeoutMs}) => client.call(call, {timeoutMs, shouldGiveUp: contact.isLost}),
+		isInContact: contact.isEstablished,
 		onLimits(listener) {
 			listeners.push(listener);
 		},
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -17,6 +17,7 @@
 		| 'upkeeps_ordered_total'
 		| 'moves_begun_total'
 		| 'terms_led_total'
+		| 'leader_contact_lost_total'
 		| 'requests_answered_total'
 		| 'requests_not_answered_total';
 
@@ -24,7 +25,7 @@
 export type SchedulerLatency = 'commit_ms' | 'plan_ms' | 'request_ms';
 
 /** Names of the gauges. */
-export type SchedulerGauge = 'pool_cores' | 'pool_burst_readiness';
+export type SchedulerGauge = 'pool_cores' | 'pool_burst_readiness' | 'control_host' | 'entry_host';
 
 /** Counters, gauges and histograms. */
 export type SchedulerMetrics = {
