--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -343,6 +343,7 @@
 			isVoter: hasVoter(state.voters, {node: self, storeId}),
 			hasDuties: leader !== undefined,
 			hasLeaderLease: replica.hasLeaderLease(),
+			isConfirmed: replica.getFreshness() === 'fresh',
 			linkedPeers: transport.listLinkedPeers(),
 			nowMs: timers.getNow(),
 		});
--- a/packages/daemon/src/scheduler/leadership-status.test.ts
+++ b/packages/daemon/src/scheduler/leadership-status.test.ts
@@ -47,7 +47,7 @@
 	const report = createLeadershipReport({log, metrics, nowMs: 0});
 	const observe = (observed: Situation, nowMs: number) => {
 		report.record({
-			self, lastIndex: 10, isVoter: true, hasDuties: false, hasLeaderLease: false, linkedPeers: [second, third], nowMs, ...observed,
+			self, lastIndex: 10, isVoter: true, hasDuties: false, hasLeaderLease: false, isConfirmed: false, linkedPeers: [second, third], nowMs, ...observed,
 		});
 	};
 
@@ -76,6 +76,10 @@
 	`);
 });
 
+test('a spare host without a vote reports nothing while a majority confirms what it knows', () => {
+	expect(collectLines({replica: {...follower, role: 'observer'}, isVoter: false, isConfirmed: true}).lines).toEqual([]);
+});
+
 test('two of three voters are gone', () => {
 	expect(collectLines({replica: leaderless, linkedPeers: []})).toMatchInlineSnapshot(`
 		{
--- a/packages/daemon/src/scheduler/leadership-status.ts
+++ b/packages/daemon/src/scheduler/leadership-status.ts
@@ -58,6 +58,8 @@
 	readonly hasDuties: boolean;
 	/** Whether this host is certain to lead. */
 	readonly hasLeaderLease: boolean;
+	/** Whether a majority of voters has confirmed the commit index of this host recently. */
+	readonly isConfirmed: boolean;
 	readonly linkedPeers: readonly NodeId[];
 	/** Monotonic time in milliseconds. */
 	readonly nowMs: number;
@@ -106,13 +108,17 @@
 	return hasLeaderLease ? undefined : 'noLeaderLease';
 };
 
+// The leader sends heartbeats to voters only. A host without a vote knows of a leader through others.
+const isLed = ({replica, isVoter, isConfirmed, nowMs}: LeadershipObservation) => replica.leader !== undefined
+	&& (isVoter ? nowMs - replica.leaderLastHeardMs < leaderSilenceMs : isConfirmed);
+
 const findObstacle = (watch: LeadershipWatch, observation: LeadershipObservation): LeadershipObstacle | undefined => {
 	const {self, replica, isVoter, linkedPeers, nowMs} = observation;
 	if (replica.role === 'leader') {
 		return findLeaderObstacle(watch, observation);
 	}
 
-	if (replica.leader !== undefined && nowMs - replica.leaderLastHeardMs < leaderSilenceMs) {
+	if (isLed(observation)) {
 		return undefined;
 	}
 
