Replica host: an entry that cannot be applied no longer stops the replica

If applying an entry threw, that held on every host, and again after each restart.

The loop contains each event and each effect, and entries one by one: an entry whose application throws counts as applied, its proposal ends with hasFailed, and onFailure gets activity, index and error for the log. The proposer gets notProposed for it, since such a command never has an effect.

Ruled out: getStep's RangeError in the commands of this build. Each task is found through the occurrences that the steps of its job were turned into, so the step exists. An error half-way through a well-formed command may still leave a part of it behind, the same on all hosts.

--- a/packages/core/src/scheduler/apply-ledger-command.ts
+++ b/packages/core/src/scheduler/apply-ledger-command.ts
@@ -1,4 +1,4 @@
-import {assertNever} from '@samphiremill/common';
+import {assertNever, describeError} from '@samphiremill/common';
 import {acceptJob} from './actions/accept-job.js';
 import {assignRuns} from './actions/assign-runs.js';
 import {cancelJob} from './actions/cancel-job.js';
@@ -7,6 +7,7 @@
 import {endRuns} from './actions/end-runs.js';
 import {recordWorkerOrderEnded, recordWorkerOrdered} from './actions/record-worker-orders.js';
 import {replaceConfiguration} from './actions/replace-configuration.js';
+import {findCommandFault} from './command-form.js';
 import type {
 	Ledger, LedgerCommand, LedgerOutcome, ParseConfiguration,
 } from './types.js';
@@ -22,13 +23,7 @@
 	return {type: 'applied'};
 };
 
-/** Applies one committed command to the ledger, in place. */
-export function applyLedgerCommand(ledger: Ledger, command: LedgerCommand, parse: ParseConfiguration): LedgerOutcome {
-	// Commands of a replaced leader may be committed after the term of its successor has started.
-	if ('term' in command && command.type !== 'term/begun' && command.term !== ledger.term) {
-		return ignored;
-	}
-
+const applyWellFormed = (ledger: Ledger, command: LedgerCommand, parse: ParseConfiguration): LedgerOutcome => {
 	switch (command.type) {
 		case 'term/begun': {
 			return beginTerm(ledger, command.term);
@@ -107,4 +102,27 @@
 			return assertNever(command);
 		}
 	}
+};
+
+/**
+ * Applies one committed command to the ledger, in place. Never throws: every host applies each entry, again after each
+ * restart, so one command that cannot be applied would otherwise stop them all. Its outcome is `failed`, and a
+ * malformed command changes nothing.
+ */
+export function applyLedgerCommand(ledger: Ledger, command: LedgerCommand, parse: ParseConfiguration): LedgerOutcome {
+	const fault = findCommandFault(command);
+	if (fault !== undefined) {
+		return {type: 'failed', reason: fault};
+	}
+
+	// Commands of a replaced leader may be committed after the term of its successor has started.
+	if ('term' in command && command.type !== 'term/begun' && command.term !== ledger.term) {
+		return ignored;
+	}
+
+	try {
+		return applyWellFormed(ledger, command, parse);
+	} catch (err) {
+		return {type: 'failed', reason: describeError(err)};
+	}
 }
--- /dev/null
+++ b/packages/core/src/scheduler/command-form.ts
@@ -0,0 +1,139 @@
+/**
+ * Checks the form of a command before it is applied, so that a malformed one changes nothing.
+ */
+
+type Fields = Readonly<Record<string, unknown>>;
+
+const isRecord = (value: unknown): value is Fields => typeof value === 'object' && value !== null && !Array.isArray(value);
+const isText = (value: unknown): value is string => typeof value === 'string';
+const isCount = (value: unknown): value is number => Number.isSafeInteger(value) && Number(value) >= 0;
+const hasTexts = (fields: Fields, names: readonly string[]) => names.every(name => isText(fields[name]));
+const hasNumbers = (fields: Fields, names: readonly string[]) => names.every(name => Number.isFinite(fields[name]));
+const isListOf = (value: unknown, isItem: (item: unknown) => boolean): value is readonly unknown[] => Array.isArray(value) && value.every(item => isItem(item));
+const isLifeOrAbsent = (value: unknown) => value === undefined || isText(value);
+
+const isStep = (value: unknown) => isRecord(value)
+	&& isCount(value.count)
+	&& hasNumbers(value, ['estimateMs'])
+	&& isRecord(value.request)
+	&& hasNumbers(value.request, ['cpuMillicores', 'memoryMb', 'gpus'])
+	&& isListOf(value.dependsOn, isCount);
+
+const isSchedule = (value: unknown) => value === undefined
+	|| (isRecord(value) && isCount(value.count) && hasNumbers(value, ['firstDueAtMs', 'intervalMs']));
+
+const isJob = (value: unknown) => isRecord(value)
+	&& hasTexts(value, ['id', 'queue', 'pool'])
+	&& isLifeOrAbsent(value.team)
+	&& isRecord(value.specification)
+	&& isListOf(value.specification.steps, isStep)
+	&& isSchedule(value.specification.schedule);
+
+const isAssignment = (value: unknown) => isRecord(value) && hasTexts(value, ['task', 'life']) && isCount(value.run);
+const isRunEnd = (value: unknown) => isAssignment(value) && isRecord(value) && hasTexts(value, ['ending', 'checkpoint']);
+
+const isMinion = (value: unknown) => isRecord(value)
+	&& hasTexts(value, ['life', 'minion', 'address', 'worker', 'pool', 'dataCentre'])
+	&& hasNumbers(value, ['bornAtMs'])
+	&& isListOf(value.labels, isText)
+	&& isRecord(value.capacity)
+	&& hasNumbers(value.capacity, ['cpuMillicores', 'memoryMb', 'gpus']);
+
+const isWave = (value: unknown) => isRecord(value)
+	&& hasTexts(value, ['wave'])
+	&& isListOf(value.workers, isText)
+	&& hasNumbers(value, ['maximumAtOnce', 'startedAtMs', 'dueAtMs']);
+
+// Returns `undefined` for an unknown type.
+// eslint-disable-next-line complexity -- one case for each type of command
+const isWellFormed = (command: Fields): boolean | undefined => {
+	const {type} = command;
+	switch (type) {
+		case 'term/begun': {
+			return isCount(command.term);
+		}
+
+		case 'configuration/replaced': {
+			return isText(command.document);
+		}
+
+		case 'job/accepted': {
+			return isJob(command.job);
+		}
+
+		case 'job/cancelled': {
+			return hasTexts(command, ['id']) && hasNumbers(command, ['atMs']);
+		}
+
+		case 'runs/assigned': {
+			return isListOf(command.runs, isAssignment);
+		}
+
+		case 'runs/ended': {
+			return isListOf(command.ends, isRunEnd) && Number.isFinite(command.atMs);
+		}
+
+		case 'minion/joined': {
+			return isMinion(command.record);
+		}
+
+		case 'minion/left': {
+			return isText(command.life);
+		}
+
+		case 'minion/draining': {
+			return isText(command.life);
+		}
+
+		case 'wave/started': {
+			return isWave(command.wave);
+		}
+
+		case 'wave/workerOrdered': {
+			return hasTexts(command, ['wave', 'worker']) && isLifeOrAbsent(command.life);
+		}
+
+		case 'wave/workerBegun': {
+			return hasTexts(command, ['wave', 'worker']) && hasNumbers(command, ['atMs']);
+		}
+
+		case 'worker/ordered': {
+			return hasTexts(command, ['worker']) && isCount(command.term);
+		}
+
+		case 'worker/orderEnded': {
+			return hasTexts(command, ['worker']) && isCount(command.term);
+		}
+
+		case 'controlHost/joined': {
+			return isRecord(command.record) && hasTexts(command.record, ['node', 'storeId']);
+		}
+
+		case 'jobs/forgotten': {
+			return isListOf(command.ids, isText);
+		}
+
+		case 'batch': {
+			return Array.isArray(command.commands);
+		}
+
+		default: {
+			return undefined;
+		}
+	}
+};
+
+/**
+ * Finds out why a command from the log cannot be applied. The parts of a batch are checked one by one when they
+ * are applied.
+ *
+ * @returns The reason, or `undefined` if the command is well formed.
+ */
+export function findCommandFault(command: unknown): string | undefined {
+	const isValid = isRecord(command) ? isWellFormed(command) : undefined;
+	if (isValid === undefined) {
+		return 'the type of the command is unknown';
+	}
+
+	return isValid ? undefined : 'the command is malformed';
+}
--- a/packages/daemon/src/replica-host.test.ts
+++ b/packages/daemon/src/replica-host.test.ts
@@ -6,7 +6,9 @@
 } from '@samphiremill/common';
 import {defaultReplicaLimits} from '@samphiremill/core';
 import {afterEach, expect, test} from 'vitest';
-import {createReplicaHost, type ReplicaHost} from './replica-host.js';
+import {
+	createReplicaHost, type ReplicaHost, type ReplicaHostFailure, type ReplicaHostOptions,
+} from './replica-host.js';
 import {openReplicaStore, storeFileSystem, type ReplicaStore} from './store/index.js';
 
 const self = toBrand<NodeId>('a1');
@@ -31,22 +33,21 @@
 	return opened.value;
 };
 
-const startHost = (store: ReplicaStore<string>, {snapshotEveryEntries = 1000, onStoreFailed}: {
+const startHost = (store: ReplicaStore<string>, {snapshotEveryEntries = 1000, nodes = [self], ...callbacks}: {
 	readonly snapshotEveryEntries?: number;
-	readonly onStoreFailed?: () => void;
-} = {}) => {
+	readonly nodes?: readonly NodeId[];
+} & Partial<Pick<ReplicaHostOptions<string, number>, 'applyCommand' | 'createSnapshot' | 'onFailure' | 'onRoleChanged' | 'onStoreFailed'>> = {}) => {
 	const timers = createVirtualTimerService(1000);
 	let applied: string[] = [];
 	const host: ReplicaHost<string, number> = createReplicaHost<string, number>({
 		cfg: {
 			self,
-			nodes: [{node: self, dataCentre: toBrand<DataCentreId>('a'), isInitialVoter: true}],
+			nodes: nodes.map(node => ({node, dataCentre: toBrand<DataCentreId>('a'), isInitialVoter: true})),
 			limits: {...defaultReplicaLimits, snapshotEveryEntries, trailingEntries: 5},
 			random: createSeededRandom(1),
 		},
 		store,
 		timers,
-		...(onStoreFailed !== undefined && {onStoreFailed}),
 		processId: 'p1',
 		send() {
 			throw new Error('A sole voter must not send messages');
@@ -57,6 +58,7 @@
 			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- written above
 			applied = JSON.parse(data) as string[];
 		},
+		...callbacks,
 	});
 	return {host, timers, getApplied: () => applied};
 };
@@ -146,3 +148,91 @@
 	restarted.host.stop();
 	await reopened.close();
 });
+
+test('an entry that cannot be applied ends its own proposal, and the replica goes on, now and after a restart', async () => {
+	const folder = await createFolder();
+	const store = await openStore(folder);
+	const failures: ReplicaHostFailure[] = [];
+	const applied: string[] = [];
+	const options = {
+		applyCommand(command: string) {
+			if (command === 'bad') {
+				throw new RangeError('no such step');
+			}
+
+			return applied.push(command);
+		},
+		onFailure(failure: ReplicaHostFailure) {
+			failures.push(failure);
+		},
+	};
+	const {host, timers} = startHost(store, options);
+	await waitForDisk(timers, () => host.hasLeaderLease());
+	const results = Promise.all(['before', 'bad', 'after'].map(async command => host.propose(command)));
+	const settled = await Promise.race([results, waitForDisk(timers, () => timers.getNow() > 8000)]);
+	expect(settled).toMatchObject([
+		{ok: true, value: {outcome: 1, hasFailed: false}},
+		{ok: true, value: {outcome: undefined, hasFailed: true}},
+		{ok: true, value: {outcome: 2, hasFailed: false}},
+	]);
+	expect(failures).toMatchObject([{activity: 'replica/apply', index: 4}]);
+	host.stop();
+	await store.close();
+
+	const reopened = await openStore(folder);
+	const restarted = startHost(reopened, options);
+	await waitForDisk(restarted.timers, () => restarted.host.hasLeaderLease() || restarted.timers.getNow() > 8000);
+	expect(restarted.host.hasLeaderLease()).toBe(true);
+	expect(applied).toEqual(['before', 'after', 'before', 'after']);
+	restarted.host.stop();
+	await reopened.close();
+});
+
+test('errors of the callbacks that report a role or create a snapshot do not stop the replica', async () => {
+	const store = await openStore(await createFolder());
+	let hasSnapshotError = true;
+	const activities = new Set<string>();
+	const {host, timers} = startHost(store, {
+		snapshotEveryEntries: 3,
+		createSnapshot() {
+			if (hasSnapshotError) {
+				throw new Error('not serialisable');
+			}
+
+			return '[]';
+		},
+		onRoleChanged() {
+			throw new Error('role');
+		},
+		onFailure({activity}) {
+			activities.add(activity);
+		},
+	});
+	await waitForDisk(timers, () => host.hasLeaderLease() || timers.getNow() > 8000);
+	const first = Promise.all(['a', 'b', 'c', 'd'].map(async command => host.propose(command)));
+	const results = await Promise.race([first, waitForDisk(timers, () => timers.getNow() > 10_000)]);
+	expect(results?.map(({ok}) => ok)).toEqual([true, true, true, true]);
+	expect([...activities].toSorted()).toEqual(['replica/roleChanged', 'replica/takeSnapshot']);
+	hasSnapshotError = false;
+	await waitForDisk(timers, () => host.getState().snapshot !== undefined || timers.getNow() > 30_000);
+	expect(host.getState().snapshot).toBeDefined();
+	host.stop();
+	await store.close();
+});
+
+test('an error while sending a message does not stop the replica', async () => {
+	const store = await openStore(await createFolder());
+	const activities = new Set<string>();
+	const {host, timers} = startHost(store, {
+		nodes: [self, toBrand<NodeId>('b1')],
+		onFailure({activity}) {
+			activities.add(activity);
+		},
+	});
+	const unanswered = host.propose('x');
+	await waitForDisk(timers, () => timers.getNow() > 8000);
+	expect(await unanswered).toEqual({ok: false, err: {type: 'notProposed', reason: 'noLeader'}});
+	expect([...activities]).toEqual(['peer/send']);
+	host.stop();
+	await store.close();
+});
--- a/packages/daemon/src/replica-host.ts
+++ b/packages/daemon/src/replica-host.ts
@@ -27,7 +27,18 @@
 
 const tickPeriodMs = 50;
 
-/** Options of a replica host. Callbacks run synchronously and must not throw. */
+/** Delay before a snapshot that could not be created is tried again. */
+const snapshotRetryDelayMs = 10_000;
+
+/** An error that a callback, or the replica itself, threw. */
+export type ReplicaHostFailure = {
+	readonly activity: ReplicaEffect<unknown>['type'] | ReplicaEvent<unknown>['type'];
+	/** The log entry that was applied, or the last one in the snapshot. */
+	readonly index: number | undefined;
+	readonly err: unknown;
+};
+
+/** Options of a replica host. Callbacks run synchronously; what they throw is reported to `onFailure`. */
 export type ReplicaHostOptions<Command, Outcome> = {
 	/** The replica's configuration; `storeId` comes from the store. */
 	readonly cfg: Omit<ReplicaConfig, 'storeId'>;
@@ -49,6 +60,8 @@
 		readonly term: number;
 		readonly leader: NodeId | undefined;
 	}) => void;
+	/** Must not throw. The replica goes on. */
+	readonly onFailure?: (failure: ReplicaHostFailure) => void;
 	/** Called once; from then on the node neither votes nor acknowledges. */
 	readonly onStoreFailed?: (err: StoreError) => void;
 };
@@ -56,8 +69,10 @@
 /** A proposal that is committed and applied on this node. */
 export type AppliedProposal<Outcome> = {
 	readonly index: number;
-	/** The result of `applyCommand` on this node; undefined if a snapshot covered the entry. */
+	/** The result of `applyCommand` on this node; undefined if it threw or if a snapshot covered the entry. */
 	readonly outcome: Outcome | undefined;
+	/** Whether `applyCommand` threw. The entry counts as applied, and nobody applies it again. */
+	readonly hasFailed: boolean;
 };
 
 /** A running replica. */
@@ -93,9 +108,11 @@
 	let cfg: ReplicaConfig = {...options.cfg, ...(store !== undefined && {storeId: store.storeId})};
 	const pending = new Map<RequestId, SettleRequest>();
 	const outcomes = new Map<RequestId, Outcome>();
+	const failedRequests = new Set<RequestId>();
 	const queuedEvents: Array<ReplicaEvent<Command>> = [];
 	let isProcessing = false;
 	let isStopped = false;
+	let hasLostState = false;
 	let nextRequest = 1;
 
 	const persist = async ({type: _, sequence, ...write}: PersistEffect<Command>) => {
@@ -115,17 +132,66 @@
 		}
 	};
 
+	// Returns whether the action threw nothing.
+	const contain = (activity: ReplicaHostFailure['activity'], index: number | undefined, action: () => void): boolean => {
+		try {
+			action();
+			return true;
+		} catch (err) {
+			options.onFailure?.({activity, index, err});
+			return false;
+		}
+	};
+
+	// Each entry is contained by itself: all nodes apply the same entries, so an error that ended the batch would leave
+	// out entries that other nodes, with other batches, apply.
 	const apply = (entries: ReadonlyArray<LogEntry<Command>>) => {
 		for (const {index, payload} of entries) {
-			if (payload.type === 'command') {
+			if (payload.type !== 'command' || hasLostState) {
+				continue;
+			}
+
+			const isApplied = contain('replica/apply', index, () => {
 				const outcome = options.applyCommand(payload.command, index);
 				if (pending.has(payload.requestId)) {
 					outcomes.set(payload.requestId, outcome);
 				}
+			});
+			if (!isApplied && pending.has(payload.requestId)) {
+				failedRequests.add(payload.requestId);
 			}
 		}
 	};
 
+	const takeSnapshot = (index: number) => {
+		if (hasLostState || isStopped) {
+			return;
+		}
+
+		const isTaken = contain('replica/takeSnapshot', index, () => {
+			dispatch({
+				type: 'replica/snapshotTaken', index, data: options.createSnapshot(), nowMs: timers.getNow(),
+			});
+		});
+		if (!isTaken) {
+			timers.scheduleOnce(snapshotRetryDelayMs, () => {
+				takeSnapshot(state.commitIndex);
+			});
+		}
+	};
+
+	// Without the snapshot the applied state is not the one that the following entries belong to. The node must
+	// neither lead nor serve it; a restart installs the snapshot anew.
+	const installSnapshot = (index: number, data: string) => {
+		const isInstalled = contain('replica/installSnapshot', index, () => {
+			options.installSnapshot(data);
+		});
+		hasLostState = !isInstalled;
+		if (hasLostState) {
+			dispatch({type: 'replica/persistFailed', nowMs: timers.getNow()});
+		}
+	};
+
 	const settle = (requestId: RequestId, result: Result<SettledRequest, ReplicaFailure>) => {
 		const resolve = pending.get(requestId);
 		pending.delete(requestId);
@@ -150,14 +216,12 @@
 			}
 
 			case 'replica/takeSnapshot': {
-				dispatch({
-					type: 'replica/snapshotTaken', index: effect.index, data: options.createSnapshot(), nowMs: timers.getNow(),
-				});
+				takeSnapshot(effect.index);
 				break;
 			}
 
 			case 'replica/installSnapshot': {
-				options.installSnapshot(effect.data);
+				installSnapshot(effect.index, effect.data);
 				break;
 			}
 
@@ -179,6 +243,20 @@
 		}
 	};
 
+	const processEvent = (event: ReplicaEvent<Command>) => {
+		let effects: ReadonlyArray<ReplicaEffect<Command>> = [];
+		contain(event.type, undefined, () => {
+			const step = reduceReplica(state, event, cfg);
+			state = step.state;
+			({effects} = step);
+		});
+		for (const effect of effects) {
+			contain(effect.type, undefined, () => {
+				executeEffect(effect);
+			});
+		}
+	};
+
 	// Effects may dispatch further events; those are queued, so that effects are executed in order.
 	const dispatch = (event: ReplicaEvent<Command>) => {
 		queuedEvents.push(event);
@@ -188,11 +266,7 @@
 
 		isProcessing = true;
 		for (let next = queuedEvents.shift(); next !== undefined; next = queuedEvents.shift()) {
-			const step = reduceReplica(state, next, cfg);
-			state = step.state;
-			for (const effect of step.effects) {
-				executeEffect(effect);
-			}
+			processEvent(next);
 		}
 
 		isProcessing = false;
@@ -212,13 +286,18 @@
 		});
 		const outcome = outcomes.get(requestId);
 		outcomes.delete(requestId);
-		return {result, outcome};
+		return {result, outcome, hasFailed: failedRequests.delete(requestId)};
 	};
 
 	const initialStep = createReplica<Command>({cfg, nowMs: timers.getNow()}, store?.recovered);
 	let {state} = initialStep;
 	for (const effect of initialStep.effects) {
-		executeEffect(effect);
+		if (effect.type === 'replica/installSnapshot') {
+			// A node that cannot read its own snapshot must not start.
+			options.installSnapshot(effect.data);
+		} else {
+			executeEffect(effect);
+		}
 	}
 
 	const cancelTick = timers.scheduleEvery(tickPeriodMs, () => {
@@ -234,10 +313,10 @@
 			}
 		},
 		async propose(command) {
-			const {result, outcome} = await request(requestId => ({
+			const {result, outcome, hasFailed} = await request(requestId => ({
 				type: 'replica/propose', requestId, command, nowMs: timers.getNow(),
 			}));
-			return result.ok ? createSuccess({index: result.value.index, outcome}) : result;
+			return result.ok ? createSuccess({index: result.value.index, outcome, hasFailed}) : result;
 		},
 		async read() {
 			const {result} = await request(requestId => ({type: 'replica/read', requestId, nowMs: timers.getNow()}));
@@ -252,8 +331,8 @@
 		transferLeadership(to) {
 			dispatch({type: 'replica/transferLeadership', ...(to !== undefined && {to}), nowMs: timers.getNow()});
 		},
-		getFreshness: () => getConfigurationFreshness(state, {nowMs: timers.getNow(), leaseMs: cfg.limits.configurationLeaseMs}),
-		hasLeaderLease: () => hasLeaderLease(state, {cfg, nowMs: timers.getNow()}),
+		getFreshness: () => hasLostState ? 'stale' : getConfigurationFreshness(state, {nowMs: timers.getNow(), leaseMs: cfg.limits.configurationLeaseMs}),
+		hasLeaderLease: () => !hasLostState && hasLeaderLease(state, {cfg, nowMs: timers.getNow()}),
 		wasConfirmedSince: sinceMs => getConfirmedSendMs(state, {cfg, nowMs: timers.getNow()}) > sinceMs,
 		setNodes(nodes) {
 			cfg = {...cfg, nodes};
--- a/packages/daemon/src/runtime/control-host.ts
+++ b/packages/daemon/src/runtime/control-host.ts
@@ -1,8 +1,8 @@
 /**
  * Runs the replicated log of this node and applies its committed commands to the records.
  */
-import type {
-	NodeId, RandomSource, Result, TimerService,
+import {
+	describeError, type NodeId, type RandomSource, type Result, type TimerService,
 } from '@samphiremill/common';
 import {
 	applyControlCommand,
@@ -91,6 +91,9 @@
 			log.info(`the replicated log is in term ${term}`, {role, term, leader});
 			onLeaderChanged(leader);
 		},
+		onFailure({activity, index, err}) {
+			log.error(`unexpected error in ${activity}`, {activity, index, err: describeError(err)});
+		},
 		onStoreFailed,
 	});
 	return {replica, getControl: () => control};
--- a/packages/daemon/src/scheduler/command-batcher.ts
+++ b/packages/daemon/src/scheduler/command-batcher.ts
@@ -4,7 +4,10 @@
  */
 import type {LedgerCommand, LedgerOutcome} from '@samphiremill/core';
 
-/** Result of a proposal to the replicated log; `unknown` if it may or may not have been applied. */
+/**
+ * Result of a proposal to the replicated log; `unknown` if it may or may not have been applied. A command that could
+ * not be applied is `notProposed`, since it never has an effect.
+ */
 export type ProposalResult
 	= | {readonly type: 'applied'; readonly outcome: LedgerOutcome | undefined}
 		| {readonly type: 'notProposed'}
@@ -19,13 +22,16 @@
 const maximumCommandsPerProposal = 256;
 const maximumPayloadLengthPerProposal = 131_072;
 
+const rejectFailed = (decision: ProposalResult): ProposalResult =>
+	decision.type === 'applied' && decision.outcome?.type === 'failed' ? {type: 'notProposed'} : decision;
+
 const getOutcome = (decision: ProposalResult, position: number): ProposalResult => {
 	if (decision.type !== 'applied') {
 		return decision;
 	}
 
 	const {outcome} = decision;
-	return {type: 'applied', outcome: outcome?.type === 'batch' ? outcome.outcomes[position] : undefined};
+	return rejectFailed({type: 'applied', outcome: outcome?.type === 'batch' ? outcome.outcomes[position] : undefined});
 };
 
 // Only accepted jobs carry a payload; all other commands are small.
@@ -68,7 +74,7 @@
 		pendingProposalCount += 1;
 		const [only] = batch;
 		if (only !== undefined && batch.length === 1) {
-			only.settle(await proposeSafely(only.command));
+			only.settle(rejectFailed(await proposeSafely(only.command)));
 		} else {
 			const decision = await proposeSafely({type: 'batch', commands: batch.map(({command}) => command)});
 			for (const [position, {settle}] of batch.entries()) {
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -79,6 +79,14 @@
 const isReplicaMessage = (message: unknown): message is ReplicaMessage<LedgerCommand> =>
 	typeof message === 'object' && message !== null && 'type' in message && typeof message.type === 'string' && message.type.startsWith('replica/');
 
+const listFailures = (outcome: LedgerOutcome): ReadonlyArray<LedgerOutcome & {readonly type: 'failed'}> => {
+	if (outcome.type === 'batch') {
+		return outcome.outcomes.flatMap(part => listFailures(part));
+	}
+
+	return outcome.type === 'failed' ? [outcome] : [];
+};
+
 const leadershipTransferWaitMs = 400;
 
 /** Replication limits for hosts a few milliseconds apart. Followers need not learn of a commit before the next heartbeat. */
@@ -175,9 +183,14 @@
 		timers,
 		processId: randomUUID(),
 		send: transport.send,
-		applyCommand(command) {
+		applyCommand(command, index) {
+			const outcome = applyLedgerCommand(ledger, command, parseConfiguration);
+			for (const {reason} of listFailures(outcome)) {
+				log.error(`entry ${index} of the log could not be applied`, {index, type: command.type, reason});
+			}
+
 			workerOrderTimes.recordCommand(command);
-			return applyLedgerCommand(ledger, command, parseConfiguration);
+			return outcome;
 		},
 		createSnapshot: () => createLedgerSnapshot(ledger),
 		installSnapshot(data) {
@@ -193,6 +206,9 @@
 				void startLeading(term);
 			}
 		},
+		onFailure({activity, index, err}) {
+			log.error(`unexpected error in ${activity}`, {activity, index, err: describeError(err)});
+		},
 		onStoreFailed(err) {
 			log.error('the data folder failed; this host no longer votes or leads', {err});
 		},
@@ -214,7 +230,7 @@
 		const result = await replica.propose(command);
 		metrics.record('commit_ms', timers.getNow() - proposedAtMs);
 		if (result.ok) {
-			return {type: 'applied', outcome: result.value.outcome};
+			return result.value.hasFailed ? {type: 'unknown'} : {type: 'applied', outcome: result.value.outcome};
 		}
 
 		return {type: result.err.type === 'notProposed' ? 'notProposed' : 'unknown'};
