Control host: a leader begins its duties whatever becomes of its first commit

What callers saw: a control host leads, and no call is answered by it to the end of its term. startLeading gave up when the first commit term/begun ended unknown or notProposed, while heartbeats kept the others from an election; an error thrown by startLeader left the same leader without duties.

Change: begin-term.ts proposes the term again, 100 ms after each result, until the ledger is in it or the host no longer leads it. If the duties cannot start, the host transfers its lead. Duties act only while the host leads the term they were started for, so that ones that were started by half cannot act in a later term.

Before (the same module with the old condition): 'expected [ unknown ] to deeply equal [ unknown, notProposed, applied, duties ]' and 'expected [ applied ] to deeply equal [ applied, gave way ]' with 'Error: no duties' unhandled. After: passed.

Ruled out: a second begin of the same term does no harm, the ledger ignores it, and hasBegun looks at the ledger.

--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -53,6 +53,9 @@
 export const joinRetryPeriodMs = 500;
 export const joinRefreshPeriodMs = 3000;
 
+/** Delay before a leader proposes the start of its term again. */
+export const termBeginRetryDelayMs = 100;
+
 /** How often the leader checks the set of voters. */
 export const voterCheckPeriodMs = 500;
 
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -13,6 +13,7 @@
 import {createReplicaHost, type ReplicaHost} from '../replica-host.js';
 import type {StructuredLogger} from '../runtime/types.js';
 import {openReplicaStore, type ReplicaStore, type StoreError} from '../store/index.js';
+import {beginTerm} from './begin-term.js';
 import {createClockGuard} from './clock-guard.js';
 import {createCommandBatcher} from './command-batcher.js';
 import {clusterCallMethod, createClusterClient} from './cluster-client.js';
@@ -238,13 +239,12 @@
 		log.error('unexpected error in a proposal', {err: describeError(err)});
 	});
 
-	const startLeading = async (term: number) => {
-		const decision = await propose({type: 'term/begun', term});
+	const isLeading = (term: number) => {
 		const {role, term: presentTerm} = replica.getState();
-		if (isStopped || decision.type !== 'applied' || role !== 'leader' || presentTerm !== term || ledger.term !== term) {
-			return;
-		}
+		return !isStopped && role === 'leader' && presentTerm === term;
+	};
 
+	const startDuties = (term: number) => {
 		metrics.count('terms_led_total');
 		log.info(`leads in term ${term}`, {
 			term, configuration: ledger.configuration?.version, jobs: ledger.activeJobs.size, minions: ledger.incarnations.size,
@@ -257,7 +257,7 @@
 			log,
 			getWallClock,
 			getLedger: () => ledger,
-			canAct,
+			canAct: () => isLeading(term) && canAct(),
 			getLastOrderAtMs: workerOrderTimes.getLastOrderAtMs,
 			propose,
 			onFenced() {
@@ -274,6 +274,21 @@
 		});
 	};
 
+	const startLeading = async (term: number) => beginTerm({
+		term,
+		timers,
+		log,
+		proposeTerm: async () => propose({type: 'term/begun', term}),
+		isCurrent: () => isLeading(term),
+		hasBegun: () => ledger.term === term,
+		startDuties() {
+			startDuties(term);
+		},
+		giveWay() {
+			replica.transferLeadership();
+		},
+	});
+
 	const listControlHosts = () => [...new Set([...replica.getState().voters.map(({node}) => node), ...ledger.controlHosts.keys()])];
 
 	const answerLocally = async (call: ClusterCall): Promise<ClusterReply> => {
