Replica: a leader whose transfer fails steps down

What callers saw: a control host leads on and does nothing, since a leader that asked for a transfer uses no lease in that term and a transfer that its target does not take ended by going on to lead. The same after a minion had fenced the leader off; a sole voter that was fenced off stopped its duties and kept the term for good.

Change: at the deadline of a transfer (one election timeout) the leader becomes a follower, whose own election timeout is longer by one than those of the others. The lease is not taken up again in the same term: a delayed replica/timeoutNow could still depose the leader; it names the term, so it has no effect in a later one. A leader that is fenced off or cannot start its duties gives way (replica/giveWay): as a sole voter it begins a new term at once, since there is nobody to transfer to.

--- a/packages/core/src/replica/reduce-replica.ts
+++ b/packages/core/src/replica/reduce-replica.ts
@@ -24,7 +24,9 @@
 import {
 	handlePullSnapshot, handleSnapshotChunk, handleSnapshotOffer, handleSnapshotTaken, requestSnapshot, tickSnapshot,
 } from './snapshots.js';
-import {continueTransfer, handleTimeoutNow, handleTransferLeadership} from './transfer.js';
+import {
+	continueTransfer, handleGiveWay, handleTimeoutNow, handleTransferLeadership,
+} from './transfer.js';
 import type {
 	ReplicaConfig, ReplicaEffect, ReplicaEvent, ReplicaState,
 } from './types.js';
@@ -195,6 +197,10 @@
 			return handleTransferLeadership(state, context, event.to);
 		}
 
+		case 'replica/giveWay': {
+			return handleGiveWay(state, context);
+		}
+
 		case 'replica/changeVoters': {
 			return handleChangeVoters(state, context, event);
 		}
--- a/packages/core/src/replica/role-machine.ts
+++ b/packages/core/src/replica/role-machine.ts
@@ -11,7 +11,8 @@
 		| {readonly type: 'voteWon'}
 		| {readonly type: 'newerTermSeen'}
 		| {readonly type: 'leaderHeard'}
-		| {readonly type: 'quorumLost'};
+		| {readonly type: 'quorumLost'}
+		| {readonly type: 'gaveWay'};
 
 // XState infers the event type from this value and never reads the value itself.
 const createTypes = (): {events: RoleEvent} => ({events: {type: 'becameVoter'}});
@@ -52,6 +53,7 @@
 			on: {
 				newerTermSeen: 'follower',
 				quorumLost: 'follower',
+				gaveWay: 'follower',
 				ceasedToVote: 'observer',
 			},
 		},
--- a/packages/core/src/replica/roles.ts
+++ b/packages/core/src/replica/roles.ts
@@ -25,6 +25,19 @@
 	};
 }
 
+/**
+ * Ends the lead of this node without a successor. The others time out before this node does, so that one of them leads
+ * if it can.
+ *
+ * @param state - A leader.
+ */
+export function stepDown<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaState<Command> {
+	return {
+		...transitionRole(state, {type: 'gaveWay'}),
+		electionDeadlineMs: getElectionDeadline(context) + context.cfg.limits.electionTimeoutMs,
+	};
+}
+
 /**
  * Enters a newer term as a follower, or as an observer if this node does not vote. The term is written to disk.
  * A term that is not newer changes nothing.
--- a/packages/core/src/replica/test-network.ts
+++ b/packages/core/src/replica/test-network.ts
@@ -12,6 +12,7 @@
 import {
 	applyPersistedWrite, createPersistedState, getRecoveredReplica, type PersistedState,
 } from './persisted-state.js';
+import {hasLeaderLease} from './leader-lease.js';
 import {reduceReplica} from './reduce-replica.js';
 import type {
 	LogEntry, PersistEffect, ReplicaConfig, ReplicaEffect, ReplicaEvent, ReplicaLimits, ReplicaState, RequestId, StoreId, VoterChange,
@@ -90,6 +91,8 @@
 	readonly read: (name: string) => RequestId;
 	readonly changeVoters: (name: string, change: VoterChange) => RequestId;
 	readonly transferLeadership: (name: string, to?: string) => void;
+	readonly giveWay: (name: string) => void;
+	readonly hasLeaderLease: (name: string) => boolean;
 	/** Blocks the messages in one direction. `heal` removes all blocks. */
 	readonly cut: (from: string, to: string) => void;
 	readonly isolate: (names: readonly string[]) => void;
@@ -427,6 +430,13 @@
 				type: 'replica/transferLeadership', ...(to !== undefined && {to: toBrand<NodeId>(to)}), nowMs: getLocalMs(name),
 			});
 		},
+		giveWay(name) {
+			handle(name, {type: 'replica/giveWay', nowMs: getLocalMs(name)});
+		},
+		hasLeaderLease(name) {
+			const {cfg, state, isUp} = getNode(name);
+			return isUp && hasLeaderLease(state, {cfg, nowMs: getLocalMs(name)});
+		},
 		cut(from, to) {
 			blockedLinks.add(`${from}>${to}`);
 		},
--- a/packages/core/src/replica/transfer.ts
+++ b/packages/core/src/replica/transfer.ts
@@ -3,6 +3,7 @@
 import {getLastIndex} from './log.js';
 import type {TimeoutNowMessage} from './messages.js';
 import {isVotingReplica} from './quorum.js';
+import {stepDown} from './roles.js';
 import {
 	createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
@@ -40,19 +41,28 @@
 	return createStep({...state, leadership: {...leadership, transfer, isLeaseUsable: false}});
 }
 
+/** Transfers leadership because this leader cannot do its duties. A sole voter begins a new term itself. */
+export function handleGiveWay<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
+	return state.leadership !== undefined && chooseTarget(state, context) === undefined
+		? createStep(stepDown(state, context))
+		: handleTransferLeadership(state, context);
+}
+
 /**
- * Tells the target to start its election once it has the whole log. Aborts the transfer when its deadline
- * passes.
+ * Tells the target to start its election once it has the whole log. When the deadline of the transfer passes, this
+ * node stops leading: a delayed message could still depose it, so its lease stays unusable in this term. In a
+ * later term that message has no effect.
  */
-export function continueTransfer<Command>(state: ReplicaState<Command>, {nowMs}: ReplicaContext): ReplicaStep<Command> {
+export function continueTransfer<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
 	const {leadership} = state;
+	const {nowMs} = context;
 	const transfer = leadership?.transfer;
 	if (leadership === undefined || transfer === undefined) {
 		return createStep(state);
 	}
 
 	if (nowMs >= transfer.deadlineMs) {
-		return createStep({...state, leadership: {...leadership, transfer: undefined}});
+		return createStep(stepDown(state, context));
 	}
 
 	const isCaughtUp = leadership.progress.get(transfer.to)?.matchIndex === getLastIndex(state.log);
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -385,6 +385,7 @@
 			readonly nowMs: number;
 		}
 		| {readonly type: 'replica/transferLeadership'; readonly to?: NodeId; readonly nowMs: number}
+		| {readonly type: 'replica/giveWay'; readonly nowMs: number}
 		| {
 			readonly type: 'replica/changeVoters';
 			readonly requestId: RequestId;
--- a/packages/daemon/src/replica-host.ts
+++ b/packages/daemon/src/replica-host.ts
@@ -87,6 +87,8 @@
 	readonly changeVoters: (change: VoterChange) => Promise<Result<{readonly index: number}, ReplicaFailure>>;
 	/** Transfers leadership before a planned stop; does nothing if this node does not lead. */
 	readonly transferLeadership: (to?: NodeId) => void;
+	/** Ends this node's lead because it cannot do its duties. Does nothing if this node does not lead. */
+	readonly giveWay: () => void;
 	readonly getFreshness: () => ConfigurationFreshness;
 	/** Whether this node leads and no other node can lead; only then may it plan. */
 	readonly hasLeaderLease: () => boolean;
@@ -331,6 +333,9 @@
 		transferLeadership(to) {
 			dispatch({type: 'replica/transferLeadership', ...(to !== undefined && {to}), nowMs: timers.getNow()});
 		},
+		giveWay() {
+			dispatch({type: 'replica/giveWay', nowMs: timers.getNow()});
+		},
 		getFreshness: () => hasLostState ? 'stale' : getConfigurationFreshness(state, {nowMs: timers.getNow(), leaseMs: cfg.limits.configurationLeaseMs}),
 		hasLeaderLease: () => !hasLostState && hasLeaderLease(state, {cfg, nowMs: timers.getNow()}),
 		wasConfirmedSince: sinceMs => getConfirmedSendMs(state, {cfg, nowMs: timers.getNow()}) > sinceMs,
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -264,7 +264,7 @@
 				log.warn(`a minion has accepted orders of a leader newer than term ${term}; stepping down`, {term});
 				leader?.stop();
 				leader = undefined;
-				replica.transferLeadership();
+				replica.giveWay();
 			},
 			minions: relayedMinions,
 			advice: options.advice,
@@ -284,9 +284,7 @@
 		startDuties() {
 			startDuties(term);
 		},
-		giveWay() {
-			replica.transferLeadership();
-		},
+		giveWay: replica.giveWay,
 	});
 
 	const listControlHosts = () => [...new Set([...replica.getState().voters.map(({node}) => node), ...ledger.controlHosts.keys()])];
