Replica: a leader that commits nothing, or that has no lease, gives way

What callers saw: requests waited to their deadlines and none was answered, for as long as the incident lasted: the leader counted as present because a majority answered its heartbeats (a voter whose disk failed answers without acknowledging), though nothing could be committed; with answers that are always later than the lease it may not even act.

Change: the leader records when the index that a majority has synced last grew while entries wait, and when its lease was last usable (leader-stall.ts). After leaderStallTimeoutMs (2.5 s: many slow commits, half of the time that a proposal waits) it steps down.

Before (without the timeout): "expected 'a1' to be undefined" (four seconds after two of three disks failed) and 'expected 36120 to be less than 3000' (longest lead without a lease, ms).

Ruled out: an election storm; in the test no term begins in the 20 s in which no majority can sync (pre-votes do not pass).

--- a/packages/core/src/replica/constants.ts
+++ b/packages/core/src/replica/constants.ts
@@ -6,6 +6,9 @@
 	electionTimeoutMs: 1000,
 	leaderLeaseMs: 750,
 	retransmitTimeoutMs: 500,
+	// Many times a slow commit (two syncs of 200 ms and a retransmission), and half of `proposalTimeoutMs`, so that the next
+	// leader can still commit what waits.
+	leaderStallTimeoutMs: 2500,
 	commitHeartbeatIntervalMs: 0,
 	proposalTimeoutMs: 5000,
 	confirmationPeriodMs: 400,
--- a/packages/core/src/replica/leadership.test.ts
+++ b/packages/core/src/replica/leadership.test.ts
@@ -37,3 +37,69 @@
 	expect(network.getState('a1').term).toBe(term + 1);
 	expect(network.hasLeaderLease('a1')).toBe(true);
 });
+
+test('a leader gives way when a majority syncs nothing, so that callers are refused at once', () => {
+	const {network, leader, others} = startNetwork();
+	for (const name of others) {
+		network.failDisk(name);
+	}
+
+	network.propose(leader, 'x');
+	network.run(4000);
+	expect(network.getLeader()).toBeUndefined();
+	const {term} = network.getState(leader);
+	network.run(20_000);
+	expect(network.getState(leader).term).toBe(term);
+});
+
+test('a leader whose answers always come later than its lease gives way', () => {
+	const network = createTestNetwork({nodes: threeVoters, seed: 35, delayMs: {least: 400, most: 450}});
+	let heldSinceMs = 0;
+	let longestMs = 0;
+	let known = '';
+	while (network.getNowMs() < 40_000) {
+		network.run(10);
+		const leader = network.getLeader() ?? '';
+		const held = `${leader} in ${network.getState(leader === '' ? 'a1' : leader).term}`;
+		heldSinceMs = held === known && leader !== '' ? heldSinceMs : network.getNowMs();
+		known = held;
+		longestMs = Math.max(longestMs, network.getNowMs() - heldSinceMs);
+		expect(voterNames.some(name => network.hasLeaderLease(name))).toBe(false);
+	}
+
+	expect(longestMs).toBeGreaterThan(1000);
+	expect(longestMs).toBeLessThan(3000);
+});
+
+test('a leader with slow disks keeps its lead under load', () => {
+	const {network, leader} = startNetwork({syncMs: {least: 120, most: 200}});
+	const {term} = network.getState(leader);
+	const ids = Array.from({length: 300}, (_, index) => {
+		network.run(100);
+		return network.propose(leader, `c${index}`);
+	});
+	network.run(2000);
+	expect(ids.map(id => network.getOutcome(id)?.type)).toEqual(ids.map(() => 'done'));
+	expect(network.getState(leader)).toMatchObject({role: 'leader', term});
+});
+
+test('a leader keeps its lead while the voter that it needs for a majority receives a large snapshot', () => {
+	const {network, leader, others: [first = '', second = '']} = startNetwork({
+		limits: {snapshotEveryEntries: 20, trailingEntries: 5, maximumChunkLength: 16},
+	});
+	network.isolate([first]);
+	for (let index = 0; index < 100; index += 1) {
+		network.propose(leader, `${index}`.padStart(100, 'x'));
+	}
+
+	network.run(2000);
+	const {term} = network.getState(leader);
+	network.heal();
+	network.crash(second);
+	network.propose(leader, 'last');
+	network.run(4500);
+	expect(network.getState(first).incomingSnapshot).toBeDefined();
+	network.run(10_000);
+	expect(network.getApplied(first).at(-1)).toBe('last');
+	expect(network.getState(leader)).toMatchObject({role: 'leader', term});
+});
--- a/packages/core/src/replica/replication.ts
+++ b/packages/core/src/replica/replication.ts
@@ -3,6 +3,7 @@
 import {commitUpTo} from './commit.js';
 import {addConfirmation} from './confirmation.js';
 import {getConfirmedSendMs} from './leader-lease.js';
+import {getSyncedIndex, isLeaderStalled, updateLeaderActivity} from './leader-stall.js';
 import {
 	appendEntries, getLastIndex, getTerm,
 } from './log.js';
@@ -12,7 +13,9 @@
 import {
 	chainSteps, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
-import {enterTerm, getElectionDeadline, transitionRole} from './roles.js';
+import {
+	enterTerm, getElectionDeadline, stepDown, transitionRole,
+} from './roles.js';
 import {sendNewEntries, sendRound, setProgress} from './sending.js';
 import type {
 	Leadership, LogEntry, LogPayload, PeerProgress, ReplicaConfig, ReplicaState, StoreId, VoterIdentity,
@@ -80,10 +83,7 @@
 		return createStep(state);
 	}
 
-	const synced = state.voters.map(({node}) => node === cfg.self
-		? state.persistence.persistedIndex
-		: leadership.progress.get(node)?.matchIndex ?? 0);
-	const index = getQuorumValue(synced);
+	const index = getSyncedIndex(state, cfg);
 	return getTerm(state.log, index) === state.term ? commitUpTo(state, index) : createStep(state);
 }
 
@@ -128,6 +128,7 @@
 		progress: ImmutableMap(),
 		firstIndex: getLastIndex(state.log) + 1,
 		startedAtMs: context.nowMs,
+		activity: {syncedIndex: 0, progressedAtMs: context.nowMs, leaseHeldAtMs: context.nowMs},
 		round: 0,
 		roundSentAtMs: List(),
 		nextHeartbeatMs: context.nowMs,
@@ -147,7 +148,7 @@
 const getLastAckMs = (progress: PeerProgress | undefined, leadership: Leadership) =>
 	Math.max(progress?.lastAckMs ?? 0, leadership.startedAtMs);
 
-/** Sends heartbeats, and steps down if a majority has not answered for an election timeout. */
+/** Sends heartbeats. Steps down if a majority has not answered for an election timeout, or if this leader is stalled. */
 export function tickLeadership<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
 	const {leadership} = state;
 	const {nowMs, cfg} = context;
@@ -161,7 +162,13 @@
 		return createStep({...transitionRole(state, {type: 'quorumLost'}), electionDeadlineMs: getElectionDeadline(context)});
 	}
 
-	return nowMs >= leadership.nextHeartbeatMs ? sendRound(state, context) : createStep(state);
+	const updated = updateLeaderActivity(state, leadership, context);
+	if (isLeaderStalled(updated, context)) {
+		return createStep(stepDown(state, context));
+	}
+
+	const next = {...state, leadership: updated};
+	return nowMs >= updated.nextHeartbeatMs ? sendRound(next, context) : createStep(next);
 }
 
 const updateProgress = (
--- a/packages/core/src/replica/snapshots.ts
+++ b/packages/core/src/replica/snapshots.ts
@@ -1,5 +1,6 @@
 import type {NodeId} from '@samphiremill/common';
 import {requestResendIntervalMs, snapshotStallTimeoutMs} from './constants.js';
+import {recordSnapshotProgress} from './leader-stall.js';
 import {
 	compactLog, createLog, getLatestVoters, getRequestsUpTo, getTerm, truncateLog,
 } from './log.js';
@@ -102,7 +103,7 @@
 /** Sends a chunk of the snapshot. If a newer snapshot has replaced the requested one, offers the newer one. */
 export function handlePullSnapshot<Command>(
 	state: ReplicaState<Command>,
-	{cfg}: ReplicaContext,
+	context: ReplicaContext,
 	{from, message}: {readonly from: NodeId; readonly message: PullSnapshotMessage},
 ): ReplicaStep<Command> {
 	const {snapshot} = state;
@@ -115,7 +116,7 @@
 		return createStep(state, [createSend(from, {type: 'replica/snapshotOffer', index, length: data.length})]);
 	}
 
-	return createStep(state, [createSend(from, {
+	return createStep(recordSnapshotProgress(state, context, {from, offset: message.offset}), [createSend(from, {
 		type: 'replica/snapshotChunk',
 		index,
 		term,
@@ -124,7 +125,7 @@
 		requests: message.offset === 0 ? requests : [],
 		offset: message.offset,
 		length: data.length,
-		data: data.slice(message.offset, message.offset + cfg.limits.maximumChunkLength),
+		data: data.slice(message.offset, message.offset + context.cfg.limits.maximumChunkLength),
 	})]);
 }
 
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -97,6 +97,8 @@
 	 */
 	readonly leaderLeaseMs: number;
 	readonly retransmitTimeoutMs: number;
+	/** A leader gives way after so long without a lease, or with entries of which a majority has synced none. */
+	readonly leaderStallTimeoutMs: number;
 	/**
 	 * The minimum time between a round of heartbeats and a round that only reports a commit, in milliseconds.
 	 */
@@ -192,12 +194,23 @@
 	readonly isSent: boolean;
 };
 
+/** What a leader has achieved, in monotonic milliseconds of its process. */
+export type LeaderActivity = {
+	/** The index up to which a majority has synced. */
+	readonly syncedIndex: number;
+	/** When that index last grew, or the last time at which nothing waited to be committed. */
+	readonly progressedAtMs: number;
+	/** The last time at which the leader lease was usable. */
+	readonly leaseHeldAtMs: number;
+};
+
 /** The state that only a leader keeps. */
 export type Leadership = {
 	readonly progress: ImmutableMap<NodeId, PeerProgress>;
 	/** The index of the no-op entry that opened the term. */
 	readonly firstIndex: number;
 	readonly startedAtMs: number;
+	readonly activity: LeaderActivity;
 	readonly round: number;
 	/** When each round of the last election timeout was sent. */
 	readonly roundSentAtMs: List<{readonly round: number; readonly sentAtMs: number}>;
