--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -13,6 +13,7 @@
 import {createReplicaHost, type ReplicaHost} from '../replica-host.js';
 import type {StructuredLogger} from '../runtime/types.js';
 import {openReplicaStore, type ReplicaStore, type StoreError} from '../store/index.js';
+import {beginTerm} from './begin-term.js';
 import {createClockGuard} from './clock-guard.js';
 import {createCommandBatcher} from './command-batcher.js';
 import {clusterCallMethod, createClusterClient} from './cluster-client.js';
@@ -83,6 +84,14 @@
 const isReplicaMessage = (message: unknown): message is ReplicaMessage<LedgerCommand> =>
 	typeof message === 'object' && message !== null && 'type' in message && typeof message.type === 'string' && message.type.startsWith('replica/');
 
+const listFailures = (outcome: LedgerOutcome): ReadonlyArray<LedgerOutcome & {readonly type: 'failed'}> => {
+	if (outcome.type === 'batch') {
+		return outcome.outcomes.flatMap(part => listFailures(part));
+	}
+
+	return outcome.type === 'failed' ? [outcome] : [];
+};
+
 const leadershipTransferWaitMs = 400;
 
 /** Replication limits for hosts a few milliseconds apart. Followers need not learn of a commit before the next heartbeat. */
@@ -179,9 +188,14 @@
 		timers,
 		processId: randomUUID(),
 		send: transport.send,
-		applyCommand(command) {
+		applyCommand(command, index) {
+			const outcome = applyLedgerCommand(ledger, command, parseConfiguration);
+			for (const {reason} of listFailures(outcome)) {
+				log.error(`entry ${index} of the log could not be applied`, {index, type: command.type, reason});
+			}
+
 			workerOrderTimes.recordCommand(command);
-			return applyLedgerCommand(ledger, command, parseConfiguration);
+			return outcome;
 		},
 		createSnapshot: () => createLedgerSnapshot(ledger),
 		installSnapshot(data) {
@@ -197,6 +211,9 @@
 				void startLeading(term);
 			}
 		},
+		onFailure({activity, index, err}) {
+			log.error(`unexpected error in ${activity}`, {activity, index, err: describeError(err)});
+		},
 		onStoreFailed(err) {
 			log.error('the data folder failed; this host no longer votes or leads', {err});
 		},
@@ -218,7 +235,7 @@
 		const result = await replica.propose(command);
 		metrics.record('commit_ms', timers.getNow() - proposedAtMs);
 		if (result.ok) {
-			return {type: 'applied', outcome: result.value.outcome};
+			return result.value.hasFailed ? {type: 'unknown'} : {type: 'applied', outcome: result.value.outcome};
 		}
 
 		return {type: result.err.type === 'notProposed' ? 'notProposed' : 'unknown'};
@@ -226,13 +243,12 @@
 		log.error('unexpected error in a proposal', {err: describeError(err)});
 	});
 
-	const startLeading = async (term: number) => {
-		const decision = await propose({type: 'term/begun', term});
+	const isLeading = (term: number) => {
 		const {role, term: presentTerm} = replica.getState();
-		if (isStopped || decision.type !== 'applied' || role !== 'leader' || presentTerm !== term || ledger.term !== term) {
-			return;
-		}
+		return !isStopped && role === 'leader' && presentTerm === term;
+	};
 
+	const startDuties = (term: number) => {
 		metrics.count('terms_led_total');
 		log.info(`leads in term ${term}`, {
 			term, configuration: ledger.configuration?.version, jobs: ledger.activeJobs.size, minions: ledger.incarnations.size,
@@ -245,14 +261,14 @@
 			log,
 			getWallClock,
 			getLedger: () => ledger,
-			canAct,
+			canAct: () => isLeading(term) && canAct(),
 			getLastOrderAtMs: workerOrderTimes.getLastOrderAtMs,
 			propose,
 			onFenced() {
 				log.warn(`a minion has accepted orders of a leader newer than term ${term}; stepping down`, {term});
 				leader?.stop();
 				leader = undefined;
-				replica.transferLeadership();
+				replica.giveWay();
 			},
 			minions: relayedMinions,
 			advice: options.advice,
@@ -262,6 +278,19 @@
 		});
 	};
 
+	const startLeading = async (term: number) => beginTerm({
+		term,
+		timers,
+		log,
+		proposeTerm: async () => propose({type: 'term/begun', term}),
+		isCurrent: () => isLeading(term),
+		hasBegun: () => ledger.term === term,
+		startDuties() {
+			startDuties(term);
+		},
+		giveWay: replica.giveWay,
+	});
+
 	const listControlHosts = () => [...new Set([...replica.getState().voters.map(({node}) => node), ...ledger.controlHosts.keys()])];
 
 	const answerLocally = async (call: ClusterCall): Promise<ClusterReply> => {
