A wave stops long-running tasks last, and only if they can start elsewhere

Cause: the plan stopped whatever a budget allowed as soon as its worker was cordoned, without asking where the task could run or whether the worker could be drained at all.

Change: long-running tasks are stopped after the worker's other runs, and only for capacity that is claimed for them on another minion (relocate-tasks). A worker with a task that no other minion takes is left alone while the wave has time, and takes no slot of it. Near the due time (as many rounds as the workers left, or the budgets of such tasks taken one after another, need) these tasks are stopped once, all at the same moment, after all other runs, only within their budgets and only if the order for the worker can be sent, so that its maintenance follows at once. What the budgets never allow together is not stopped, and the log says for which worker the wave waits. Near the due time capacity of shorter runs counts as room, and tasks that can move are not held back for other runs, so that waves that have little time lose none.

"a task that was stopped for maintenance starts again on its worker, whose draining waits for tasks that find capacity nowhere" relied on such a useless stop, which does not happen any more: it now demands no stop and no gap at all, and another test brings about what it guarded (a stop, and capacity elsewhere that another task takes meanwhile).

Ruled out: stopping one of two tasks of a step that may miss one, with no room for it elsewhere: the worker cannot be drained by it, so it is of no use to anyone.

--- a/packages/core/src/scheduler/decisions.test.ts
+++ b/packages/core/src/scheduler/decisions.test.ts
@@ -13,6 +13,8 @@
 } from './index.js';
 
 const parse = () => undefined;
+// No worker has tasks that would have to start elsewhere.
+const withoutTasks = {listMinions: () => [], isAllowed: () => true, canOrder: () => true};
 
 const plan = (ledger: Ledger, minions: readonly UsableMinion[], copies: readonly Task[] = []) => planStarts({
 	ledger, nowMs: testNowMs, minions, isAllowed: () => true, getWaitMs: () => 0, getAvoidedIncarnations: () => undefined, copies,
@@ -252,7 +254,7 @@
 		type: 'wave/workerOrdered', term: 0, wave, worker: first, life: undefined,
 	}, parse);
 	const {requests} = planMaintenance({
-		ledger, nowMs: testNowMs, workers, switchedOff: new Set(), isPoolLoaded: () => false, cordoned: new Set(), isServing: () => true,
+		ledger, nowMs: testNowMs, workers, switchedOff: new Set(), isPoolLoaded: () => false, cordoned: new Set(), isServing: () => true, ...withoutTasks,
 	});
 	expect(requests.map(({worker}) => worker)).toEqual([first]);
 });
--- a/packages/core/src/scheduler/hold-capacity.ts
+++ b/packages/core/src/scheduler/hold-capacity.ts
@@ -21,8 +21,8 @@
 	readonly getWaitMs: GetWaitMs;
 };
 
-// The other runs end soon and make room.
-const getCapacityBesideLongRunning = (ledger: Ledger, {life, capacity}: MinionRecord): Resources => {
+/** Returns what the long-running tasks on a minion leave of its capacity. The other runs end soon and make room. */
+export function getCapacityBesideLongRunning(ledger: Ledger, {life, capacity}: MinionRecord): Resources {
 	const used = createResources();
 	for (const id of ledger.incarnations.get(life)?.runs.keys() ?? []) {
 		const task = findTask(ledger, id);
@@ -32,7 +32,7 @@
 	}
 
 	return subtractResources(capacity, used);
-};
+}
 
 const getMissingShare = (free: number, required: number) => required === 0 ? 0 : (required - free) / required;
 
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -24,13 +24,13 @@
 export {
 	isSuspectedSlow, assessRun, recordSlowness, predictTotalMs, initialMinionSpeed, type MinionSpeed, type RunVerdict,
 } from './assess-runs.js';
-export type {PlacementGate, UsableMinion} from './minion-capacity.js';
+export type {IsAllowed, PlacementGate, UsableMinion} from './minion-capacity.js';
 export {planStarts, type StartPlanInput} from './plan-starts.js';
 export {countRefusals, type PlacementRefusals, type RefusalQuery} from './explain-waiting.js';
 export {compareReadySteps, type CompareReadySteps, type ReadyStep} from './order-work.js';
 export {getFillerPacePercent, type TailLatency} from './pace-fillers.js';
 export {
-	isWaveCompleted, planMaintenance, type MaintenancePlan, type MaintenancePlanInput, type MaintenanceRequest, type WorkerView,
+	isWaveCompleted, planMaintenance, type MaintenancePlan, type BlockedWorker, type MaintenancePlanInput, type MaintenanceRequest, type WorkerView,
 } from './plan-maintenance.js';
 export {measurePoolWorkload, measureWorkAhead, type QueuePosition} from './measure-pools.js';
 export {getPoolIndex, emptyWorkload, type PoolIndex} from './work-index.js';
--- a/packages/core/src/scheduler/plan-maintenance.test.ts
+++ b/packages/core/src/scheduler/plan-maintenance.test.ts
@@ -8,7 +8,10 @@
 import {expect, test} from 'vitest';
 import {planWorkerMoves, type PoolBalance} from '../pools/index.js';
 import {
-	applyLedgerCommand, createLedger, planMaintenance, type Ledger,
+	addTestJob, addTestMinion, assignTestRuns, testNowMs,
+} from './test-fleet.js';
+import {
+	applyLedgerCommand, createLedger, createTaskId, planMaintenance, type Ledger,
 } from './index.js';
 
 const counter = toBrand<PoolId>('counter');
@@ -19,6 +22,8 @@
 const moveMs = 1500;
 const nowMs = 1_700_000_000_000;
 const parse = () => undefined;
+// No worker has tasks that would have to start elsewhere.
+const withoutTasks = {listMinions: () => [], isAllowed: () => true, canOrder: () => true};
 
 const createBalance = (pool: PoolId, balance: Partial<PoolBalance>): PoolBalance => ({
 	pool, isStandby: false, millicores: 0, incomingMillicores: 0, waitingLastingCount: 0,
@@ -45,7 +50,7 @@
 };
 
 const planAfter = (ledger: Ledger, afterMs: number) => planMaintenance({
-	ledger, nowMs: nowMs + afterMs, workers: new Map(), switchedOff: new Set(names), isPoolLoaded: () => false, cordoned: new Set(), isServing: () => true,
+	ledger, nowMs: nowMs + afterMs, workers: new Map(), switchedOff: new Set(names), isPoolLoaded: () => false, cordoned: new Set(), isServing: () => true, ...withoutTasks,
 });
 
 // Plans the moves during a burst for which two additional workers are enough.
@@ -83,3 +88,58 @@
 	expect(requests.map(({worker}) => worker)).toEqual(names.slice(0, 1));
 	expect(cordoned).toEqual(new Set(names.slice(0, 1)));
 });
+
+// A wave of worker-a, on which a long-running task serves beside a task that ends. Another minion of the same size is free
+// but for the given runs.
+const planWithTasks = ({dueInMs, isOtherFull, hasShortRun}: {readonly dueInMs: number; readonly isOtherFull: boolean; readonly hasShortRun: boolean}) => {
+	const ledger = createLedger();
+	const minion = addTestMinion(ledger, 'a');
+	const other = addTestMinion(ledger, 'b');
+	const taskOf = (job: string) => createTaskId({
+		job: toBrand(job), occurrence: 0, step: 0, index: 0,
+	});
+	const serving = taskOf(addTestJob(ledger, '1', {isLasting: true, disruptionBudget: 1}));
+	const short = taskOf(addTestJob(ledger, '2', {}));
+	const filling = taskOf(addTestJob(ledger, '3', {isLasting: true, request: {cpuMillicores: 8000, memoryMb: 100, gpus: 0}}));
+	assignTestRuns(ledger, [
+		{task: serving, run: 1, life: minion.record.life},
+		...(hasShortRun ? [{task: short, run: 1, life: minion.record.life}] : []),
+		...(isOtherFull ? [{task: filling, run: 1, life: other.record.life}] : []),
+	]);
+	const {worker, life} = minion.record;
+	applyLedgerCommand(ledger, {
+		type: 'wave/started', wave: {
+			wave, workers: [worker], maximumAtOnce: 1, startedAtMs: testNowMs, dueAtMs: testNowMs + dueInMs,
+		},
+	}, parse);
+	const {evictions, cordoned, blocked} = planMaintenance({
+		ledger,
+		nowMs: testNowMs,
+		workers: new Map([[worker, {worker, life, isUp: true}]]),
+		switchedOff: new Set(),
+		isPoolLoaded: () => false,
+		cordoned: new Set([worker]),
+		isServing: () => true,
+		...withoutTasks,
+		listMinions: () => [other],
+	});
+	return {stops: evictions.length, isCordoned: cordoned.has(worker), isBlocked: blocked.length > 0};
+};
+
+test('a long-running task is stopped for maintenance once the other runs have ended, and only if another minion takes it or the due time is near', () => {
+	const farMs = 60_000;
+	const nearMs = 5000;
+	expect({
+		besideShortRun: planWithTasks({dueInMs: farMs, isOtherFull: false, hasShortRun: true}),
+		last: planWithTasks({dueInMs: farMs, isOtherFull: false, hasShortRun: false}),
+		nowhereElse: planWithTasks({dueInMs: farMs, isOtherFull: true, hasShortRun: false}),
+		nowhereElseBesideShortRunNearDueTime: planWithTasks({dueInMs: nearMs, isOtherFull: true, hasShortRun: true}),
+		nowhereElseNearDueTime: planWithTasks({dueInMs: nearMs, isOtherFull: true, hasShortRun: false}),
+	}).toEqual({
+		besideShortRun: {stops: 0, isCordoned: true, isBlocked: false},
+		last: {stops: 1, isCordoned: true, isBlocked: false},
+		nowhereElse: {stops: 0, isCordoned: false, isBlocked: true},
+		nowhereElseBesideShortRunNearDueTime: {stops: 0, isCordoned: true, isBlocked: false},
+		nowhereElseNearDueTime: {stops: 1, isCordoned: true, isBlocked: false},
+	});
+});
--- a/packages/core/src/scheduler/plan-maintenance.ts
+++ b/packages/core/src/scheduler/plan-maintenance.ts
@@ -1,10 +1,17 @@
 /**
  * Plans which workers of a maintenance wave are drained, and for which the maintenance is ordered from the platform.
  * The plan keeps to the wave's limit and to the disruption budgets of long-running steps.
+ *
+ * Long-running tasks are stopped last, once the worker's other runs have ended, and only if they can start on another
+ * minion. A worker with one that can't is left alone as long as the wave has time, since capacity may come free elsewhere
+ * until then. When the wave's due time is near, such tasks are stopped once, all at the same moment and only if the
+ * disruption budgets allow all of them, so that the maintenance follows at once and is all that they miss.
  */
-import type {WaveId, WorkerId} from '@samphiremill/common';
+import type {PoolId, WaveId, WorkerId} from '@samphiremill/common';
 import {maximumMaintenanceMs, switchedOffMaintenanceMs, maintenanceRoundMs} from './constants.js';
 import {findTask, getStep, getStepProgress} from './ledger.js';
+import type {IsAllowed, UsableMinion} from './minion-capacity.js';
+import {createRelocation, type Relocation, type RelocationClaim} from './relocate-tasks.js';
 import type {
 	Ledger, IncarnationId, IncarnationUsage, StepProgress, Task, MaintenanceOrder, MaintenanceWave,
 } from './types.js';
@@ -31,8 +38,15 @@
 	readonly cordoned: ReadonlySet<WorkerId>;
 	/** Workers that are not drained for now, since waiting tasks need them. */
 	readonly released?: ReadonlySet<WorkerId>;
+	/** Workers from which the last tasks were stopped a moment ago. They stay cordoned although these tasks can start nowhere else. */
+	readonly draining?: ReadonlySet<WorkerId>;
 	/** Whether a task of a long-running step is serving now. */
 	readonly isServing: (task: Task) => boolean;
+	/** Lists the minions of a pool that may be given work now. */
+	readonly listMinions: (pool: PoolId) => readonly UsableMinion[];
+	readonly isAllowed: IsAllowed;
+	/** Whether the maintenance of a worker could be ordered now. */
+	readonly canOrder: (worker: WorkerId) => boolean;
 };
 
 /** A maintenance to order from the platform, or to order again until the platform has confirmed its start. */
@@ -50,6 +64,31 @@
 	readonly evictions: readonly Task[];
 	/** Maintenance to order from the platform. */
 	readonly requests: readonly MaintenanceRequest[];
+	/** Workers that are not drained for now, since long-running tasks on them can start nowhere else. */
+	readonly blocked: readonly BlockedWorker[];
+};
+
+/** A worker that is not drained for now, and the long-running tasks on it that no other minion takes. */
+export type BlockedWorker = {
+	readonly worker: WorkerId;
+	readonly tasks: readonly Task[];
+};
+
+/** The input, and what is left of budgets and capacity while the plan uses them up. */
+type PlanContext = {
+	readonly input: MaintenancePlanInput;
+	readonly budgets: Budgets;
+	readonly relocation: Relocation;
+	/** Workers that tasks of drained workers are to start on. */
+	readonly needed: Set<WorkerId>;
+};
+
+/** A worker that may be drained. */
+type Candidate = {
+	readonly view: WorkerView;
+	readonly isCordoned: boolean;
+	readonly lasting: readonly Task[];
+	readonly runCount: number;
 };
 
 const listTasks = (ledger: Ledger, usage: IncarnationUsage | undefined): readonly Task[] => [...usage?.runs.keys() ?? []]
@@ -79,9 +118,9 @@
 	}
 };
 
-const planEvictions = (input: MaintenancePlanInput, budgets: Budgets, tasks: readonly Task[]): readonly Task[] => {
+const planEvictions = ({input, budgets}: PlanContext, tasks: readonly Task[]): readonly Task[] => {
 	const evictions: Task[] = [];
-	for (const task of tasks.filter(candidate => isActiveLongRunning(candidate))) {
+	for (const task of tasks) {
 		if (!input.isServing(task) || getBudget(input, budgets, task) > 0) {
 			consumeBudget(input, budgets, task);
 			evictions.push(task);
@@ -91,6 +130,29 @@
 	return evictions;
 };
 
+const groupByStep = (tasks: readonly Task[]): ReadonlyArray<readonly [Task, ...Task[]]> => {
+	const groups = new Map<StepProgress | undefined, [Task, ...Task[]]>();
+	for (const task of tasks) {
+		const progress = getStepProgress(task);
+		const group = groups.get(progress);
+		if (group === undefined) {
+			groups.set(progress, [task]);
+		} else {
+			group.push(task);
+		}
+	}
+
+	return [...groups.values()];
+};
+
+const getAllowed = (task: Task) => getStep(task).disruptionBudget ?? Number.POSITIVE_INFINITY;
+
+// Whether the budgets ever allow all of the tasks to be stopped at once.
+const couldStopTogether = (tasks: readonly Task[]) => groupByStep(tasks).every(group => group.length <= getAllowed(group[0]));
+
+const canStopTogether = ({input, budgets}: PlanContext, tasks: readonly Task[]) => groupByStep(tasks.filter(task => input.isServing(task)))
+	.every(group => group.length <= getBudget(input, budgets, group[0]));
+
 // A worker counts as down from the order of its maintenance until it is back with another incarnation or the time
 // limit has passed. As long as the start is not confirmed, the maintenance may start at any moment, whichever
 // incarnation runs on the worker.
@@ -114,32 +176,111 @@
 	.filter(([worker, order]) => isUnmovable(input, worker, order))
 	.map(([worker]) => worker);
 
+const isDueWithin = ({nowMs}: MaintenancePlanInput, wave: MaintenanceWave, rounds: number) => wave.dueAtMs - nowMs < (rounds + 1) * maintenanceRoundMs;
+
+const countRounds = (wave: MaintenanceWave) => Math.ceil((wave.workers.length - wave.ordered.size) / Math.max(1, wave.maximumAtOnce));
+
 // A loaded pool keeps its workers unless the wave could otherwise miss its due time.
-const isDeadlineNear = ({nowMs}: MaintenancePlanInput, wave: MaintenanceWave) => {
-	const rounds = Math.ceil((wave.workers.length - wave.ordered.size) / Math.max(1, wave.maximumAtOnce));
-	return wave.dueAtMs - nowMs < (rounds + 1) * maintenanceRoundMs;
-};
+const isDeadlineNear = (input: MaintenancePlanInput, wave: MaintenanceWave) => isDueWithin(input, wave, countRounds(wave));
 
 const listSwitchedOff = ({switchedOff}: MaintenancePlanInput, wave: MaintenanceWave) => wave.workers
 	.filter(worker => !wave.ordered.has(worker) && switchedOff.has(worker));
 
-const listCandidates = (input: MaintenancePlanInput, wave: MaintenanceWave) => {
+const listCandidates = (input: MaintenancePlanInput, wave: MaintenanceWave): readonly Candidate[] => {
 	const {ledger, workers, cordoned} = input;
 	const canWait = !isDeadlineNear(input, wave);
 	return wave.workers
 		.filter(worker => !wave.ordered.has(worker) && input.released?.has(worker) !== true)
 		.flatMap(worker => {
 			const view = workers.get(worker);
-			const isPostponed = view !== undefined && canWait && !cordoned.has(worker) && input.isPoolLoaded(view);
-			return view?.isUp && !isPostponed ? [{view, tasks: listTasks(ledger, ledger.incarnations.get(view.life))}] : [];
+			const isCordoned = cordoned.has(worker);
+			const isPostponed = view !== undefined && canWait && !isCordoned && input.isPoolLoaded(view);
+			if (!view?.isUp || isPostponed) {
+				return [];
+			}
+
+			const tasks = listTasks(ledger, ledger.incarnations.get(view.life));
+			return [{
+				view, isCordoned, lasting: tasks.filter(task => isActiveLongRunning(task)), runCount: tasks.length,
+			}];
 		})
-		.toSorted((left, right) => Number(cordoned.has(right.view.worker)) - Number(cordoned.has(left.view.worker))
-			|| left.tasks.length - right.tasks.length);
+		.toSorted((left, right) => Number(right.isCordoned) - Number(left.isCordoned) || left.runCount - right.runCount);
 };
 
-const planWave = (input: MaintenancePlanInput, budgets: Budgets, wave: MaintenanceWave): MaintenancePlan => {
+// How many rounds the budgets need for the tasks that miss the maintenance of their worker, since no other minion has room
+// for them: the tasks of a step one after another, as far as its budget says.
+const countBudgetRounds = ({relocation}: PlanContext, candidates: readonly Candidate[]) => {
+	const tasks = candidates.flatMap(({view: {worker}, lasting}) => lasting.filter(task => !relocation.hasRoom(task, worker)));
+	return Math.max(0, ...groupByStep(tasks).map(group => Math.ceil(group.length / Math.max(1, getAllowed(group[0])))));
+};
+
+/** The tasks of a worker to stop now; or those for which it can't be drained now. */
+type DrainPlan
+	= | {readonly type: 'draining'; readonly evictions: readonly Task[]}
+		| {readonly type: 'blocked'; readonly tasks: readonly Task[]};
+
+const claimCapacity = ({relocation}: PlanContext, {view: {worker}, lasting}: Candidate, isUrgent: boolean): ReadonlyMap<Task, RelocationClaim> => {
+	const claims = new Map<Task, RelocationClaim>();
+	for (const task of lasting) {
+		const claim = relocation.claim({task, worker, mayWait: isUrgent});
+		if (claim !== undefined) {
+			claims.set(task, claim);
+		}
+	}
+
+	return claims;
+};
+
+const reserveBudgets = ({input, budgets}: PlanContext, tasks: readonly Task[]) => {
+	for (const task of tasks.filter(candidate => input.isServing(candidate))) {
+		consumeBudget(input, budgets, task);
+	}
+};
+
+const planDrain = (context: PlanContext, candidate: Candidate, isUrgent: boolean): DrainPlan => {
+	const {input, relocation, needed} = context;
+	const {view: {worker}, isCordoned, lasting, runCount} = candidate;
+	const claims = claimCapacity(context, candidate, isUrgent);
+	const movable = [...claims.keys()];
+	const stranded = lasting.filter(task => !claims.has(task));
+	const isStoppable = isUrgent && canStopTogether(context, stranded);
+	const mayStayCordoned = isCordoned && isUrgent && couldStopTogether(stranded);
+	if (stranded.length > 0 && !isStoppable && !mayStayCordoned && input.draining?.has(worker) !== true) {
+		for (const {release} of claims.values()) {
+			release();
+		}
+
+		return {type: 'blocked', tasks: stranded};
+	}
+
+	relocation.exclude(worker);
+	for (const claim of claims.values()) {
+		needed.add(claim.worker);
+	}
+
+	if (isStoppable) {
+		reserveBudgets(context, stranded);
+	}
+
+	const hasOtherRuns = runCount > lasting.length;
+	// Only the next plan knows which workers get no more tasks, so that no task is stopped for capacity on one of them.
+	if (!isCordoned || (hasOtherRuns && !isUrgent)) {
+		return {type: 'draining', evictions: []};
+	}
+
+	if (movable.length > 0) {
+		return {type: 'draining', evictions: planEvictions(context, movable)};
+	}
+
+	const isLastStop = isStoppable && !hasOtherRuns && input.canOrder(worker);
+	return {type: 'draining', evictions: isLastStop ? stranded : []};
+};
+
+const planWave = (context: PlanContext, wave: MaintenanceWave): MaintenancePlan => {
+	const {input, needed} = context;
 	const cordoned = new Set<WorkerId>();
 	const evictions: Task[] = [];
+	const blocked: BlockedWorker[] = [];
 	const unconfirmed = [...wave.ordered]
 		.filter(([, {begunAtMs}]) => begunAtMs === undefined)
 		.map(([worker, {life}]) => ({wave: wave.wave, worker, life}));
@@ -153,21 +294,35 @@
 		}
 	}
 
-	for (const {view, tasks} of listCandidates(input, wave)) {
+	const candidates = listCandidates(input, wave);
+	const isUrgent = isDueWithin(input, wave, Math.max(countRounds(wave), countBudgetRounds(context, candidates)));
+	for (const candidate of candidates) {
+		const {view: {worker, life}, isCordoned, runCount} = candidate;
 		if (slotsLeft <= 0) {
 			break;
 		}
 
+		if (!isCordoned && needed.has(worker)) {
+			continue;
+		}
+
+		const drain = planDrain(context, candidate, isUrgent);
+		if (drain.type === 'blocked') {
+			blocked.push({worker, tasks: drain.tasks});
+			continue;
+		}
+
 		slotsLeft -= 1;
-		cordoned.add(view.worker);
-		if (tasks.length === 0) {
-			requests.push({wave: wave.wave, worker: view.worker, life: view.life});
-		} else {
-			evictions.push(...planEvictions(input, budgets, tasks));
+		cordoned.add(worker);
+		evictions.push(...drain.evictions);
+		if (runCount === 0) {
+			requests.push({wave: wave.wave, worker, life});
 		}
 	}
 
-	return {cordoned, evictions, requests};
+	return {
+		cordoned, evictions, requests, blocked,
+	};
 };
 
 /** Returns whether the maintenance of every worker of a wave has started. */
@@ -177,11 +332,13 @@
 
 /** Plans the next actions for all waves. */
 export function planMaintenance(input: MaintenancePlanInput): MaintenancePlan {
-	const budgets: Budgets = new Map();
+	const context: PlanContext = {
+		input, budgets: new Map(), relocation: createRelocation(input), needed: new Set(),
+	};
 	const waves = [...input.ledger.waves.values()];
 	const plans = waves
 		.filter(wave => !isWaveCompleted(wave))
-		.map(wave => planWave(input, budgets, wave));
+		.map(wave => planWave(context, wave));
 	return {
 		cordoned: new Set([
 			...waves.flatMap(wave => listUnmovable(input, wave)),
@@ -189,5 +346,6 @@
 		]),
 		evictions: plans.flatMap(({evictions}) => evictions),
 		requests: plans.flatMap(({requests}) => requests),
+		blocked: plans.flatMap(({blocked}) => blocked),
 	};
 }
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -280,7 +280,7 @@
 	});
 
 	const maintenance = createMaintenanceController({
-		timers, log, metrics, workers, orders, sessions, getLedger, getWallClock, listSwitchedOff: moves.listSwitchedOff, isMoving: moves.isMoving, listLoadedPools: pools.listLoadedPools, listLongRunningTasksFor: planner.listLongRunningTasksFor, areEarlierPlansSettled: planner.areEarlierPlansSettled, term, commit, onChanged: sessionContext.onMinionsChanged,
+		timers, log, metrics, workers, orders, sessions, getLedger, getWallClock, listSwitchedOff: moves.listSwitchedOff, isMoving: moves.isMoving, listLoadedPools: pools.listLoadedPools, listLongRunningTasksFor: planner.listLongRunningTasksFor, listUsableMinions: planner.listUsableMinions, isAllowed: adviceCache.isAllowed, areEarlierPlansSettled: planner.areEarlierPlansSettled, term, commit, onChanged: sessionContext.onMinionsChanged,
 	});
 
 	const tick = () => {
--- a/packages/daemon/src/scheduler/maintenance-controller.test.ts
+++ b/packages/daemon/src/scheduler/maintenance-controller.test.ts
@@ -4,6 +4,7 @@
  */
 import type {JobId} from '@samphiremill/common';
 import {expect, test} from 'vitest';
+import type {StructuredLogger} from '../runtime/types.js';
 import {createTestWorld, type TestWorld} from './test-world.js';
 
 const settleMs = 1500;
@@ -27,8 +28,10 @@
 
 // One worker is switched off while it is idle and comes back, the spare worker joins, and a third one leaves for good. So
 // two workers of the wave remain, and no move can help.
-const startWithoutSpareWorkers = async (seed: number, size = request) => {
-	const world = createTestWorld({seed, minionCount: 2, standbyWorkers: 1});
+const startWithoutSpareWorkers = async (seed: number, {size = request, log}: {readonly size?: typeof request; readonly log?: StructuredLogger} = {}) => {
+	const world = createTestWorld({
+		seed, minionCount: 2, standbyWorkers: 1, ...(log && {log}),
+	});
 	await world.advance(settleMs);
 	const {id} = world.submit([{count: 3, isLasting: true, maximumPerMinion: 1}]);
 	await world.advance(9000);
@@ -51,8 +54,8 @@
 	expect(world.listViolations()).toEqual([]);
 });
 
-test('a task that was stopped for maintenance starts again on its worker, whose draining waits for tasks that find capacity nowhere', async () => {
-	const {world, id} = await startWithoutSpareWorkers(44, {cpuMillicores: 3000, memoryMb: 512, gpus: 0});
+test('no task is stopped for the maintenance of a worker that the budget of another task on it keeps in use', async () => {
+	const {world, id} = await startWithoutSpareWorkers(44, {size: {cpuMillicores: 3000, memoryMb: 512, gpus: 0}});
 	// The third of these tasks fits nowhere, so that none of them may be stopped.
 	const blocked = world.submit([{
 		count: 3, isLasting: true, disruptionBudget: 1, request: {cpuMillicores: 5000, memoryMb: 512, gpus: 0},
@@ -61,8 +64,40 @@
 	expect(world.countRuns(blocked.id)).toBe(2);
 	const startCount = world.countStarts();
 	void world.startWave(1, 1);
+	expect(await measureLongestGapMs(world, {id, count: 2, durationMs: 30_000})).toBe(0);
+	expect(world.countStarts()).toBe(startCount);
+	expect(world.listViolations()).toEqual([]);
+});
+
+test('a task that was stopped for maintenance starts again on its worker once another task has taken the capacity elsewhere', async () => {
+	const messages: string[] = [];
+	const record = (message: string) => {
+		messages.push(message);
+	};
+
+	const log = {
+		debug: record, info: record, warn: record, error: record,
+	};
+	const {world, id} = await startWithoutSpareWorkers(44, {size: {cpuMillicores: 3000, memoryMb: 512, gpus: 0}, log});
+	// One of these tasks is on each worker, and never lets it be drained.
+	for (const _ of [1, 2]) {
+		world.submit([{isLasting: true, disruptionBudget: 0, request: {cpuMillicores: 1000, memoryMb: 512, gpus: 0}}]);
+		await world.advance(1000); // eslint-disable-line no-await-in-loop -- each task takes the minion with the most free capacity
+	}
+
+	const startCount = world.countStarts();
+	void world.startWave(1, 1);
+	const isStopSent = () => messages.some(message => message.includes('due for maintenance'));
+	for (let passedMs = 0; !isStopSent() && passedMs < settleMs; passedMs += 5) {
+		await world.advance(5); // eslint-disable-line no-await-in-loop -- virtual time advances in steps
+	}
+
+	expect(isStopSent()).toBe(true);
+	const later = world.submit([{isLasting: true, request: {cpuMillicores: 4000, memoryMb: 512, gpus: 0}}]);
 	const longestGapMs = await measureLongestGapMs(world, {id, count: 2, durationMs: 30_000});
-	expect(world.countStarts()).toBeGreaterThan(startCount);
+	expect(world.countRuns(later.id)).toBe(1);
+	expect(world.countStarts()).toBeGreaterThan(startCount + 1);
+	expect(longestGapMs).toBeGreaterThan(1000);
 	expect(longestGapMs).toBeLessThan(startLimitMs);
 	expect(world.listViolations()).toEqual([]);
 });
@@ -109,3 +144,21 @@
 	// A task may wait once for as long as any: 6 s and the 3 s after them.
 	expect(missingSeconds).toBeLessThan(9);
 });
+
+test('a wave in a pool without spare capacity stops each task once, and ends in its time', async () => {
+	const world = createTestWorld({seed: 9, minionCount: 3, hasWorkerOrders: true});
+	await world.advance(600);
+	const {id} = world.submit([{
+		count: 3, isLasting: true, disruptionBudget: 1, maximumPerMinion: 1, request,
+	}]);
+	await world.advance(3000);
+	expect(world.countRuns(id)).toBe(3);
+	const startCount = world.countStarts();
+	void world.startWave(3, 3);
+	await world.advance(20_000);
+	expect(await world.isWaveCompleted()).toBe(true);
+	await world.advance(startLimitMs);
+	expect(world.countRuns(id)).toBe(3);
+	expect(world.countStarts()).toBe(startCount + 3);
+	expect(world.listViolations()).toEqual([]);
+});
--- a/packages/daemon/src/scheduler/maintenance-controller.ts
+++ b/packages/daemon/src/scheduler/maintenance-controller.ts
@@ -4,9 +4,10 @@
 import type {PoolId, TimerService, WorkerId} from '@samphiremill/common';
 import {
 	planMaintenance,
-	type Ledger, type LedgerCommand, type Task, type TaskId, type MaintenanceRequest, type WorkerView,
+	type BlockedWorker, type IsAllowed, type Ledger, type LedgerCommand, type Task, type TaskId, type MaintenanceRequest, type UsableMinion, type WorkerView,
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
+import {cordonReleaseDelayMs} from './constants.js';
 import {createCordonRelease} from './cordon-release.js';
 import type {SchedulerMetrics} from './metrics.js';
 import type {MinionSession} from './minion-session.js';
@@ -30,6 +31,10 @@
 	readonly listLoadedPools: () => ReadonlySet<PoolId>;
 	/** Lists the waiting long-running tasks that could start on a minion if its worker were not cordoned. */
 	readonly listLongRunningTasksFor: (session: MinionSession) => readonly TaskId[];
+	/** Lists the minions of a pool that may be given work now. */
+	readonly listUsableMinions: (pool: PoolId) => readonly UsableMinion[];
+	/** Whether a step may run on an incarnation. */
+	readonly isAllowed: IsAllowed;
 	/** Whether no assignment that was proposed at or before that time is still uncommitted. */
 	readonly areEarlierPlansSettled: (timeMs: number) => boolean;
 	readonly term: number;
@@ -44,9 +49,11 @@
 	readonly isCordoned: (worker: WorkerId) => boolean;
 };
 
-export function createMaintenanceController({timers, log, metrics, workers, orders, sessions, getLedger, getWallClock, listSwitchedOff, isMoving, listLoadedPools, listLongRunningTasksFor, areEarlierPlansSettled, term, commit, onChanged}: MaintenanceControllerOptions): MaintenanceController {
+export function createMaintenanceController({timers, log, metrics, workers, orders, sessions, getLedger, getWallClock, listSwitchedOff, isMoving, listLoadedPools, listLongRunningTasksFor, listUsableMinions, isAllowed, areEarlierPlansSettled, term, commit, onChanged}: MaintenanceControllerOptions): MaintenanceController {
 	let cordoned: ReadonlySet<WorkerId> = new Set();
 	const cordonedSince = new Map<WorkerId, number>();
+	const stoppedAtMs = new Map<WorkerId, number>();
+	let blocked: ReadonlySet<WorkerId> = new Set();
 
 	const release = createCordonRelease({
 		timers,
@@ -126,6 +133,36 @@
 		cordoned = updatedWorkers;
 	};
 
+	// A stopped task has as long to start elsewhere as any task may wait for a cordoned worker.
+	const listDraining = () => {
+		for (const [worker, atMs] of stoppedAtMs) {
+			if (timers.getNow() - atMs >= cordonReleaseDelayMs) {
+				stoppedAtMs.delete(worker);
+			}
+		}
+
+		return new Set(stoppedAtMs.keys());
+	};
+
+	const evict = (task: Task) => {
+		const isFirstStop = isServing(task);
+		for (const {life} of task.runs) {
+			const session = sessions.get(life);
+			session?.stop(task.id, 'its worker is due for maintenance');
+			if (session !== undefined && isFirstStop) {
+				stoppedAtMs.set(session.record.worker, timers.getNow());
+			}
+		}
+	};
+
+	const logBlocked = (workersNow: readonly BlockedWorker[]) => {
+		for (const {worker, tasks} of workersNow.filter(entry => !blocked.has(entry.worker))) {
+			log.info(`worker ${worker} is not drained for now: its long-running tasks can start nowhere else`, {worker, tasks: tasks.map(({id}) => id)});
+		}
+
+		blocked = new Set(workersNow.map(({worker}) => worker));
+	};
+
 	const tick = () => {
 		const ledger = getLedger();
 		if (ledger.waves.size === 0) {
@@ -145,13 +182,16 @@
 			},
 			cordoned,
 			released: release.listReleased(),
+			draining: listDraining(),
 			isServing,
+			listMinions: listUsableMinions,
+			isAllowed,
+			canOrder: orders.canOrder,
 		});
 		updateCordons(plan.cordoned);
+		logBlocked(plan.blocked);
 		for (const task of plan.evictions) {
-			for (const {life} of task.runs) {
-				sessions.get(life)?.stop(task.id, 'its worker is due for maintenance');
-			}
+			evict(task);
 		}
 
 		for (const request of plan.requests) {
--- a/packages/daemon/src/scheduler/start-planner.ts
+++ b/packages/daemon/src/scheduler/start-planner.ts
@@ -51,6 +51,8 @@
 	 * not other minions could take them.
 	 */
 	readonly listLongRunningTasksFor: (session: MinionSession) => readonly TaskId[];
+	/** Lists the minions of a pool that may be given work now. */
+	readonly listUsableMinions: (pool: PoolId) => readonly UsableMinion[];
 	/** Whether no plan that was proposed at or before that time is still uncommitted. */
 	readonly areEarlierPlansSettled: (timeMs: number) => boolean;
 };
@@ -209,6 +211,7 @@
 			requestPlan();
 		},
 		listLongRunningTasksFor,
+		listUsableMinions: pool => listUsableMinions(new Set([pool])),
 		areEarlierPlansSettled: timeMs => proposedAtMs === undefined || proposedAtMs > timeMs,
 	};
 }
