A worker that is switched off after its maintenance no longer counts as down

Callers saw: waves that end late, by 12 s for each worker that was idle after its return. A worker counted as down until another incarnation is up on it, or for 12 s. An idle worker is moved to the standby pool 0.7 s after its return and has no incarnation from then on, so it held its place in the wave for the whole 12 s. New test "a worker that is switched off after its maintenance does not hold up its wave": six workers, two at once, not completed after the 20 s of the wave on the code before ("expected false to be true"), and completed now.

Change: the leader remembers the maintenance orders after which it saw the worker up. Only a worker that was seen up with another incarnation counts, so the number of workers in maintenance at once stays as bounded as it was. A new leader has no such memory and waits the 12 s, as before.

Ruled out: counting a worker as back because it is being moved or is in the platform's list of the standby pool: the list may be 4 s old, and a move may be chosen for an incarnation that the maintenance has just ended.

--- a/packages/core/src/scheduler/plan-maintenance.ts
+++ b/packages/core/src/scheduler/plan-maintenance.ts
@@ -40,6 +40,8 @@
 	readonly released?: ReadonlySet<WorkerId>;
 	/** Workers from which the last tasks were stopped a moment ago. They stay cordoned although these tasks can start nowhere else. */
 	readonly draining?: ReadonlySet<WorkerId>;
+	/** Whether the worker was seen up again after this maintenance. It may have been switched off, or have failed, since. */
+	readonly hasReturned?: (order: MaintenanceOrder) => boolean;
 	/** Whether a task of a long-running step is serving now. */
 	readonly isServing: (task: Task) => boolean;
 	/** Lists the minions of a pool that may be given work now. */
@@ -153,16 +155,20 @@
 const canStopTogether = ({input, budgets}: PlanContext, tasks: readonly Task[]) => groupByStep(tasks.filter(task => input.isServing(task)))
 	.every(group => group.length <= getBudget(input, budgets, group[0]));
 
+/** Whether a worker is up with another incarnation than the one that its maintenance ended. */
+export function isBackFromMaintenance({life, begunAtMs}: MaintenanceOrder, view: WorkerView | undefined): boolean {
+	return begunAtMs !== undefined && view !== undefined && view.isUp && view.life !== life;
+}
+
 // A worker counts as down from the order of its maintenance until it is back with another incarnation or the time
 // limit has passed. As long as the start is not confirmed, the maintenance may start at any moment, whichever
 // incarnation runs on the worker.
-const isDown = ({workers, nowMs}: MaintenancePlanInput, worker: WorkerId, order: MaintenanceOrder) => {
+const isDown = ({workers, nowMs, hasReturned}: MaintenancePlanInput, worker: WorkerId, order: MaintenanceOrder) => {
 	if (order.begunAtMs === undefined) {
 		return true;
 	}
 
-	const view = workers.get(worker);
-	const isBack = view !== undefined && view.isUp && view.life !== order.life;
+	const isBack = hasReturned?.(order) === true || isBackFromMaintenance(order, workers.get(worker));
 	const limitMs = order.life === undefined ? switchedOffMaintenanceMs : maximumMaintenanceMs;
 	return !isBack && nowMs - order.begunAtMs < limitMs;
 };
--- a/packages/daemon/src/scheduler/maintenance-controller.test.ts
+++ b/packages/daemon/src/scheduler/maintenance-controller.test.ts
@@ -162,3 +162,20 @@
 	expect(world.countStarts()).toBe(startCount + 3);
 	expect(world.listViolations()).toEqual([]);
 });
+
+test('a worker that is switched off after its maintenance does not hold up its wave', async () => {
+	const world = createTestWorld({seed: 10, minionCount: 6, hasWorkerOrders: true});
+	await world.advance(600);
+	const {id} = world.submit([{
+		count: 6, isLasting: true, disruptionBudget: 1, maximumPerMinion: 2, request: {cpuMillicores: 2000, memoryMb: 512, gpus: 0},
+	}]);
+	await world.advance(3000);
+	expect(world.countRuns(id)).toBe(6);
+	void world.startWave(6, 2);
+	await world.advance(20_000);
+	expect(world.listMoves().length).toBeGreaterThan(0);
+	expect(await world.isWaveCompleted()).toBe(true);
+	await world.advance(startLimitMs);
+	expect(world.countRuns(id)).toBe(6);
+	expect(world.listViolations()).toEqual([]);
+});
--- a/packages/daemon/src/scheduler/maintenance-controller.ts
+++ b/packages/daemon/src/scheduler/maintenance-controller.ts
@@ -3,8 +3,8 @@
  */
 import type {PoolId, TimerService, WorkerId} from '@samphiremill/common';
 import {
-	planMaintenance,
-	type BlockedWorker, type IsAllowed, type Ledger, type LedgerCommand, type Task, type TaskId, type MaintenanceRequest, type UsableMinion, type WorkerView,
+	isBackFromMaintenance, planMaintenance,
+	type BlockedWorker, type IsAllowed, type Ledger, type LedgerCommand, type MaintenanceOrder, type Task, type TaskId, type MaintenanceRequest, type UsableMinion, type WorkerView,
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
 import {cordonReleaseDelayMs} from './constants.js';
@@ -53,6 +53,8 @@
 	let cordoned: ReadonlySet<WorkerId> = new Set();
 	const cordonedSince = new Map<WorkerId, number>();
 	const stoppedAtMs = new Map<WorkerId, number>();
+	/** The maintenance orders after which the worker was seen up again. The ledger keeps each order as it is once it has begun. */
+	const returned = new WeakSet<MaintenanceOrder>();
 	let blocked: ReadonlySet<WorkerId> = new Set();
 
 	const release = createCordonRelease({
@@ -155,6 +157,15 @@
 		}
 	};
 
+	// A worker may be switched off soon after its return, and would then count as down until the time limit.
+	const recordReturns = (views: ReadonlyMap<WorkerId, WorkerView>) => {
+		for (const [worker, order] of [...getLedger().waves.values()].flatMap(({ordered}) => [...ordered])) {
+			if (isBackFromMaintenance(order, views.get(worker))) {
+				returned.add(order);
+			}
+		}
+	};
+
 	const logBlocked = (workersNow: readonly BlockedWorker[]) => {
 		for (const {worker, tasks} of workersNow.filter(entry => !blocked.has(entry.worker))) {
 			log.info(`worker ${worker} is not drained for now: its long-running tasks can start nowhere else`, {worker, tasks: tasks.map(({id}) => id)});
@@ -171,10 +182,12 @@
 
 		release.update([...cordoned].filter(worker => !isOrdered(worker)));
 		const loadedPools = listLoadedPools();
+		const views = getWorkerViews();
+		recordReturns(views);
 		const plan = planMaintenance({
 			ledger,
 			nowMs: getWallClock(),
-			workers: getWorkerViews(),
+			workers: views,
 			switchedOff: new Set(listSwitchedOff().map(({worker}) => worker).filter(worker => !isMoving(worker))),
 			isPoolLoaded({life}) {
 				const pool = sessions.get(life)?.record.pool;
@@ -183,6 +196,7 @@
 			cordoned,
 			released: release.listReleased(),
 			draining: listDraining(),
+			hasReturned: order => returned.has(order),
 			isServing,
 			listMinions: listUsableMinions,
 			isAllowed,
