The session with a minion outlives errors and malformed answers of its calls

Callers saw: after one call of the leader to a minion had thrown, that minion got no lease, no start and no stop any more, to the end of the leader's term; its tasks waited although it went on reporting. On a relay, the same error went back as a failed request.

Cause: `runHoldLoop` is started once and not awaited, so a throw in a turn ended it by an unhandled rejection, and nothing begins it again. The loops of a start and a stop end in the same way. An answer that is relayed is taken as it came, so that one without a form throws later, and a clock of NaN or 1e300 makes a lease that is never over.

Now the leader's port to minions is checked in one place: a call that throws or gets a malformed answer ends as `invalid` for a hold call, so that the session pauses before the next one, and as `noAnswer` for an order, which may have been executed. And a turn of the hold loop logs an error once, waits and goes on.

Ruled out: only catching in the loop, as starts and stops have loops of their own; `noAnswer` for hold calls, which are repeated at once after it.

--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -40,6 +40,12 @@
 /** Delay after a hold call that could not be sent. */
 export const holdRetryDelayMs = 250;
 
+/**
+ * Highest reading of a minion's clock, which counts from the minion's start: 100 years. A lease granted on a higher one
+ * would never be over.
+ */
+export const longestMinionClockMs = 100 * 366 * 24 * 3_600_000;
+
 /** How often the leader checks for work that becomes due with time alone. */
 export const leaderTickPeriodMs = 100;
 
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -11,6 +11,7 @@
 import type {StructuredLogger} from '../runtime/types.js';
 import {createAdviceCache, createStepId} from './advice-cache.js';
 import {createCallHandlers} from './call-handlers.js';
+import {createCheckedMinionPort} from './checked-minion-port.js';
 import type {ProposalResult} from './command-batcher.js';
 import {
 	lapsedStartAbsenceTimeoutMs, fillerPacePeriodMs, jobCleanupPeriodMs, leaderTickPeriodMs, minionAbsenceTimeoutMs, poolReportPeriodMs,
@@ -93,8 +94,9 @@
 /** Starts the leader of a term. The first command of the term must have been committed and applied. */
 export function startLeader(options: LeaderOptions): Leader {
 	const {
-		self, term, limits, timers, log, getWallClock, getLedger, canAct, propose, minions, workers, metrics, policy = defaultPolicy,
+		self, term, limits, timers, log, getWallClock, getLedger, canAct, propose, workers, metrics, policy = defaultPolicy,
 	} = options;
+	const minions = createCheckedMinionPort(options.minions, log);
 	const termStartedAtMs = timers.getNow();
 	let isStopped = false;
 	const orders = createWorkerOrders({
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -2,7 +2,7 @@
  * The leader's session with one incarnation of a minion. It renews the lease, sends orders for the runs, and processes
  * the minion's listings of its runs.
  */
-import {waitFor} from '@samphiremill/common';
+import {describeError, waitFor} from '@samphiremill/common';
 import {
 	findTask, getInheritedLeaseMs, getRunLimit, getStep, isLateRunEnd, isSuspectedSlow, recordSlowness, recordRunDone, recordRunFailed, initialMinionHealth, initialMinionSpeed,
 	type MinionHealth, type MinionSpeed, type MinionRecord, type RunAssignment, type RunEnd, type Task, type TaskId,
@@ -403,9 +403,27 @@
 		return doubtfulStarts.length > 0 ? 'pause' : 'again';
 	};
 
+	let isHoldFailing = false;
+
+	// The loop must outlive any error: without it nobody renews the lease or learns what the minion runs.
+	const takeHoldTurn = async (): Promise<'again' | 'pause'> => {
+		try {
+			const next = context.canAct() ? await sendHold() : 'pause';
+			isHoldFailing = false;
+			return next;
+		} catch (err) {
+			if (!isHoldFailing) {
+				log.error(`unexpected error in the session with minion ${record.minion}`, {minion: record.minion, life: record.life, err: describeError(err)});
+			}
+
+			isHoldFailing = true;
+			return 'pause';
+		}
+	};
+
 	const runHoldLoop = async () => {
 		while (isOpen()) {
-			const next = context.canAct() ? await sendHold() : 'pause'; // eslint-disable-line no-await-in-loop -- hold calls are sequential
+			const next = await takeHoldTurn(); // eslint-disable-line no-await-in-loop -- hold calls are sequential
 			if (next === 'pause') {
 				await waitFor(timers, holdRetryDelayMs); // eslint-disable-line no-await-in-loop -- hold calls are sequential
 			}
--- /dev/null
+++ b/packages/daemon/src/scheduler/odd-answers.test.ts
@@ -0,0 +1,116 @@
+import process from 'node:process';
+import {createSeededRandom} from '@samphiremill/common';
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {createTestWorld} from './test-world.js';
+import type {MinionPort} from './types.js';
+
+const seed = Number(process.env.SAMPHIREMILL_SEED ?? 35);
+const numberRuns = Number(process.env.SAMPHIREMILL_RUNS ?? 15);
+
+const oddMinionAddress = '10.0.0.1:80';
+
+type Call = keyof Omit<MinionPort, 'retain'>;
+/** Returns what a call gives instead of its answer; may throw. */
+type Disturb = (call: Call, answer: unknown) => unknown;
+
+// Each call to the first minion is carried out, and its answer is then changed.
+const disturbPort = (port: MinionPort, disturb: Disturb): MinionPort => {
+	const wrap = <Order extends {readonly target: {readonly address: string}}, Answer>(call: Call, send: (order: Order) => Promise<Answer>) => async (order: Order): Promise<Answer> => {
+		const answer = await send(order);
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- the odd answers are what is tested
+		return order.target.address === oddMinionAddress ? disturb(call, answer) as Answer : answer;
+	};
+
+	return {
+		hold: wrap('hold', port.hold), start: wrap('start', port.start), stop: wrap('stop', port.stop), pace: wrap('pace', port.pace), retain: port.retain,
+	};
+};
+
+const oddValues: readonly unknown[] = [
+	undefined,
+	null,
+	'x',
+	7,
+	[],
+	{},
+	{running: []},
+	{running: null, finished: []},
+	{running: [null], finished: []},
+	{running: [{task: 'a', run: 1e300}], finished: []},
+	{
+		running: [], finished: [{
+			task: 'a.0.0.0', run: 1, number: Number.POSITIVE_INFINITY, ending: 'done', checkpoint: '',
+		}],
+	},
+	{bornAtMs: 'x', running: [], finished: []},
+	{type: 'refused', reason: 'constructor'},
+	{type: 'refused'},
+];
+const oddClocks: readonly unknown[] = [undefined, null, '5', Number.NaN, Number.POSITIVE_INFINITY, 1e300, -1];
+const anyOddAnswer: fc.Arbitrary<(answer: unknown) => unknown> = fc.oneof(
+	fc.constant(() => {
+		throw new TypeError('an unexpected state');
+	}),
+	fc.constantFrom(undefined, null, 'answered', 5, [], {}, {type: 'odd'}, {type: 'answered'}, {type: 'invalid'}).map(odd => () => odd),
+	fc.constantFrom(...oddValues).map(value => () => ({type: 'answered', value, clockMs: 5})),
+	fc.constantFrom(...oddClocks).map(clockMs => (answer: unknown) => typeof answer === 'object' && answer !== null && 'value' in answer ? {...answer, clockMs} : {type: 'answered', clockMs}),
+);
+
+test.each(['hold', 'start', 'stop', 'pace'] as const)('a minion whose %s calls end with an error for some seconds is used again afterwards', async failingCall => {
+	let isFailing = false;
+	const errors: string[] = [];
+	const world = createTestWorld({
+		seed: 35,
+		minionCount: 1,
+		alterPort: port => disturbPort(port, (call, answer) => {
+			if (isFailing && call === failingCall) {
+				throw new TypeError('Invalid URL');
+			}
+
+			return answer;
+		}),
+		log: {
+			debug: () => undefined,
+			info: () => undefined,
+			warn: () => undefined,
+			error(message) {
+				errors.push(message);
+			},
+		},
+	});
+	await world.advance(1000);
+	isFailing = true;
+	const first = world.submit([{count: 2, estimateMs: 500}]);
+	await world.advance(1000);
+	world.cancel(first.id).catch(() => undefined);
+	await world.advance(3000);
+	isFailing = false;
+	const {id} = world.submit([{count: 2, estimateMs: 500}]);
+	await world.advance(12_000);
+	expect(world.getState(id)).toBe('completed');
+	expect(world.listViolations()).toEqual([]);
+	expect(errors.length).toBeLessThan(10);
+});
+
+test('odd answers of one minion end no session, break no rule, and keep no other minion from work', async () => {
+	await fc.assert(fc.asyncProperty(fc.array(anyOddAnswer, {minLength: 1, maxLength: 6}), fc.integer({min: 1, max: 1000}), async (odd, worldSeed) => {
+		const random = createSeededRandom(worldSeed);
+		let isOdd = true;
+		const world = createTestWorld({
+			seed: worldSeed,
+			minionCount: 3,
+			alterPort: port => disturbPort(port, (_, answer) => isOdd && random() < 0.5 ? odd[Math.floor(random() * odd.length)]?.(answer) : answer),
+		});
+		await world.advance(1500);
+		const early = world.submit([{count: 6, estimateMs: 500}, {count: 3, isLasting: true, dependsOn: [0]}]);
+		await world.advance(5000);
+		isOdd = false;
+		await world.advance(15_000);
+		const late = world.submit([{count: 6, estimateMs: 500}]);
+		await world.advance(5000);
+		expect(world.getState(late.id)).toBe('completed');
+		expect(world.countRuns(early.id)).toBe(3);
+		expect(world.listViolations()).toEqual([]);
+	}), {seed, numRuns: numberRuns});
+});
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -47,6 +47,8 @@
 	readonly leaseMs?: number;
 	/** Longest lease that a minion accepts, in milliseconds. */
 	readonly longestHoldMs?: number;
+	/** Changes what the leader's calls to minions do. */
+	readonly alterPort?: (port: MinionPort) => MinionPort;
 };
 
 /** How a minion handles starts and stops while it still answers hold calls. */
@@ -188,7 +190,7 @@
 /** Starts a simulation with its first leader. */
 export function createTestWorld(options: TestWorldOptions): TestWorld {
 	const {
-		seed, minionCount = 4, lossChance = 0, failureChance = 0, standbyWorkers = 0, orderTurnMs = 3300, leaseMs = 4500, longestHoldMs = 7500, approvalChance = 1, meanLifeMs, log = silentLog, hasWorkerOrders = standbyWorkers > 0,
+		seed, minionCount = 4, lossChance = 0, failureChance = 0, standbyWorkers = 0, orderTurnMs = 3300, leaseMs = 4500, longestHoldMs = 7500, approvalChance = 1, meanLifeMs, log = silentLog, alterPort = (port: MinionPort) => port, hasWorkerOrders = standbyWorkers > 0,
 	} = options;
 	const random: RandomSource = createSeededRandom(seed);
 	const timers = createVirtualTimerService(1000);
@@ -764,7 +766,7 @@
 				throw err;
 			}),
 			onFenced: () => undefined,
-			minions: port,
+			minions: alterPort(port),
 			advice: {
 				async advise({step, minions: asked}) {
 					await pause(20);
