Store and replica: a write that fails is slow, not the end of a host's vote

Cause: replica-writer.ts made every write after a failed one fail, because after a failed sync the content of the disk is unknown. replica-host.ts then dispatched replica/persistFailed, and the replica had no way back from there.

Change: after a failed append, sync, rename or folder sync the segment is abandoned and cut to its last good sync. Nothing that went into the old file after its last good sync counts, so a failed sync is never taken for a good one. The old segment stays until then. Segments get their name after their content is synced, so the newest is always complete and recovery is unchanged. Temporary files are removed between the tries. Closing the store ends the tries at once, without acknowledging. Errors in removing what is no longer needed no longer fail a write.

To the replica the disk is slow. persistFailed, hasFailed and storageFailed are gone. What remains of them: while its disk is slow (no sync for longer than a heartbeat period) a follower still answers the leader at once, as it did after a failure, and acknowledges only what is synced. The full answer follows with the sync.

onStoreFailed is replaced by onWritesFailing and onWritesRecovered of the store, each with the time since when; one log line for each. Writes that are synced together share one promise, and one replica/persisted event.

Evidence, on the code before: - full-disks.test.ts (with the network of tests dispatching persistFailed as the host did): "expected [ 'leader', 'follower' ] to include 'observer'"; without that line: "expected +0 to be 20" commits after the second disk was lost. - replica-host.test.ts: a proposal on the full disk ended with notProposed, storageFailed (expected unknown), for ever. - failed-writes.test.ts: "operations 17 to 17: expected [] to deeply equal [ 1, ..., 11 ]", and four others.

Tests replaced, as strict: - 'no write is acknowledged after a failed appendAll/syncData' asserted that all later writes fail. Now: nothing is acknowledged while operations fail, with the loss of the unsynced data, and all is acknowledged and recovered afterwards. - 'after a disk-full error nothing is acknowledged, and a restart recovers ...': two tests, on files in memory. A sole voter keeps its lease while its disk is full, as no other host can lead; that it lost it is no longer asserted. - 'after a disk failure, a node stops leading and acknowledges no new entries': what a node with a slow disk answers, message by message. - 'a crash at any operation': the store is closed when writes begin to fail, as they are no longer answered with an error. - The model's failDisk was for ever. It now fills and frees disks, three times as often, also across restarts, and in half of the runs recovers without restarting the nodes that run.

Ruled out: that the retry only syncs or appends again (a later sync may succeed without the data); a choice among segments at recovery (no incomplete newest segment can come about).

--- a/bench/replica-commit.ts
+++ b/bench/replica-commit.ts
@@ -54,7 +54,7 @@
 };
 
 const openStore = async (folder: string, fileSystem: StoreFileSystem): Promise<ReplicaStore<string>> => {
-	const opened = await openReplicaStore<string>({folder, fileSystem});
+	const opened = await openReplicaStore<string>({folder, fileSystem, timers});
 	if (!opened.ok) {
 		throw new Error(JSON.stringify(opened.err));
 	}
--- a/bench/replica-restart.ts
+++ b/bench/replica-restart.ts
@@ -39,7 +39,7 @@
 
 const startHost = async (folder: string, snapshotEveryEntries: number) => {
 	const startedMs = performance.now();
-	const opened = await openReplicaStore<string>({folder});
+	const opened = await openReplicaStore<string>({folder, timers});
 	if (!opened.ok) {
 		throw new Error(JSON.stringify(opened.err));
 	}
--- a/packages/cli/src/read-log-lines.ts
+++ b/packages/cli/src/read-log-lines.ts
@@ -19,7 +19,7 @@
 
 // Messages about events that can stop or slow down every job (elections, restarts, changes of the voters,
 // disk failures), and about log lines that were dropped.
-const systemMessages = [/^leads in term/v, /^started$/v, /^stops/v, /^the voters change/v, /^the data folder failed/v, /log lines were left out/v];
+const systemMessages = [/^leads in term/v, /^started$/v, /^stops/v, /^the voters change/v, /^writes to the data folder/v, /log lines were left out/v];
 
 const isFields = (value: unknown): value is Readonly<Record<string, unknown>> => typeof value === 'object' && value !== null && !Array.isArray(value);
 
--- a/packages/core/src/replica/create-replica.ts
+++ b/packages/core/src/replica/create-replica.ts
@@ -59,7 +59,7 @@
 		votes: [],
 		leadership: undefined,
 		persistence: {
-			nextSequence: 1, persistedIndex: getLastIndex(log), pending: [], hasFailed: false,
+			nextSequence: 1, persistedIndex: getLastIndex(log), pending: [],
 		},
 		proposals: ImmutableMap(),
 		reads: ImmutableMap(),
--- a/packages/core/src/replica/following.ts
+++ b/packages/core/src/replica/following.ts
@@ -5,7 +5,7 @@
 	appendEntries, getLastIndex, getLatestVoters, getTerm, truncateLog,
 } from './log.js';
 import type {AppendedMessage, AppendMessage} from './messages.js';
-import {persistState, sendWhenPersisted} from './persistence.js';
+import {isDiskSlow, persistState, sendWhenPersisted} from './persistence.js';
 import {
 	chainSteps, createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
@@ -87,22 +87,20 @@
 		next => commitUpTo(next, Math.min(message.commitIndex, lastIndex)),
 		next => handleHeartbeatConfirmation(next, message),
 		next => {
-			const {hasFailed, persistedIndex} = next.persistence;
+			const {persistedIndex} = next.persistence;
 			const answer = createAnswer(next, context, {
-				round: message.round,
-				isAccepted: true,
-				matchIndex: hasFailed ? Math.min(persistedIndex, lastIndex) : lastIndex,
-				receivedIndex: lastIndex,
+				round: message.round, isAccepted: true, matchIndex: lastIndex, receivedIndex: lastIndex,
 			});
 			if (answer === undefined) {
 				return createStep(next);
 			}
 
-			// After a disk failure the answer is sent without waiting for writes, because it acknowledges
-			// nothing new.
-			return hasFailed
-				? createStep(next, [createSend(from, answer)])
-				: sendWhenPersisted(next, [{to: from, message: answer}]);
+			// Without an answer the leader would send the same entries again and again, and take this node for lost.
+			// The early answer acknowledges nothing that is not synced.
+			const early = isDiskSlow(next, context)
+				? [createSend<Command>(from, {...answer, matchIndex: Math.min(persistedIndex, lastIndex)})]
+				: [];
+			return chainSteps(createStep(next, early), waiting => sendWhenPersisted(waiting, [{to: from, message: answer}]));
 		},
 	);
 };
--- a/packages/core/src/replica/persistence.ts
+++ b/packages/core/src/replica/persistence.ts
@@ -24,18 +24,17 @@
 	pending.map(entry => ({...entry, lastIndex: Math.min(entry.lastIndex, lastIndex)}));
 
 /**
- * Writes the hard state together with the requested content. Without a disk or after a disk failure, nothing is
- * written.
+ * Writes the hard state together with the requested content. Without a disk, nothing is written.
  *
  * @param state - The state in which the change has already been made.
  */
 export function persistState<Command>(
 	state: ReplicaState<Command>,
-	{cfg}: ReplicaContext,
+	{cfg, nowMs}: ReplicaContext,
 	request: PersistRequest<Command>,
 ): ReplicaStep<Command> {
 	const {persistence} = state;
-	if (cfg.storeId === undefined || persistence.hasFailed) {
+	if (cfg.storeId === undefined) {
 		return createStep(state);
 	}
 
@@ -44,7 +43,7 @@
 	const pending = [
 		...capPendingIndexes(persistence.pending, keptIndex),
 		{
-			sequence, lastIndex: getLastIndex(state.log), term: state.term, messages: [],
+			sequence, sinceMs: nowMs, lastIndex: getLastIndex(state.log), term: state.term, messages: [],
 		},
 	];
 	return createStep({
@@ -61,8 +60,7 @@
 }
 
 /**
- * Sends messages once everything written so far is synced; immediately if no write is pending. After a disk
- * failure, the messages are dropped.
+ * Sends messages once everything written so far is synced; immediately if no write is pending.
  *
  * @param messages - The messages that depend on the writes.
  */
@@ -72,10 +70,6 @@
 ): ReplicaStep<Command> {
 	const {persistence} = state;
 	const last = persistence.pending.at(-1);
-	if (persistence.hasFailed) {
-		return createStep(state);
-	}
-
 	if (last === undefined) {
 		return createStep(state, messages.map(({to, message}) => createSend(to, message)));
 	}
@@ -87,6 +81,12 @@
 	return createStep({...state, persistence: {...persistence, pending}});
 }
 
+/** Returns whether the disk has not synced a write for longer than the time between two heartbeats. */
+export function isDiskSlow<Command>({persistence}: ReplicaState<Command>, {cfg, nowMs}: ReplicaContext): boolean {
+	const [oldest] = persistence.pending;
+	return oldest !== undefined && nowMs - oldest.sinceMs > cfg.limits.heartbeatPeriodMs;
+}
+
 /**
  * Handles the acknowledgement that all writes up to a sequence number are synced, and sends the messages that
  * waited for them. Messages of an older term are dropped.
@@ -95,10 +95,6 @@
  */
 export function acknowledgePersist<Command>(state: ReplicaState<Command>, sequence: number): ReplicaStep<Command> {
 	const {persistence} = state;
-	if (persistence.hasFailed) {
-		return createStep(state);
-	}
-
 	const syncedWrites = persistence.pending.filter(entry => entry.sequence <= sequence);
 	const persistedIndex = Math.max(persistence.persistedIndex, syncedWrites.at(-1)?.lastIndex ?? 0);
 	const messages = syncedWrites.filter(({term}) => term === state.term).flatMap(entry => entry.messages);
--- a/packages/core/src/replica/proposals.ts
+++ b/packages/core/src/replica/proposals.ts
@@ -178,9 +178,7 @@
 				return sendProposal(next, context, requestId);
 			}
 
-			return failProposal(next, requestId, wasSent
-				? {type: 'unknown'}
-				: {type: 'notProposed', reason: next.persistence.hasFailed ? 'storageFailed' : 'noLeader'});
+			return failProposal(next, requestId, wasSent ? {type: 'unknown'} : {type: 'notProposed', reason: 'noLeader'});
 		}),
 	);
 }
--- a/packages/core/src/replica/quorum.ts
+++ b/packages/core/src/replica/quorum.ts
@@ -28,7 +28,6 @@
 /** Returns whether this replica may vote and acknowledge entries. */
 export function isVotingReplica<Command>(state: ReplicaState<Command>, cfg: ReplicaConfig): boolean {
 	return cfg.storeId !== undefined
-		&& !state.persistence.hasFailed
 		&& hasVoter(state.voters, {node: cfg.self, storeId: cfg.storeId});
 }
 
--- a/packages/core/src/replica/reduce-replica.ts
+++ b/packages/core/src/replica/reduce-replica.ts
@@ -183,10 +183,6 @@
 			return chainSteps(acknowledgePersist(state, event.sequence), next => commitAndNotifyPeers(next, context));
 		}
 
-		case 'replica/persistFailed': {
-			return createStep({...state, persistence: {...state.persistence, pending: [], hasFailed: true}});
-		}
-
 		case 'replica/snapshotTaken': {
 			return handleSnapshotTaken(state, context, event);
 		}
--- a/packages/core/src/replica/roles.ts
+++ b/packages/core/src/replica/roles.ts
@@ -57,6 +57,6 @@
 		return {...transitionRole(state, {type: 'becameVoter'}), electionDeadlineMs: getElectionDeadline(context)};
 	}
 
-	const isFinishingVoterChange = state.role === 'leader' && !state.persistence.hasFailed && state.votersIndex > state.commitIndex;
+	const isFinishingVoterChange = state.role === 'leader' && state.votersIndex > state.commitIndex;
 	return isVoter || isFinishingVoterChange ? state : transitionRole(state, {type: 'ceasedToVote'});
 }
--- a/packages/core/src/replica/test-network.ts
+++ b/packages/core/src/replica/test-network.ts
@@ -53,12 +53,12 @@
 	incarnation: number;
 	applied: string[];
 	isUp: boolean;
-	hasFailedDisk: boolean;
 };
 
 type ScheduledCall = {readonly atMs: number; readonly run: () => void};
 
 const tickIntervalMs = 50;
+const writeRetryPeriodMs = 100;
 const initialClockMs = 1000;
 const maximumStalenessMs = 3000;
 
@@ -99,7 +99,10 @@
 	readonly crash: (name: string) => void;
 	readonly restart: (name: string) => void;
 	readonly wipe: (name: string) => void;
-	readonly failDisk: (name: string) => void;
+	/** From now on until `freeDisk`, no write of the node's disk succeeds. Restarts of the node change nothing about it. */
+	readonly fillDisk: (name: string) => void;
+	/** The disk takes writes again; the ones that failed meanwhile are tried again. */
+	readonly freeDisk: (name: string) => void;
 };
 
 const pickBetween = (random: RandomSource, {least, most}: {readonly least: number; readonly most: number}) =>
@@ -120,6 +123,7 @@
 	let nextRequest = 0;
 	const scheduled: ScheduledCall[] = [];
 	const blockedLinks = new Set<string>();
+	const fullDisks = new Set<string>();
 	const leadersByTerm = new Map<number, string>();
 	const committedEntries = new Map<number, string>();
 	const commitTimes: number[] = [];
@@ -208,14 +212,14 @@
 	const write = (name: string, effect: PersistEffect<string>) => {
 		const {incarnation} = getNode(name);
 		const {type: _, sequence, ...content} = effect;
-		schedule(pickBetween(random, syncMs), () => {
+		const sync = () => {
 			const node = getNode(name);
 			if (!node.isUp || node.incarnation !== incarnation) {
 				return;
 			}
 
-			if (node.hasFailedDisk) {
-				handle(name, {type: 'replica/persistFailed', nowMs: getLocalMs(name)});
+			if (fullDisks.has(name)) {
+				schedule(writeRetryPeriodMs, sync);
 				return;
 			}
 
@@ -228,7 +232,9 @@
 
 			pendingWrites.set(name, queue.slice(count));
 			handle(name, {type: 'replica/persisted', sequence, nowMs: getLocalMs(name)});
-		});
+		};
+
+		schedule(pickBetween(random, syncMs), sync);
 		pendingWrites.set(name, [...(pendingWrites.get(name) ?? []), {sequence, content}]);
 	};
 
@@ -359,7 +365,7 @@
 		const recovered = description.kind === 'diskless' ? undefined : getRecoveredReplica(disk);
 		const {state, effects} = createReplica({cfg, nowMs: getLocalMs(name)}, recovered);
 		nodes.set(name, {
-			cfg, state, disk, incarnation, applied: [], isUp: true, hasFailedDisk: false,
+			cfg, state, disk, incarnation, applied: [], isUp: true,
 		});
 		pendingWrites.set(name, []);
 		for (const effect of effects) {
@@ -455,8 +461,11 @@
 		wipe(name) {
 			startNode(name, {incarnation: getNode(name).incarnation + 1, disk: emptyDisk});
 		},
-		failDisk(name) {
-			getNode(name).hasFailedDisk = true;
+		fillDisk(name) {
+			fullDisks.add(name);
+		},
+		freeDisk(name) {
+			fullDisks.delete(name);
 		},
 	};
 }
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -212,6 +212,8 @@
 /** A write to disk that is not yet acknowledged, with the messages that may be sent only after it. */
 export type PendingPersist = {
 	readonly sequence: number;
+	/** When the write was made, in monotonic milliseconds. */
+	readonly sinceMs: number;
 	readonly lastIndex: number;
 	readonly term: number;
 	readonly messages: ReadonlyArray<{readonly to: NodeId; readonly message: unknown}>;
@@ -222,8 +224,6 @@
 	readonly nextSequence: number;
 	readonly persistedIndex: number;
 	readonly pending: readonly PendingPersist[];
-	/** After a failed write, the replica acknowledges nothing and does not vote until it restarts. */
-	readonly hasFailed: boolean;
 };
 
 /** A proposal made on this node, until its entry is applied here. */
@@ -351,7 +351,7 @@
 /** Why a proposal, read or voter change ended without a result. */
 export type ReplicaFailure
 	/** The request never reached a leader. */
-	= | {readonly type: 'notProposed'; readonly reason: 'noLeader' | 'busy' | 'storageFailed'}
+	= | {readonly type: 'notProposed'; readonly reason: 'noLeader' | 'busy'}
 	/** The request may already be committed or may still be committed later. */
 		| {readonly type: 'unknown'}
 		| {readonly type: 'invalidVoterChange'; readonly reason: VoterChangeFailure};
@@ -377,7 +377,6 @@
 		}
 		| {readonly type: 'replica/read'; readonly requestId: RequestId; readonly nowMs: number}
 		| {readonly type: 'replica/persisted'; readonly sequence: number; readonly nowMs: number}
-		| {readonly type: 'replica/persistFailed'; readonly nowMs: number}
 		| {
 			readonly type: 'replica/snapshotTaken';
 			readonly index: number;
@@ -414,7 +413,10 @@
 			readonly leader: NodeId | undefined;
 		};
 
-/** One atomic write. The host answers with `replica/persisted` once it is synced. Writes are synced in order. */
+/**
+ * One atomic write. Writes are synced in order. Once this one and those before it are synced, the host answers with
+ * `replica/persisted` and the number of this or of a later write. A write never fails; it takes until the disk accepts it.
+ */
 export type PersistEffect<Command> = {
 	readonly type: 'replica/persist';
 	readonly sequence: number;
--- a/packages/daemon/src/replica-host.ts
+++ b/packages/daemon/src/replica-host.ts
@@ -23,7 +23,7 @@
 	type RequestId,
 	type VoterChange,
 } from '@samphiremill/core';
-import type {ReplicaStore, StoreError} from './store/index.js';
+import type {ReplicaStore} from './store/index.js';
 
 const tickPeriodMs = 50;
 
@@ -49,8 +49,6 @@
 		readonly term: number;
 		readonly leader: NodeId | undefined;
 	}) => void;
-	/** Called once; from then on the node neither votes nor acknowledges. */
-	readonly onStoreFailed?: (err: StoreError) => void;
 };
 
 /** A proposal that is committed and applied on this node. */
@@ -84,6 +82,7 @@
 	readonly stop: () => void;
 };
 
+type WriteResult = ReturnType<ReplicaStore<unknown>['write']>;
 type SettledRequest = {readonly index: number};
 type SettleRequest = (result: Result<SettledRequest, ReplicaFailure>) => void;
 
@@ -93,25 +92,33 @@
 	let cfg: ReplicaConfig = {...options.cfg, ...(store !== undefined && {storeId: store.storeId})};
 	const pending = new Map<RequestId, SettleRequest>();
 	const outcomes = new Map<RequestId, Outcome>();
+	const lastSequences = new Map<WriteResult, number>();
 	const queuedEvents: Array<ReplicaEvent<Command>> = [];
 	let isProcessing = false;
 	let isStopped = false;
 	let nextRequest = 1;
 
-	const persist = async ({type: _, sequence, ...write}: PersistEffect<Command>) => {
-		const result = await store?.write(write);
-		if (result === undefined || isStopped) {
-			return;
+	const acknowledge = async (written: WriteResult) => {
+		const result = await written;
+		const sequence = lastSequences.get(written);
+		lastSequences.delete(written);
+		// A write fails only when the store is closed.
+		if (result.ok && sequence !== undefined && !isStopped) {
+			dispatch({type: 'replica/persisted', sequence, nowMs: timers.getNow()});
 		}
+	};
 
-		if (result.ok) {
-			dispatch({type: 'replica/persisted', sequence, nowMs: timers.getNow()});
+	// Writes that are synced together are acknowledged together, so that a full disk leaves no callback for each.
+	const persist = ({type: _, sequence, ...write}: PersistEffect<Command>) => {
+		const written = store?.write(write);
+		if (written === undefined) {
 			return;
 		}
 
-		if (!state.persistence.hasFailed) {
-			options.onStoreFailed?.(result.err);
-			dispatch({type: 'replica/persistFailed', nowMs: timers.getNow()});
+		const isAwaited = lastSequences.has(written);
+		lastSequences.set(written, sequence);
+		if (!isAwaited) {
+			void acknowledge(written);
 		}
 	};
 
@@ -140,7 +147,7 @@
 			}
 
 			case 'replica/persist': {
-				void persist(effect);
+				persist(effect);
 				break;
 			}
 
--- a/packages/daemon/src/runtime/control-host.ts
+++ b/packages/daemon/src/runtime/control-host.ts
@@ -17,7 +17,7 @@
 	type ReplicaMessage,
 } from '@samphiremill/core';
 import {createReplicaHost, type ReplicaHost} from '../replica-host.js';
-import type {ReplicaStore, StoreError} from '../store/index.js';
+import type {ReplicaStore} from '../store/index.js';
 import type {StructuredLogger} from './types.js';
 
 /** The replicated log and the state that results from its committed commands. */
@@ -36,7 +36,7 @@
 };
 
 /** Starts the replicated log with empty records. Without a `store` this node only observes. */
-export function startControlHost({self, addresses, store, timers, random, processId, log, send, onChanged, onLeaderChanged, onStoreFailed}: {
+export function startControlHost({self, addresses, store, timers, random, processId, log, send, onChanged, onLeaderChanged}: {
 	readonly self: NodeId;
 	readonly addresses: readonly NodeAddress[];
 	readonly store: ReplicaStore<ControlCommand> | undefined;
@@ -48,7 +48,6 @@
 	/** Called once for all entries that are applied in one batch. */
 	readonly onChanged: () => void;
 	readonly onLeaderChanged: (leader: NodeId | undefined) => void;
-	readonly onStoreFailed: (err: StoreError) => void;
 }): ControlHost {
 	let control = createControlState();
 	let isNotificationPending = false;
@@ -91,7 +90,6 @@
 			log.info(`the replicated log is in term ${term}`, {role, term, leader});
 			onLeaderChanged(leader);
 		},
-		onStoreFailed,
 	});
 	return {replica, getControl: () => control};
 }
--- a/packages/daemon/src/runtime/open-data-folder.ts
+++ b/packages/daemon/src/runtime/open-data-folder.ts
@@ -1,10 +1,11 @@
-import {createSuccess, type Result} from '@samphiremill/common';
+import {createSuccess, type Result, type TimerService} from '@samphiremill/common';
 import type {ClaimRecord, ControlCommand} from '@samphiremill/core';
 import {openClaimsJournal, type ClaimsJournal} from '../claims-journal/claims-journal.js';
 import {
 	openReplicaStore, storeFileSystem, type ReplicaStore, type StoreError,
 } from '../store/index.js';
 import {markRunning, unmarkRunning} from './running-marker.js';
+import type {StructuredLogger} from './types.js';
 
 /** An open data folder: the durable state of an entry host. */
 export type DataFolder = {
@@ -31,17 +32,31 @@
 /**
  * Opens the data folder.
  *
- * @param folder - Undefined on a host without a disk.
- * @param listLiveRecords - Lists the claims to keep when the journal is rewritten.
+ * @param options - `folder` is undefined on a host without a disk. `listLiveRecords` lists the claims to keep when the journal
+ * is rewritten.
  * @returns The open folder, undefined without a folder, or why the folder cannot be used.
  */
-export const openDataFolder = async (folder: string | undefined, listLiveRecords: () => readonly ClaimRecord[]): Promise<Result<DataFolder | undefined, StoreError>> => {
+export const openDataFolder = async ({folder, timers, log, listLiveRecords}: {
+	readonly folder: string | undefined;
+	readonly timers: TimerService;
+	readonly log: StructuredLogger;
+	readonly listLiveRecords: () => readonly ClaimRecord[];
+}): Promise<Result<DataFolder | undefined, StoreError>> => {
 	if (folder === undefined) {
 		return createSuccess(undefined);
 	}
 
 	const isFirstStart = await isEmptyFolder(folder);
-	const store = await openReplicaStore<ControlCommand>({folder});
+	const store = await openReplicaStore<ControlCommand>({
+		folder,
+		timers,
+		onWritesFailing({err}) {
+			log.error('writes to the data folder fail; this host neither votes nor acknowledges until they succeed', {...err});
+		},
+		onWritesRecovered({durationMs, tries}) {
+			log.info('writes to the data folder succeed again', {durationMs, tries});
+		},
+	});
 	if (!store.ok) {
 		return store;
 	}
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -66,7 +66,12 @@
  */
 export async function startDaemon(options: StartDaemonOptions): Promise<Result<Daemon, StoreError>> {
 	const {settings, timers, random, log, getWallClock, seedCommands} = options;
-	const opened = await openDataFolder(settings.dataFolder, () => [...engine.getState().claims.records.values()]);
+	const opened = await openDataFolder({
+		folder: settings.dataFolder,
+		timers,
+		log,
+		listLiveRecords: () => [...engine.getState().claims.records.values()],
+	});
 	if (!opened.ok) {
 		return createFailure(opened.err);
 	}
@@ -180,9 +185,6 @@
 		onLeaderChanged(leader) {
 			engine.dispatch({type: 'escrow/leaderChanged', leader, nowMs: timers.getNow()});
 		},
-		onStoreFailed(err) {
-			log.error(`the data folder failed: ${err.type}`, {...err});
-		},
 	});
 
 	const confirmRecords = async (): Promise<void> => {
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -102,7 +102,17 @@
 		settings, timers, random, log, metrics, getWallClock, parseConfiguration,
 	} = options;
 	const {self} = settings;
-	const opened = await openReplicaStore<LedgerCommand>({folder: settings.dataFolder, shouldLock: false});
+	const opened = await openReplicaStore<LedgerCommand>({
+		folder: settings.dataFolder,
+		timers,
+		shouldLock: false,
+		onWritesFailing({err}) {
+			log.error('writes to the data folder fail; this host neither votes nor acknowledges until they succeed', {...err});
+		},
+		onWritesRecovered({durationMs, tries}) {
+			log.info('writes to the data folder succeed again', {durationMs, tries});
+		},
+	});
 	if (!opened.ok) {
 		return createFailure(opened.err);
 	}
@@ -193,9 +203,6 @@
 				void startLeading(term);
 			}
 		},
-		onStoreFailed(err) {
-			log.error('the data folder failed; this host no longer votes or leads', {err});
-		},
 	});
 
 	// With few minions, direct calls cost less than relayed ones.
--- a/packages/daemon/src/store/open-replica-store.ts
+++ b/packages/daemon/src/store/open-replica-store.ts
@@ -1,29 +1,33 @@
 import {randomUUID} from 'node:crypto';
 import path from 'node:path';
 import {
-	createFailure, createSuccess, toBrand, type Result,
+	createFailure, createSuccess, toBrand, type Result, type TimerService,
 } from '@samphiremill/common';
 import {
 	createPersistedState, getRecoveredReplica, type PersistedState, type StoreId,
 } from '@samphiremill/core';
 import {lockFolder} from './folder-lock.js';
 import {decodeRecord, encodeRecord} from './record-codec.js';
+import {removeLeftovers} from './remove-leftovers.js';
 import {createReplicaWriter} from './replica-writer.js';
 import {
-	createCheckpoint, getSegmentName, getSnapshotName, readSegment, readSnapshot, type SegmentContent,
+	createCheckpoint, getSegmentName, getSnapshotName, identityName, readSegment, readSnapshot, type SegmentContent,
 } from './segment.js';
+import {createSegmentWriter, type NewestSegment} from './segment-writer.js';
 import {tryFileOperation} from './store-errors.js';
 import {storeFileSystem} from './store-file-system.js';
-import type {ReplicaStore, StoreError, StoreFileSystem} from './types.js';
+import type {
+	ReplicaStore, StoreError, StoreFileSystem, StoreObserver,
+} from './types.js';
 import {writeFileAtomically} from './write-file-atomically.js';
 
-const identityName = 'identity.json';
-
 /** Options for opening a store. */
-export type OpenReplicaStoreOptions = {
+export type OpenReplicaStoreOptions = StoreObserver & {
 	/** The node's data folder. It is created if it does not exist. */
 	readonly folder: string;
 	readonly fileSystem?: StoreFileSystem;
+	/** Times the tries after a failed write. */
+	readonly timers: TimerService;
 	/** Whether to lock the folder against other processes; `true` by default. The lock needs hard links, which some file systems do not support. */
 	readonly shouldLock?: boolean;
 };
@@ -34,9 +38,8 @@
 };
 
 type RecoveredContent<Command> = {
-	readonly segmentName: string;
+	readonly newest: NewestSegment;
 	readonly persistedState: PersistedState<Command>;
-	readonly nextSequence: number;
 };
 
 const createDamagedError = (file: string, reason: string) => createFailure<StoreError>({
@@ -59,14 +62,20 @@
 	}
 
 	const persistedState = createPersistedState<Command>();
-	const segmentName = getSegmentName(1);
+	const name = getSegmentName(1);
+	const data = encodeRecord(createCheckpoint(persistedState, 1));
 	await writeFileAtomically({
-		folder, fileSystem, name: segmentName, data: encodeRecord(createCheckpoint(persistedState, 1)),
+		folder, fileSystem, name, data,
 	});
 	await writeFileAtomically({
 		folder, fileSystem, name: identityName, data: encodeRecord({storeId: randomUUID(), format: 1}),
 	});
-	return createSuccess({segmentName, persistedState, nextSequence: 2});
+	return createSuccess({
+		newest: {
+			name, lengthBytes: data.length, snapshotIndex: 0, nextSequence: 2,
+		},
+		persistedState,
+	});
 };
 
 const readStoreId = async ({folder, fileSystem}: StoreFolder): Promise<Result<StoreId, StoreError>> => {
@@ -78,7 +87,7 @@
 		: createDamagedError(file, 'the identity is incomplete or damaged');
 };
 
-type NewestSegment<Command> = {
+type FoundSegment<Command> = {
 	readonly name: string;
 	readonly segment: SegmentContent<Command>;
 	readonly lengthBytes: number;
@@ -87,7 +96,7 @@
 const readNewestSegment = async <Command>(
 	{folder, fileSystem}: StoreFolder,
 	names: readonly string[],
-): Promise<Result<NewestSegment<Command>, StoreError>> => {
+): Promise<Result<FoundSegment<Command>, StoreError>> => {
 	const segments = names.filter(name => name.startsWith('segment-') && name.endsWith('.log')).toSorted();
 	const name = segments.at(-1);
 	if (name === undefined) {
@@ -124,12 +133,6 @@
 	return read.ok ? createSuccess({...persistedState, snapshot: read.value}) : read;
 };
 
-// Removes what a crash during compaction can leave: older segments, older snapshots, temporary files.
-const removeLeftovers = async ({folder, fileSystem}: StoreFolder, names: readonly string[], kept: readonly string[]) => {
-	const leftovers = names.filter(name => ['segment-', 'snapshot-', 'identity'].some(prefix => name.startsWith(prefix)) && !kept.includes(name));
-	await Promise.all(leftovers.map(async name => fileSystem.remove(path.join(folder, name))));
-};
-
 const recoverFolder = async <Command>(storeFolder: StoreFolder): Promise<Result<RecoveredContent<Command>, StoreError>> => {
 	const {folder, fileSystem} = storeFolder;
 	const names = await fileSystem.listFiles(folder);
@@ -152,11 +155,20 @@
 		await fileSystem.truncate(path.join(folder, name), segment.validLengthBytes);
 	}
 
-	await removeLeftovers(storeFolder, names, [identityName, name, getSnapshotName(segment.snapshotIndex)]);
-	return createSuccess({segmentName: name, persistedState: persistedState.value, nextSequence: segment.nextSequence});
+	const {snapshotIndex, nextSequence, validLengthBytes} = segment;
+	await removeLeftovers({...storeFolder, kept: [identityName, name, getSnapshotName(snapshotIndex)]});
+	return createSuccess({
+		newest: {
+			name, lengthBytes: validLengthBytes, snapshotIndex, nextSequence,
+		},
+		persistedState: persistedState.value,
+	});
 };
 
-const openLockedStore = async <Command>(storeFolder: StoreFolder): Promise<Result<ReplicaStore<Command>, StoreError>> => {
+const openLockedStore = async <Command>(
+	storeFolder: StoreFolder,
+	{timers, observer}: {readonly timers: TimerService; readonly observer: StoreObserver},
+): Promise<Result<ReplicaStore<Command>, StoreError>> => {
 	const content = await recoverFolder<Command>(storeFolder);
 	if (!content.ok) {
 		return content;
@@ -167,10 +179,14 @@
 		return storeId;
 	}
 
-	const writer = await createReplicaWriter({...storeFolder, ...content.value});
+	const {persistedState, newest} = content.value;
+	const segments = await createSegmentWriter<Command>({...storeFolder, newest});
+	const writer = createReplicaWriter({
+		segments, persistedState, timers, observer,
+	});
 	return createSuccess({
 		storeId: storeId.value,
-		recovered: getRecoveredReplica(content.value.persistedState),
+		recovered: getRecoveredReplica(persistedState),
 		write: writer.write,
 		close: writer.close,
 	});
@@ -182,7 +198,7 @@
  * @returns The store, or why it can't be opened. A damaged folder is not changed.
  */
 export async function openReplicaStore<Command>(options: OpenReplicaStoreOptions): Promise<Result<ReplicaStore<Command>, StoreError>> {
-	const {folder, fileSystem = storeFileSystem, shouldLock = true} = options;
+	const {folder, fileSystem = storeFileSystem, timers, shouldLock = true} = options;
 	const storeFolder = {folder, fileSystem};
 	const locked = await tryFileOperation({file: folder, operation: 'lock'}, async () => {
 		await fileSystem.createFolder(folder);
@@ -197,7 +213,7 @@
 		return lockResult;
 	}
 
-	const opened = await tryFileOperation({file: folder, operation: 'open'}, async () => openLockedStore<Command>(storeFolder));
+	const opened = await tryFileOperation({file: folder, operation: 'open'}, async () => openLockedStore<Command>(storeFolder, {timers, observer: options}));
 	const result = opened.ok ? opened.value : opened;
 	if (!result.ok) {
 		await lockResult.value();
--- a/packages/daemon/src/store/replica-writer.ts
+++ b/packages/daemon/src/store/replica-writer.ts
@@ -1,120 +1,136 @@
-import path from 'node:path';
 import {
-	createFailure, createSuccess, type Result,
+	createFailure, createSuccess, type Result, type TimerService,
 } from '@samphiremill/common';
-import {applyPersistedWrite, type PersistedWrite, type PersistedState} from '@samphiremill/core';
-import {encodeRecord} from './record-codec.js';
-import {
-	createCheckpoint, getSegmentName, getSnapshotName, type SegmentRecord, type SegmentWrite,
-} from './segment.js';
-import {tryFileOperation} from './store-errors.js';
-import type {
-	ReplicaStore, StoreError, StoreFile, StoreFileSystem,
-} from './types.js';
-import {writeFileAtomically} from './write-file-atomically.js';
+import {applyPersistedWrite, type PersistedState, type PersistedWrite} from '@samphiremill/core';
+import {List} from 'immutable';
+import type {SegmentWrite} from './segment.js';
+import type {SegmentWriter} from './segment-writer.js';
+import type {ReplicaStore, StoreError, StoreObserver} from './types.js';
+
+const retryPeriodMs = 100;
 
 type WriterOptions<Command> = {
-	readonly folder: string;
-	readonly fileSystem: StoreFileSystem;
-	readonly segmentName: string;
+	readonly segments: SegmentWriter<Command>;
 	readonly persistedState: PersistedState<Command>;
-	readonly nextSequence: number;
+	readonly timers: TimerService;
+	readonly observer: StoreObserver;
 };
 
-type QueuedWrite<Command> = {
-	readonly write: PersistedWrite<Command>;
-	readonly settle: (result: Result<void, StoreError>) => void;
+type SettleBatch = (result: Result<void, StoreError>) => void;
+
+/** Writes that are synced together. */
+type WriteBatch<Command> = {
+	/** Undefined if a snapshot is among the writes. A new segment then holds the whole state, so a long queue needs no memory. */
+	readonly writes: List<SegmentWrite<Command>> | undefined;
+	/** The state after these writes. */
+	readonly persistedState: PersistedState<Command>;
+	readonly settled: Promise<Result<void, StoreError>>;
+	readonly settle: SettleBatch;
 };
 
+const createBatch = <Command>(persistedState: PersistedState<Command>): WriteBatch<Command> => {
+	let settle: SettleBatch = () => undefined;
+	const settled = new Promise<Result<void, StoreError>>(resolve => {
+		settle = resolve;
+	});
+	return {
+		writes: List(), persistedState, settled, settle,
+	};
+};
+
+const addWrite = <Command>(batch: WriteBatch<Command>, write: PersistedWrite<Command>): WriteBatch<Command> => ({
+	...batch,
+	writes: write.snapshot === undefined ? batch.writes?.push(write) : undefined,
+	persistedState: applyPersistedWrite(batch.persistedState, write),
+});
+
 /**
- * Creates the writer of a store, which appends to the newest segment. Writes that are queued while
- * the disk is busy become one record with one sync.
+ * Creates the writer of a store. Writes that are queued while the disk is busy become one record with one sync.
+ *
+ * After a failed append or sync it is unknown what the disk holds, and a later sync of the same file may succeed without
+ * the data. So the file is abandoned, and the whole state is written to a new segment, again and again until it is synced.
  */
-export async function createReplicaWriter<Command>(options: WriterOptions<Command>): Promise<Pick<ReplicaStore<Command>, 'write' | 'close'>> {
-	const {folder, fileSystem} = options;
-	let {segmentName, persistedState, nextSequence} = options;
-	let segment: StoreFile = await fileSystem.openToAppend(path.join(folder, segmentName));
-	let queue: ReadonlyArray<QueuedWrite<Command>> = [];
-	let failure: StoreError | undefined;
+export function createReplicaWriter<Command>({segments, persistedState, timers, observer}: WriterOptions<Command>): Pick<ReplicaStore<Command>, 'write' | 'close'> {
+	let newestState = persistedState;
+	let queued: WriteBatch<Command> | undefined;
 	let draining: Promise<void> | undefined;
+	let isClosing = false;
+	let endWait: (() => void) | undefined;
+	let failure: StoreError | undefined;
 
-	const appendWrites = async (writes: ReadonlyArray<SegmentWrite<Command>>) => {
-		const record: SegmentRecord<Command> = {type: 'writes', sequence: nextSequence, writes};
-		await segment.appendAll(encodeRecord(record));
-		await segment.syncData();
-		nextSequence += 1;
-	};
-
-	// The new segment and its folder are completely written and synced before the old segment is removed.
-	const startSegment = async () => {
-		const oldSegmentName = segmentName;
-		const newSegmentName = getSegmentName(nextSequence);
-		await writeFileAtomically({
-			folder, fileSystem, name: newSegmentName, data: encodeRecord(createCheckpoint(persistedState, nextSequence)),
-		});
-		nextSequence += 1;
-		segmentName = newSegmentName;
-		await segment.close();
-		segment = await fileSystem.openToAppend(path.join(folder, segmentName));
-		await fileSystem.remove(path.join(folder, oldSegmentName));
-	};
-
-	const saveSnapshot = async (oldIndex: number | undefined) => {
-		const {snapshot} = persistedState;
-		if (snapshot === undefined) {
+	const waitForRetry = async () => new Promise<void>(resolve => {
+		if (isClosing) {
+			resolve();
 			return;
 		}
 
-		await writeFileAtomically({
-			folder, fileSystem, name: getSnapshotName(snapshot.index), data: encodeRecord(snapshot),
-		});
-		await startSegment();
-		if (oldIndex !== undefined && oldIndex !== snapshot.index) {
-			await fileSystem.remove(path.join(folder, getSnapshotName(oldIndex)));
-		}
-	};
+		const cancel = timers.scheduleOnce(retryPeriodMs, resolve);
+		endWait = () => {
+			cancel();
+			resolve();
+		};
+	});
 
-	const writeBatch = async (batch: ReadonlyArray<QueuedWrite<Command>>) => {
-		const oldIndex = persistedState.snapshot?.index;
-		for (const {write} of batch) {
-			persistedState = applyPersistedWrite(persistedState, write);
-		}
+	/* eslint-disable no-await-in-loop -- one try after the other */
+	const retryUntilSynced = async (err: StoreError, tryAgain: () => Promise<Result<void, StoreError>>): Promise<Result<void, StoreError>> => {
+		const sinceMs = timers.getNow();
+		observer.onWritesFailing?.({err, sinceMs});
+		for (let tries = 1; ; tries += 1) {
+			await waitForRetry();
+			if (isClosing) {
+				return createFailure(err);
+			}
 
-		// A new checkpoint also contains the writes of this batch, so they are not appended.
-		await (persistedState.snapshot?.index === oldIndex
-			? appendWrites(batch.map(({write}) => write))
-			: saveSnapshot(oldIndex));
+			const result = await tryAgain();
+			if (result.ok) {
+				observer.onWritesRecovered?.({sinceMs, durationMs: timers.getNow() - sinceMs, tries});
+				return result;
+			}
+		}
 	};
 
-	const settleBatch = async (batch: ReadonlyArray<QueuedWrite<Command>>) => {
-		const result = failure === undefined
-			? await tryFileOperation({file: path.join(folder, segmentName), operation: 'append'}, async () => writeBatch(batch))
-			: createFailure(failure);
-		// After a failed sync the content of the disk is unknown, so nothing is retried.
-		failure = result.ok ? undefined : result.err;
-		for (const {settle} of batch) {
-			settle(result.ok ? createSuccess(undefined) : result);
+	const writeBatch = async ({writes, persistedState: state}: WriteBatch<Command>): Promise<Result<void, StoreError>> => {
+		const startSegment = writes === undefined ? segments.prepareSegment(state) : undefined;
+		const result = startSegment === undefined ? await segments.append(writes?.toArray() ?? []) : await startSegment();
+		if (result.ok) {
+			return result;
 		}
+
+		await segments.abandonSegment();
+		return retryUntilSynced(result.err, startSegment ?? segments.prepareSegment(state));
 	};
 
 	const drain = async () => {
-		while (queue.length > 0) {
-			const batch = queue;
-			queue = [];
-			await settleBatch(batch); // eslint-disable-line no-await-in-loop -- one batch after the other
+		while (queued !== undefined) {
+			const batch = queued;
+			queued = undefined;
+			const result = failure === undefined ? await writeBatch(batch) : createFailure(failure);
+			failure = result.ok ? undefined : result.err;
+			batch.settle(result.ok ? createSuccess(undefined) : result);
 		}
 
 		draining = undefined;
 	};
+	/* eslint-enable no-await-in-loop */
 
 	return {
-		write: async write => new Promise(resolve => {
-			queue = [...queue, {write, settle: resolve}];
+		// eslint-disable-next-line @typescript-eslint/promise-function-async -- an async function would return a promise of its own for each write
+		write(write) {
+			if (isClosing) {
+				return Promise.resolve(createFailure(failure ?? {type: 'store/closed'}));
+			}
+
+			const batch = addWrite(queued ?? createBatch(newestState), write);
+			queued = batch;
+			newestState = batch.persistedState;
 			draining ??= drain();
-		}),
+			return batch.settled;
+		},
 		async close() {
+			isClosing = true;
+			endWait?.();
 			await draining;
-			await tryFileOperation({file: path.join(folder, segmentName), operation: 'close'}, async () => segment.close());
+			await segments.close();
 		},
 	};
 }
--- a/packages/daemon/src/store/segment.ts
+++ b/packages/daemon/src/store/segment.ts
@@ -7,6 +7,9 @@
 import {decodeRecord} from './record-codec.js';
 import type {StoreError} from './types.js';
 
+/** The name of the file that holds the store id. */
+export const identityName = 'identity.json';
+
 /** A write as it is stored in a segment. Snapshots are stored in files of their own. */
 export type SegmentWrite<Command> = Omit<PersistedWrite<Command>, 'snapshot'>;
 
--- a/packages/daemon/src/store/store-errors.ts
+++ b/packages/daemon/src/store/store-errors.ts
@@ -40,6 +40,10 @@
 			return `${err.file} is damaged at byte ${err.offset}: ${err.reason}`;
 		}
 
+		case 'store/closed': {
+			return 'the store is closed';
+		}
+
 		case 'store/io': {
 			return `${err.operation} failed on ${err.file}: ${err.code}`;
 		}
--- a/packages/daemon/src/store/types.ts
+++ b/packages/daemon/src/store/types.ts
@@ -1,4 +1,4 @@
-import type {Result} from '@samphiremill/common';
+import type {MonotonicMs, Result} from '@samphiremill/common';
 import type {PersistedWrite, RecoveredReplica, StoreId} from '@samphiremill/core';
 
 /** Why a store can't be opened or written to. */
@@ -8,7 +8,32 @@
 	/** A record that had been synced is unreadable or missing. */
 		| {readonly type: 'store/damaged'; readonly file: string; readonly offset: number; readonly reason: string}
 	/** A file operation failed, for example because the disk is full. */
-		| {readonly type: 'store/io'; readonly file: string; readonly operation: string; readonly code: string};
+		| {readonly type: 'store/io'; readonly file: string; readonly operation: string; readonly code: string}
+	/** The store was closed before the write was made. */
+		| {readonly type: 'store/closed'};
+
+/** The begin of a time in which the disk accepts no writes. */
+export type WritesFailing = {
+	/** The error of the first write that failed. */
+	readonly err: StoreError;
+	readonly sinceMs: MonotonicMs;
+};
+
+/** The end of a time in which the disk accepted no writes. */
+export type WritesRecovered = {
+	readonly sinceMs: MonotonicMs;
+	readonly durationMs: number;
+	/** How often the failed write was tried again. */
+	readonly tries: number;
+};
+
+/** What a store reports about its disk. The callbacks run synchronously and must not throw. */
+export type StoreObserver = {
+	/** Called once when writes begin to fail, not again for each try. */
+	readonly onWritesFailing?: (failing: WritesFailing) => void;
+	/** Called once when everything written so far is synced after all. */
+	readonly onWritesRecovered?: (recovered: WritesRecovered) => void;
+};
 
 /** The durable log, snapshots and identity of one node. */
 export type ReplicaStore<Command> = {
@@ -16,9 +41,12 @@
 	readonly storeId: StoreId;
 	/** The content of the folder when it was opened. */
 	readonly recovered: RecoveredReplica<Command>;
-	/** Resolves once this write and all earlier ones are synced. After one write has failed, every later one fails too. */
+	/**
+	 * Resolves once this write and all earlier ones are synced. A write that fails is tried again until the disk accepts it;
+	 * only closing the store ends it with an error. Writes that are synced together share one promise.
+	 */
 	readonly write: (write: PersistedWrite<Command>) => Promise<Result<void, StoreError>>;
-	/** Waits for pending writes and releases the lock of the folder. */
+	/** Waits for pending writes, unless the disk refuses them, and releases the lock of the folder. */
 	readonly close: () => Promise<void>;
 };
 
