Replica: a voter whose disk is slow raises no terms

What callers saw: nothing yet; found while asking what a replica does while its writes hang. Two of three voters are left, one of them with a full disk: every 0.5 to 0.9 s one of the two won a pre-vote, entered a new term and asked for a vote that could not come. In 60 s the term rose by 74. Once a leader is there again, each voter that is behind a higher term deposes it once.

Cause: a candidate whose own vote was not synced timed out and won the next pre-vote, which needs no disk; and a voter with a full disk granted pre-votes although its vote would not follow.

Change: a voter with unsynced writes does not begin a pre-vote, and grants one only when its writes are synced, as it does with votes. Both wait a few ms with a healthy disk. It begins at the next tick after its disk accepts bytes again.

Evidence: full-disks.test.ts, 'a voter whose disk is full does not raise its term ...': before "expected 74 to be less than or equal to 1".

--- a/packages/core/src/replica/elections.ts
+++ b/packages/core/src/replica/elections.ts
@@ -85,9 +85,12 @@
 	);
 }
 
-/** Starts a pre-vote when the election timeout has passed without contact from a leader. */
+/**
+ * Starts a pre-vote when the election timeout has passed without contact from a leader. A node with unsynced writes waits for
+ * its disk: it could not vote for itself, and would raise its term again and again while the disk is full.
+ */
 export function tickElection<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
-	if (state.role === 'leader' || !isVotingReplica(state, context.cfg)) {
+	if (state.role === 'leader' || !isVotingReplica(state, context.cfg) || state.persistence.pending.length > 0) {
 		return createStep(state);
 	}
 
@@ -120,7 +123,11 @@
 ): ReplicaStep<Command> => {
 	const isGranted = message.term > state.term && isLogUpToDate(state, message);
 	const term = isGranted ? message.term : state.term;
-	return createStep(state, [createSend(from, createVote(state, context, {term, isPreVote: true, isGranted}))]);
+	const answer = createVote(state, context, {term, isPreVote: true, isGranted});
+	// While this node's disk is full, its vote would not follow, and the other node would raise its term in vain.
+	return isGranted
+		? sendWhenPersisted(state, [{to: from, message: answer}])
+		: createStep(state, [createSend(from, answer)]);
 };
 
 const answerVote = <Command>(
--- a/packages/core/src/replica/full-disks.test.ts
+++ b/packages/core/src/replica/full-disks.test.ts
@@ -14,6 +14,8 @@
 	return network;
 };
 
+const listOthers = (names: readonly string[]) => voterNames.filter(name => !names.includes(name));
+
 // Proposes a command each 50 ms, and returns how many of them were committed within 1 s of the end.
 const countCommits = (network: TestNetwork, durationMs: number) => {
 	const ids = Array.from({length: durationMs / 50}, (_, index) => {
@@ -41,3 +43,39 @@
 		expect(network.getOutcome(change)?.type).toBe('done');
 	}
 });
+
+test('a voter whose disk is full does not raise its term when the leader dies, and elects another once its disk has room', () => {
+	const network = createNetwork(3);
+	const leader = network.getLeader() ?? '';
+	const [full = ''] = listOthers([leader]);
+	const {term} = network.getState(leader);
+	network.fillDisk(full);
+	countCommits(network, 500);
+	network.crash(leader);
+	network.run(60_000);
+	expect(network.getLeader()).toBeUndefined();
+	// Only the voter whose disk works may have stood for election, and only once: nobody grants it a second vote.
+	expect(Math.max(...listOthers([leader]).map(name => network.getState(name).term)) - term).toBeLessThanOrEqual(1);
+	network.freeDisk(full);
+	network.run(4000);
+	expect(countCommits(network, 1000)).toBe(20);
+});
+
+test('after all disks were full at once and have room again, the cluster commits', () => {
+	for (let seed = 1; seed <= 10; seed += 1) {
+		const network = createNetwork(seed);
+		const {term} = network.getState('a1');
+		for (const name of voterNames) {
+			network.fillDisk(name);
+		}
+
+		expect(countCommits(network, 10_000)).toBe(0);
+		for (const name of voterNames) {
+			network.freeDisk(name);
+		}
+
+		network.run(4000);
+		expect(countCommits(network, 1000), `seed ${seed}`).toBe(20);
+		expect(network.getState('a1').term - term).toBeLessThanOrEqual(3);
+	}
+});
