--- a/packages/daemon/src/replica-host.ts
+++ b/packages/daemon/src/replica-host.ts
@@ -23,7 +23,7 @@
 	type RequestId,
 	type VoterChange,
 } from '@samphiremill/core';
-import type {ReplicaStore, StoreError} from './store/index.js';
+import type {ReplicaStore} from './store/index.js';
 
 const tickPeriodMs = 50;
 
@@ -38,6 +38,13 @@
 	readonly err: unknown;
 };
 
+/** The role of this node and the leader that it knows. */
+export type RoleChange = {
+	readonly role: ReplicaRole;
+	readonly term: number;
+	readonly leader: NodeId | undefined;
+};
+
 /** Options of a replica host. Callbacks run synchronously; what they throw is reported to `onFailure`. */
 export type ReplicaHostOptions<Command, Outcome> = {
 	/** The replica's configuration; `storeId` comes from the store. */
@@ -55,15 +62,9 @@
 	readonly createSnapshot: () => string;
 	/** Replaces the applied state by a snapshot that `createSnapshot` made on any node. */
 	readonly installSnapshot: (data: string) => void;
-	readonly onRoleChanged?: (change: {
-		readonly role: ReplicaRole;
-		readonly term: number;
-		readonly leader: NodeId | undefined;
-	}) => void;
+	readonly onRoleChanged?: (change: RoleChange) => void;
 	/** Must not throw. The replica goes on. */
 	readonly onFailure?: (failure: ReplicaHostFailure) => void;
-	/** Called once; from then on the node neither votes nor acknowledges. */
-	readonly onStoreFailed?: (err: StoreError) => void;
 };
 
 /** A proposal that is committed and applied on this node. */
@@ -101,6 +102,7 @@
 	readonly stop: () => void;
 };
 
+type WriteResult = ReturnType<ReplicaStore<unknown>['write']>;
 type SettledRequest = {readonly index: number};
 type SettleRequest = (result: Result<SettledRequest, ReplicaFailure>) => void;
 
@@ -111,26 +113,34 @@
 	const pending = new Map<RequestId, SettleRequest>();
 	const outcomes = new Map<RequestId, Outcome>();
 	const failedRequests = new Set<RequestId>();
+	const lastSequences = new Map<WriteResult, number>();
 	const queuedEvents: Array<ReplicaEvent<Command>> = [];
 	let isProcessing = false;
 	let isStopped = false;
 	let hasLostState = false;
 	let nextRequest = 1;
 
-	const persist = async ({type: _, sequence, ...write}: PersistEffect<Command>) => {
-		const result = await store?.write(write);
-		if (result === undefined || isStopped) {
-			return;
+	const acknowledge = async (written: WriteResult) => {
+		const result = await written;
+		const sequence = lastSequences.get(written);
+		lastSequences.delete(written);
+		// A write fails only when the store is closed.
+		if (result.ok && sequence !== undefined && !isStopped) {
+			dispatch({type: 'replica/persisted', sequence, nowMs: timers.getNow()});
 		}
+	};
 
-		if (result.ok) {
-			dispatch({type: 'replica/persisted', sequence, nowMs: timers.getNow()});
+	// Writes that are synced together are acknowledged together, so that a full disk leaves no callback for each.
+	const persist = ({type: _, sequence, ...write}: PersistEffect<Command>) => {
+		const written = store?.write(write);
+		if (written === undefined) {
 			return;
 		}
 
-		if (!state.persistence.hasFailed) {
-			options.onStoreFailed?.(result.err);
-			dispatch({type: 'replica/persistFailed', nowMs: timers.getNow()});
+		const isAwaited = lastSequences.has(written);
+		lastSequences.set(written, sequence);
+		if (!isAwaited) {
+			void acknowledge(written);
 		}
 	};
 
@@ -183,14 +193,18 @@
 	};
 
 	// Without the snapshot the applied state is not the one that the following entries belong to. The node must
-	// neither lead nor serve it; a restart installs the snapshot anew.
+	// neither lead nor serve it; a restart installs the snapshot anew. Its log is whole, so it goes on voting.
 	const installSnapshot = (index: number, data: string) => {
 		const isInstalled = contain('replica/installSnapshot', index, () => {
 			options.installSnapshot(data);
 		});
 		hasLostState = !isInstalled;
-		if (hasLostState) {
-			dispatch({type: 'replica/persistFailed', nowMs: timers.getNow()});
+	};
+
+	const reportRole = (change: RoleChange) => {
+		options.onRoleChanged?.(change);
+		if (change.role === 'leader' && hasLostState) {
+			dispatch({type: 'replica/giveWay', nowMs: timers.getNow()});
 		}
 	};
 
@@ -208,7 +222,7 @@
 			}
 
 			case 'replica/persist': {
-				void persist(effect);
+				persist(effect);
 				break;
 			}
 
@@ -239,7 +253,7 @@
 			}
 
 			case 'replica/roleChanged': {
-				options.onRoleChanged?.(effect);
+				reportRole(effect);
 				break;
 			}
 		}
--- a/packages/daemon/src/scheduler/leadership-status.ts
+++ b/packages/daemon/src/scheduler/leadership-status.ts
@@ -69,9 +69,6 @@
 export type LeadershipWatch = {
 	/** When a leader was last seen to act. */
 	readonly ledAtMs: number;
-	/** The oldest unsynced write, and since when it has been the oldest. */
-	readonly pendingSequence: number | undefined;
-	readonly pendingSinceMs: number;
 	readonly commitIndex: number;
 	/** When the commit index last rose or nothing waited for a commit. */
 	readonly committedAtMs: number;
@@ -80,17 +77,14 @@
 /** Starts to watch at a monotonic time in milliseconds. */
 export function createLeadershipWatch(nowMs: number): LeadershipWatch {
 	return {
-		ledAtMs: nowMs, pendingSequence: undefined, pendingSinceMs: nowMs, commitIndex: 0, committedAtMs: nowMs,
+		ledAtMs: nowMs, commitIndex: 0, committedAtMs: nowMs,
 	};
 }
 
 const updateWatch = (watch: LeadershipWatch, {replica, lastIndex, nowMs}: LeadershipObservation): LeadershipWatch => {
-	const pendingSequence = replica.persistence.pending[0]?.sequence;
 	const isCommitting = replica.commitIndex > watch.commitIndex || replica.commitIndex >= lastIndex;
 	return {
 		...watch,
-		pendingSequence,
-		pendingSinceMs: pendingSequence !== undefined && pendingSequence === watch.pendingSequence ? watch.pendingSinceMs : nowMs,
 		commitIndex: replica.commitIndex,
 		committedAtMs: isCommitting ? nowMs : watch.committedAtMs,
 	};
@@ -126,7 +120,8 @@
 		return 'notVoter';
 	}
 
-	if (watch.pendingSequence !== undefined && nowMs - watch.pendingSinceMs >= leadershipStallMs) {
+	const [oldestWrite] = replica.persistence.pending;
+	if (oldestWrite !== undefined && nowMs - oldestWrite.sinceMs >= leadershipStallMs) {
 		return 'diskWritesPending';
 	}
 
