Replica: what waits for a full disk is limited in number

What callers saw: nothing yet; found while asking what grows while writes hang. Each write of a host with a full disk stayed in `pending`, which is copied with each further write, and each answer to a heartbeat stayed in `messages`: work that grows with the square of the time, on the leader too when it is its own disk.

Change: of more than 256 unsynced writes the newer ones join the last; what waits for it then waits for the newer one too, which is later, never too early. Of more than 64 messages for one write the oldest are dropped, as the network may.

Ruled out: that the last write starves while others join it: it is acknowledged with the batch that the disk has synced last, and the writes before it make room one by one.

--- a/packages/core/src/replica/constants.ts
+++ b/packages/core/src/replica/constants.ts
@@ -45,3 +45,11 @@
 
 /** A subscription to committed entries expires this long after the subscriber's last pull. */
 export const subscriptionTimeoutMs = 3000;
+
+/**
+ * The maximum number of unsynced writes that are told apart while the disk is slow. Later ones join the last.
+ */
+export const maximumPendingWrites = 256;
+
+/** The maximum number of messages that wait for one unsynced write. The oldest are dropped, as the network may. */
+export const maximumPendingMessages = 64;
--- a/packages/core/src/replica/persistence.ts
+++ b/packages/core/src/replica/persistence.ts
@@ -1,3 +1,4 @@
+import {maximumPendingMessages, maximumPendingWrites} from './constants.js';
 import {getLastIndex} from './log.js';
 import {
 	createSend, createStep, type AddressedMessage, type ReplicaContext, type ReplicaStep,
@@ -20,8 +21,18 @@
 	...(state.clusterId !== undefined && {clusterId: state.clusterId}),
 });
 
-const capPendingIndexes = (pending: readonly PendingPersist[], lastIndex: number) =>
-	pending.map(entry => ({...entry, lastIndex: Math.min(entry.lastIndex, lastIndex)}));
+const capPendingIndexes = (pending: readonly PendingPersist[], lastIndex: number) => lastIndex === Number.POSITIVE_INFINITY
+	? pending
+	: pending.map(entry => ({...entry, lastIndex: Math.min(entry.lastIndex, lastIndex)}));
+
+// While the disk is full, more and more writes become pending. From a number on, each new one joins the last: what waits for
+// the last then waits for the new one too.
+const addPendingWrite = (pending: readonly PendingPersist[], write: PendingPersist): readonly PendingPersist[] => {
+	const last = pending.at(-1);
+	return last === undefined || pending.length < maximumPendingWrites
+		? [...pending, write]
+		: [...pending.slice(0, -1), {...write, sinceMs: last.sinceMs, messages: last.term === write.term ? last.messages : []}];
+};
 
 /**
  * Writes the hard state together with the requested content. Without a disk, nothing is written.
@@ -40,12 +51,9 @@
 
 	const sequence = persistence.nextSequence;
 	const keptIndex = (request.truncateFrom ?? Number.POSITIVE_INFINITY) - 1;
-	const pending = [
-		...capPendingIndexes(persistence.pending, keptIndex),
-		{
-			sequence, sinceMs: nowMs, lastIndex: getLastIndex(state.log), term: state.term, messages: [],
-		},
-	];
+	const pending = addPendingWrite(capPendingIndexes(persistence.pending, keptIndex), {
+		sequence, sinceMs: nowMs, lastIndex: getLastIndex(state.log), term: state.term, messages: [],
+	});
 	return createStep({
 		...state,
 		persistence: {
@@ -60,7 +68,8 @@
 }
 
 /**
- * Sends messages once everything written so far is synced; immediately if no write is pending.
+ * Sends messages once everything written so far is synced; immediately if no write is pending. Of many
+ * messages, the oldest are dropped.
  *
  * @param messages - The messages that depend on the writes.
  */
@@ -76,7 +85,7 @@
 
 	const pending = [
 		...persistence.pending.slice(0, -1),
-		{...last, messages: [...last.messages, ...messages]},
+		{...last, messages: [...last.messages, ...messages].slice(-maximumPendingMessages)},
 	];
 	return createStep({...state, persistence: {...persistence, pending}});
 }
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -209,10 +209,11 @@
 	readonly voterChange: PendingVoterChange | undefined;
 };
 
-/** A write to disk that is not yet acknowledged, with the messages that may be sent only after it. */
+/** One or several consecutive writes that are not yet synced, with the messages that may be sent only after them. */
 export type PendingPersist = {
+	/** The number of the last of these writes. */
 	readonly sequence: number;
-	/** When the write was made, in monotonic milliseconds. */
+	/** When the first of these writes was made, in monotonic milliseconds. */
 	readonly sinceMs: number;
 	readonly lastIndex: number;
 	readonly term: number;
@@ -223,6 +224,7 @@
 export type Persistence = {
 	readonly nextSequence: number;
 	readonly persistedIndex: number;
+	/** Oldest first. Their number is limited, and so is the number of messages of each. */
 	readonly pending: readonly PendingPersist[];
 };
 
