--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -12,6 +12,7 @@
 		| 'jobs_ended_total'
 		| 'runs_assigned_total'
 		| 'runs_ended_total'
+		| 'malformed_rows_total'
 		| 'leases_lapsed_total'
 		| 'unassigned_runs_total'
 		| 'upkeeps_ordered_total'
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -297,7 +297,22 @@
 
 	const isOfNextIncarnation = ({bornAtMs}: HoldReport) => bornAtMs !== undefined && bornAtMs !== record.bornAtMs;
 
+	let hasMalformedRows = false;
+
+	// Logged once for as long as the minion lists such rows.
+	const recordMalformedRows = ({malformedRows = 0}: HoldReport) => {
+		if (malformedRows > 0) {
+			metrics.count('malformed_rows_total');
+			if (!hasMalformedRows) {
+				log.warn(`minion ${record.minion} lists ${malformedRows} rows that cannot be read; they are left out`, {minion: record.minion, life: record.life, malformedRows});
+			}
+		}
+
+		hasMalformedRows = malformedRows > 0;
+	};
+
 	const handleHoldReport = async (report: HoldReport, sentAtMs: number) => {
+		recordMalformedRows(report);
 		const wasSynced = isSynced;
 		if (!wasSynced && !(await resolveLapses())) {
 			return;
@@ -400,7 +415,7 @@
 		attribution.recordListing(doubtfulStarts, answer.clockMs);
 		await handleHoldReport(answer.value, sentAtMs);
 		// Ends that are not acknowledged are listed again at once, so the next call does not wait for one.
-		return doubtfulStarts.length > 0 ? 'pause' : 'again';
+		return doubtfulStarts.length > 0 || hasMalformedRows ? 'pause' : 'again';
 	};
 
 	let isHoldFailing = false;
--- a/packages/daemon/src/scheduler/run-listing.ts
+++ b/packages/daemon/src/scheduler/run-listing.ts
@@ -36,12 +36,13 @@
 
 /**
  * Infers the ends of runs that the listing should include and does not: runs that were stopped, and runs that started
- * and lapsed. A listing with the maximum number of ended runs may be incomplete, so nothing is inferred from it.
+ * and lapsed. A listing with the maximum number of ended runs, or with rows that could not be read, may be incomplete,
+ * so nothing is inferred from it.
  *
  * @param sentAtMs - When the listing was requested, on the monotonic clock.
  */
 export function inferMissingEnds(trackedRuns: Iterable<TrackedRun>, report: HoldReport, sentAtMs: number): readonly RunEnd[] {
-	if (report.finished.length >= maximumListedEnds) {
+	if (report.finished.length >= maximumListedEnds || (report.malformedRows ?? 0) > 0) {
 		return [];
 	}
 
--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -117,6 +117,8 @@
 	readonly bornAtMs: number | undefined;
 	readonly running: readonly RunningEntry[];
 	readonly finished: readonly FinishedEntry[];
+	/** How many rows could not be read and were left out, so that the listing may be incomplete; `undefined` if none. */
+	readonly malformedRows?: number;
 };
 
 /** Why a minion did not start a run. */
