The incarnation of a minion that answers decides, not the latest report

Callers saw: one report for the id of a good minion with `born` and the minion's own reports replaced each other twice a second ("minion i-1 joined pool"), and long-running tasks waited. A report of another id on the same worker, or at the same address, took the minion out of its pool for as long as it was repeated.

Cause: the ledger removes older incarnations of the same minion, worker or address when one joins, and a report was all it took to join. The leader then ended the runs of the minion as if it had restarted, and started their tasks elsewhere while they still ran there.

Evidence, false-reports.test.ts on the code before: 5 of the 6 kinds of false reports took runs from a minion that answers ("runs: 2" instead of 4, "starts: 6" instead of 4), and a minion that was reported falsely first was not used.

Now a reported incarnation that would replace one with a session is asked, with a hold call that changes nothing, and so are those that it would replace. Their answers say when they started. It joins if it answers as itself, or if none of them does (as before); otherwise the report is ignored and logged once. A later incarnation that does not answer and has no runs gives way to one that does, so that a false start ahead of its clock keeps no minion out. A start more than 10 minutes ahead of this host's clock is refused with 400: the clocks of hosts differ and jump by seconds. An answer without a start is believed, as before.

next-life.test.ts and late-reports.test.ts pass unchanged. Ruled out: to believe the highest plausible `born`, as a false one within the margin then wins; to ask only when the session answers, as a new leader's does not yet.

--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -8,7 +8,7 @@
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
 import type {ProposalResult} from './command-batcher.js';
-import {departurePollPeriodMs, departureTimeoutMs} from './constants.js';
+import {departurePollPeriodMs, departureTimeoutMs, maximumStartAheadMs} from './constants.js';
 import type {DemandMeter} from './demand-meter.js';
 import type {EndedIncarnations} from './ended-incarnations.js';
 import {createAcceptedJob, checkAccess, type GrantedAccess} from './job-access.js';
@@ -16,6 +16,7 @@
 import type {MinionSession} from './minion-session.js';
 import type {SchedulerPolicy} from './policy.js';
 import type {PoolView} from './pool-view.js';
+import type {ReportedIncarnations} from './reported-incarnations.js';
 import type {SessionRegistry} from './session-registry.js';
 import type {
 	CallerTarget, ClusterAnswer, ClusterCall, ConfigurationFinding, MinionReport,
@@ -36,6 +37,7 @@
 	readonly propose: (command: LedgerCommand) => Promise<ProposalResult>;
 	readonly commit: (command: LedgerCommand) => Promise<boolean>;
 	readonly endedIncarnations: EndedIncarnations;
+	readonly reportedIncarnations: ReportedIncarnations;
 	readonly checkConfiguration: (document: string) => readonly ConfigurationFinding[];
 	readonly requestPlan: () => void;
 	readonly stopUnneededRuns: () => void;
@@ -44,7 +46,7 @@
 };
 
 /** Creates the function that answers calls to one leader. */
-export function createCallHandlers({term, timers, log, metrics, sessions, demand, pools, admitJob, getLedger, getWallClock, propose, commit, endedIncarnations, checkConfiguration, requestPlan, stopUnneededRuns, onChanged}: CallHandlersOptions): (call: ClusterCall) => Promise<ClusterAnswer> {
+export function createCallHandlers({term, timers, log, metrics, sessions, demand, pools, admitJob, getLedger, getWallClock, propose, commit, endedIncarnations, reportedIncarnations, checkConfiguration, requestPlan, stopUnneededRuns, onChanged}: CallHandlersOptions): (call: ClusterCall) => Promise<ClusterAnswer> {
 	/** Submissions that are being decided. A resent job gets the answer of the first submission, so that it is not both accepted and refused. */
 	const submitting = new Map<JobId, Promise<ClusterAnswer>>();
 
@@ -175,12 +177,20 @@
 
 	const handleMinionReport = async (report: MinionReport): Promise<ClusterAnswer> => {
 		const {record} = report;
+		if (record.bornAtMs > getWallClock() + maximumStartAheadMs) {
+			return {type: 'invalidRequest', message: 'born: lies too far in the future'};
+		}
+
 		if (!getLedger().incarnations.has(record.life)) {
 			if (endedIncarnations.has(record.life)) {
 				log.info(`ignored a late report of an ended incarnation of minion ${record.minion}`, {minion: record.minion, life: record.life, worker: record.worker});
 				return {type: 'done'};
 			}
 
+			if (!await reportedIncarnations.mayJoin(record)) {
+				return {type: 'done'};
+			}
+
 			const earlierSessions = [...sessions.values()].filter(({record: known}) => known.minion === record.minion && known.address === record.address && known.bornAtMs < record.bornAtMs);
 			await Promise.all(earlierSessions.map(async session => session.handleNextIncarnation()));
 			const isJoined = await commit({type: 'minion/joined', term, record});
@@ -188,6 +198,11 @@
 				return {type: 'unavailable'};
 			}
 
+			// The ledger ignores an incarnation beside one that started later.
+			if (!getLedger().incarnations.has(record.life)) {
+				return {type: 'done'};
+			}
+
 			log.info(`minion ${record.minion} joined pool ${record.pool}`, {
 				minion: record.minion, life: record.life, pool: record.pool, worker: record.worker, address: record.address, rack: record.rack,
 			});
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -78,6 +78,12 @@
 export const departureTimeoutMs = 800;
 export const departurePollPeriodMs = 20;
 
+/**
+ * How far the start of a minion may lie in the future of this host's clock. The clocks of hosts differ and jump by
+ * seconds; minutes leave room for that, while a start beyond them is not a time that any clock of the fleet shows.
+ */
+export const maximumStartAheadMs = 600_000;
+
 /** How long reports of an ended incarnation of a minion may still arrive. */
 export const endedIncarnationRetentionMs = 60_000;
 
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -26,6 +26,7 @@
 import {defaultPolicy, type SchedulerPolicy} from './policy.js';
 import {clearPoolGauges, reportPools} from './pool-report.js';
 import {createPoolView} from './pool-view.js';
+import {createReportedIncarnations} from './reported-incarnations.js';
 import {createStragglerMitigator} from './straggler-mitigator.js';
 import type {SessionContext} from './session-context.js';
 import {createSessionRegistry} from './session-registry.js';
@@ -325,8 +326,12 @@
 		}
 	};
 
+	const reportedIncarnations = createReportedIncarnations({
+		term, log, sessions, minions, countRuns: life => getLedger().incarnations.get(life)?.runs.size ?? 0, remove: async life => commit({type: 'minion/left', term, life}),
+	});
+
 	const answer = createCallHandlers({
-		term, timers, log, metrics, sessions, demand, pools, admitJob: policy.admitJob, getLedger, getWallClock, propose, endedIncarnations, commit: commitCurrentTerm, checkConfiguration: options.checkConfiguration, requestPlan: planner.requestFullPlan, stopUnneededRuns, onChanged: sessionContext.onMinionsChanged,
+		term, timers, log, metrics, sessions, demand, pools, admitJob: policy.admitJob, getLedger, getWallClock, propose, endedIncarnations, reportedIncarnations, commit: commitCurrentTerm, checkConfiguration: options.checkConfiguration, requestPlan: planner.requestFullPlan, stopUnneededRuns, onChanged: sessionContext.onMinionsChanged,
 	});
 
 	sessions.sync();
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -47,6 +47,8 @@
 	readonly leaseMs?: number;
 	/** Longest lease that a minion accepts, in milliseconds. */
 	readonly longestHoldMs?: number;
+	/** Returns by how much the clocks of the minions' hosts are wrong now. */
+	readonly getClockError?: () => number;
 	/** Changes what the leader's calls to minions do. */
 	readonly alterPort?: (port: MinionPort) => MinionPort;
 };
@@ -98,6 +100,8 @@
 	readonly changeLeader: () => Promise<void>;
 	/** Stops the minion from answering and reporting; delayed orders arrive `arrivalMs` after it answers again. */
 	readonly silence: (index: number, durationMs: number, arrivalMs?: number) => void;
+	/** Sends a report that another writer made up from the description of the minion. */
+	readonly reportFalsely: (index: number, change: Partial<MinionRecord>) => Promise<ClusterAnswer>;
 	/** Has the minion report from now on that it is draining. */
 	readonly drain: (index: number) => void;
 	readonly crash: (index: number) => void;
@@ -190,7 +194,7 @@
 /** Starts a simulation with its first leader. */
 export function createTestWorld(options: TestWorldOptions): TestWorld {
 	const {
-		seed, minionCount = 4, lossChance = 0, failureChance = 0, standbyWorkers = 0, orderTurnMs = 3300, leaseMs = 4500, longestHoldMs = 7500, approvalChance = 1, meanLifeMs, log = silentLog, alterPort = (port: MinionPort) => port, hasWorkerOrders = standbyWorkers > 0,
+		seed, minionCount = 4, lossChance = 0, failureChance = 0, standbyWorkers = 0, orderTurnMs = 3300, leaseMs = 4500, longestHoldMs = 7500, approvalChance = 1, meanLifeMs, log = silentLog, getClockError = () => 0, alterPort = (port: MinionPort) => port, hasWorkerOrders = standbyWorkers > 0,
 	} = options;
 	const random: RandomSource = createSeededRandom(seed);
 	const timers = createVirtualTimerService(1000);
@@ -247,7 +251,7 @@
 
 	const createMinion = (worker: WorkerId, minionPool: PoolId, identity?: MinionRecord): FakeMinion => {
 		const minion = identity?.minion ?? toBrand<MinionId>(`i-${nextMinionNumber}`);
-		const bornAtMs = Math.floor(getWallClock());
+		const bornAtMs = Math.floor(getWallClock() + getClockError());
 		const record: MinionRecord = {
 			life: createIncarnationId(minion, bornAtMs),
 			minion,
@@ -872,6 +876,21 @@
 				});
 			}
 		},
+		async reportFalsely(index, change) {
+			const minion = findMinion(index);
+			if (minion === undefined || leader === undefined) {
+				return {type: 'unavailable'};
+			}
+
+			const changed = {...minion.record, ...change};
+			const record = {...changed, life: createIncarnationId(changed.minion, changed.bornAtMs)};
+			return leader.answer({
+				type: 'minion/report',
+				report: {
+					record, sequence: timers.getNow(), isDraining: false, remainingMs: undefined,
+				},
+			});
+		},
 		stall(index) {
 			const minion = findMinion(index);
 			if (minion !== undefined) {
