A frame of a peer that its handler cannot read closes the connection

Callers saw (a peer that knows the secret, for example of another build): a message without the fields that its handler reads ended the process of the host that received it.

Cause: what a handler throws left the socket's 'data' handler, and nothing catches it there. An answer that JSON cannot hold threw in the same way, and a relay's answer of null threw in the leader's port.

Now such a connection is closed, counted and logged, and the link is opened anew; a value that cannot be encoded counts as too large for a frame; a relay whose answer has no form is avoided like one that got no answer.

Limit: a replica message that makes the replica itself throw is contained here, but whether the replica goes on is decided in replica-host.ts, which this change leaves alone. In scheduler/minion-relay.test.ts one test and one outcome of its fake were added.

--- a/packages/daemon/src/peers/connection.ts
+++ b/packages/daemon/src/peers/connection.ts
@@ -48,6 +48,8 @@
 	readonly counters: PeerCounterStore;
 	readonly onHello: (from: NodeId) => void;
 	readonly onEstablished: (from: LinkEnd) => void;
+	/** Called with an error that handling a frame threw. The connection is closed then. */
+	readonly onUnexpectedError: (err: unknown) => void;
 	/** Handles a frame received after the handshake. @returns Whether the frame counts as use of the connection. */
 	readonly onFrame: (from: NodeId, frame: unknown) => boolean;
 	readonly onClosed: () => void;
@@ -74,9 +76,18 @@
 		}
 	};
 
+	// A value that JSON cannot hold, for example one that is nested too deeply, does not fit into a frame either.
+	const encode = (value: unknown): Uint8Array | undefined => {
+		try {
+			return encodeFrame(value);
+		} catch {
+			return undefined;
+		}
+	};
+
 	const write = (value: unknown, isHeartbeat = false): SendOutcome => {
-		const frame = encodeFrame(value);
-		if (frame.length > maximumFrameBytes) {
+		const frame = encode(value);
+		if (frame === undefined || frame.length > maximumFrameBytes) {
 			counters.add('oversizedMessages');
 			return 'tooLarge';
 		}
@@ -168,6 +179,18 @@
 		}
 	};
 
+	// An error must not leave the socket's handler, where it would end the process. After it the state of the link is not
+	// certain, so the connection is closed.
+	const handleFrameSafely = (frame: unknown) => {
+		try {
+			handleFrame(frame);
+		} catch (err) {
+			counters.add('malformedFrames');
+			socket.destroy();
+			options.onUnexpectedError(err);
+		}
+	};
+
 	socket.setNoDelay(true);
 	socket.on('data', (chunk: Uint8Array) => {
 		counters.add('receivedBytes', chunk.length);
@@ -184,7 +207,7 @@
 				return;
 			}
 
-			handleFrame(frame);
+			handleFrameSafely(frame);
 		}
 	});
 	socket.on('error', () => {
--- a/packages/daemon/src/peers/transport.ts
+++ b/packages/daemon/src/peers/transport.ts
@@ -145,6 +145,9 @@
 				handleEvent(node, {type: 'peerLink/established', connection: id, nowMs: timers.getNow()});
 			},
 			onFrame: handleFrame,
+			onUnexpectedError(err) {
+				options.onUnexpectedError?.(err);
+			},
 			onClosed() {
 				unauthenticated.delete(id);
 				connections.delete(id);
--- a/packages/daemon/src/peers/types.ts
+++ b/packages/daemon/src/peers/types.ts
@@ -24,7 +24,7 @@
 	readonly oversizedMessages: number;
 	/** Answers to requests that had already ended, for example by a timeout. */
 	readonly lateAnswers: number;
-	/** Connections closed because a frame was too large or not JSON. */
+	/** Connections closed because a frame was too large or not JSON, or because a handler threw. */
 	readonly malformedFrames: number;
 	/** Connections closed because of a wrong proof, an unknown node, an invalid handshake or too many open handshakes. */
 	readonly rejectedHandshakes: number;
@@ -57,6 +57,8 @@
 	readonly cfg?: PeerLinkConfig;
 	readonly onMessage: (from: NodeId, message: unknown) => void;
 	readonly onLinkChanged: (change: PeerLinkChange) => void;
+	/** Called with an error that a handler threw for a frame. The connection is closed then. */
+	readonly onUnexpectedError?: (err: unknown) => void;
 	/** Handles requests from peers. Without it every request gets an error. */
 	readonly onRequest?: (req: PeerRequest) => Promise<unknown>;
 };
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -155,6 +155,9 @@
 			}
 		},
 		onRequest: answerPeer,
+		onUnexpectedError(err) {
+			log.error('unexpected error in a message of another host', {err: describeError(err)});
+		},
 	});
 
 	const client = createClusterClient({
--- a/packages/daemon/src/scheduler/minion-relay.test.ts
+++ b/packages/daemon/src/scheduler/minion-relay.test.ts
@@ -25,7 +25,7 @@
 	retain: () => undefined,
 });
 
-type Outcome = 'answered' | 'silent' | 'unreachable' | 'lostMinion';
+type Outcome = 'answered' | 'odd' | 'silent' | 'unreachable' | 'lostMinion';
 
 const createWorld = () => {
 	const timers = createVirtualTimerService();
@@ -44,6 +44,10 @@
 						return createSuccess({type: 'answered', value: 'stopping', clockMs: 5});
 					}
 
+					case 'odd': {
+						return createSuccess(null);
+					}
+
 					case 'lostMinion': {
 						return createSuccess({type: 'noAnswer'});
 					}
@@ -109,6 +113,15 @@
 	expect(calls.length).toBe(4);
 });
 
+test('a relay whose answer has no form counts as one that got no answer, and is not used for some seconds', async () => {
+	const {calls, world, stop} = createWorld();
+	world.outcome = 'odd';
+	expect(await stop('10.0.0.1:80')).toBe('noAnswer');
+	world.outcome = 'answered';
+	expect(await stop('10.0.0.1:80')).toBe('answered');
+	expect(new Set(calls)).toEqual(new Set(hosts.map(host => `${host} 10.0.0.1:80`)));
+});
+
 test('without relays every call is direct', async () => {
 	const {calls, world, stop} = createWorld();
 	world.relays = [];
--- a/packages/daemon/src/scheduler/minion-relay.ts
+++ b/packages/daemon/src/scheduler/minion-relay.ts
@@ -63,6 +63,8 @@
 	readonly listRelays: () => readonly NodeId[];
 };
 
+const isAnswer = (value: unknown): value is MinionAnswer<unknown> => typeof value === 'object' && value !== null && 'type' in value && typeof value.type === 'string';
+
 /** Creates a port that sends the calls for each minion through one relay, chosen by the minion's address. */
 export function createRelayedMinionPort({direct, transport, timers, listRelays}: RelayedMinionPortOptions): MinionPort {
 	const rankedByAddress = new Map<string, readonly NodeId[]>();
@@ -108,8 +110,8 @@
 			to: relay, method: minionCallMethod, params: call, timeoutMs: call.order.timeoutMs + relayTimeoutMarginMs,
 		});
 		if (result.ok) {
-			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- links are authenticated, and both ends run the same build
-			return result.value as MinionAnswer<unknown>;
+			// Its value is checked by the leader's port.
+			return isAnswer(result.value) ? result.value : {type: 'noAnswer'};
 		}
 
 		return {type: result.err.type === 'peer/notSent' ? 'notSent' : 'noAnswer'};
