A minion that was lost while the leader could not act is granted no lease

Callers saw: a long-running task whose minion is lost while the leader is at a standstill (or has no majority for a moment) starts elsewhere up to 2.8 s later than after any other loss.

Cause: the first hold call after the standstill renewed the lease, and starts renewed it too, before anything had shown that the minion was still there. A grant counts from the moment it is sent, so the leader had to wait for it.

Change: after a time in which the leader could not call, the first hold call waits for nothing and grants nothing, as after a call without an answer; if the last answer is older than a whole hold call, starts wait for it too. A minion that is there answers at once and is granted time with the next call.

--- a/packages/daemon/src/scheduler/lasting-task-delay.test.ts
+++ b/packages/daemon/src/scheduler/lasting-task-delay.test.ts
@@ -3,7 +3,9 @@
  * A waiting task must run within 6 s of its last run and the 3 s after them.
  */
 import type {JobId} from '@samphiremill/common';
+import {getInheritedLeaseMs} from '@samphiremill/core';
 import {expect, test} from 'vitest';
+import {leaderTickPeriodMs} from './constants.js';
 import {createTestWorld, type TestWorld} from './test-world.js';
 
 const settleMs = 1500;
@@ -116,3 +118,36 @@
 
 	expect(Math.max(...delays)).toBeLessThan(calmLimitMs);
 }, 120_000);
+
+// Returns how long after the loss of its minion a task has started on another one.
+const measureReplacementMs = async ({pauseMs, lostAfterMs}: {readonly pauseMs: number; readonly lostAfterMs: number}) => {
+	const world = createTestWorld({seed: 61, minionCount: 3, ...leases});
+	await world.advance(settleMs);
+	world.submit([{count: 3, isLasting: true}]);
+	await world.advance(2000);
+	const startCount = world.countStarts();
+	world.pauseLeader(pauseMs);
+	await world.advance(lostAfterMs);
+	world.silence(0, 60_000);
+	const lostAtMs = world.getNow();
+	while (world.countStarts() === startCount && world.getNow() - lostAtMs < observedMs) {
+		await world.advance(sampleMs); // eslint-disable-line no-await-in-loop -- virtual time advances in steps
+	}
+
+	expect(world.listViolations()).toEqual([]);
+	return world.getNow() - lostAtMs;
+};
+
+// A lease that was granted before the loss ends within its length on a slow clock, and is found to be over at the next tick.
+const leaseEndMs = Math.ceil(getInheritedLeaseMs(leases.leaseMs)) + leaderTickPeriodMs + sampleMs;
+
+test('a minion that is lost while the leader can not act is granted no other lease afterwards', async () => {
+	const delays: number[] = [];
+	for (const pauseMs of [1500, 2000, 2500]) {
+		for (const lostAfterMs of [300, 500, 700, 1000, 1300]) {
+			delays.push(await measureReplacementMs({pauseMs, lostAfterMs})); // eslint-disable-line no-await-in-loop -- one simulation at a time
+		}
+	}
+
+	expect(delays.filter(delayMs => delayMs > leaseEndMs)).toEqual([]);
+}, 120_000);
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -101,9 +101,15 @@
 	let pendingEndsCommit: Promise<void> | undefined;
 	/** Whether the last hold call got no answer. */
 	let isSilent = false;
+	/** Whether the leader could not act when the next hold call was due. */
+	let isCallOverdue = false;
+	let lastAnswerAtMs: number = timers.getNow();
 	const isOpen = () => !isClosed;
 	const isDraining = () => context.getLedger().incarnations.get(record.life)?.isDraining ?? false;
 
+	// While the leader could not act, nothing showed whether the minion is still there. A start would grant it time.
+	const isUnproven = () => isCallOverdue && timers.getNow() - lastAnswerAtMs >= holdWaitMs + holdTimeoutMarginMs;
+
 	const isAnswering = () => isSynced && !isSilent && timers.getNow() - lastContactAtMs < holdWaitMs + holdTimeoutMarginMs;
 
 	const getUnusableReason = (): UnusableReason | undefined => {
@@ -137,7 +143,7 @@
 
 	// A minion that does not answer or is superseded may have started a new incarnation, on which no session would
 	// track the run. A minion that has not listed its runs since its lease expired may still start lapsed runs.
-	const canSendStarts = () => isSynced && !isSilent && !lateStartGuard.isSuperseded();
+	const canSendStarts = () => isSynced && !isSilent && !isUnproven() && !lateStartGuard.isSuperseded();
 
 	const isCurrent = (trackedRun: TrackedRun) => !isClosed
 		&& trackedRuns.get(trackedRun.assignment.task) === trackedRun
@@ -154,6 +160,7 @@
 	const recordAnswer = (answer: MinionAnswer<unknown>) => {
 		if (answer.type === 'answered') {
 			lastContactAtMs = timers.getNow();
+			lastAnswerAtMs = lastContactAtMs;
 			lease.recordClock(answer.clockMs);
 		}
 	};
@@ -363,12 +370,14 @@
 
 		const sentAtMs = timers.getNow();
 		// After a failed call the next one does not wait, so that the lease is renewed as soon as the minion answers.
-		const waitMs = isSynced && !isSilent ? getHoldWaitMs() : 0;
+		// Nor is a minion granted time that may have been lost while the leader could not act.
+		const isProven = isSynced && !isSilent && !isCallOverdue;
+		const waitMs = isProven ? getHoldWaitMs() : 0;
 		const answer = await minions.hold({
 			target,
 			fencingToken,
 			lastSeen: chooseAcknowledgement(doubtfulStarts),
-			deadlineMs: isSynced && !isSilent ? lease.grant() : undefined,
+			deadlineMs: isProven ? lease.grant() : undefined,
 			waitMs,
 			timeoutMs: waitMs + holdTimeoutMarginMs,
 		});
@@ -378,6 +387,7 @@
 
 		recordAnswer(answer);
 		updateSilence(answer);
+		isCallOverdue = false;
 		if (answer.type === 'otherLife') {
 			await removeIncarnation('another incarnation answers at its address');
 			return 'pause';
@@ -405,6 +415,7 @@
 
 	const runHoldLoop = async () => {
 		while (isOpen()) {
+			isCallOverdue ||= !context.canAct();
 			const next = context.canAct() ? await sendHold() : 'pause'; // eslint-disable-line no-await-in-loop -- hold calls are sequential
 			if (next === 'pause') {
 				await waitFor(timers, holdRetryDelayMs); // eslint-disable-line no-await-in-loop -- hold calls are sequential
