A wave does not stop a task that may have begun to serve beyond its budget

Callers saw: two tasks of a step that may miss one were unavailable at once, through maintenance alone. A task that the leader did not know to serve was stopped whatever its budget said, since it already counted as unavailable. But the leader learns up to 0.7 s late that a task serves, so it stopped tasks 0.3 s after their start, when they served already, while another task of the step waited.

Change: such a task is stopped only if no more of its step are unavailable than the budget allows. It is not counted twice any more either, so a step that may miss two can have two tasks moved at once.

--- a/packages/core/src/scheduler/plan-maintenance.test.ts
+++ b/packages/core/src/scheduler/plan-maintenance.test.ts
@@ -11,7 +11,7 @@
 	addTestJob, addTestMinion, assignTestRuns, testNowMs,
 } from './test-fleet.js';
 import {
-	applyLedgerCommand, createLedger, createTaskId, planMaintenance, type Ledger,
+	applyLedgerCommand, createLedger, createTaskId, planMaintenance, type IncarnationId, type Ledger, type TaskId,
 } from './index.js';
 
 const counter = toBrand<PoolId>('counter');
@@ -143,3 +143,38 @@
 		nowhereElseNearDueTime: {stops: 1, isCordoned: true, isBlocked: false},
 	});
 });
+
+test('a task that may have begun to serve is not stopped for maintenance while the budget of its step is used up', () => {
+	const ledger = createLedger();
+	const minion = addTestMinion(ledger, 'a');
+	const other = addTestMinion(ledger, 'b');
+	const job = addTestJob(ledger, '1', {count: 2, isLasting: true, disruptionBudget: 1});
+	const [starting, waiting] = [0, 1].map(index => createTaskId({
+		job, occurrence: 0, step: 0, index,
+	}));
+	const {worker, life} = minion.record;
+	const plan = () => planMaintenance({
+		ledger,
+		nowMs: testNowMs,
+		workers: new Map([[worker, {worker, life, isUp: true}]]),
+		switchedOff: new Set(),
+		isPoolLoaded: () => false,
+		cordoned: new Set([worker]),
+		isServing: ({id}) => id === waiting && ledger.incarnations.get(other.record.life)?.runs.size === 1,
+		...withoutTasks,
+		listMinions: () => [other],
+	}).evictions.map(({id}) => id);
+	applyLedgerCommand(ledger, {
+		type: 'wave/started', wave: {
+			wave, workers: [worker], maximumAtOnce: 1, startedAtMs: testNowMs, dueAtMs: testNowMs + 60_000,
+		},
+	}, parse);
+	const assign = (task: TaskId | undefined, to: IncarnationId) => {
+		assignTestRuns(ledger, task === undefined ? [] : [{task, run: 1, life: to}]);
+	};
+
+	assign(starting, life);
+	expect(plan()).toEqual([]);
+	assign(waiting, other.record.life);
+	expect(plan()).toEqual([starting]);
+});
--- a/packages/core/src/scheduler/plan-maintenance.ts
+++ b/packages/core/src/scheduler/plan-maintenance.ts
@@ -120,18 +120,6 @@
 	}
 };
 
-const planEvictions = ({input, budgets}: PlanContext, tasks: readonly Task[]): readonly Task[] => {
-	const evictions: Task[] = [];
-	for (const task of tasks) {
-		if (!input.isServing(task) || getBudget(input, budgets, task) > 0) {
-			consumeBudget(input, budgets, task);
-			evictions.push(task);
-		}
-	}
-
-	return evictions;
-};
-
 const groupByStep = (tasks: readonly Task[]): ReadonlyArray<readonly [Task, ...Task[]]> => {
 	const groups = new Map<StepProgress | undefined, [Task, ...Task[]]>();
 	for (const task of tasks) {
@@ -152,8 +140,28 @@
 // Whether the budgets ever allow all of the tasks to be stopped at once.
 const couldStopTogether = (tasks: readonly Task[]) => groupByStep(tasks).every(group => group.length <= getAllowed(group[0]));
 
-const canStopTogether = ({input, budgets}: PlanContext, tasks: readonly Task[]) => groupByStep(tasks.filter(task => input.isServing(task)))
-	.every(group => group.length <= getBudget(input, budgets, group[0]));
+const canStopTogether = ({input, budgets}: PlanContext, tasks: readonly Task[]) => groupByStep(tasks)
+	.every(group => group.filter(task => input.isServing(task)).length <= getBudget(input, budgets, group[0]));
+
+const reserveBudgets = ({input, budgets}: PlanContext, tasks: readonly Task[]) => {
+	for (const task of tasks.filter(candidate => input.isServing(candidate))) {
+		consumeBudget(input, budgets, task);
+	}
+};
+
+// A task that is not known to serve may have begun to since the last listing. So it is stopped only while the budget is kept
+// as well; it is already counted as unavailable.
+const planEvictions = (context: PlanContext, tasks: readonly Task[]): readonly Task[] => {
+	const evictions: Task[] = [];
+	for (const task of tasks) {
+		if (canStopTogether(context, [task])) {
+			reserveBudgets(context, [task]);
+			evictions.push(task);
+		}
+	}
+
+	return evictions;
+};
 
 /** Whether a worker is up with another incarnation than the one that its maintenance ended. */
 export function isBackFromMaintenance({life, begunAtMs}: MaintenanceOrder, view: WorkerView | undefined): boolean {
@@ -237,12 +245,6 @@
 	return claims;
 };
 
-const reserveBudgets = ({input, budgets}: PlanContext, tasks: readonly Task[]) => {
-	for (const task of tasks.filter(candidate => input.isServing(candidate))) {
-		consumeBudget(input, budgets, task);
-	}
-};
-
 const planDrain = (context: PlanContext, candidate: Candidate, isUrgent: boolean): DrainPlan => {
 	const {input, relocation, needed} = context;
 	const {view: {worker}, isCordoned, lasting, runCount} = candidate;
