Voters: a host that is gone is replaced within four seconds of its replacement's start

What callers saw: nobody could commit after a second loss with its disk, within seconds of a first one that had been made good. Causes: a voter that was gone stayed for 6 s although a spare host was there; then the spare was added (four voters, quorum of three, one of them gone) and the other removed at a check 500 ms later; a learner that died blocked all other changes for 60 s, and so did, to the end of its request, a change of an earlier term; a voter that was linked and whose disk had failed was never replaced.

A change may replace a voter (add with replaces, or a new folder of the same node). First the learner catches up, then the old voter leaves, then the new one joins, in two entries one after another, each after the one before is committed. The old one leaves first: a set without it needs no host more than the set with it; the set of both would. Progress counts for a voter only if it is of its store id (voter-progress.ts), so the acknowledgements of a new folder never count for the old identity: in commits, leases, reads, contact, and transfers. A learner is caught up once it syncs within half an election timeout what was committed when that time began; before, one with a longer way than a majority could stay behind for ever under load. It is given up after 2 s in which it synced nothing. chooseVoterChange (now in core, so that the model can use it) replaces an absent voter if a host is there, and keeps it if none is. Absent is a voter that was unreachable, or has synced nothing although entries waited, for 2.5 s. The leader checks each 250 ms and after each change; a change of an earlier term blocks nothing.

With progress counted by node alone the test of the emptied disk fails with 'expected 13 to be 11' (the commit index).

Ruled out as the mend: replacing one identity by the other in a single entry. A vote of the old folder that is still on its way could then form a majority that shares no voter with one of the new set.

Open: a process that has just started counts an absence from its start, it does not ask the others.

--- a/packages/core/src/replica/constants.ts
+++ b/packages/core/src/replica/constants.ts
@@ -37,6 +37,9 @@
 /** The number of proposals that a replica still recognises after their entries were compacted. */
 export const maximumRememberedRequests = 512;
 
+/** A voter change is aborted if its learner has synced nothing for so long, so that another host can take its place. */
+export const learnerStallTimeoutMs = 2000;
+
 /** A snapshot transfer without progress is aborted after this time. */
 export const snapshotStallTimeoutMs = 2000;
 
--- a/packages/core/src/replica/index.ts
+++ b/packages/core/src/replica/index.ts
@@ -12,5 +12,7 @@
 export {
 	applyPersistedWrite, createPersistedState, getRecoveredReplica, type PersistedWrite, type PersistedState,
 } from './persisted-state.js';
+export {chooseVoterChange, type VoterChangeInput} from './choose-voter-change.js';
 export {getConfirmedSendMs, hasLeaderLease} from './leader-lease.js';
+export {listStalledVoters} from './voter-progress.js';
 export type {ReplicaContext, ReplicaStep} from './replica-step.js';
--- a/packages/core/src/replica/leader-lease.ts
+++ b/packages/core/src/replica/leader-lease.ts
@@ -1,6 +1,7 @@
 import {getQuorumValue} from './quorum.js';
 import type {ReplicaContext} from './replica-step.js';
 import type {ReplicaState} from './types.js';
+import {getVoterProgress} from './voter-progress.js';
 
 /**
  * Returns when the newest round that a majority has acknowledged was sent, in monotonic milliseconds.
@@ -8,9 +9,9 @@
  * @param state - A leader.
  */
 export function getConfirmedSendMs<Command>(state: ReplicaState<Command>, {cfg, nowMs}: ReplicaContext): number {
-	return getQuorumValue(state.voters.map(({node}) => node === cfg.self
+	return getQuorumValue(state.voters.map(voter => voter.node === cfg.self
 		? nowMs
-		: state.leadership?.progress.get(node)?.ackedSentAtMs ?? Number.NEGATIVE_INFINITY));
+		: getVoterProgress(state.leadership, voter)?.ackedSentAtMs ?? Number.NEGATIVE_INFINITY));
 }
 
 /**
--- a/packages/core/src/replica/leader-stall.ts
+++ b/packages/core/src/replica/leader-stall.ts
@@ -4,9 +4,10 @@
 import type {NodeId} from '@samphiremill/common';
 import {hasLeaderLease} from './leader-lease.js';
 import {getLastIndex} from './log.js';
-import {getQuorumValue} from './quorum.js';
+import {getQuorumValue, hasVoter} from './quorum.js';
 import type {ReplicaContext} from './replica-step.js';
 import type {Leadership, ReplicaConfig, ReplicaState} from './types.js';
+import {getVoterProgress} from './voter-progress.js';
 
 /**
  * Returns the index up to which a majority of voters has synced entries.
@@ -14,9 +15,9 @@
  * @param state - A leader.
  */
 export function getSyncedIndex<Command>(state: ReplicaState<Command>, cfg: ReplicaConfig): number {
-	return getQuorumValue(state.voters.map(({node}) => node === cfg.self
+	return getQuorumValue(state.voters.map(voter => voter.node === cfg.self
 		? state.persistence.persistedIndex
-		: state.leadership?.progress.get(node)?.matchIndex ?? 0));
+		: getVoterProgress(state.leadership, voter)?.matchIndex ?? 0));
 }
 
 /**
@@ -44,7 +45,7 @@
 }
 
 /**
- * Counts a chunk of the snapshot that a voter has received as progress: its other entries follow once it has the whole
+ * Counts a chunk of the snapshot that a peer has received as progress, of a voter also as progress of the leader: its other entries follow once it has the whole
  * snapshot, and no other voter could send it any sooner.
  */
 export function recordSnapshotProgress<Command>(
@@ -52,10 +53,21 @@
 	{nowMs}: ReplicaContext,
 	{from, offset}: {readonly from: NodeId; readonly offset: number},
 ): ReplicaState<Command> {
-	const {leadership, voters} = state;
-	return leadership === undefined || offset === 0 || voters.every(({node}) => node !== from)
-		? state
-		: {...state, leadership: {...leadership, activity: {...leadership.activity, progressedAtMs: nowMs, leaseHeldAtMs: nowMs}}};
+	const {leadership} = state;
+	const progress = leadership?.progress.get(from);
+	if (leadership === undefined || progress === undefined || offset === 0) {
+		return state;
+	}
+
+	const isVoter = hasVoter(state.voters, {node: from, storeId: progress.storeId});
+	return {
+		...state,
+		leadership: {
+			...leadership,
+			progress: leadership.progress.set(from, {...progress, syncedAtMs: nowMs}),
+			activity: isVoter ? {...leadership.activity, progressedAtMs: nowMs, leaseHeldAtMs: nowMs} : leadership.activity,
+		},
+	};
 }
 
 /** Returns whether a leader is to give way to others. */
--- a/packages/core/src/replica/reads.ts
+++ b/packages/core/src/replica/reads.ts
@@ -10,6 +10,7 @@
 import type {
 	PendingLeaderRead, ReplicaEffect, ReplicaState, RequestId,
 } from './types.js';
+import {getVoterProgress} from './voter-progress.js';
 
 const answerRead = <Command>(
 	state: ReplicaState<Command>,
@@ -118,9 +119,9 @@
 		return createStep(state);
 	}
 
-	const acked = getQuorumValue(state.voters.map(({node}) => node === context.cfg.self
+	const acked = getQuorumValue(state.voters.map(voter => voter.node === context.cfg.self
 		? leadership.round
-		: leadership.progress.get(node)?.ackedRound ?? 0));
+		: getVoterProgress(leadership, voter)?.ackedRound ?? 0));
 	const ready = leadership.reads.filter(({round}) => round <= acked);
 	if (ready.isEmpty()) {
 		return createStep(state);
--- a/packages/core/src/replica/replica.model.test.ts
+++ b/packages/core/src/replica/replica.model.test.ts
@@ -30,7 +30,7 @@
 		| {readonly type: 'cut'; readonly from: string; readonly to: string}
 		| {readonly type: 'isolate' | 'powerLoss'; readonly nodes: readonly string[]}
 		| {readonly type: 'heal'}
-		| {readonly type: 'wipe' | 'readmit' | 'remove'; readonly node: string}
+		| {readonly type: 'wipe' | 'readmit' | 'replace' | 'remove'; readonly node: string}
 		| {readonly type: 'run'; readonly durationMs: number};
 
 const anyNode = fc.constantFrom(...names);
@@ -44,7 +44,7 @@
 	{weight: 2, arbitrary: fc.record({type: fc.constant('isolate' as const), nodes: fc.uniqueArray(anyNode, {minLength: 1, maxLength: 4})})},
 	{weight: 2, arbitrary: fc.record({type: fc.constant('powerLoss' as const), nodes: fc.uniqueArray(anyVoter, {minLength: 3, maxLength: 5})})},
 	{weight: 2, arbitrary: fc.constant({type: 'heal' as const})},
-	{weight: 1, arbitrary: fc.record({type: fc.constantFrom('wipe' as const, 'readmit' as const, 'remove' as const), node: anyVoter})},
+	{weight: 1, arbitrary: fc.record({type: fc.constantFrom('wipe' as const, 'readmit' as const, 'replace' as const, 'remove' as const), node: anyVoter})},
 	{weight: 10, arbitrary: fc.record({type: fc.constant('run' as const), durationMs: fc.constantFrom(7, 60, 300, 900, 2500)})},
 );
 
@@ -127,6 +127,14 @@
 		readmit({node}) {
 			readmit(wipedNode ?? node, network.getLeader() ?? node);
 		},
+		replace({node}) {
+			const storeId = network.getStoreId('s1');
+			if (storeId !== undefined) {
+				network.changeVoters(network.getLeader() ?? node, {
+					type: 'add', voter: {node: toBrand<NodeId>('s1'), storeId}, replaces: toBrand<NodeId>(node),
+				});
+			}
+		},
 		remove({node}) {
 			if (wipedNode === undefined && !isVoterRemoved) {
 				isVoterRemoved = true;
--- a/packages/core/src/replica/replication.ts
+++ b/packages/core/src/replica/replication.ts
@@ -9,7 +9,7 @@
 } from './log.js';
 import type {AppendedMessage} from './messages.js';
 import {persistState} from './persistence.js';
-import {getQuorumValue} from './quorum.js';
+import {getQuorumValue, hasVoter} from './quorum.js';
 import {
 	chainSteps, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
@@ -20,8 +20,9 @@
 import type {
 	Leadership, LogEntry, LogPayload, PeerProgress, ReplicaConfig, ReplicaState, StoreId, VoterIdentity,
 } from './types.js';
+import {getVoterProgress} from './voter-progress.js';
 
-const createProgress = (storeId: StoreId, lastIndex: number): PeerProgress => ({
+const createProgress = (storeId: StoreId, lastIndex: number, sinceMs: number): PeerProgress => ({
 	storeId,
 	nextIndex: lastIndex + 1,
 	matchIndex: 0,
@@ -29,6 +30,7 @@
 	inFlight: 0,
 	ackedRound: 0,
 	lastAckMs: 0,
+	syncedAtMs: sinceMs,
 	ackedSentAtMs: Number.NEGATIVE_INFINITY,
 	echo: undefined,
 });
@@ -39,8 +41,7 @@
 	cfg: ReplicaConfig,
 ): readonly VoterIdentity[] => {
 	const learner = voterChange?.change.type === 'add' ? voterChange.change.voter : undefined;
-	const hasLearner = learner !== undefined && state.voters.every(({node}) => node !== learner.node);
-	const peers = hasLearner ? [...state.voters, learner] : state.voters;
+	const peers = learner === undefined ? state.voters : [...state.voters.filter(({node}) => node !== learner.node), learner];
 	return peers.filter(({node}) => node !== cfg.self);
 };
 
@@ -49,7 +50,7 @@
  *
  * @param state - A leader.
  */
-export function reconcileProgress<Command>(state: ReplicaState<Command>, {cfg}: ReplicaContext): ReplicaState<Command> {
+export function reconcileProgress<Command>(state: ReplicaState<Command>, {cfg, nowMs}: ReplicaContext): ReplicaState<Command> {
 	const {leadership} = state;
 	if (leadership === undefined) {
 		return state;
@@ -63,10 +64,12 @@
 	}
 
 	const lastIndex = getLastIndex(state.log);
-	const progress = ImmutableMap(peers.map(({node, storeId}) => {
-		const known = leadership.progress.get(node);
-		// A node that returns with a new data folder starts with empty progress.
-		return [node, known?.storeId === storeId ? known : createProgress(storeId, lastIndex)] as const;
+	const progress = ImmutableMap(peers.map(peer => {
+		const {node, storeId} = peer;
+		// A node that returns with a new data folder starts with empty progress. If its change is aborted, the voter with the
+		// old folder has been silent all the time.
+		const sinceMs = hasVoter(state.voters, peer) ? leadership.startedAtMs : nowMs;
+		return [node, getVoterProgress(leadership, peer) ?? createProgress(storeId, lastIndex, sinceMs)] as const;
 	}));
 	return {...state, leadership: {...leadership, progress}};
 }
@@ -156,8 +159,8 @@
 		return createStep(state);
 	}
 
-	const quorumContactMs = getQuorumValue(state.voters.map(({node}) =>
-		node === cfg.self ? nowMs : getLastAckMs(leadership.progress.get(node), leadership)));
+	const quorumContactMs = getQuorumValue(state.voters.map(voter =>
+		voter.node === cfg.self ? nowMs : getLastAckMs(getVoterProgress(leadership, voter), leadership)));
 	if (nowMs - quorumContactMs > cfg.limits.electionTimeoutMs) {
 		return createStep({...transitionRole(state, {type: 'quorumLost'}), electionDeadlineMs: getElectionDeadline(context)});
 	}
@@ -174,7 +177,7 @@
 const updateProgress = (
 	progress: PeerProgress,
 	message: AppendedMessage,
-	{nowMs, sentAtMs}: {readonly nowMs: number; readonly sentAtMs: number | undefined},
+	{nowMs, sentAtMs, commitIndex}: {readonly nowMs: number; readonly sentAtMs: number | undefined; readonly commitIndex: number},
 ): PeerProgress => {
 	const acknowledged = {
 		...progress,
@@ -193,9 +196,11 @@
 	}
 
 	const receivedIndex = Math.max(progress.receivedIndex, message.receivedIndex);
+	const matchIndex = Math.max(progress.matchIndex, message.matchIndex);
 	return {
 		...acknowledged,
-		matchIndex: Math.max(progress.matchIndex, message.matchIndex),
+		matchIndex,
+		syncedAtMs: matchIndex > progress.matchIndex || matchIndex >= commitIndex ? nowMs : progress.syncedAtMs,
 		receivedIndex,
 		nextIndex: Math.max(progress.nextIndex, receivedIndex + 1),
 	};
@@ -250,7 +255,7 @@
 
 	const sentAtMs = leadership.roundSentAtMs.find(({round}) => round === message.round)?.sentAtMs;
 	return chainSteps(
-		createStep(setProgress(state, from, updateProgress(progress, message, {nowMs: context.nowMs, sentAtMs}))),
+		createStep(setProgress(state, from, updateProgress(progress, message, {nowMs: context.nowMs, sentAtMs, commitIndex: state.commitIndex}))),
 		next => commitAndNotifyPeers(next, context),
 		next => renewOwnConfigurationLease(next, context),
 		next => sendNewEntries(next, context, from),
--- a/packages/core/src/replica/test-network.ts
+++ b/packages/core/src/replica/test-network.ts
@@ -78,11 +78,17 @@
 /** A running test network. */
 export type TestNetwork = {
 	readonly getNowMs: () => number;
+	/** The time on the clock of the node's process. */
+	readonly getLocalMs: (name: string) => number;
 	readonly getState: (name: string) => ReplicaState<string>;
 	readonly getApplied: (name: string) => readonly string[];
 	readonly getLeader: () => string | undefined;
 	readonly getFreshness: (name: string) => ReturnType<typeof getConfigurationFreshness>;
 	readonly getOutcome: (id: RequestId) => TestOutcome | undefined;
+	/** Whether the node runs and its disk works. */
+	readonly isHealthy: (name: string) => boolean;
+	/** Whether both nodes run and messages pass in both directions. */
+	readonly isLinked: (left: string, right: string) => boolean;
 	readonly getStoreId: (name: string) => StoreId | undefined;
 	/** Counts from the start, in bytes of JSON. */
 	readonly getTraffic: (name: string) => NodeTraffic;
@@ -387,12 +393,16 @@
 
 	return {
 		getNowMs: () => nowMs,
+		getLocalMs,
 		getState: name => getNode(name).state,
 		getApplied: name => getNode(name).applied.filter(command => command !== ''),
 		getLeader: () => [...nodes].filter(([, node]) => node.isUp && node.state.role === 'leader')
 			.toSorted(([, left], [, right]) => right.state.term - left.state.term)[0]?.[0],
 		getFreshness: name => getConfigurationFreshness(getNode(name).state, {nowMs: getLocalMs(name), leaseMs: limits.configurationLeaseMs}),
 		getOutcome: id => outcomes.get(id),
+		isHealthy: name => getNode(name).isUp && !getNode(name).hasFailedDisk,
+		isLinked: (left, right) => getNode(left).isUp && getNode(right).isUp
+			&& !blockedLinks.has(`${left}>${right}`) && !blockedLinks.has(`${right}>${left}`),
 		getStoreId: name => getNode(name).cfg.storeId,
 		getTraffic: name => traffic.get(name) ?? emptyTraffic,
 		run(durationMs) {
--- /dev/null
+++ b/packages/core/src/replica/test-voter-maintenance.ts
@@ -0,0 +1,100 @@
+/**
+ * Maintains the set of voters of a test network as control hosts do.
+ */
+import {toBrand, type NodeId} from '@samphiremill/common';
+import {chooseVoterChange} from './choose-voter-change.js';
+import type {TestNetwork} from './test-network.js';
+import type {RequestId, StoreId, VoterChange} from './types.js';
+import {listStalledVoters} from './voter-progress.js';
+
+const stepMs = 50;
+const checkPeriodMs = 250;
+const proposalPeriodMs = 200;
+const absenceTimeoutMs = 2500;
+const failedVoterRetryDelayMs = 2000;
+
+/** The limits of control hosts, a few milliseconds apart. */
+export const controlHostLimits = {
+	heartbeatPeriodMs: 100, electionTimeoutMs: 600, leaderLeaseMs: 450, commitHeartbeatIntervalMs: 100,
+};
+
+/** A test network whose leader maintains the set of voters, and proposes a command now and then. */
+export type MaintainedNetwork = {
+	/** Runs the network and calls `check` every 50 ms. */
+	readonly run: (durationMs: number, check?: () => void) => void;
+};
+
+/** Starts to maintain the voters of a network. All nodes with disks count as hosts that joined. */
+export function createMaintainedNetwork({network, names, wantedVoters}: {
+	readonly network: TestNetwork;
+	readonly names: readonly string[];
+	readonly wantedVoters: number;
+}): MaintainedNetwork {
+	const linkedAtMs = new Map<string, number>();
+	const startedByTerm = new Map<number, {readonly id: RequestId; readonly change: VoterChange}>();
+	const retryAtMs = new Map<NodeId, number>();
+	let proposalCount = 0;
+
+	const recordLinks = () => {
+		for (const left of names) {
+			for (const right of names.filter(name => network.isLinked(left, name))) {
+				linkedAtMs.set(`${left}>${right}`, network.getNowMs());
+			}
+		}
+	};
+
+	const maintain = (leader: string) => {
+		const {term, voters} = network.getState(leader);
+		const started = startedByTerm.get(term);
+		const outcome = started && network.getOutcome(started.id);
+		if (started !== undefined && outcome === undefined) {
+			return;
+		}
+
+		startedByTerm.delete(term);
+		if (outcome?.type === 'failed' && started?.change.type === 'add') {
+			retryAtMs.set(started.change.voter.node, network.getNowMs() + failedVoterRetryDelayMs);
+		}
+
+		const self = toBrand<NodeId>(leader);
+		const stalled = listStalledVoters(network.getState(leader), {self, nowMs: network.getLocalMs(leader), timeoutMs: absenceTimeoutMs});
+		const isUnlinked = (node: NodeId) => network.getNowMs() - (linkedAtMs.get(`${leader}>${node}`) ?? 0) > absenceTimeoutMs;
+		const change = chooseVoterChange({
+			self,
+			voters,
+			hosts: names.map(name => ({node: toBrand<NodeId>(name), storeId: network.getStoreId(name) ?? toBrand<StoreId>('')}))
+				.filter(({node}) => network.getNowMs() >= (retryAtMs.get(node) ?? 0)),
+			wantedVoters,
+			isReachable: node => node === self || network.isLinked(leader, node),
+			isAbsent: node => node !== self && (isUnlinked(node) || stalled.some(voter => voter.node === node)),
+		});
+		if (change !== undefined) {
+			startedByTerm.set(term, {id: network.changeVoters(leader, change), change});
+		}
+	};
+
+	const step = () => {
+		network.run(stepMs);
+		recordLinks();
+		const nowMs = network.getNowMs();
+		for (const leader of names.filter(name => network.hasLeaderLease(name))) {
+			if (nowMs % checkPeriodMs === 0) {
+				maintain(leader);
+			}
+
+			if (nowMs % proposalPeriodMs === 0) {
+				proposalCount += 1;
+				network.propose(leader, `command ${proposalCount}`);
+			}
+		}
+	};
+
+	return {
+		run(durationMs, check) {
+			for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
+				step();
+				check?.();
+			}
+		},
+	};
+}
--- a/packages/core/src/replica/transfer.ts
+++ b/packages/core/src/replica/transfer.ts
@@ -8,16 +8,17 @@
 	createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
 import type {ReplicaState} from './types.js';
+import {getVoterProgress} from './voter-progress.js';
 
 const chooseTarget = <Command>(state: ReplicaState<Command>, context: ReplicaContext, to?: NodeId): NodeId | undefined => {
 	const {leadership} = state;
-	const voters = state.voters.map(({node}) => node).filter(node => node !== context.cfg.self);
+	const voters = state.voters.filter(({node}) => node !== context.cfg.self);
 	if (to !== undefined) {
-		return voters.includes(to) ? to : undefined;
+		return voters.some(({node}) => node === to) ? to : undefined;
 	}
 
 	return voters.toSorted((left, right) =>
-		(leadership?.progress.get(right)?.matchIndex ?? 0) - (leadership?.progress.get(left)?.matchIndex ?? 0))[0];
+		(getVoterProgress(leadership, right)?.matchIndex ?? 0) - (getVoterProgress(leadership, left)?.matchIndex ?? 0))[0]?.node;
 };
 
 /**
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -157,6 +157,8 @@
 	readonly inFlight: number;
 	readonly ackedRound: number;
 	readonly lastAckMs: number;
+	/** When the peer last reported newly synced entries, or that it had synced everything committed. */
+	readonly syncedAtMs: number;
 	/** When the newest acknowledged round was sent, in monotonic milliseconds. */
 	readonly ackedSentAtMs: number;
 	/** When the peer sent its newest answer, on the peer's own clock. */
@@ -165,15 +167,28 @@
 
 /** A change to the voter set. */
 export type VoterChange
-	= | {readonly type: 'add'; readonly voter: VoterIdentity}
-		| {readonly type: 'remove'; readonly node: NodeId};
+	= | {
+		readonly type: 'add';
+		readonly voter: VoterIdentity;
+		/** A voter that leaves the set when the new one joins it. */
+		readonly replaces?: NodeId;
+	}
+	| {readonly type: 'remove'; readonly node: NodeId};
+
+/** The entries that a learner has to sync in a short time to count as caught up. */
+export type CatchUpRound = {
+	readonly index: number;
+	readonly startedAtMs: number;
+};
 
 /** A voter change that the leader is carrying out, in one or two steps. */
 export type PendingVoterChange = {
 	readonly requestId: RequestId;
 	readonly from: NodeId;
 	readonly change: VoterChange;
+	readonly startedAtMs: number;
 	readonly deadlineMs: number;
+	readonly catchUpRound?: CatchUpRound;
 	/** The index of the last step's entry; absent while a learner catches up. */
 	readonly entryIndex?: number;
 	readonly isLastStep: boolean;
--- a/packages/core/src/replica/voter-changes.ts
+++ b/packages/core/src/replica/voter-changes.ts
@@ -1,5 +1,5 @@
 import type {NodeId} from '@samphiremill/common';
-import {requestResendIntervalMs} from './constants.js';
+import {learnerStallTimeoutMs, requestResendIntervalMs} from './constants.js';
 import {getLastIndex} from './log.js';
 import type {ForwardedMessage} from './messages.js';
 import {hasVoter} from './quorum.js';
@@ -8,8 +8,9 @@
 	chainSteps, createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
 import type {
-	PendingVoterChange, ReplicaState, RequestId, VoterChange, VoterChangeFailure, VoterIdentity,
+	CatchUpRound, PeerProgress, PendingVoterChange, ReplicaState, RequestId, VoterChange, VoterChangeFailure, VoterIdentity,
 } from './types.js';
+import {getVoterProgress} from './voter-progress.js';
 
 type VoterRequest = {
 	readonly requestId: RequestId;
@@ -70,9 +71,13 @@
 	return appendAsLeader(setVoterChange(state, context, {...pending, entryIndex}), context, [{type: 'voters', voters}]);
 };
 
-const isChangeApplied = <Command>(state: ReplicaState<Command>, change: VoterChange) => change.type === 'add'
-	? hasVoter(state.voters, change.voter)
-	: state.voters.every(({node}) => node !== change.node);
+// The voters that leave the set: the node's earlier data folder, and the voter that the new one replaces.
+const listLeaving = <Command>({voters}: ReplicaState<Command>, change: VoterChange): readonly VoterIdentity[] => change.type === 'add'
+	? voters.filter(({node, storeId}) => node === change.replaces || (node === change.voter.node && storeId !== change.voter.storeId))
+	: voters.filter(({node}) => node === change.node);
+
+const isChangeApplied = <Command>(state: ReplicaState<Command>, change: VoterChange) =>
+	listLeaving(state, change).length === 0 && (change.type === 'remove' || hasVoter(state.voters, change.voter));
 
 const findRejectionReason = <Command>(state: ReplicaState<Command>, remaining: readonly VoterIdentity[]): VoterChangeFailure | undefined => {
 	const {leadership, commitIndex, votersIndex} = state;
@@ -107,18 +112,20 @@
 		return answerRequest(state, context, {...request, outcome: {type: 'committed', index: state.votersIndex}});
 	}
 
-	const node = change.type === 'add' ? change.voter.node : change.node;
-	const remaining = state.voters.filter(voter => voter.node !== node);
+	const leaving = listLeaving(state, change);
+	const remaining = state.voters.filter(voter => !leaving.includes(voter));
 	const reason = findRejectionReason(state, remaining);
 	if (reason !== undefined) {
 		return rejectRequest(state, context, request, reason);
 	}
 
 	const pending: PendingVoterChange = {
-		...request, deadlineMs: context.nowMs + context.cfg.limits.learnerTimeoutMs, isLastStep: change.type === 'remove',
+		...request,
+		startedAtMs: context.nowMs,
+		deadlineMs: context.nowMs + context.cfg.limits.learnerTimeoutMs,
+		isLastStep: change.type === 'remove',
 	};
-	// A node that lost its disk is removed with its old data folder before it joins with the new one.
-	return remaining.length < state.voters.length
+	return change.type === 'remove'
 		? appendVoters(state, context, {pending, voters: remaining})
 		: createStep(setVoterChange(state, context, pending));
 };
@@ -180,19 +187,25 @@
 	return finishVoterRequest(state, message.requestId, message.outcome);
 }
 
-const finishStep = <Command>(
+// A learner need not hold the newest entry: under steady load one with a longer way than a majority never does. It is caught
+// up once it syncs within half an election timeout what was committed when that time began.
+const isCaughtUp = ({matchIndex}: PeerProgress, round: CatchUpRound, {cfg, nowMs}: ReplicaContext) =>
+	matchIndex > 0 && matchIndex >= round.index && nowMs - round.startedAtMs <= cfg.limits.electionTimeoutMs / 2;
+
+const awaitLearner = <Command>(
 	state: ReplicaState<Command>,
 	context: ReplicaContext,
-	pending: PendingVoterChange,
+	{pending, progress, round}: {readonly pending: PendingVoterChange; readonly progress: PeerProgress | undefined; readonly round: CatchUpRound},
 ): ReplicaStep<Command> => {
-	if (!pending.isLastStep) {
-		const {entryIndex: _, ...learnerChange} = pending;
-		return createStep(setVoterChange(state, context, learnerChange));
+	const {nowMs} = context;
+	const syncedAtMs = Math.max(progress?.syncedAtMs ?? 0, pending.startedAtMs);
+	if (nowMs >= pending.deadlineMs || nowMs - syncedAtMs > learnerStallTimeoutMs) {
+		return rejectRequest(setVoterChange(state, context, undefined), context, pending, 'learnerTooSlow');
 	}
 
-	return answerRequest(setVoterChange(state, context, undefined), context, {
-		...pending, outcome: {type: 'committed', index: pending.entryIndex ?? state.votersIndex},
-	});
+	const isRoundOver = (progress?.matchIndex ?? 0) >= round.index;
+	const catchUpRound = isRoundOver ? {index: state.commitIndex, startedAtMs: nowMs} : round;
+	return createStep(catchUpRound === pending.catchUpRound ? state : setVoterChange(state, context, {...pending, catchUpRound}));
 };
 
 const promoteLearner = <Command>(
@@ -205,21 +218,37 @@
 		return createStep(state);
 	}
 
-	const matchIndex = state.leadership?.progress.get(change.voter.node)?.matchIndex ?? 0;
-	if (matchIndex > 0 && matchIndex >= state.commitIndex) {
-		return appendVoters(state, context, {
-			pending: {...pending, isLastStep: true}, voters: [...state.voters, change.voter],
-		});
+	const progress = getVoterProgress(state.leadership, change.voter);
+	const round = pending.catchUpRound ?? {index: state.commitIndex, startedAtMs: context.nowMs};
+	if (progress === undefined || !isCaughtUp(progress, round, context)) {
+		return awaitLearner(state, context, {pending, progress, round});
+	}
+
+	// One voter is changed at a time. The leaving one goes first: the set without it needs no host more than the set with it.
+	const [leaving] = listLeaving(state, change);
+	return appendVoters(state, context, leaving === undefined
+		? {pending: {...pending, isLastStep: true}, voters: [...state.voters, change.voter]}
+		: {pending, voters: state.voters.filter(voter => voter !== leaving)});
+};
+
+const finishStep = <Command>(
+	state: ReplicaState<Command>,
+	context: ReplicaContext,
+	pending: PendingVoterChange,
+): ReplicaStep<Command> => {
+	if (!pending.isLastStep) {
+		const {entryIndex: _, ...learnerChange} = pending;
+		return promoteLearner(setVoterChange(state, context, learnerChange), context, learnerChange);
 	}
 
-	return context.nowMs < pending.deadlineMs
-		? createStep(state)
-		: rejectRequest(setVoterChange(state, context, undefined), context, pending, 'learnerTooSlow');
+	return answerRequest(setVoterChange(state, context, undefined), context, {
+		...pending, outcome: {type: 'committed', index: pending.entryIndex ?? state.votersIndex},
+	});
 };
 
 /**
- * Advances the leader's voter change: once the old voter is removed, the new one is added as a learner; once
- * the learner has caught up, it becomes a voter.
+ * Advances the leader's voter change: once the learner has caught up, the voter that it replaces is removed; once that is
+ * committed, the learner becomes a voter.
  */
 export function continueVoterChange<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
 	const pending = state.leadership?.voterChange;
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -57,10 +57,17 @@
 export const termBeginRetryDelayMs = 100;
 
 /** How often the leader checks the set of voters. */
-export const voterCheckPeriodMs = 500;
+export const voterCheckPeriodMs = 250;
 
-/** How long a voter may be unreachable before another host replaces it. */
-export const voterAbsenceTimeoutMs = 6000;
+/**
+ * How long a voter may be unreachable, or sync nothing, before a host that is there replaces it. Longer than a change of
+ * leader and a restart usually take, and short enough that 4 s after a host was replaced the next loss is borne. A
+ * voter that returns later takes part as a spare host.
+ */
+export const voterAbsenceTimeoutMs = 2500;
+
+/** How long a host is not proposed as a voter again after the change failed, so that others have their turn. */
+export const failedVoterRetryDelayMs = 2000;
 
 /** Difference between the monotonic and the wall clock that shows that the process was suspended or that the time of day jumped. */
 export const clockJumpThresholdMs = 150;
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -6,8 +6,8 @@
 	createFailure, createSuccess, describeError, toBrand, waitFor, type DataCentreId, type NodeId, type RandomSource, type RegionId, type Result, type TimerService,
 } from '@samphiremill/common';
 import {
-	applyLedgerCommand, createLedger, createLedgerSnapshot, defaultReplicaLimits, restoreLedger,
-	type Ledger, type LedgerCommand, type LedgerOutcome, type NodeAddress, type ParseConfiguration, type ReplicaLimits, type ReplicaMessage, type VoterIdentity,
+	applyLedgerCommand, chooseVoterChange, createLedger, createLedgerSnapshot, defaultReplicaLimits, listStalledVoters, restoreLedger,
+	type Ledger, type LedgerCommand, type LedgerOutcome, type NodeAddress, type ParseConfiguration, type ReplicaLimits, type ReplicaMessage, type VoterChange, type VoterIdentity,
 } from '@samphiremill/core';
 import {createPeerTransport, getEncodedLength, type PeerRequest} from '../peers/index.js';
 import {createReplicaHost, type ReplicaHost} from '../replica-host.js';
@@ -18,7 +18,7 @@
 import {createCommandBatcher} from './command-batcher.js';
 import {clusterCallMethod, createClusterClient} from './cluster-client.js';
 import {
-	joinRefreshPeriodMs, joinRetryPeriodMs, maximumDirectMinions, voterAbsenceTimeoutMs, voterCheckPeriodMs,
+	failedVoterRetryDelayMs, joinRefreshPeriodMs, joinRetryPeriodMs, maximumDirectMinions, voterAbsenceTimeoutMs, voterCheckPeriodMs,
 } from './constants.js';
 import {
 	startLeader, type Leader, type SchedulerLimits,
@@ -31,7 +31,6 @@
 import type {
 	AdvicePort, ClusterAnswer, ClusterCall, ClusterReply, ConfigurationFinding, MinionPort, WorkerPort,
 } from './types.js';
-import {chooseVoterChange} from './voter-change.js';
 
 /** Settings of a control host. */
 export type ControlHostSettings = {
@@ -338,26 +337,42 @@
 			return;
 		}
 
-		const {voters} = replica.getState();
+		const {voters, term} = replica.getState();
+		if (changingInTerm === term) {
+			return;
+		}
+
+		const stalled = new Set(listStalledVoters(replica.getState(), {self, nowMs, timeoutMs: voterAbsenceTimeoutMs}).map(({node}) => node));
 		const change = chooseVoterChange({
 			self,
 			voters,
-			hosts: [...ledger.controlHosts.values()],
+			hosts: [...ledger.controlHosts.values()].filter(({node}) => nowMs >= (changeRetryAtMs.get(node) ?? nowMs)),
 			wantedVoters: (2 * settings.toleratedLosses) + 1,
 			isReachable,
-			isAbsent: node => node !== self && nowMs - (lastLinkedAtMs.get(node) ?? startedAtMs) > voterAbsenceTimeoutMs,
+			isAbsent: node => node !== self
+				&& (stalled.has(node) || nowMs - (lastLinkedAtMs.get(node) ?? startedAtMs) > voterAbsenceTimeoutMs),
 		});
-		if (change !== undefined && !isChangingVoters) {
-			isChangingVoters = true;
-			log.info('the voters change', {change, voters: voters.map(({node}: VoterIdentity) => node)});
-			void replica.changeVoters(change).then(result => {
-				isChangingVoters = false;
-				log.info(`the change of voters ${result.ok ? 'succeeded' : 'failed'}`, {change, ...(!result.ok && {err: result.err})});
-			});
+		if (change !== undefined) {
+			void changeVoters(change, term);
+		}
+	};
+
+	const changeVoters = async (change: VoterChange, term: number) => {
+		changingInTerm = term;
+		log.info('the voters change', {change, voters: replica.getState().voters.map(({node}: VoterIdentity) => node)});
+		const result = await replica.changeVoters(change);
+		log.info(`the change of voters ${result.ok ? 'succeeded' : 'failed'}`, {change, ...(!result.ok && {err: result.err})});
+		changingInTerm = changingInTerm === term ? undefined : changingInTerm;
+		if (result.ok) {
+			maintainVoters();
+		} else if (change.type === 'add') {
+			changeRetryAtMs.set(change.voter.node, timers.getNow() + failedVoterRetryDelayMs);
 		}
 	};
 
-	let isChangingVoters = false;
+	// The term in which a change is under way. A change of an earlier term must not keep this one from its own.
+	let changingInTerm: number | undefined;
+	const changeRetryAtMs = new Map<NodeId, number>();
 	const startedAtMs = timers.getNow();
 	await transport.start();
 	const cancelTimers = [
