Control host: only a learner that was too slow has to wait for its next turn

A change that met another one in progress, of an earlier term, would have kept its host from the set for 2 s for no reason. Found by reading; no test of its own (the maintenance in the test network knows learners that fail only).

--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -66,7 +66,7 @@
  */
 export const voterAbsenceTimeoutMs = 2500;
 
-/** How long a host is not proposed as a voter again after the change failed, so that others have their turn. */
+/** How long a host that was too slow as a learner is not proposed as a voter again, so that others have their turn. */
 export const failedVoterRetryDelayMs = 2000;
 
 /** Difference between the monotonic and the wall clock that shows that the process was suspended or that the time of day jumped. */
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -365,7 +365,7 @@
 		changingInTerm = changingInTerm === term ? undefined : changingInTerm;
 		if (result.ok) {
 			maintainVoters();
-		} else if (change.type === 'add') {
+		} else if (change.type === 'add' && result.err.type === 'invalidVoterChange' && result.err.reason === 'learnerTooSlow') {
 			changeRetryAtMs.set(change.voter.node, timers.getNow() + failedVoterRetryDelayMs);
 		}
 	};
