--- a/packages/core/src/replica/index.ts
+++ b/packages/core/src/replica/index.ts
@@ -12,7 +12,9 @@
 export {
 	applyPersistedWrite, createPersistedState, getRecoveredReplica, type PersistedWrite, type PersistedState,
 } from './persisted-state.js';
+export {chooseVoterChange, isLeaderReplaceable, type VoterChangeInput} from './choose-voter-change.js';
 export {getConfirmedSendMs, hasLeaderLease} from './leader-lease.js';
 export {getLastIndex} from './log.js';
 export {getQuorumSize, hasVoter} from './quorum.js';
+export {isDiskHanging, listStalledVoters} from './voter-progress.js';
 export type {ReplicaContext, ReplicaStep} from './replica-step.js';
