The product's own interface refuses addresses with a zone and numbers too large

Callers saw: an announcement with the host fe80::1%eth0 was accepted, and the first job for that minion threw "Invalid URL" in the client to minions.

Cause: isIP accepts an IPv6 address with a zone, which is no part of a URL. The counts of slots and connections and the amounts of usage had no upper bound, so that sums leave the exact range; ids and names could hold control characters.

The other messages of this interface have strict schemas, and its router contains what a route throws; nothing else was found there by reading.

--- a/packages/daemon/src/http/minions/announce-minion.ts
+++ b/packages/daemon/src/http/minions/announce-minion.ts
@@ -1,31 +1,17 @@
-import {isIP} from 'node:net';
 import {
 	toBrand, type DataCentreId, type MinionId, type PoolId, type WorkerId,
 } from '@samphiremill/common';
 import {
 	getVersionedRecord, isKnownMinion, minionLeaseMs, type MinionAnnouncement,
 } from '@samphiremill/core';
-import * as z from 'zod/mini';
+import type * as z from 'zod/mini';
 import type {Runtime} from '../../runtime/types.js';
 import {sendJson, sendProblem} from '../problem.js';
 import {readDocument} from '../read-document.js';
 import type {HttpRoute} from '../types.js';
+import {announcementSchema, nameSchema} from './announcement-schema.js';
 
 const renewalsPerLease = 3;
-const name = z.string().check(z.minLength(1), z.maxLength(128));
-const positive = z.int().check(z.minimum(1));
-
-const announcementSchema = z.strictObject({
-	incarnation: z.int().check(z.minimum(0)),
-	worker: name,
-	pool: name,
-	dataCentre: name,
-	host: z.string().check(z.refine(text => isIP(text) !== 0, 'must be an IP number')),
-	port: z.int().check(z.minimum(1), z.maximum(65_535)),
-	slots: positive,
-	connections: positive,
-});
-
 type AnnouncementDocument = z.infer<typeof announcementSchema>;
 
 const createAnnouncement = (minion: MinionId, document: AnnouncementDocument): MinionAnnouncement => ({
@@ -52,6 +38,14 @@
 				return;
 			}
 
+			if (!nameSchema.safeParse(params.minion).success) {
+				runtime.metrics.count('badRequests');
+				sendProblem(res, {
+					status: 400, title: 'The id of the minion is not valid', reason: 'invalidMinion', ran: 'no',
+				});
+				return;
+			}
+
 			const minion = toBrand<MinionId>(params.minion ?? '');
 			const announcement = createAnnouncement(minion, document.value);
 			if (announcement.dataCentre !== runtime.settings.dataCentre) {
--- a/packages/daemon/src/http/minions/report-usage.ts
+++ b/packages/daemon/src/http/minions/report-usage.ts
@@ -4,9 +4,10 @@
 import {sendJson} from '../problem.js';
 import {readDocument} from '../read-document.js';
 import type {HttpRoute} from '../types.js';
+import {maximumUsage} from './announcement-schema.js';
 
 const maximumReportsPerRequest = 1000;
-const amount = z.number().check(z.minimum(0));
+const amount = z.number().check(z.minimum(0), z.maximum(maximumUsage));
 const usageSchema = z.strictObject({
 	usages: z.array(z.strictObject({
 		queue: z.string(), team: z.string(), cores: amount, memoryMb: amount, runTimeMs: amount,
