The log takes no entry that does not fit into a frame between hosts

Callers could have seen: no control host commits any more.

Cause: a proposal is one entry of the log. An entry above 1 MiB is dropped when it is sent (`tooLarge`), by each leader and at each attempt, so neither it nor anything after it is ever committed. Only the payloads of jobs were counted: a few jobs of many steps in one batch, a configuration or a wave of more than 1 MB were enough.

The bytes are those of the JSON text: a control character has six.

Ruled out: larger frames, as a limit is needed in any case. Left: the ends of a list of runs with more than 896 KiB of checkpoints together are not committed.

--- a/packages/daemon/src/scheduler/command-batcher.test.ts
+++ b/packages/daemon/src/scheduler/command-batcher.test.ts
@@ -1,8 +1,10 @@
 import {
 	toBrand, type JobId, type PoolId, type QueueId,
 } from '@samphiremill/common';
-import type {LedgerCommand} from '@samphiremill/core';
+import {plainStep, type LedgerCommand} from '@samphiremill/core';
 import {expect, test} from 'vitest';
+import {encodeFrame} from '../peers/frames.js';
+import {maximumFrameBytes} from '../peers/constants.js';
 import {createCommandBatcher, type ProposalResult} from './command-batcher.js';
 
 const waitForNextTurn = async () => new Promise<void>(resolve => {
@@ -23,7 +25,9 @@
 		throw err;
 	});
 	const nameCommands = () => proposed.map(command => command.type === 'batch' ? command.commands.map(part => part.type === 'job/cancelled' ? part.id : '') : command.type);
-	return {settles, submit, nameCommands};
+	return {
+		settles, submit, nameCommands, proposed,
+	};
 };
 
 test('commands of one turn of the event loop are proposed together, and each is settled with its own outcome', async () => {
@@ -102,3 +106,41 @@
 	expect(await submit(cancel('d'))).toEqual({type: 'applied', outcome: undefined});
 	expect(reportedErrors).toEqual([new Error('unexpected state'), new Error('unexpected state')]);
 });
+
+const acceptWithSteps = (name: string, imageLength: number): LedgerCommand => ({
+	type: 'job/accepted',
+	term: 1,
+	job: {
+		id: toBrand<JobId>(name), queue: toBrand<QueueId>('q'), pool: toBrand<PoolId>('counter'), team: undefined, priority: 0, maximumAttempts: 1, stretchFactor: 1, startLatencyMs: 1, advice: undefined, acceptedAtMs: 0,
+		specification: {payload: '', steps: [{...plainStep, image: 'x'.repeat(imageLength)}], schedule: undefined},
+	},
+});
+
+// A proposal that does not fit into a frame between hosts reaches none of them, and the log waits for it forever.
+test('commands that together do not fit into a frame between hosts are split over several proposals', async () => {
+	const {settles, submit, proposed} = createLog();
+	for (let index = 0; index < 12; index += 1) {
+		void submit(acceptWithSteps(`job-${index}`, 200_000));
+	}
+
+	for (let turn = 0; turn < 12; turn += 1) {
+		await waitForNextTurn(); // eslint-disable-line no-await-in-loop -- turns run one at a time
+		settles[turn]?.({type: 'applied', outcome: {type: 'applied'}});
+	}
+
+	expect(proposed.flatMap(command => command.type === 'batch' ? command.commands : [command]).length).toBe(12);
+	expect(Math.max(...proposed.map(command => encodeFrame(command).length))).toBeLessThan(maximumFrameBytes);
+});
+
+test('a command that does not fit into a frame between hosts is not proposed, and the next one is', async () => {
+	const {settles, submit, proposed} = createLog();
+	// In UTF-8 a control character has six bytes as JSON, and most others have up to three.
+	const large = [acceptWithSteps('large', 1_100_000), {type: 'configuration/replaced', document: '\u0001'.repeat(200_000)}, {type: 'configuration/replaced', document: '\u2603'.repeat(400_000)}] as const;
+	const decisions = large.map(async command => submit(command));
+	const next = submit(cancel('next'));
+	await waitForNextTurn();
+	expect(proposed).toEqual([cancel('next')]);
+	settles[0]?.({type: 'applied', outcome: {type: 'applied'}});
+	expect(await Promise.all(decisions)).toEqual(large.map(() => ({type: 'notProposed'})));
+	expect(await next).toMatchObject({type: 'applied'});
+});
--- a/packages/daemon/src/scheduler/command-batcher.ts
+++ b/packages/daemon/src/scheduler/command-batcher.ts
@@ -2,6 +2,7 @@
  * Group commit: commands that arrive while a proposal is pending are proposed together in the next one.
  * The number of commits thus depends on the duration of a commit and not on the number of commands.
  */
+import {Buffer} from 'node:buffer';
 import type {LedgerCommand, LedgerOutcome} from '@samphiremill/core';
 
 /** Result of a proposal to the replicated log; `unknown` if it may or may not have been applied. */
@@ -12,12 +13,19 @@
 
 type QueuedCommand = {
 	readonly command: LedgerCommand;
+	readonly bytes: number;
 	readonly settle: (decision: ProposalResult) => void;
 };
 
 const maximumPendingProposals = 1;
 const maximumCommandsPerProposal = 256;
 const maximumPayloadLengthPerProposal = 131_072;
+/**
+ * Most bytes of one command and of several together. A proposal is one entry of the log, which has to fit into a frame of
+ * 1 MiB between hosts: one that does not reaches no other host, and nothing after it is committed.
+ */
+const maximumCommandBytes = 917_504;
+const maximumBytesPerProposal = 524_288;
 
 const getOutcome = (decision: ProposalResult, position: number): ProposalResult => {
 	if (decision.type !== 'applied') {
@@ -28,21 +36,26 @@
 	return {type: 'applied', outcome: outcome?.type === 'batch' ? outcome.outcomes[position] : undefined};
 };
 
-// Only accepted jobs carry a payload; all other commands are small.
+// Only accepted jobs carry a payload.
 const getPayloadLength = (command: LedgerCommand) => command.type === 'job/accepted' ? command.job.specification.payload.length : 0;
 
+const getBytes = (command: LedgerCommand) => Buffer.byteLength(JSON.stringify(command));
+
 const takeBatch = (queue: readonly QueuedCommand[]): readonly QueuedCommand[] => {
 	let length = 0;
-	const firstExcluded = queue.findIndex(({command}, position) => {
+	let totalBytes = 0;
+	const firstExcluded = queue.findIndex(({command, bytes}, position) => {
 		length += getPayloadLength(command);
-		return position >= maximumCommandsPerProposal || (position > 0 && length > maximumPayloadLengthPerProposal);
+		totalBytes += bytes;
+		const isTooLong = length > maximumPayloadLengthPerProposal || totalBytes > maximumBytesPerProposal;
+		return position >= maximumCommandsPerProposal || (position > 0 && isTooLong);
 	});
 	return firstExcluded === -1 ? queue : queue.slice(0, firstExcluded);
 };
 
 /**
  * Creates a function that proposes a command, alone or in a batch with others. Commands are applied in the
- * order of the calls.
+ * order of the calls. A command that is too large for the log is not proposed.
  *
  * @param propose - Proposes one command to the log. If it throws, the result of its commands is `unknown`.
  * @param onError - Called with what `propose` threw.
@@ -89,7 +102,13 @@
 	};
 
 	return async command => new Promise(resolve => {
-		queue.push({command, settle: resolve});
+		const bytes = getBytes(command);
+		if (bytes > maximumCommandBytes) {
+			resolve({type: 'notProposed'});
+			return;
+		}
+
+		queue.push({command, bytes, settle: resolve});
 		if (!isFlushScheduled && pendingProposalCount < maximumPendingProposals) {
 			isFlushScheduled = true;
 			// Batches the commands of one turn of the event loop.
