A minion that joined under a false address is used at the one it answers at

Callers saw: a copy of a minion's report with another, valid address, that came before the minion's own, made an incarnation that never answers; the minion's own reports counted for it and kept it, so the minion was never used.

Cause: the record of an incarnation is that of its first report, and no later report changes it.

Now a report of a known incarnation that does not answer and has no runs, with another address, is tested with a hold call there. If it answers with that start, it leaves the ledger and joins anew. Nothing changes for one that answers, has runs, or does not name its start.

Left: a first report with a false pool, worker or data centre cannot be told from a true one, as no answer of the minion holds them.

--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -181,6 +181,13 @@
 			return {type: 'invalidRequest', message: 'born: lies too far in the future'};
 		}
 
+		// The report that it joined with came from another writer. It has not ended, so a later report is not outdated.
+		if (await reportedIncarnations.isAtOtherAddress(record)) {
+			log.warn(`minion ${record.minion} joined with another address than it answers at`, {minion: record.minion, life: record.life, address: record.address});
+			await commit({type: 'minion/left', term, life: record.life});
+			onChanged();
+		}
+
 		if (!getLedger().incarnations.has(record.life)) {
 			if (endedIncarnations.has(record.life)) {
 				log.info(`ignored a late report of an ended incarnation of minion ${record.minion}`, {minion: record.minion, life: record.life, worker: record.worker});
--- a/packages/daemon/src/scheduler/false-reports.test.ts
+++ b/packages/daemon/src/scheduler/false-reports.test.ts
@@ -85,3 +85,26 @@
 	expect(world.getState(id)).toBe('completed');
 	expect(world.listViolations()).toEqual([]);
 });
+
+test('a minion is used although a false report named another address for the same incarnation first', async () => {
+	const world = createTestWorld({seed: 39, minionCount: 1});
+	void world.reportFalsely(0, {address: '10.9.9.9:80'});
+	await world.advance(4000);
+	const {id} = world.submit([{count: 2, estimateMs: 300}]);
+	await world.advance(4000);
+	expect(world.getState(id)).toBe('completed');
+	expect(world.listViolations()).toEqual([]);
+});
+
+test('a false report that names another address for the incarnation of a minion that answers changes nothing', async () => {
+	const world = createTestWorld({seed: 40, minionCount: 1});
+	await world.advance(1500);
+	const {id} = world.submit([{count: 2, isLasting: true}]);
+	await world.advance(1000);
+	await reportForSeconds(world, 4, () => ({address: '10.9.9.9:80'}));
+	world.silence(0, 1500);
+	await reportForSeconds(world, 4, () => ({address: '10.9.9.9:80'}));
+	expect({runs: world.countRuns(id), starts: world.countStarts()}).toEqual({runs: 2, starts: 2});
+	expect([...world.getLedger().incarnations.values()].map(({record}) => record.address)).toEqual(['10.0.0.1:80']);
+	expect(world.listViolations()).toEqual([]);
+});
--- a/packages/daemon/src/scheduler/reported-incarnations.ts
+++ b/packages/daemon/src/scheduler/reported-incarnations.ts
@@ -26,6 +26,11 @@
 export type ReportedIncarnations = {
 	/** Resolves to whether a reported incarnation that is not in the ledger may join it. */
 	readonly mayJoin: (record: MinionRecord) => Promise<boolean>;
+	/**
+	 * Resolves to whether the ledger holds a reported incarnation under an address at which it does not answer, while it
+	 * answers at the reported one. Such an incarnation has no runs, and may join anew.
+	 */
+	readonly isAtOtherAddress: (record: MinionRecord) => Promise<boolean>;
 };
 
 const maximumLoggedIncarnations = 1000;
@@ -113,6 +118,15 @@
 	};
 
 	return {
+		async isAtOtherAddress(record) {
+			const session = sessions.get(record.life);
+			if (session === undefined || session.record.address === record.address || session.isAnswering() || countRuns(record.life) > 0) {
+				return false;
+			}
+
+			const start = await askStart(record);
+			return start === record.bornAtMs && countRuns(record.life) === 0;
+		},
 		async mayJoin(record) {
 			const decision = pending.get(record.life) ?? decide(record).finally(() => {
 				pending.delete(record.life);
