Starts are planned anew only once an earlier plan is certainly settled

Callers saw, after the log had stood still for more than 5 s: a minion was given up to twice the runs that it has capacity for; it refuses those without room, so tasks start late.

Cause: after an unknown outcome the planner read the ledger as it was, although the log could still apply the earlier plan. For the same reason a move or a maintenance counted that plan as settled.

Change: after an unknown outcome an empty assignment is committed before the next plan. The log keeps the order of the proposals of a leader, so the earlier plan was applied by then or never will be. It costs one commit after each unknown outcome, and nothing otherwise. An empty assignment is a command that any release applies.

--- a/packages/daemon/src/scheduler/leader.test.ts
+++ b/packages/daemon/src/scheduler/leader.test.ts
@@ -328,3 +328,18 @@
 		numRuns: 1, seed: faultSeed, path: pathOfRun, endOnFailure: true,
 	});
 });
+
+test('tasks that a plan chose before the log stood still are not assigned beside those of the next plan', async () => {
+	const world = createTestWorld({seed: 51, minionCount: 1});
+	await world.advance(1500);
+	world.silence(0, 2000);
+	await world.advance(1500);
+	// The first job goes first while it is not late, and last afterwards.
+	world.submit([{count: 8, estimateMs: 400}]);
+	world.submit([{count: 8, estimateMs: 10_000}]);
+	await world.advance(400);
+	world.stallLog(5900);
+	await world.advance(9000);
+	expect(world.countStarts()).toBe(16);
+	expect(world.listViolations()).toEqual([]);
+});
--- a/packages/daemon/src/scheduler/start-planner.ts
+++ b/packages/daemon/src/scheduler/start-planner.ts
@@ -73,6 +73,8 @@
 	let isPlanRequested = false;
 	let isFullPlanRequested = true;
 	let proposedAtMs: number | undefined;
+	/** Whether an earlier plan may still be applied. It is settled once a later proposal has been, since the log keeps their order. */
+	let isOutcomeUnknown = false;
 
 	const choosePools = (): ReadonlySet<PoolId> => {
 		const {configuration, index} = getLedger();
@@ -151,7 +153,21 @@
 			}).map(({task}) => task);
 	};
 
+	const settleEarlierPlan = async () => {
+		const {type} = await propose({type: 'runs/assigned', term, runs: []});
+		isOutcomeUnknown = type !== 'applied';
+	};
+
 	const plan = async () => {
+		// The capacity that the earlier plan uses would be assigned twice.
+		if (isOutcomeUnknown) {
+			await settleEarlierPlan();
+		}
+
+		if (isOutcomeUnknown) {
+			return;
+		}
+
 		const plannedAtMs = timers.getNow();
 		const runs = measure('plans', listAssignments);
 		if (runs.length === 0) {
@@ -161,6 +177,7 @@
 		proposedAtMs = timers.getNow();
 		const decision = await propose({type: 'runs/assigned', term, runs});
 		proposedAtMs = undefined;
+		isOutcomeUnknown = decision.type === 'unknown';
 		if (decision.type !== 'applied' || decision.outcome?.type !== 'assigned' || !isActive()) {
 			isFullPlanRequested = true;
 			return;
@@ -212,6 +229,6 @@
 		},
 		listLongRunningTasksFor,
 		listUsableMinions: pool => listUsableMinions(new Set([pool])),
-		areEarlierPlansSettled: timeMs => proposedAtMs === undefined || proposedAtMs > timeMs,
+		areEarlierPlansSettled: timeMs => !isOutcomeUnknown && (proposedAtMs === undefined || proposedAtMs > timeMs),
 	};
 }
