Random histories of long-running tasks also keep the invariants of the simulation

The histories of lasting-tasks.test.ts checked waits only. They assert listViolations now.

Late starts that reach another incarnation are refused by the test world without room, as real minions do; those for the own incarnation still are violations. - "waveBound" with a second wave was the test world: a wave that is written again under its id is ignored by the ledger, and the world took the new limit. It reads the limit from the ledger now.

--- a/packages/daemon/src/scheduler/lasting-tasks.test.ts
+++ b/packages/daemon/src/scheduler/lasting-tasks.test.ts
@@ -384,6 +384,7 @@
 const createHistoryProperty = () => fc.asyncProperty(histories, async history => {
 	const world = await playHistory(history);
 	expect(world.listOverdueTasks()).toEqual([]);
+	expect(world.listViolations()).toEqual([]);
 });
 
 test('over random histories, no long-running task waits beside a minion with room once nothing has been wrong for a while', async () => {
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -331,6 +331,15 @@
 		return sum;
 	};
 
+	const hasRoom = (minion: FakeMinion, {isFiller, request}: StepSpecification) =>
+		isFiller || sumMillicores([...minion.runs.keys()], step => !step.isFiller) + request.cpuMillicores <= minion.record.capacity.cpuMillicores;
+
+	// The leader may have learnt only afterwards that another incarnation is at the address. A real minion refuses what it has no room for.
+	const isForeignStartWithoutRoom = (minion: FakeMinion, id: TaskId, life: string) => {
+		const task = findTask(ledger, id);
+		return life !== minion.record.life && task !== undefined && !hasRoom(minion, getStep(task));
+	};
+
 	const checkStart = (minion: FakeMinion, {task: id, run}: {readonly task: TaskId; readonly run: number}) => {
 		const task = findTask(ledger, id);
 		const parts = parseTaskId(id);
@@ -356,8 +365,7 @@
 			recordViolation('order', id);
 		}
 
-		const used = sumMillicores([...minion.runs.keys()], ({isFiller}) => !isFiller);
-		if (!step.isFiller && used + step.request.cpuMillicores > minion.record.capacity.cpuMillicores) {
+		if (!hasRoom(minion, step)) {
 			recordViolation('room', `${id} on ${minion.record.minion}`);
 		}
 
@@ -388,7 +396,8 @@
 
 		const absentTasks = (getStepProgress(task)?.tasks ?? []).filter(other => other.id !== id
 			&& (stopped.has(other.id) || timers.getNow() - (lastWorkingAtMs.get(other.id) ?? 0) > absenceNoticeMs));
-		if (absentTasks.length >= budget) {
+		// A minion that leaves ends its tasks in any case.
+		if (absentTasks.length >= budget && !silentlyLeaving.has(minion.record.life)) {
 			recordViolation('budget', `${id} is stopped on ${minion.record.minion} while ${absentTasks.map(other => other.id).join(', ')} are unavailable`);
 		}
 
@@ -556,6 +565,10 @@
 				}
 			}
 
+			if (isForeignStartWithoutRoom(minion, order.task, order.target.life)) {
+				return answer(minion, {type: 'refused' as const, reason: 'noRoom' as const});
+			}
+
 			checkStart(minion, order);
 			startCount += 1;
 			minion.startCount += 1;
@@ -644,7 +657,8 @@
 				}
 
 				const down = [...maintenanceStartedAtMs.values()].filter(atMs => timers.getNow() - atMs < maintenanceMs).length;
-				if (down >= maximumWorkersInMaintenance) {
+				// A wave that is written again keeps its first limit.
+				if (down >= (ledger.waves.get(order.wave)?.maximumAtOnce ?? 0)) {
 					recordViolation('waveBound', worker);
 				}
 
@@ -681,7 +695,6 @@
 		},
 	};
 
-	let maximumWorkersInMaintenance = 0;
 	let isCrashUnnoticed = false;
 	let areLateOrdersSentToNextIncarnation = false;
 	const silentlyLeaving = new Set<string>();
@@ -969,7 +982,6 @@
 		listOverdueTasks: waiting.listViolations,
 		listMoves: () => moves,
 		async startWave(workerCount, maximumAtOnce) {
-			maximumWorkersInMaintenance = maximumAtOnce;
 			const members = [...minions.values()].slice(0, workerCount).map(({record}) => record.worker);
 			return leader?.answer({
 				type: 'wave/start', wave: {wave: toBrand('1'), workers: [...members, ...standby], maximumAtOnce}, durationMs: 20_000,
