A minion that returns from a move joins without waiting for its last incarnation

An incarnation that answers as itself and started after all those it replaces joins at once; their answers would change nothing. Before: 'a worker that returns from a move does not wait for its last minion, which has ended' timed out (its last minion never answers); false-reports, next-life and late-reports pass unchanged.

--- a/packages/daemon/src/scheduler/reported-incarnations.ts
+++ b/packages/daemon/src/scheduler/reported-incarnations.ts
@@ -96,10 +96,15 @@
 		}
 
 		const answersAsItself = createQuestions();
+		const later = rivals.filter(session => session.record.bornAtMs > record.bornAtMs);
+		// A minion that was restarted or moved: its earlier incarnations have ended, and their answers would be waited for in vain.
+		if (later.length === 0 && await answersAsItself(record)) {
+			return true;
+		}
+
 		// Asked at the same time: the report waits for less than a second.
 		const [isReportedAnswering, ...areRivalsAnswering] = await Promise.all([record, ...rivals.map(session => session.record)].map(async asked => answersAsItself(asked)));
 		const answering = rivals.filter((_, index) => areRivalsAnswering[index]);
-		const later = rivals.filter(session => session.record.bornAtMs > record.bornAtMs);
 		if (isReportedAnswering !== true) {
 			if (answering.length > 0) {
 				logRefusal(record, answering);
