Elections: wait longer for the vote of a voter whose disk is slow

What callers could have seen: no control host leads, with all processes up. The leader is lost and one of the two voters that are left syncs in 0.6 s or more: it answers a vote request once its vote is synced, and the candidate's wait of 0.3 to 0.6 s, counted from before its own sync, is over by then; each term ends like this.

The wait is counted from when the requests leave, and doubles with each candidacy without a leader, up to 16 times. A voter waits for the candidate that it has voted for from when its vote is sent.

Ruled out: a longer first wait, which would slow every split vote. Left: with syncs of 3 s a leader commits and still gives way after 2.5 s without a sync.

--- a/packages/core/src/replica/create-replica.ts
+++ b/packages/core/src/replica/create-replica.ts
@@ -55,6 +55,7 @@
 		votersIndex: index,
 		isSnapshotRequested: false,
 		electionDeadlineMs: getElectionDeadline(context),
+		candidacies: 0,
 		leaderLastHeardMs: nowMs,
 		votes: [],
 		leadership: undefined,
--- a/packages/core/src/replica/elections.ts
+++ b/packages/core/src/replica/elections.ts
@@ -17,10 +17,33 @@
 // candidate waits longer after a split vote.
 const preVoteRetryFraction = 0.3;
 const voteRetryFraction = 0.5;
+// A voter answers once its disk has synced the vote. With a slow disk that takes longer than the first wait.
+const maximumVoteBackoff = 16;
 
 const getRetryDeadline = ({cfg, nowMs}: ReplicaContext, fraction: number) =>
 	nowMs + (cfg.limits.electionTimeoutMs * fraction * (1 + cfg.random()));
 
+const getVoteDeadline = (context: ReplicaContext, earlierCandidacies: number) =>
+	getRetryDeadline(context, voteRetryFraction * Math.min(2 ** earlierCandidacies, maximumVoteBackoff));
+
+/**
+ * Counts the wait for votes, or for the candidate that this node has voted for, from when its own vote is synced: only
+ * then it is sent.
+ */
+export function restartVoteWait<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaState<Command> {
+	if (state.leader !== undefined || state.votedFor === undefined || state.persistence.pending.length > 0) {
+		return state;
+	}
+
+	if (state.role === 'candidate') {
+		return {...state, electionDeadlineMs: Math.max(state.electionDeadlineMs, getVoteDeadline(context, state.candidacies - 1))};
+	}
+
+	return state.role === 'follower'
+		? {...state, electionDeadlineMs: Math.max(state.electionDeadlineMs, getElectionDeadline(context))}
+		: state;
+}
+
 const createRequest = <Command>(
 	state: ReplicaState<Command>,
 	options: {readonly term: number; readonly isPreVote: boolean; readonly isTransfer: boolean},
@@ -74,7 +97,8 @@
 		votedFor: self,
 		votes: [self],
 		leader: undefined,
-		electionDeadlineMs: getRetryDeadline(context, voteRetryFraction),
+		electionDeadlineMs: getVoteDeadline(context, state.candidacies),
+		candidacies: state.candidacies + 1,
 	};
 	const message = createRequest(candidate, {term: candidate.term, isPreVote: false, isTransfer});
 	const messages = message === undefined ? [] : getOtherVoters(candidate, context.cfg).map(to => ({to, message}));
--- a/packages/core/src/replica/following.ts
+++ b/packages/core/src/replica/following.ts
@@ -130,6 +130,7 @@
 	leader,
 	leaderLastHeardMs: context.nowMs,
 	electionDeadlineMs: getElectionDeadline(context),
+	candidacies: 0,
 });
 
 const joinCluster = <Command>(state: ReplicaState<Command>, message: AppendMessage<Command>): ReplicaState<Command> =>
--- a/packages/core/src/replica/reduce-replica.ts
+++ b/packages/core/src/replica/reduce-replica.ts
@@ -2,7 +2,9 @@
 import {
 	handleConfirmed, handlePoll, handlePollAnswer, completeConfirmations, tickConfirmation,
 } from './confirmation.js';
-import {handleRequestVote, handleVote, tickElection} from './elections.js';
+import {
+	handleRequestVote, handleVote, restartVoteWait, tickElection,
+} from './elections.js';
 import {
 	handleFeed, handlePull, pushFeed, tickSubscribers,
 } from './feed.js';
@@ -182,7 +184,11 @@
 		}
 
 		case 'replica/persisted': {
-			return chainSteps(acknowledgePersist(state, event.sequence), next => commitAndNotifyPeers(next, context));
+			return chainSteps(
+				acknowledgePersist(state, event.sequence),
+				next => createStep(restartVoteWait(next, context)),
+				next => commitAndNotifyPeers(next, context),
+			);
 		}
 
 		case 'replica/snapshotTaken': {
--- a/packages/core/src/replica/replication.ts
+++ b/packages/core/src/replica/replication.ts
@@ -140,7 +140,9 @@
 		isLeaseUsable: true,
 		voterChange: undefined,
 	};
-	const leader: ReplicaState<Command> = {...state, leader: context.cfg.self, leadership};
+	const leader: ReplicaState<Command> = {
+		...state, leader: context.cfg.self, leadership, candidacies: 0,
+	};
 	return chainSteps(
 		createStep(reconcileProgress(leader, context)),
 		next => appendAsLeader(next, context, [{type: 'noop'}]),
--- a/packages/core/src/replica/test-network.ts
+++ b/packages/core/src/replica/test-network.ts
@@ -108,6 +108,8 @@
 	readonly crash: (name: string) => void;
 	readonly restart: (name: string) => void;
 	readonly wipe: (name: string) => void;
+	/** Sets how long the syncs of one node take from now on, in milliseconds. */
+	readonly setSyncTime: (name: string, range: {readonly least: number; readonly most: number}) => void;
 	/** From now on until `freeDisk`, no write of the node's disk succeeds. Restarts of the node change nothing about it. */
 	readonly fillDisk: (name: string) => void;
 	/** The disk takes writes again; the ones that failed meanwhile are tried again. */
@@ -133,6 +135,7 @@
 	const scheduled: ScheduledCall[] = [];
 	const blockedLinks = new Set<string>();
 	const fullDisks = new Set<string>();
+	const syncTimes = new Map<string, {readonly least: number; readonly most: number}>();
 	const leadersByTerm = new Map<number, string>();
 	const committedEntries = new Map<number, string>();
 	const commitTimes: number[] = [];
@@ -243,7 +246,7 @@
 			handle(name, {type: 'replica/persisted', sequence, nowMs: getLocalMs(name)});
 		};
 
-		schedule(pickBetween(random, syncMs), sync);
+		schedule(pickBetween(random, syncTimes.get(name) ?? syncMs), sync);
 		pendingWrites.set(name, [...(pendingWrites.get(name) ?? []), {sequence, content}]);
 	};
 
@@ -481,6 +484,9 @@
 		wipe(name) {
 			startNode(name, {incarnation: getNode(name).incarnation + 1, disk: emptyDisk});
 		},
+		setSyncTime(name, range) {
+			syncTimes.set(name, range);
+		},
 		fillDisk(name) {
 			fullDisks.add(name);
 		},
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -364,6 +364,8 @@
 	readonly votersIndex: number;
 	readonly isSnapshotRequested: boolean;
 	readonly electionDeadlineMs: number;
+	/** How often this node was a candidate since it last knew a leader. */
+	readonly candidacies: number;
 	readonly leaderLastHeardMs: number;
 	readonly votes: readonly NodeId[];
 	readonly leadership: Leadership | undefined;
