--- a/packages/core/src/jobs/reduce-jobs.test.ts
+++ b/packages/core/src/jobs/reduce-jobs.test.ts
@@ -101,6 +101,22 @@
 	}));
 });
 
+test('a job whose start record is not synced in time is refused with ran no, and a late record starts nothing', () => {
+	const node = createTestNode();
+	node.send({type: 'jobs/minionsChanged', minions: [createMinion()]});
+	node.send({type: 'jobs/submitted', spec: createSpec({...keyed, deadlineAtMs: toMs(200)})});
+	node.send({type: 'jobs/claimAnswered', job: toJob('job-1'), answer: {type: 'granted'}});
+	node.advance(201);
+	const effects = node.send({type: 'jobs/tick'});
+	expect(effects).toContainEqual(expect.objectContaining({
+		type: 'jobs/finish', outcome: {
+			type: 'refused', reason: 'ownerUnreachable', ran: 'no', retryAfterMs: 1000,
+		},
+	}));
+	expect(node.send({type: 'jobs/startRecorded', ...first, ok: true})).toEqual([]);
+	expect(node.getState().reservations.size).toBe(0);
+});
+
 test('a limited team runs no more jobs than its held limit, and continues when more is granted', () => {
 	const node = createTestNode();
 	const team = toTeam('parish');
--- a/packages/daemon/src/claims-journal/claims-journal.ts
+++ b/packages/daemon/src/claims-journal/claims-journal.ts
@@ -2,12 +2,17 @@
  * Stores claims on disk, for use when no other entry host can hold their second copy.
  */
 import path from 'node:path';
-import {createFailure, createSuccess, type Result} from '@samphiremill/common';
-import {restoreClaimRecord, type ClaimRecord} from '@samphiremill/core';
+import {
+	createFailure, createSuccess, type Result, type TimerService,
+} from '@samphiremill/common';
+import {restoreClaimRecord, type ClaimName, type ClaimRecord} from '@samphiremill/core';
 import {decodeRecord, encodeRecord} from '../store/record-codec.js';
 import {tryFileOperation} from '../store/store-errors.js';
-import type {StoreError, StoreFile, StoreFileSystem} from '../store/types.js';
+import type {
+	StoreError, StoreFile, StoreFileSystem, StoreObserver,
+} from '../store/types.js';
 import {writeFileAtomically} from '../store/write-file-atomically.js';
+import {createWriteRetrier} from '../store/write-retrier.js';
 
 const journalName = 'claims.journal';
 const maximumJournalBytes = 16_777_216;
@@ -16,14 +21,24 @@
 export type ClaimsJournal = {
 	/** The records found when the journal was opened: the newest one of each name. */
 	readonly recovered: readonly ClaimRecord[];
-	/** Resolves once the record is synced to disk. After a failure all writes fail. */
-	readonly write: (record: ClaimRecord) => Promise<Result<void, StoreError>>;
+	/** Queues a record. Once it is synced to disk, `onSynced` is called; a write that fails is tried again until then. */
+	readonly write: (record: ClaimRecord) => void;
+	/** Waits for pending writes, unless the disk refuses them. */
 	readonly close: () => Promise<void>;
 };
 
-type QueuedWrite = {
-	readonly record: ClaimRecord;
-	readonly settle: (result: Result<void, StoreError>) => void;
+/** The records that a journal must hold: at least all that were written and still count. */
+export type LiveRecords = {
+	readonly has: (name: ClaimName) => boolean;
+	readonly values: () => Iterable<ClaimRecord>;
+};
+
+/** What a journal asks of its user, and reports to it. */
+export type ClaimsJournalUser = {
+	/** The present records. They include each record that is written, or a newer one of its name, unless it no longer counts. */
+	readonly getLiveRecords: () => LiveRecords;
+	/** Called with written records once they, or what has replaced them, are synced. */
+	readonly onSynced: (records: Iterable<ClaimRecord>) => void;
 };
 
 const readRecords = (file: string, bytes: Uint8Array): Result<ReadonlyMap<string, ClaimRecord>, StoreError> => {
@@ -76,13 +91,18 @@
 /**
  * Opens the journal of claims and rewrites it without superseded records.
  *
- * @param options - `listLiveRecords` lists the records to keep when the journal is rewritten later.
+ * After a failed append or sync it is unknown what the disk holds, so the file is cut to its last good sync and abandoned. All
+ * live records are written to a new file, again and again until it is synced.
+ *
  * @returns The journal, or why it cannot be used.
  */
-export async function openClaimsJournal({folder, fileSystem, listLiveRecords}: {
+export async function openClaimsJournal({folder, fileSystem, timers, observer, user}: {
 	readonly folder: string;
 	readonly fileSystem: StoreFileSystem;
-	readonly listLiveRecords: () => readonly ClaimRecord[];
+	/** Times the tries after a failed write. */
+	readonly timers: TimerService;
+	readonly observer: StoreObserver;
+	readonly user: ClaimsJournalUser;
 }): Promise<Result<ClaimsJournal, StoreError>> {
 	const file = path.join(folder, journalName);
 	const loaded = await tryFileOperation({file, operation: 'open'}, async () => loadJournal(folder, fileSystem));
@@ -95,66 +115,109 @@
 	}
 
 	const recovered = loaded.value.value;
+	const retrier = createWriteRetrier({timers, observer});
 	let journal: StoreFile | undefined;
 	let sizeBytes = 0;
-	let queue: readonly QueuedWrite[] = [];
-	let failure: StoreError | undefined;
+	let queued = new Map<ClaimName, ClaimRecord>();
 	let draining: Promise<void> | undefined;
+	let isClosing = false;
 
-	const rewrite = async (records: readonly ClaimRecord[]) => {
-		const data = encodeAll(records);
+	// Also an error releases the file descriptor, and nothing that counts is left to be written.
+	const closeFile = async () => {
+		const closing = journal;
+		journal = undefined;
+		await tryFileOperation({file, operation: 'close'}, async () => closing?.close());
+	};
+
+	const rewrite = async (data: Uint8Array) => tryFileOperation({file, operation: 'rewrite'}, async () => {
+		await closeFile();
 		await writeFileAtomically({
 			folder, fileSystem, name: journalName, data,
 		});
-		await journal?.close();
 		journal = await fileSystem.openToAppend(file);
 		sizeBytes = data.length;
-	};
+	});
 
 	const append = async (records: readonly ClaimRecord[]) => {
 		const data = encodeAll(records);
-		await journal?.appendAll(data);
-		await journal?.syncData();
-		sizeBytes += data.length;
-		if (sizeBytes > maximumJournalBytes) {
-			await rewrite(listLiveRecords());
+		const appended = await tryFileOperation({file, operation: 'append'}, async () => journal?.appendAll(data));
+		if (!appended.ok) {
+			return appended;
+		}
+
+		const synced = await tryFileOperation({file, operation: 'sync'}, async () => journal?.syncData());
+		if (!synced.ok) {
+			return synced;
 		}
+
+		sizeBytes += data.length;
+		return sizeBytes > maximumJournalBytes ? rewrite(encodeAll([...user.getLiveRecords().values()])) : createSuccess(undefined);
+	};
+
+	const abandonFile = async () => {
+		await closeFile();
+		await tryFileOperation({file, operation: 'truncate'}, async () => fileSystem.truncate(file, sizeBytes));
+	};
+
+	// Records that no longer count would fill the memory while the disk refuses all writes.
+	const dropUnused = () => {
+		const live = user.getLiveRecords();
+		queued = new Map([...queued].filter(([name]) => live.has(name)));
 	};
 
-	const writeBatch = async (batch: readonly QueuedWrite[]) => {
-		const result = failure === undefined
-			? await tryFileOperation({file, operation: 'append'}, async () => append(batch.map(({record}) => record)))
-			: createFailure(failure);
-		failure = result.ok ? undefined : result.err;
-		for (const {settle} of batch) {
-			settle(result.ok ? createSuccess(undefined) : result);
+	const writeBatch = async (batch: readonly ClaimRecord[]): Promise<Result<void, StoreError>> => {
+		const result = await append(batch);
+		if (result.ok) {
+			return result;
 		}
+
+		await abandonFile();
+		const data = encodeAll([...user.getLiveRecords().values()]);
+		return retrier.retryUntilSynced(result.err, async () => {
+			dropUnused();
+			return rewrite(data);
+		});
+	};
+
+	// An error of the user rejects this promise only, and ends no later write.
+	const report = async (batch: readonly ClaimRecord[]) => {
+		user.onSynced(batch);
 	};
 
 	const drain = async () => {
-		while (queue.length > 0) {
-			const batch = queue;
-			queue = [];
-			await writeBatch(batch); // eslint-disable-line no-await-in-loop -- batches are written in order
+		while (queued.size > 0) {
+			const batch = [...queued.values()];
+			queued = new Map();
+			const result = await writeBatch(batch); // eslint-disable-line no-await-in-loop -- batches are written in order
+			if (!result.ok) {
+				// The journal is being closed while its disk refuses writes.
+				return;
+			}
+
+			void report(batch);
 		}
 
 		draining = undefined;
 	};
 
-	const prepared = await tryFileOperation({file, operation: 'rewrite'}, async () => rewrite(recovered));
+	const prepared = await rewrite(encodeAll(recovered));
 	if (!prepared.ok) {
 		return prepared;
 	}
 
 	return createSuccess({
 		recovered,
-		write: async record => new Promise(resolve => {
-			queue = [...queue, {record, settle: resolve}];
-			draining ??= drain();
-		}),
+		write(record) {
+			if (!isClosing) {
+				queued.set(record.name, record);
+				draining ??= drain();
+			}
+		},
 		async close() {
+			isClosing = true;
+			retrier.end();
 			await draining;
-			await tryFileOperation({file, operation: 'close'}, async () => journal?.close());
+			await closeFile();
 		},
 	});
 }
--- a/packages/daemon/src/runtime/open-data-folder.ts
+++ b/packages/daemon/src/runtime/open-data-folder.ts
@@ -1,6 +1,6 @@
 import {createSuccess, type Result, type TimerService} from '@samphiremill/common';
-import type {ClaimRecord, ControlCommand} from '@samphiremill/core';
-import {openClaimsJournal, type ClaimsJournal} from '../claims-journal/claims-journal.js';
+import type {ControlCommand} from '@samphiremill/core';
+import {openClaimsJournal, type ClaimsJournal, type ClaimsJournalUser} from '../claims-journal/claims-journal.js';
 import {
 	openReplicaStore, storeFileSystem, type ReplicaStore, type StoreError,
 } from '../store/index.js';
@@ -32,15 +32,15 @@
 /**
  * Opens the data folder.
  *
- * @param options - `folder` is undefined on a host without a disk. `listLiveRecords` lists the claims to keep when the journal
- * is rewritten.
+ * @param options - `folder` is undefined on a host without a disk. `journalUser` knows the claims to keep when
+ * the journal is rewritten, and hears which ones are synced.
  * @returns The open folder, undefined without a folder, or why the folder cannot be used.
  */
-export const openDataFolder = async ({folder, timers, log, listLiveRecords}: {
+export const openDataFolder = async ({folder, timers, log, journalUser}: {
 	readonly folder: string | undefined;
 	readonly timers: TimerService;
 	readonly log: StructuredLogger;
-	readonly listLiveRecords: () => readonly ClaimRecord[];
+	readonly journalUser: ClaimsJournalUser;
 }): Promise<Result<DataFolder | undefined, StoreError>> => {
 	if (folder === undefined) {
 		return createSuccess(undefined);
@@ -61,7 +61,20 @@
 		return store;
 	}
 
-	const journal = await openClaimsJournal({folder, fileSystem: storeFileSystem, listLiveRecords});
+	const journal = await openClaimsJournal({
+		folder,
+		fileSystem: storeFileSystem,
+		timers,
+		observer: {
+			onWritesFailing({err}) {
+				log.error('writes to the journal of claims fail; no job whose claim only this disk can hold starts until they succeed', {...err});
+			},
+			onWritesRecovered({durationMs, tries}) {
+				log.info('writes to the journal of claims succeed again', {durationMs, tries});
+			},
+		},
+		user: journalUser,
+	});
 	if (!journal.ok) {
 		await store.value.close();
 		return journal;
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -70,7 +70,12 @@
 		folder: settings.dataFolder,
 		timers,
 		log,
-		listLiveRecords: () => [...engine.getState().claims.records.values()],
+		journalUser: {
+			getLiveRecords: () => engine.getState().claims.records,
+			onSynced(records) {
+				confirmClaims(records);
+			},
+		},
 	});
 	if (!opened.ok) {
 		return createFailure(opened.err);
@@ -128,17 +133,19 @@
 		logDecision(log, decision);
 	};
 
-	const persistClaim = (record: ClaimRecord) => {
-		void dataFolder?.journal.write(record).then(result => {
-			if (!result.ok) {
-				log.error('a claim could not be synced to disk; its job will not start', {...result.err});
-				return;
+	// While the disk refused writes, the key may have become free and another job may have claimed it, with the same version.
+	const confirmClaims = (records: Iterable<ClaimRecord>) => {
+		for (const {name, job, version} of records) {
+			if (engine.getState().claims.records.get(name)?.job === job) {
+				engine.dispatch({
+					type: 'claims/persisted', name, version, nowMs: timers.getNow(),
+				});
 			}
+		}
+	};
 
-			engine.dispatch({
-				type: 'claims/persisted', name: record.name, version: record.version, nowMs: timers.getNow(),
-			});
-		});
+	const persistClaim = (record: ClaimRecord) => {
+		dataFolder?.journal.write(record);
 	};
 
 	const engine = createNodeEngine({
--- a/packages/daemon/src/store/replica-writer.ts
+++ b/packages/daemon/src/store/replica-writer.ts
@@ -6,8 +6,7 @@
 import type {SegmentWrite} from './segment.js';
 import type {SegmentWriter} from './segment-writer.js';
 import type {ReplicaStore, StoreError, StoreObserver} from './types.js';
-
-const retryPeriodMs = 100;
+import {createWriteRetrier} from './write-retrier.js';
 
 type WriterOptions<Command> = {
 	readonly segments: SegmentWriter<Command>;
@@ -55,39 +54,8 @@
 	let queued: WriteBatch<Command> | undefined;
 	let draining: Promise<void> | undefined;
 	let isClosing = false;
-	let endWait: (() => void) | undefined;
 	let failure: StoreError | undefined;
-
-	const waitForRetry = async () => new Promise<void>(resolve => {
-		if (isClosing) {
-			resolve();
-			return;
-		}
-
-		const cancel = timers.scheduleOnce(retryPeriodMs, resolve);
-		endWait = () => {
-			cancel();
-			resolve();
-		};
-	});
-
-	/* eslint-disable no-await-in-loop -- one try after the other */
-	const retryUntilSynced = async (err: StoreError, tryAgain: () => Promise<Result<void, StoreError>>): Promise<Result<void, StoreError>> => {
-		const sinceMs = timers.getNow();
-		observer.onWritesFailing?.({err, sinceMs});
-		for (let tries = 1; ; tries += 1) {
-			await waitForRetry();
-			if (isClosing) {
-				return createFailure(err);
-			}
-
-			const result = await tryAgain();
-			if (result.ok) {
-				observer.onWritesRecovered?.({sinceMs, durationMs: timers.getNow() - sinceMs, tries});
-				return result;
-			}
-		}
-	};
+	const retrier = createWriteRetrier({timers, observer});
 
 	const writeBatch = async ({writes, persistedState: state}: WriteBatch<Command>): Promise<Result<void, StoreError>> => {
 		const startSegment = writes === undefined ? segments.prepareSegment(state) : undefined;
@@ -97,9 +65,10 @@
 		}
 
 		await segments.abandonSegment();
-		return retryUntilSynced(result.err, startSegment ?? segments.prepareSegment(state));
+		return retrier.retryUntilSynced(result.err, startSegment ?? segments.prepareSegment(state));
 	};
 
+	/* eslint-disable no-await-in-loop -- one batch after the other */
 	const drain = async () => {
 		while (queued !== undefined) {
 			const batch = queued;
@@ -128,7 +97,7 @@
 		},
 		async close() {
 			isClosing = true;
-			endWait?.();
+			retrier.end();
 			await draining;
 			await segments.close();
 		},
