Store: a last record that a power loss tore no longer keeps a host from starting

What was seen: a store whose last record was torn in an early page (zeros) with a later page present, or inside a sector, read as store/damaged, so its host could not start again, for good.

Cause: only whole sectors of zeros in the payload counted as unwritten. With an unwritten header the stored length is zero, and the rest of the record counted as others that follow.

Why this works: JSON text has no zero byte, and the bytes behind the end of a file that were never written read as zeros. So a bad record that no readable one follows is torn if zeros begin or end with a sector or with the record, or if the header differs from that of the data only by zeros. Any other bad record, and each one that a readable record follows, is damaged, as before. The format is unchanged.

What can't be told apart: a synced last record that was later overwritten with such zeros; this was so before for whole sectors. After a power loss a file holds what its last sync covered. A mark behind each synced record was ruled out: it tells only if it is synced itself. Old content other than zeros in the last record stays reported as damage: appending to a file does not show any.

--- a/packages/daemon/src/store/record-codec.ts
+++ b/packages/daemon/src/store/record-codec.ts
@@ -26,33 +26,56 @@
 		| {readonly type: 'torn'}
 		| {readonly type: 'damaged'; readonly reason: string};
 
-// Sectors that had not been written when a crash came read as zeros. JSON text never contains a zero byte.
-const hasZeroSector = (payload: Uint8Array, fileOffset: number) => {
-	const firstBoundary = sectorBytes - (fileOffset % sectorBytes);
-	for (let start = 0, end = firstBoundary; start < payload.length; start = end, end += sectorBytes) {
-		if (payload.subarray(start, end).every(byte => byte === 0)) {
+// Whether what is unwritten reaches from the header into the payload: to the end of the sector, or from its start.
+const isUnwrittenAcross = (bytes: Uint8Array, offset: number) => {
+	const payloadStart = offset + headerBytes;
+	const sectorStart = Math.floor(payloadStart / sectorBytes) * sectorBytes;
+	const isZero = (start: number, end: number) => bytes.subarray(start, end).every(byte => byte === 0);
+	return isZero(payloadStart, sectorStart + sectorBytes) || (sectorStart > offset && isZero(sectorStart, payloadStart + 1));
+};
+
+// JSON text has no zero byte. What a power loss left unwritten reads as zeros, and begins or ends with a sector or with the record.
+const hasUnwrittenPart = (bytes: Uint8Array, {start, end}: {readonly start: number; readonly end: number}) => {
+	for (let boundary = Math.ceil(start / sectorBytes) * sectorBytes; boundary < end; boundary += sectorBytes) {
+		if (bytes[boundary] === 0 || (boundary > start && bytes[boundary - 1] === 0)) {
 			return true;
 		}
 	}
 
-	return false;
+	return end > start && bytes[end - 1] === 0;
 };
 
-// Each record is synced before the next one is written. So a bad record that is followed by others
-// had been synced and was damaged later. At the end of the file, missing bytes or sectors of zeros
-// show an unfinished write; a complete record whose checksum differs was damaged.
-const classifyBadRecord = (bytes: Uint8Array, {offset, length}: {readonly offset: number; readonly length: number}): DecodedRecord => {
-	const end = offset + headerBytes + length;
-	const payload = bytes.subarray(offset + headerBytes, end);
-	if (end < bytes.length) {
-		return bytes.subarray(offset).every(byte => byte === 0)
-			? {type: 'torn'}
-			: {type: 'damaged', reason: 'checksum differs in a record that is followed by others'};
+// A part of the header is unwritten if it differs from the header of the data only by zeros.
+const hasUnwrittenHeader = (bytes: Uint8Array, {offset, dataEnd}: {readonly offset: number; readonly dataEnd: number}) => {
+	const payload = bytes.subarray(offset + headerBytes, dataEnd);
+	const header = new DataView(new ArrayBuffer(headerBytes));
+	header.setUint32(0, payload.length, true);
+	header.setUint32(4, getChecksum(payload), true);
+	return bytes.subarray(offset, offset + headerBytes).every((byte, position) => byte === 0 || byte === header.getUint8(position));
+};
+
+// Whether a bad record that no other follows may be an unfinished write. If a part of its header is unwritten, the stored length is
+// too small. A length that fits the data was written, also if its first byte is zero.
+const isTorn = (bytes: Uint8Array, {offset, length}: {readonly offset: number; readonly length: number}) => {
+	const start = offset + headerBytes;
+	const end = start + length;
+	const dataEnd = bytes.findLastIndex(byte => byte !== 0) + 1;
+	return (bytes[offset] === 0 && end !== dataEnd)
+		|| hasUnwrittenHeader(bytes, {offset, dataEnd})
+		|| isUnwrittenAcross(bytes, offset)
+		|| hasUnwrittenPart(bytes, {start, end});
+};
+
+// Each record is synced before the next one is written. So a bad record that is followed by others had been synced and was damaged
+// later. A last record may never have been synced; if no unfinished write explains it, it was damaged, too.
+const classifyBadRecord = (bytes: Uint8Array, record: {readonly offset: number; readonly length: number}): DecodedRecord => {
+	if (isFollowedByRecord(bytes, record.offset)) {
+		return {type: 'damaged', reason: 'checksum differs in a record that is followed by others'};
 	}
 
-	return hasZeroSector(payload, offset + headerBytes)
+	return isTorn(bytes, record)
 		? {type: 'torn'}
-		: {type: 'damaged', reason: 'checksum differs in the last record, which is complete'};
+		: {type: 'damaged', reason: 'checksum differs in the last record, and no unfinished write explains it'};
 };
 
 const readHeader = (bytes: Uint8Array, offset: number) => {
@@ -94,12 +117,13 @@
 
 const openingBrace = 0x7B;
 
-// With a damaged length the start of the next record is unknown, so every later offset is tried.
+// With a damaged length the start of the next record is unknown, so every later offset is tried. Zeros are no record, although their
+// checksum fits a length of zero.
 const isFollowedByRecord = (bytes: Uint8Array, badOffset: number) => {
 	for (let offset = badOffset + headerBytes; offset + headerBytes < bytes.length; offset += 1) {
 		const {length, checksum} = readHeader(bytes, offset);
 		const end = offset + headerBytes + length;
-		const isPlausible = end <= bytes.length && bytes[offset + headerBytes] === openingBrace;
+		const isPlausible = length > 0 && end <= bytes.length && bytes[offset + headerBytes] === openingBrace;
 		if (isPlausible && getChecksum(bytes.subarray(offset + headerBytes, end)) === checksum) {
 			return true;
 		}
