--- a/packages/daemon/src/claims-journal/claims-journal.test.ts
+++ b/packages/daemon/src/claims-journal/claims-journal.test.ts
@@ -202,3 +202,20 @@
 	await pass(1000);
 	expect(synced).toEqual([]);
 });
+
+test('a power loss that tears the first of several records that are synced together leaves a journal that opens', async () => {
+	const fileSystem = createTestFileSystem();
+	const {journal, write, pass} = await startJournal(fileSystem);
+	write(createRecord('a', 1));
+	await pass(50);
+	const syncedBytes = fileSystem.getFile('claims.journal')?.length ?? 0;
+	for (let index = 0; index < 20; index += 1) {
+		write(createRecord(`b-${index}`, 1));
+	}
+
+	await pass(50);
+	await journal.close();
+	const bytes = fileSystem.getFile('claims.journal') ?? new Uint8Array();
+	fileSystem.setFile('claims.journal', bytes.map((byte, offset) => offset >= syncedBytes && offset < 1024 ? 0 : byte));
+	expect(listNames(await recover(fileSystem))).toEqual(['a']);
+});
--- a/packages/daemon/src/claims-journal/claims-journal.ts
+++ b/packages/daemon/src/claims-journal/claims-journal.ts
@@ -41,6 +41,10 @@
 	readonly onSynced: (records: Iterable<ClaimRecord>) => void;
 };
 
+// Records that were written together are one record of the file. Earlier builds, and the start of the file, have one for each.
+const listValues = (value: unknown): readonly unknown[] =>
+	typeof value === 'object' && value !== null && 'records' in value && Array.isArray(value.records) ? value.records : [value];
+
 const readRecords = (file: string, bytes: Uint8Array): Result<ReadonlyMap<string, ClaimRecord>, StoreError> => {
 	const records = new Map<string, ClaimRecord>();
 	for (let offset = 0; ;) {
@@ -55,9 +59,11 @@
 			return createSuccess(records);
 		}
 
-		const record = restoreClaimRecord(decoded.value);
-		if (record !== undefined) {
-			records.set(record.name, record);
+		for (const value of listValues(decoded.value)) {
+			const record = restoreClaimRecord(value);
+			if (record !== undefined) {
+				records.set(record.name, record);
+			}
 		}
 
 		offset = decoded.nextOffset;
@@ -139,7 +145,8 @@
 	});
 
 	const append = async (records: readonly ClaimRecord[]) => {
-		const data = encodeAll(records);
+		// A torn write is told from damage only if what is synced together is one record.
+		const data = encodeRecord({records});
 		const appended = await tryFileOperation({file, operation: 'append'}, async () => journal?.appendAll(data));
 		if (!appended.ok) {
 			return appended;
