--- a/packages/core/src/scheduler/apply-ledger-command.ts
+++ b/packages/core/src/scheduler/apply-ledger-command.ts
@@ -112,7 +112,7 @@
 export function applyLedgerCommand(ledger: Ledger, command: LedgerCommand, parse: ParseConfiguration): LedgerOutcome {
 	const fault = findCommandFault(command);
 	if (fault !== undefined) {
-		return {type: 'failed', reason: fault};
+		return {type: 'failed', reason: fault, mayHaveEffect: false};
 	}
 
 	// Commands of a replaced leader may be committed after the term of its successor has started.
@@ -123,6 +123,6 @@
 	try {
 		return applyWellFormed(ledger, command, parse);
 	} catch (err) {
-		return {type: 'failed', reason: describeError(err)};
+		return {type: 'failed', reason: describeError(err), mayHaveEffect: true};
 	}
 }
--- a/packages/core/src/scheduler/command-form.ts
+++ b/packages/core/src/scheduler/command-form.ts
@@ -20,7 +20,7 @@
 	&& isListOf(value.dependsOn, isCount);
 
 const isSchedule = (value: unknown) => value === undefined
-	|| (isRecord(value) && isCount(value.count) && hasNumbers(value, ['firstDueAtMs', 'intervalMs']));
+	|| (isRecord(value) && hasNumbers(value, ['count', 'firstDueAtMs', 'intervalMs']));
 
 const isJob = (value: unknown) => isRecord(value)
 	&& hasTexts(value, ['id', 'queue', 'pool'])
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -376,7 +376,12 @@
 	/** The assignments that took effect; the others were no longer valid. */
 		| {readonly type: 'assigned'; readonly runs: readonly RunAssignment[]}
 	/** The command could not be applied, on any host: it is malformed, of an unknown type, or led to an error. */
-		| {readonly type: 'failed'; readonly reason: string}
+		| {
+			readonly type: 'failed';
+			readonly reason: string;
+			/** Whether the error came while the command was applied, so that a part of it may be in the ledger. */
+			readonly mayHaveEffect: boolean;
+		}
 		| {readonly type: 'batch'; readonly outcomes: readonly LedgerOutcome[]};
 
 /** Parses a configuration document. It must be deterministic, since every control host parses the same document. */
--- a/packages/daemon/src/scheduler/command-batcher.test.ts
+++ b/packages/daemon/src/scheduler/command-batcher.test.ts
@@ -144,3 +144,11 @@
 	expect(await Promise.all(decisions)).toEqual(large.map(() => ({type: 'notProposed'})));
 	expect(await next).toMatchObject({type: 'applied'});
 });
+
+test.each([{mayHaveEffect: true, expected: 'unknown'}, {mayHaveEffect: false, expected: 'notProposed'}])('a command that failed while it was applied is not said to have had no effect (mayHaveEffect: $mayHaveEffect)', async ({mayHaveEffect, expected}) => {
+	const propose = createCommandBatcher(
+		async () => ({type: 'applied', outcome: {type: 'failed', reason: 'an error', mayHaveEffect}}),
+		() => undefined,
+	);
+	expect(await propose({type: 'term/begun', term: 1})).toEqual({type: expected});
+});
--- a/packages/daemon/src/scheduler/command-batcher.ts
+++ b/packages/daemon/src/scheduler/command-batcher.ts
@@ -30,8 +30,13 @@
 const maximumCommandBytes = 917_504;
 const maximumBytesPerProposal = 524_288;
 
-const rejectFailed = (decision: ProposalResult): ProposalResult =>
-	decision.type === 'applied' && decision.outcome?.type === 'failed' ? {type: 'notProposed'} : decision;
+const rejectFailed = (decision: ProposalResult): ProposalResult => {
+	if (decision.type !== 'applied' || decision.outcome?.type !== 'failed') {
+		return decision;
+	}
+
+	return {type: decision.outcome.mayHaveEffect ? 'unknown' : 'notProposed'};
+};
 
 const getOutcome = (decision: ProposalResult, position: number): ProposalResult => {
 	if (decision.type !== 'applied') {
--- a/packages/daemon/src/scheduler/ended-incarnations.ts
+++ b/packages/daemon/src/scheduler/ended-incarnations.ts
@@ -35,7 +35,10 @@
 			endedAtMs.delete(life);
 			endedAtMs.set(life, timers.getNow());
 		},
-		has: life => endedAtMs.has(life),
+		has(life) {
+			dropExpired();
+			return endedAtMs.has(life);
+		},
 		hasEarlier(minion) {
 			dropExpired();
 			return [...endedAtMs.keys()].some(life => isIncarnationOf(life, minion));
