--- a/packages/core/src/replica/leader-stall.ts
+++ b/packages/core/src/replica/leader-stall.ts
@@ -45,8 +45,8 @@
 }
 
 /**
- * Counts a chunk of the snapshot that a peer has received as progress, of a voter also as progress of the leader: its other entries follow once it has the whole
- * snapshot, and no other voter could send it any sooner.
+ * Counts a chunk of the snapshot that a peer has received as its progress. A chunk for a voter is progress of the leader
+ * as well: the other entries follow once the voter has the whole snapshot, and no other leader could send it sooner.
  */
 export function recordSnapshotProgress<Command>(
 	state: ReplicaState<Command>,
