--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -101,6 +101,8 @@
 	let pendingEndsCommit: Promise<void> | undefined;
 	/** Whether the last hold call got no answer. */
 	let isSilent = false;
+	/** Whether the connection of the last hold call was refused. */
+	let isRefused = false;
 	/** Whether the leader could not act when the next hold call was due. */
 	let isCallOverdue = false;
 	let lastAnswerAtMs: number = timers.getNow();
@@ -362,15 +364,24 @@
 		return isWarmingUp ? warmUpHoldWaitMs : holdWaitMs;
 	};
 
-	const updateSilence = ({type}: MinionAnswer<unknown>) => {
-		const isSilentNow = type !== 'answered';
+	const updateSilence = (answer: MinionAnswer<unknown>) => {
+		const isSilentNow = answer.type !== 'answered';
+		const isRefusedNow = answer.type === 'notSent' && answer.isRefused === true;
+		const silentMs = Math.round(timers.getNow() - lastContactAtMs);
 		if (isSilentNow !== isSilent) {
 			log.info(`minion ${record.minion} ${isSilentNow ? 'does not answer' : 'answers again'}`, {
-				minion: record.minion, life: record.life, outcome: type, silentMs: Math.round(timers.getNow() - lastContactAtMs),
+				minion: record.minion, life: record.life, outcome: answer.type, silentMs,
+			});
+		}
+
+		if (isRefusedNow && !isRefused) {
+			log.info(`no process listens at the address of minion ${record.minion}`, {
+				minion: record.minion, life: record.life, address: record.address, silentMs,
 			});
 		}
 
 		isSilent = isSilentNow;
+		isRefused = isRefusedNow;
 	};
 
 	// A hold call names no incarnation: the next one counts its ends from 1, and would drop those of runs that this
@@ -465,6 +476,12 @@
 
 	const listExpiredRuns = () => listLedgerRuns().filter(([task, run]) => !mayOutliveLease(task, run));
 
+	// How long a run had run when its minion last answered.
+	const getRanMs = (task: TaskId): number | undefined => {
+		const startedAtMs = trackedRuns.get(task)?.startedAtMs;
+		return startedAtMs === undefined ? undefined : Math.max(0, Math.round(lastContactAtMs - startedAtMs));
+	};
+
 	const expireLease = async () => {
 		isExpiringLease = true;
 		isSynced = false;
@@ -476,7 +493,7 @@
 
 		metrics.count('leases_lapsed_total');
 		log.warn(`the lease on minion ${record.minion} ran out with ${runs.length} runs`, {
-			minion: record.minion, life: record.life, silentMs: Math.round(timers.getNow() - lastContactAtMs), tasks: runs.map(([task]) => task),
+			minion: record.minion, life: record.life, silentMs: Math.round(timers.getNow() - lastContactAtMs), tasks: runs.map(([task]) => task), ranMs: runs.map(([task]) => getRanMs(task) ?? -1),
 		});
 		const proposedAtMs = timers.getNow();
 		const isNoted = await commitEnds(runs.map(([task, number]) => createRunEnd({task, run: number, life: record.life}, 'lapsed')));
--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -87,8 +87,8 @@
 		| {readonly type: 'unhealthy'}
 	/** The minion rejected the call as malformed and did not execute it. */
 		| {readonly type: 'invalid'; readonly message: string}
-	/** The call was never sent. */
-		| {readonly type: 'notSent'}
+	/** The call was never sent. `isRefused`: the host at the address refused the connection, so no process listens there. */
+		| {readonly type: 'notSent'; readonly isRefused?: boolean}
 	/** The call may have been executed, or may still be. */
 		| {readonly type: 'noAnswer'};
 
