A failing test: a task that crashes its minions is started without end

What the log of refused connections showed: a crashed minion refuses connections at once, but so does one that is cut off with resets while its runs go on. A refused connection is no proof of a crash.

--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -77,6 +77,8 @@
 	deadlineMs: number;
 	isSilent: boolean;
 	isGone: boolean;
+	/** Whether the host of the minion that is gone refuses connections to its address. */
+	isRefusing: boolean;
 	isStalled: boolean;
 	/** All runs that start before this time fail shortly after. */
 	failsUntilMs: number;
@@ -105,6 +107,12 @@
 	/** Has the minion report from now on that it is draining. */
 	readonly drain: (index: number) => void;
 	readonly crash: (index: number) => void;
+	/** Like `crash`, but the minion's host refuses connections from then on, and the worker is back sooner, as another minion. */
+	readonly crashVisibly: (index: number) => void;
+	/** Each minion that starts the task crashes shortly after the start. */
+	readonly makeDeadly: (task: TaskId, options?: {readonly afterMs?: number}) => void;
+	/** Returns how many minions have crashed under a deadly task. */
+	readonly countCrashesUnder: (task: TaskId) => number;
 	/** Crashes the minion and starts its next incarnation shortly after, under the same id and at the same address. */
 	readonly restart: (index: number) => void;
 	/** Like `restart`, but no closed connection tells the leader of the crash: pending hold calls keep waiting. */
@@ -163,6 +171,10 @@
 const moveMs = 1500;
 const restartMs = 120;
 const crashRestartMs = 3000;
+const visibleCrashRestartMs = 3200;
+const deadlyDelayMs = 10;
+/** A task that crashes its minions must not be started this often after as many minions have crashed under it. */
+const crashBudget = 3;
 const warmUpMs = 100;
 const absenceNoticeMs = 4500;
 const delayedArrivalMs = 450;
@@ -266,7 +278,7 @@
 		};
 		nextMinionNumber += 1;
 		const created: FakeMinion = {
-			record, clockRate: 0.98 + (random() * 0.02), bornAtMs: timers.getNow(), runs: new Map(), highestRuns: new Map(), finished: [], nextNumber: 1, startCount: 0, fencingToken: 0, deadlineMs: 0, isSilent: false, isGone: false, isStalled: false, failsUntilMs: 0, orderFault: undefined, lastLapseNumber: 0, delayed: [], isDraining: false,
+			record, clockRate: 0.98 + (random() * 0.02), bornAtMs: timers.getNow(), runs: new Map(), highestRuns: new Map(), finished: [], nextNumber: 1, startCount: 0, fencingToken: 0, deadlineMs: 0, isSilent: false, isGone: false, isRefusing: false, isStalled: false, failsUntilMs: 0, orderFault: undefined, lastLapseNumber: 0, delayed: [], isDraining: false,
 		};
 		minions.set(record.address, created);
 		return created;
@@ -322,6 +334,34 @@
 		isApproved: ({job, occurrence, step}, minion) => job.advice === undefined || isApproved(`${job.id}.${occurrence}.${step}`, minion),
 	});
 
+	const deadlyTasks = new Map<TaskId, {readonly afterMs: number; crashCount: number; startsAfterBudget: number}>();
+
+	const crashVisibly = (minion: FakeMinion) => {
+		if (!minion.isGone) {
+			minion.isRefusing = true;
+			endIncarnation(minion, {downMs: visibleCrashRestartMs});
+		}
+	};
+
+	const startDeadlyTask = (minion: FakeMinion, id: TaskId) => {
+		const deadly = deadlyTasks.get(id);
+		if (deadly === undefined) {
+			return;
+		}
+
+		deadly.startsAfterBudget += deadly.crashCount >= crashBudget ? 1 : 0;
+		if (deadly.startsAfterBudget >= crashBudget) {
+			recordViolation('crashBudget', `${id} is started ${deadly.startsAfterBudget} times after ${crashBudget} minions had crashed under it`);
+		}
+
+		timers.scheduleOnce(deadly.afterMs, () => {
+			if (minion.runs.has(id) && !minion.isGone) {
+				deadly.crashCount += 1;
+				crashVisibly(minion);
+			}
+		});
+	};
+
 	const recordViolation = (rule: string, detail: string) => {
 		violations.push(`${rule} at ${Math.round(timers.getNow())} ms in term ${term}: ${detail}`);
 	};
@@ -432,6 +472,10 @@
 		await pause(1);
 		const minion = minions.get(address);
 		const isLost = random() < getLossChance();
+		if (minion?.isRefusing === true) {
+			return {type: 'notSent', isRefused: true};
+		}
+
 		if (minion === undefined || minion.isGone || minion.isSilent || isLost) {
 			const carryOutLate = () => {
 				const recipient = areLateOrdersSentToNextIncarnation ? minions.get(address) : minion;
@@ -593,6 +637,7 @@
 				ending: isFailure || isFailing || isLasting ? 'failed' : 'done',
 				stopAtMs: Number.POSITIVE_INFINITY,
 			});
+			startDeadlyTask(minion, order.task);
 			return answer(minion, {type: 'started' as const});
 		}),
 		stop: async order => deliverOrder<'stopping' | 'fenced'>(order.target.address, order.timeoutMs, minion => {
@@ -987,6 +1032,16 @@
 				endIncarnation(minion, {downMs: crashRestartMs});
 			}
 		},
+		crashVisibly(index) {
+			const minion = findMinion(index);
+			if (minion !== undefined) {
+				crashVisibly(minion);
+			}
+		},
+		makeDeadly(task, {afterMs = deadlyDelayMs} = {}) {
+			deadlyTasks.set(task, {afterMs, crashCount: 0, startsAfterBudget: 0});
+		},
+		countCrashesUnder: task => deadlyTasks.get(task)?.crashCount ?? 0,
 		loseOutcome(type) {
 			lostOutcomeType = type;
 		},
