The capacity of a minion follows its reports while it runs

Cause: the ledger took a minion's capacity from the first report of an incarnation and ignored later ones.

Change: a report with another capacity that no later report has overtaken is committed (minion/resized) before it is acknowledged; plans, moves, pool sizes and the next leader read the record in the ledger.

--- a/packages/core/src/scheduler/actions/change-minions.ts
+++ b/packages/core/src/scheduler/actions/change-minions.ts
@@ -3,7 +3,7 @@
 } from '../ledger.js';
 import {recordPoolChanged} from '../work-index.js';
 import type {
-	Ledger, LedgerCommand, LedgerOutcome, IncarnationId, MinionLoss, MinionRecord,
+	Ledger, LedgerCommand, LedgerOutcome, IncarnationId, MinionLoss, MinionRecord, Resources,
 } from '../types.js';
 import {recordCrash} from './record-crash.js';
 
@@ -51,6 +51,21 @@
 	return {type: 'applied'};
 }
 
+/**
+ * Changes the capacity of a minion. If it shrinks below what runs there, nothing more starts until enough has ended. Ignored
+ * if the incarnation is unknown.
+ */
+export function resizeMinion(ledger: Ledger, incarnation: IncarnationId, capacity: Resources): LedgerOutcome {
+	const usage = ledger.incarnations.get(incarnation);
+	if (usage === undefined) {
+		return {type: 'ignored'};
+	}
+
+	usage.record = {...usage.record, capacity};
+	recordPoolChanged(ledger.index, usage.record.pool);
+	return {type: 'applied'};
+}
+
 /**
  * Adds a new incarnation of a minion, and removes earlier incarnations of the same minion, on the same worker
  * or at the same address. Ignores an incarnation that is known, and one that is older than a known incarnation of
--- a/packages/core/src/scheduler/apply-ledger-command.ts
+++ b/packages/core/src/scheduler/apply-ledger-command.ts
@@ -2,7 +2,9 @@
 import {acceptJob} from './actions/accept-job.js';
 import {assignRuns} from './actions/assign-runs.js';
 import {cancelJob} from './actions/cancel-job.js';
-import {addMinion, recordMinionDraining, removeMinion} from './actions/change-minions.js';
+import {
+	addMinion, recordMinionDraining, removeMinion, resizeMinion,
+} from './actions/change-minions.js';
 import {recordMaintenanceStarted, recordMaintenanceOrdered, startWave} from './actions/change-waves.js';
 import {endRuns} from './actions/end-runs.js';
 import {recordWorkerOrderEnded, recordWorkerOrdered} from './actions/record-worker-orders.js';
@@ -57,6 +59,10 @@
 			return removeMinion(ledger, command.life, command.loss && {loss: command.loss});
 		}
 
+		case 'minion/resized': {
+			return resizeMinion(ledger, command.life, command.capacity);
+		}
+
 		case 'minion/draining': {
 			return recordMinionDraining(ledger, command.life);
 		}
--- a/packages/core/src/scheduler/command-form.ts
+++ b/packages/core/src/scheduler/command-form.ts
@@ -12,11 +12,12 @@
 const isListOf = (value: unknown, isItem: (item: unknown) => boolean): value is readonly unknown[] => Array.isArray(value) && value.every(item => isItem(item));
 const isLifeOrAbsent = (value: unknown) => value === undefined || isText(value);
 
+const isResources = (value: unknown) => isRecord(value) && hasNumbers(value, ['cpuMillicores', 'memoryMb', 'gpus']);
+
 const isStep = (value: unknown) => isRecord(value)
 	&& isCount(value.count)
 	&& hasNumbers(value, ['estimateMs'])
-	&& isRecord(value.request)
-	&& hasNumbers(value.request, ['cpuMillicores', 'memoryMb', 'gpus'])
+	&& isResources(value.request)
 	&& isListOf(value.dependsOn, isCount);
 
 const isSchedule = (value: unknown) => value === undefined
@@ -36,8 +37,7 @@
 	&& hasTexts(value, ['life', 'minion', 'address', 'worker', 'pool', 'dataCentre'])
 	&& hasNumbers(value, ['bornAtMs'])
 	&& isListOf(value.labels, isText)
-	&& isRecord(value.capacity)
-	&& hasNumbers(value.capacity, ['cpuMillicores', 'memoryMb', 'gpus']);
+	&& isResources(value.capacity);
 
 const isLostRun = (value: unknown) => isRecord(value) && hasTexts(value, ['task']) && isCount(value.run) && (value.ranMs === undefined || Number.isFinite(value.ranMs));
 const isLoss = (value: unknown) => isRecord(value) && hasNumbers(value, ['atMs']) && isListOf(value.runs, isLostRun);
@@ -86,6 +86,10 @@
 			return isText(command.life) && isLossOrAbsent(command.loss);
 		}
 
+		case 'minion/resized': {
+			return isText(command.life) && isResources(command.capacity);
+		}
+
 		case 'minion/draining': {
 			return isText(command.life);
 		}
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -142,7 +142,7 @@
 	readonly teamsById: ReadonlyMap<TeamId, TeamDefinition>;
 };
 
-/** What a minion reports about itself when an incarnation starts. */
+/** What a minion reports about itself. Only its capacity changes while an incarnation lives. */
 export type MinionRecord = {
 	readonly life: IncarnationId;
 	readonly minion: MinionId;
@@ -325,7 +325,8 @@
 
 /** The runs on one incarnation of a minion, and the resources that they reserve. */
 export type IncarnationUsage = {
-	readonly record: MinionRecord;
+	/** Replaced when the capacity changes. */
+	record: MinionRecord;
 	/** Run numbers by task. A minion has at most one run of a task. */
 	readonly runs: Map<TaskId, number>;
 	/** Run numbers of lapsed runs by task: their lease expired, but orders to start them may still arrive. */
@@ -416,6 +417,8 @@
 		| {readonly type: 'minion/joined'; readonly term: number; readonly record: MinionRecord; readonly losses?: ReadonlyArray<MinionLoss & {readonly life: IncarnationId}>}
 	/** `loss` is present if the incarnation has certainly ended, and nobody announced its end. */
 		| {readonly type: 'minion/left'; readonly term: number; readonly life: IncarnationId; readonly loss?: MinionLoss}
+	/** The minion reported another capacity than before. */
+		| {readonly type: 'minion/resized'; readonly term: number; readonly life: IncarnationId; readonly capacity: Resources}
 	/** The minion announced that it will leave. */
 		| {readonly type: 'minion/draining'; readonly term: number; readonly life: IncarnationId}
 		| {readonly type: 'wave/started'; readonly wave: Omit<MaintenanceWave, 'ordered'>}
--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -3,8 +3,8 @@
  */
 import {waitFor, type JobId, type TimerService} from '@samphiremill/common';
 import {
-	countPendingJobs, getPublicJobState, getOccurrenceWork, isJobId, isWaveCompleted,
-	type Job, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord,
+	countPendingJobs, fitsInto, getPublicJobState, getOccurrenceWork, isJobId, isWaveCompleted,
+	type Job, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord, type Resources,
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
 import type {ProposalResult} from './command-batcher.js';
@@ -45,6 +45,8 @@
 	readonly onChanged: () => void;
 };
 
+const isSameAmount = (left: Resources, right: Resources) => fitsInto(left, right) && fitsInto(right, left);
+
 // The ledger removes such an incarnation when the new one joins.
 const isReplacedBy = (known: MinionRecord, record: MinionRecord) => known.bornAtMs <= record.bornAtMs
 	&& (known.minion === record.minion || known.worker === record.worker || known.address === record.address);
@@ -235,10 +237,32 @@
 			log.info(`minion ${record.minion} is draining`, {minion: record.minion, life: record.life, remainingMs: report.remainingMs});
 		}
 
+		if (!await updateCapacity(report)) {
+			return {type: 'unavailable'};
+		}
+
 		sessions.get(record.life)?.recordReport(report);
 		return {type: 'done'};
 	};
 
+	// Resolves to whether the ledger holds the reported capacity, or a later report overtook this one.
+	const updateCapacity = async (report: MinionReport): Promise<boolean> => {
+		const {life, minion, capacity} = report.record;
+		const known = getLedger().incarnations.get(life)?.record.capacity;
+		if (known === undefined || isSameAmount(known, capacity) || sessions.get(life)?.isOutdated(report) === true) {
+			return true;
+		}
+
+		const isCommitted = await commit({
+			type: 'minion/resized', term, life, capacity,
+		});
+		log.info(`minion ${minion} reports another capacity`, {
+			minion, life, before: known, capacity, isCommitted,
+		});
+		requestPlan();
+		return isCommitted;
+	};
+
 	// The minion keeps running its tasks until it has its answer. Its runs are stopped first, so that no task is assigned elsewhere while it still runs.
 	const stopRuns = async ({record: {life}, listRuns, stop}: MinionSession): Promise<boolean> => {
 		const hasRuns = () => (getLedger().incarnations.get(life)?.runs.size ?? 0) > 0;
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -29,6 +29,7 @@
 
 /** The leader's session with one incarnation of a minion. */
 export type MinionSession = {
+	/** The minion's current record in the ledger, with its current capacity. */
 	readonly record: MinionRecord;
 	/** Sends the start of an assigned run. */
 	readonly start: (assignment: RunAssignment) => void;
@@ -36,6 +37,8 @@
 	readonly stop: (task: TaskId, reason: string) => void;
 	readonly setPace: (task: TaskId, percent: number) => void;
 	readonly recordReport: (report: MinionReport) => void;
+	/** Whether the minion sent the report before another one that has arrived. */
+	readonly isOutdated: (report: MinionReport) => boolean;
 	readonly tick: () => void;
 	/** Whether the minion answered recently. */
 	readonly isAnswering: () => boolean;
@@ -569,7 +572,9 @@
 	void runHoldLoop();
 
 	return {
-		record,
+		get record() {
+			return context.getLedger().incarnations.get(record.life)?.record ?? record;
+		},
 		start(assignment) {
 			const trackedRun = createTrackedRun(assignment, {isInherited: false});
 			trackedRuns.set(assignment.task, trackedRun);
@@ -608,6 +613,7 @@
 				}
 			});
 		},
+		isOutdated: report => report.sequence < sequence,
 		recordReport(report) {
 			if (report.sequence <= sequence) {
 				return;
