--- a/packages/core/src/scheduler/work-index.ts
+++ b/packages/core/src/scheduler/work-index.ts
@@ -299,7 +299,7 @@
 
 	if (after.losses.length > 0 && !after.isDone && after.job.status === 'active') {
 		index.tasksWithLosses.add(after.id);
-	} else {
+	} else if (before.losses.length > 0) {
 		index.tasksWithLosses.delete(after.id);
 	}
 
