--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -208,7 +208,7 @@
 			await Promise.all(earlierSessions.map(async session => session.handleNextIncarnation()));
 			const losses = [...sessions.values()]
 				.filter(({record: known}) => isReplacedBy(known, record))
-				.map(({record: known, describeLoss}) => ({...describeLoss(), life: known.life}));
+				.map(({record: known, loss}) => ({...loss.describe(), life: known.life}));
 			const isJoined = await commit({
 				type: 'minion/joined', term, record, ...(losses.length > 0 && {losses}),
 			});
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -200,8 +200,8 @@
 		getLedger,
 		canAct: () => !isStopped && canAct(),
 		hasEarlierIncarnation: endedIncarnations.hasEarlier,
-		isLossShared: (life, atMs) => [...sessions.values()].some(({record, getLostAtMs, wasLostSuddenly}) =>
-			record.life !== life && !wasLostSuddenly() && Math.abs((getLostAtMs() ?? Number.NEGATIVE_INFINITY) - atMs) <= sharedLossMs),
+		isLossShared: (life, atMs) => [...sessions.values()].some(({record, loss}) =>
+			record.life !== life && !loss.wasLostSuddenly() && Math.abs((loss.getLostAtMs() ?? Number.NEGATIVE_INFINITY) - atMs) <= sharedLossMs),
 		commit,
 		getWallClock,
 		onMinionsChanged() {
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -4,13 +4,14 @@
  */
 import {describeError, waitFor} from '@samphiremill/common';
 import {
-	findTask, freshRunMs, getInheritedLeaseMs, getRunLimit, getStep, isLateRunEnd, isSuddenLoss, isSuspectedSlow, recordSlowness, recordRunDone, recordRunFailed, initialMinionHealth, initialMinionSpeed,
-	type MinionHealth, type MinionLoss, type MinionSpeed, type MinionRecord, type RunAssignment, type RunEnd, type Task, type TaskId,
+	findTask, getInheritedLeaseMs, getRunLimit, getStep, isLateRunEnd, isSuspectedSlow, recordSlowness, recordRunDone, recordRunFailed, initialMinionHealth, initialMinionSpeed,
+	type MinionHealth, type MinionSpeed, type MinionRecord, type RunAssignment, type RunEnd, type Task, type TaskId,
 } from '@samphiremill/core';
 import {
 	holdRetryDelayMs, holdTimeoutMarginMs, holdWaitMs, orderTimeoutMs, provenServiceMs, warmUpHoldWaitMs,
 } from './constants.js';
 import {createMinionLease} from './minion-lease.js';
+import {createLossTracker, type LossTracker} from './minion-loss.js';
 import {
 	createTrackedRun, toRunView, type TrackedRun, type RunView,
 } from './tracked-run.js';
@@ -55,12 +56,8 @@
 	readonly recordSlowness: (slowness: number) => void;
 	readonly getRun: (task: TaskId) => RunView | undefined;
 	readonly listRuns: () => readonly RunView[];
-	/** Returns since when the minion does not answer, on the monotonic clock; `undefined` while it does. */
-	readonly getLostAtMs: () => number | undefined;
-	/** Whether a run had just started when the minion was lost. */
-	readonly wasLostSuddenly: () => boolean;
-	/** Describes the loss of the minion, for when it has certainly ended. */
-	readonly describeLoss: () => MinionLoss;
+	/** Tells whether and how the minion was lost. */
+	readonly loss: Pick<LossTracker, 'getLostAtMs' | 'wasLostSuddenly' | 'describe'>;
 	/** Returns when the minion last reported or answered, on the monotonic clock. */
 	readonly getLastContactAtMs: () => number;
 	/**
@@ -110,17 +107,12 @@
 	let pendingEndsCommit: Promise<void> | undefined;
 	/** Whether the last hold call got no answer. */
 	let isSilent = false;
-	/** Whether the connection of the last hold call was refused. */
-	let isRefused = false;
 	/** Whether the leader could not act when the next hold call was due. */
 	let isCallOverdue = false;
 	let lastAnswerAtMs: number = timers.getNow();
-	/** Since when the minion does not answer; it may answer as another incarnation. */
-	let lostAtMs: number | undefined;
-	let wasLostSuddenly = false;
-	let hasAnswered = false;
-	/** Whether the minion's host has refused a connection since then. */
-	let hasRefused = false;
+	const loss = createLossTracker({
+		record, timers, log, context, listTrackedRuns: () => [...trackedRuns.values()],
+	});
 	const isOpen = () => !isClosed;
 	const isDraining = () => context.getLedger().incarnations.get(record.life)?.isDraining ?? false;
 
@@ -178,7 +170,7 @@
 		if (answer.type === 'answered') {
 			lastContactAtMs = timers.getNow();
 			lastAnswerAtMs = lastContactAtMs;
-			hasAnswered = true;
+			loss.recordContact();
 			lease.recordClock(answer.clockMs);
 		}
 	};
@@ -240,12 +232,12 @@
 			metrics.count('runs_ended_total', ending);
 		}
 
-		const hasLostRuns = lostAtMs !== undefined && ends.some(({ending}) => ending === 'lapsed');
+		const hasLostRuns = loss.getLostAtMs() !== undefined && ends.some(({ending}) => ending === 'lapsed');
 
 		const jobs = new Set(ends.flatMap(({task}) => findTask(context.getLedger(), task)?.job ?? []));
 		const activeJobs = [...jobs].filter(({status}) => status === 'active');
 		const isCommitted = await context.commit({
-			type: 'runs/ended', term: fencingToken, ends, atMs: context.getWallClock(), ...(hasLostRuns && {loss: describeLoss()}),
+			type: 'runs/ended', term: fencingToken, ends, atMs: context.getWallClock(), ...(hasLostRuns && {loss: loss.describe()}),
 		});
 		context.onEndsRecorded(activeJobs);
 		dropEndedRuns();
@@ -258,30 +250,10 @@
 		return live.length === 0 || commitEnds(live);
 	};
 
-	// How long a run had run by a time; `undefined` if it is not known when it started.
-	const getRanMs = ({startedAtMs, isInherited}: TrackedRun, atMs: number): number | undefined => {
-		const ranMs = Math.max(0, Math.round(atMs - (startedAtMs ?? atMs)));
-		// An earlier leader started it before this one first saw it.
-		return isInherited && ranMs <= freshRunMs ? undefined : ranMs;
-	};
-
-	// A run whose start was never sent cannot have crashed the minion.
-	const listStartedRuns = () => [...trackedRuns.values()].filter(({startedAtMs, isInherited, mayStartLate}) => startedAtMs !== undefined || isInherited || mayStartLate);
-
-	const describeLoss = (): MinionLoss => {
-		const atMs = lostAtMs ?? lastAnswerAtMs;
-		return {
-			atMs: Math.round(context.getWallClock() - (timers.getNow() - atMs)),
-			isRefused: hasRefused,
-			isShared: context.isLossShared(record.life, atMs),
-			runs: listStartedRuns().map(trackedRun => ({task: trackedRun.assignment.task, run: trackedRun.assignment.run, ranMs: getRanMs(trackedRun, atMs)})),
-		};
-	};
-
 	const removeIncarnation = async (reason: string) => {
 		log.info(`removing minion ${record.minion}: ${reason}`, {minion: record.minion, life: record.life, reason});
 		await context.commit({
-			type: 'minion/left', term: fencingToken, life: record.life, loss: describeLoss(),
+			type: 'minion/left', term: fencingToken, life: record.life, loss: loss.describe(),
 		});
 		context.onMinionsChanged();
 	};
@@ -404,37 +376,15 @@
 		return isWarmingUp ? warmUpHoldWaitMs : holdWaitMs;
 	};
 
-	const updateSilence = (answer: MinionAnswer<unknown>) => {
-		const isSilentNow = answer.type !== 'answered';
-		const isRefusedNow = answer.type === 'notSent' && answer.isRefused === true;
-		const silentMs = Math.round(timers.getNow() - lastContactAtMs);
+	const updateSilence = ({type}: MinionAnswer<unknown>) => {
+		const isSilentNow = type !== 'answered';
 		if (isSilentNow !== isSilent) {
 			log.info(`minion ${record.minion} ${isSilentNow ? 'does not answer' : 'answers again'}`, {
-				minion: record.minion, life: record.life, outcome: answer.type, silentMs,
-			});
-		}
-
-		if (isRefusedNow && !isRefused) {
-			log.info(`no process listens at the address of minion ${record.minion}`, {
-				minion: record.minion, life: record.life, address: record.address, silentMs,
+				minion: record.minion, life: record.life, outcome: type, silentMs: Math.round(timers.getNow() - lastContactAtMs),
 			});
 		}
 
 		isSilent = isSilentNow;
-		isRefused = isRefusedNow;
-		hasRefused ||= isRefusedNow;
-	};
-
-	// A call that ends before its timeout shows when the connection broke. Otherwise the minion may be gone since its last answer.
-	const recordLost = (sentAtMs: number, timeoutMs: number) => {
-		if (lostAtMs !== undefined) {
-			return;
-		}
-
-		const atMs = timers.getNow() - sentAtMs < timeoutMs ? timers.getNow() : lastAnswerAtMs;
-		lostAtMs = atMs;
-		// What happened before this leader first heard of the minion is unknown.
-		wasLostSuddenly = !hasAnswered || isSuddenLoss(listStartedRuns().map(trackedRun => ({ranMs: getRanMs(trackedRun, atMs)})));
 	};
 
 	// A hold call names no incarnation: the next one counts its ends from 1, and would drop those of runs that this
@@ -474,7 +424,7 @@
 		}
 
 		if (answer.type === 'noAnswer' || answer.type === 'notSent') {
-			recordLost(sentAtMs, timeoutMs);
+			loss.recordUnansweredHold(answer, {sentAtMs, timeoutMs});
 			return answer.type === 'noAnswer' ? 'again' : 'pause';
 		}
 
@@ -492,8 +442,7 @@
 			return 'again';
 		}
 
-		lostAtMs = undefined;
-		hasRefused = false;
+		loss.recordAnsweredHold();
 		attribution.recordListing(doubtfulStarts, answer.clockMs);
 		await handleHoldReport(answer.value, sentAtMs);
 		// Ends that are not acknowledged are listed again at once, so the next call does not wait for one.
@@ -548,7 +497,7 @@
 
 		metrics.count('leases_lapsed_total');
 		log.warn(`the lease on minion ${record.minion} ran out with ${runs.length} runs`, {
-			minion: record.minion, life: record.life, silentMs: Math.round(timers.getNow() - lastContactAtMs), tasks: runs.map(([task]) => task), hasRefused,
+			minion: record.minion, life: record.life, silentMs: Math.round(timers.getNow() - lastContactAtMs), tasks: runs.map(([task]) => task),
 		});
 		const proposedAtMs = timers.getNow();
 		const isNoted = await commitEnds(runs.map(([task, number]) => createRunEnd({task, run: number, life: record.life}, 'lapsed')));
@@ -658,9 +607,7 @@
 			return trackedRun && toRunView(trackedRun);
 		},
 		listRuns: () => [...trackedRuns.values()].map(trackedRun => toRunView(trackedRun)),
-		getLostAtMs: () => lostAtMs,
-		wasLostSuddenly: () => wasLostSuddenly,
-		describeLoss,
+		loss,
 		getLastContactAtMs: () => lastContactAtMs,
 		handleNextIncarnation: lateStartGuard.handleNextIncarnation,
 		hasUnblockedLapsedRuns: lateStartGuard.hasUnblockedLapsedRuns,
--- a/packages/daemon/src/scheduler/suspect-runs.ts
+++ b/packages/daemon/src/scheduler/suspect-runs.ts
@@ -18,7 +18,7 @@
 
 export type SuspectRunsOptions = {
 	readonly ledger: Ledger;
-	readonly getSession: (life: IncarnationId) => Pick<MinionSession, 'getRun' | 'getLostAtMs'> | undefined;
+	readonly getSession: (life: IncarnationId) => Pick<MinionSession, 'getRun' | 'loss'> | undefined;
 	/** The current time on the monotonic clock. */
 	readonly nowMs: number;
 };
@@ -36,7 +36,7 @@
 		for (const {life} of task.runs) {
 			const session = getSession(life);
 			const ranMs = nowMs - (session?.getRun(id)?.startedAtMs ?? nowMs);
-			if (ranMs < getClearanceMs(task.losses) || session?.getLostAtMs() !== undefined) {
+			if (ranMs < getClearanceMs(task.losses) || session?.loss.getLostAtMs() !== undefined) {
 				byLife.set(life, {job: task.job.id, isNew: ranMs < newSuspectMs || byLife.get(life)?.isNew === true});
 			}
 
