--- a/packages/core/src/scheduler/crashes.test.ts
+++ b/packages/core/src/scheduler/crashes.test.ts
@@ -229,7 +229,7 @@
 		ledger, nowMs: testNowMs, minions: usable, isAllowed: () => true, getWaitMs: () => 0, getAvoidedIncarnations: () => undefined, copies: [],
 	}).map(({task, life}) => `${task.slice(14)} on ${life}`);
 	const running = toBrand<JobId>('running');
-	const addSuspects = (isNew: boolean) => minions.map((minion, index) => index < 4 ? {...minion, suspect: {job: running, isNew}} : minion);
+	const addSuspects = (isNew: boolean) => minions.map((minion, index) => index < 4 ? {...minion, crashSuspect: {job: running, isNew}} : minion);
 	expect({
 		first: plan(minions), besideNewSuspects: plan(addSuspects(true)), besideSuspects: plan(addSuspects(false)),
 	}).toMatchInlineSnapshot(`
--- a/packages/core/src/scheduler/minion-capacity.ts
+++ b/packages/core/src/scheduler/minion-capacity.ts
@@ -26,7 +26,7 @@
 	/** The minion is suspected of being slow. It gets work only if no other minion has capacity. */
 	readonly isSuspect: boolean;
 	/** A task that has started on the minion and may crash it. */
-	readonly suspect?: RunningSuspect | undefined;
+	readonly crashSuspect?: RunningSuspect | undefined;
 };
 
 /** The run of a task that may crash its minion. */
@@ -43,7 +43,7 @@
 	/** How many more runs of tasks that end the minion may have. */
 	runsLeft: number;
 	/** A task that may crash the minion; suspects of other jobs don't start beside it. */
-	suspect: RunningSuspect | undefined;
+	crashSuspect: RunningSuspect | undefined;
 	/** The job of the tasks that the plan has started there. */
 	plannedJob: JobId | undefined;
 };
@@ -82,7 +82,7 @@
 		minion,
 		free: {...subtractResources(minion.record.capacity, usage?.used ?? createResources())},
 		runsLeft: getRunsLeft(ledger, minion, usage),
-		suspect: minion.suspect,
+		crashSuspect: minion.crashSuspect,
 		plannedJob: undefined,
 	};
 }
@@ -131,11 +131,11 @@
 }
 
 // A suspect starts alone, so that a crash right after it names the culprit, and not beside another suspect.
-const isKeptApart = ({suspect, plannedJob}: MinionCapacity, task: Task) => {
+const isKeptApart = ({crashSuspect, plannedJob}: MinionCapacity, task: Task) => {
 	const isOther = (job: JobId | undefined) => job !== undefined && job !== task.job.id;
 	return isCrashSuspect(task)
-		? isOther(suspect?.job) || isOther(plannedJob)
-		: suspect?.isNew === true && isOther(suspect.job);
+		? isOther(crashSuspect?.job) || isOther(plannedJob)
+		: crashSuspect?.isNew === true && isOther(crashSuspect.job);
 };
 
 /** Returns what keeps a minion with capacity from taking a task; `undefined` if nothing does. */
--- a/packages/core/src/scheduler/plan-starts.ts
+++ b/packages/core/src/scheduler/plan-starts.ts
@@ -233,7 +233,7 @@
 		placements.push({capacity, task});
 		capacity.plannedJob = task.job.id;
 		if (isCrashSuspect(task)) {
-			capacity.suspect = {job: task.job.id, isNew: true};
+			capacity.crashSuspect = {job: task.job.id, isNew: true};
 			pool.hasNewSuspect = true;
 		}
 	}
@@ -272,7 +272,7 @@
 	if (step.isGang && placements.length < tasks.length) {
 		for (const {capacity} of placements) {
 			reserve(plan, stepContext, {capacity, factor: -1});
-			capacity.suspect = capacity.minion.suspect;
+			capacity.crashSuspect = capacity.minion.crashSuspect;
 		}
 
 		pool.exhausted = [];
--- a/packages/core/src/scheduler/relocate-tasks.ts
+++ b/packages/core/src/scheduler/relocate-tasks.ts
@@ -74,7 +74,7 @@
 
 	const createCapacityLater = ({minion, runsLeft}: MinionCapacity, claimed: Resources): MinionCapacity =>
 		({
-			minion, runsLeft, suspect: undefined, plannedJob: undefined, free: {...subtractResources(getCapacityBesideLongRunning(ledger, minion.record), claimed)},
+			minion, runsLeft, crashSuspect: undefined, plannedJob: undefined, free: {...subtractResources(getCapacityBesideLongRunning(ledger, minion.record), claimed)},
 		});
 
 	const getContext = (task: Task, progress: StepProgress): StepContext => {
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -143,7 +143,7 @@
 			log.warn(`minion ${life} crashed under ${tasks.length} tasks`, {
 				life,
 				ageMs: Math.round(getWallClock() - atMs),
-				tasks: tasks.slice(0, maximumLoggedTasks).map(id => `${id} ${findTask(getLedger(), id)?.losses.map(({ranMs}) => ranMs).join('/')}`),
+				tasks: tasks.slice(0, maximumLoggedTasks).map(id => `${id} ${findTask(getLedger(), id)?.losses.map(({ranMs}) => ranMs).join('/') ?? ''}`),
 				suspects,
 				isShared,
 				isSudden,
--- a/packages/daemon/src/scheduler/start-planner.ts
+++ b/packages/daemon/src/scheduler/start-planner.ts
@@ -59,12 +59,12 @@
 };
 
 /** Returns what a plan has to know of a minion, given the workers that are due for maintenance. */
-export function toUsableMinion({record, getRunLimit, isSuspect}: MinionSession, {due, suspect}: {
+export function toUsableMinion({record, getRunLimit, isSuspect}: MinionSession, {due, crashSuspect}: {
 	readonly due?: ReadonlySet<WorkerId>;
-	readonly suspect?: RunningSuspect | undefined;
+	readonly crashSuspect?: RunningSuspect | undefined;
 } = {}): UsableMinion {
 	return {
-		record, runLimit: getRunLimit(), isDrainingSoon: due?.has(record.worker) ?? false, isSuspect: isSuspect(), suspect,
+		record, runLimit: getRunLimit(), isDrainingSoon: due?.has(record.worker) ?? false, isSuspect: isSuspect(), crashSuspect,
 	};
 }
 
@@ -101,7 +101,7 @@
 		const minions: UsableMinion[] = [];
 		for (const session of [...pools].flatMap(pool => [...sessions.listPool(pool)])) {
 			if (isPlaceable(session)) {
-				minions.push(toUsableMinion(session, {due, suspect: byLife.get(session.record.life)}));
+				minions.push(toUsableMinion(session, {due, crashSuspect: byLife.get(session.record.life)}));
 			}
 		}
 
