--- a/packages/core/src/scheduler/apply-ledger-command.ts
+++ b/packages/core/src/scheduler/apply-ledger-command.ts
@@ -25,6 +25,7 @@
 	return {type: 'applied'};
 };
 
+// eslint-disable-next-line complexity -- one case for each type of command
 const applyWellFormed = (ledger: Ledger, command: LedgerCommand, parse: ParseConfiguration): LedgerOutcome => {
 	switch (command.type) {
 		case 'term/begun': {
