--- a/packages/daemon/src/scheduler/deadly-tasks.test.ts
+++ b/packages/daemon/src/scheduler/deadly-tasks.test.ts
@@ -3,18 +3,11 @@
 import type {StepSpecification, TaskId} from '@samphiremill/core';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {createTestWorld, type TestWorld} from './test-world.js';
+import {startTestWorld, type TestWorld} from './test-world.js';
 
-const settleMs = 1500;
 const numberRuns = Number(process.env.SAMPHIREMILL_RUNS ?? 6);
 const historySeed = Number(process.env.SAMPHIREMILL_SEED ?? 38);
 
-const start = async (options: Parameters<typeof createTestWorld>[0]) => {
-	const world = createTestWorld(options);
-	await world.advance(settleMs);
-	return world;
-};
-
 /** Submits a job whose task with this index crashes its minions. */
 const submitDeadly = (world: TestWorld, {step = {}, index = 0, afterMs}: {readonly step?: Partial<StepSpecification>; readonly index?: number; readonly afterMs?: number} = {}) => {
 	const {id} = world.submit([{count: 1, estimateMs: 500, ...step}]);
@@ -39,7 +32,7 @@
 };
 
 test('a task that crashes its minions is given up after few crashes, and its neighbours are completed', async () => {
-	const world = await start({seed: 38, minionCount: 6});
+	const world = await startTestWorld({seed: 38, minionCount: 6});
 	const before = submitNeighbours(world, 8);
 	const deadly = submitDeadly(world);
 	const after = submitNeighbours(world, 8);
@@ -51,7 +44,7 @@
 });
 
 test('the neighbours of a task that crashes its minions wait for one lease, not for one each time it is started', async () => {
-	const world = await start({seed: 39, minionCount: 6});
+	const world = await startTestWorld({seed: 39, minionCount: 6});
 	const before = submitNeighbours(world, 10);
 	const deadly = submitDeadly(world);
 	const after = submitNeighbours(world, 10);
@@ -64,7 +57,7 @@
 });
 
 test.each([10, 300, 1200])('a task that crashes its minions %i ms after its start is given up', async afterMs => {
-	const world = await start({seed: 40, minionCount: 6});
+	const world = await startTestWorld({seed: 40, minionCount: 6});
 	const neighbours = submitNeighbours(world, 12);
 	const deadly = submitDeadly(world, {step: {isLasting: true}, afterMs});
 	const more = await submitOverTime(world, {jobCount: 60, gapMs: 500});
@@ -81,7 +74,7 @@
 	['a step that allows copies', {count: 3, allowsCopies: true}],
 	['a step with checkpoints', {count: 3, hasCheckpoints: true}],
 ])('%s with one task that crashes its minions is given up', async (_, step) => {
-	const world = await start({seed: 41, minionCount: 6});
+	const world = await startTestWorld({seed: 41, minionCount: 6});
 	const neighbours = submitNeighbours(world, 8);
 	const deadly = submitDeadly(world, {step, index: 1});
 	await world.advance(30_000);
@@ -91,7 +84,7 @@
 });
 
 test('several tasks that crash their minions are all given up, and nothing else is', async () => {
-	const world = await start({seed: 42, minionCount: 8});
+	const world = await startTestWorld({seed: 42, minionCount: 8});
 	const deadly = [submitDeadly(world), submitDeadly(world), submitDeadly(world)];
 	const neighbours = submitNeighbours(world, 10);
 	await world.advance(700);
@@ -104,7 +97,7 @@
 });
 
 test.each([200, 1700, 3300])('the crashes of a task are counted on after changes of the leader and snapshots (every %i ms after a crash)', async delayMs => {
-	const world = await start({seed: 43, minionCount: 6});
+	const world = await startTestWorld({seed: 43, minionCount: 6});
 	const neighbours = submitNeighbours(world, 8);
 	const deadly = submitDeadly(world);
 	for (let count = 0; count < 6; count += 1) {
@@ -125,7 +118,7 @@
 });
 
 test('no job is given up when racks lose power again and again', async () => {
-	const world = await start({seed: 44, minionCount: 9});
+	const world = await startTestWorld({seed: 44, minionCount: 9});
 	const lasting = world.submit([{count: 6, isLasting: true, maximumPerMinion: 1}]);
 	const ids: JobId[] = [];
 	for (let count = 0; count < 6; count += 1) {
@@ -147,7 +140,7 @@
 test('no job is given up in waves of crashes of single minions', async () => {
 	await fc.assert(fc.asyncProperty(fc.integer({min: 1, max: 1_000_000}), async seed => {
 		const random = createSeededRandom(seed);
-		const world = await start({seed, minionCount: 8});
+		const world = await startTestWorld({seed, minionCount: 8});
 		const lasting = world.submit([{count: 4, isLasting: true, maximumPerMinion: 1}]);
 		const ids: JobId[] = [];
 		for (let count = 0; count < 120; count += 1) {
@@ -167,7 +160,7 @@
 });
 
 test('minions that are cut off and return count as no crash, and nothing is given up', async () => {
-	const world = await start({seed: 45, minionCount: 4});
+	const world = await startTestWorld({seed: 45, minionCount: 4});
 	const ids = submitNeighbours(world, 10);
 	for (let count = 0; count < 5; count += 1) {
 		world.silence(count % 4, 7000);
@@ -182,7 +175,7 @@
 });
 
 test('minions that leave as planned count as no crash', async () => {
-	const world = await start({seed: 46, minionCount: 6});
+	const world = await startTestWorld({seed: 46, minionCount: 6});
 	const ids = submitNeighbours(world, 10);
 	world.drain(0);
 	world.leaveUnconfirmed(1, 2000);
@@ -197,7 +190,7 @@
 test('whatever tasks crash their minions, and whatever else fails, each of them is given up in time and no other task is', async () => {
 	await fc.assert(fc.asyncProperty(fc.integer({min: 1, max: 1_000_000}), async seed => {
 		const random = createSeededRandom(seed);
-		const world = await start({seed, minionCount: 8, lossChance: random() < 0.3 ? 0.01 : 0});
+		const world = await startTestWorld({seed, minionCount: 8, lossChance: random() < 0.3 ? 0.01 : 0});
 		const deadly: Array<ReturnType<typeof submitDeadly>> = [];
 		const ids: JobId[] = [];
 		for (let count = 0; count < 100; count += 1) {
--- a/packages/daemon/src/scheduler/lasting-tasks.test.ts
+++ b/packages/daemon/src/scheduler/lasting-tasks.test.ts
@@ -2,20 +2,15 @@
 import type {JobId} from '@samphiremill/common';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {createTestWorld, type OrderFault, type TestWorld} from './test-world.js';
+import {
+	createTestWorld, startTestWorld, type OrderFault, type TestWorld,
+} from './test-world.js';
 
-const settleMs = 1500;
 const runs = Number(process.env.SAMPHIREMILL_RUNS ?? 12);
 const historySeed = Number(process.env.SAMPHIREMILL_SEED ?? 20_261_205);
 
-const start = async (options: Parameters<typeof createTestWorld>[0]) => {
-	const world = createTestWorld(options);
-	await world.advance(settleMs);
-	return world;
-};
-
 test('a long-running task starts on a minion that was in quarantine and holds another long-running task', async () => {
-	const world = await start({seed: 1, minionCount: 2});
+	const world = await startTestWorld({seed: 1, minionCount: 2});
 	const held = world.submit([{count: 2, isLasting: true, maximumPerMinion: 1}]);
 	await world.advance(500);
 	world.failAll(0, 300);
@@ -30,7 +25,7 @@
 });
 
 test('two long-running tasks start on a minion that was in quarantine', async () => {
-	const world = await start({seed: 2, minionCount: 1});
+	const world = await startTestWorld({seed: 2, minionCount: 1});
 	world.failAll(0, 300);
 	world.submit([{count: 1}]);
 	world.submit([{count: 1}]);
@@ -42,7 +37,7 @@
 });
 
 test('a minion on which the runs of one moment failed takes a long-running task soon after', async () => {
-	const world = await start({seed: 3, minionCount: 2});
+	const world = await startTestWorld({seed: 3, minionCount: 2});
 	world.failAll(0, 300);
 	for (let index = 0; index < 6; index += 1) {
 		world.submit([{count: 2, maximumPerMinion: 1}]);
@@ -56,7 +51,7 @@
 });
 
 test.each([20_000, 60_000])('long-running tasks that fail by themselves now and then start again soon, without any fault (mean life %i ms)', async meanLifeMs => {
-	const world = await start({seed: 8, minionCount: 3, meanLifeMs});
+	const world = await startTestWorld({seed: 8, minionCount: 3, meanLifeMs});
 	const submitted = [1, 2, 3].map(() => world.submit([{count: 3, isLasting: true, maximumPerMinion: 1}]));
 	await world.advance(90_000);
 	expect(world.listOverdueTasks()).toEqual([]);
@@ -64,7 +59,7 @@
 });
 
 test('a long-running task that one minion refuses starts on a minion with failures', async () => {
-	const world = await start({seed: 7, minionCount: 2});
+	const world = await startTestWorld({seed: 7, minionCount: 2});
 	world.failAll(0, 300);
 	world.disturbOrders(1, 'refused', 60_000);
 	world.submit([{count: 1}]);
@@ -76,7 +71,7 @@
 });
 
 test('jobs that end are done beside a long-running task that keeps failing', async () => {
-	const world = await start({seed: 5, minionCount: 1, meanLifeMs: 600});
+	const world = await startTestWorld({seed: 5, minionCount: 1, meanLifeMs: 600});
 	world.failAll(0, 300);
 	for (let index = 0; index < 4; index += 1) {
 		world.submit([{count: 2}]);
@@ -91,7 +86,7 @@
 
 test('long-running tasks that fail after they have served do not quarantine their minion', async () => {
 	const quarantines: string[] = [];
-	const world = await start({
+	const world = await startTestWorld({
 		seed: 9,
 		minionCount: 1,
 		meanLifeMs: 40_000,
@@ -113,7 +108,7 @@
 });
 
 test.each(['refused', 'noRoom', 'unhealthy'] as const)('a long-running task whose start was refused (%s) starts again, also if the refusal could not be committed', async kind => {
-	const world = await start({seed: 4, minionCount: 1});
+	const world = await startTestWorld({seed: 4, minionCount: 1});
 	world.disturbOrders(0, kind, 300);
 	world.dropCommands(['runs/ended'], 400);
 	const {id} = world.submit([{count: 1, isLasting: true}]);
@@ -123,7 +118,7 @@
 });
 
 test('a minion takes a long-running task also if the outcome of its joining was unknown', async () => {
-	const world = await start({seed: 5, minionCount: 2});
+	const world = await startTestWorld({seed: 5, minionCount: 2});
 	const {id} = world.submit([{count: 2, isLasting: true, maximumPerMinion: 1}]);
 	await world.advance(500);
 	world.loseOutcome('minion/joined');
@@ -358,7 +353,7 @@
 
 const playHistory = async (history: History): Promise<TestWorld> => {
 	const {seed, minionCount, failureChance, meanLifeMs, approvalChance, standbyWorkers, hasWorkerOrders, lasting, phases} = history;
-	const world = await start({
+	const world = await startTestWorld({
 		seed,
 		minionCount,
 		failureChance,
--- a/packages/daemon/src/scheduler/minion-resize.test.ts
+++ b/packages/daemon/src/scheduler/minion-resize.test.ts
@@ -2,23 +2,16 @@
 import {createSeededRandom} from '@samphiremill/common';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {createTestWorld, type TestWorld} from './test-world.js';
+import {startTestWorld, type TestWorld} from './test-world.js';
 
-const settleMs = 1500;
 const cores = 1000;
 const numberRuns = Number(process.env.SAMPHIREMILL_RUNS ?? 8);
 const historySeed = Number(process.env.SAMPHIREMILL_SEED ?? 38);
 
-const start = async (options: Parameters<typeof createTestWorld>[0]) => {
-	const world = createTestWorld(options);
-	await world.advance(settleMs);
-	return world;
-};
-
 const submitTasks = (world: TestWorld, count: number) => world.submit([{count, request: {cpuMillicores: cores, memoryMb: 0, gpus: 0}}]);
 
 test('a minion whose capacity shrinks while it runs gets no more than it has room for, and what grows back is used', async () => {
-	const world = await start({seed: 1, minionCount: 1});
+	const world = await startTestWorld({seed: 1, minionCount: 1});
 	const {id} = world.submit([{count: 12, isLasting: true, request: {cpuMillicores: cores, memoryMb: 0, gpus: 0}}]);
 	await world.advance(1000);
 	const counts = [world.countRuns(id)];
@@ -37,7 +30,7 @@
 });
 
 test('a capacity that shrank is kept by the next leader', async () => {
-	const world = await start({seed: 2, minionCount: 2});
+	const world = await startTestWorld({seed: 2, minionCount: 2});
 	world.resize(0, 2 * cores);
 	await world.advance(4000);
 	await world.changeLeader();
@@ -47,7 +40,7 @@
 });
 
 test('a report that was overtaken by a later one does not change the capacity back', async () => {
-	const world = await start({seed: 3, minionCount: 1});
+	const world = await startTestWorld({seed: 3, minionCount: 1});
 	world.resize(0, 2 * cores);
 	await world.advance(1000);
 	await Promise.all([world.repeatReport(0, {cpuMillicores: 8 * cores, sequence: 1}), world.advance(100)]);
@@ -57,7 +50,7 @@
 test('whatever capacities shrink and grow under load, no minion is given more than it has room for, and all work is done', async () => {
 	await fc.assert(fc.asyncProperty(fc.integer({min: 1, max: 1_000_000}), async seed => {
 		const random = createSeededRandom(seed);
-		const world = await start({seed, minionCount: 3});
+		const world = await startTestWorld({seed, minionCount: 3});
 		const ids = [];
 		for (let count = 0; count < 60; count += 1) {
 			ids.push(submitTasks(world, 3).id);
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -172,6 +172,7 @@
 const maximumStopMs = 300;
 const commitMs = 8;
 const stepMs = 5;
+const settleMs = 1500;
 const maintenanceMs = 2000;
 const orderLeaseMs = 3000;
 const moveMs = 1500;
@@ -1114,3 +1115,10 @@
 		getNow: timers.getNow,
 	};
 }
+
+/** Starts a simulation and lets its minions join and list their runs. */
+export async function startTestWorld(options: TestWorldOptions): Promise<TestWorld> {
+	const world = createTestWorld(options);
+	await world.advance(settleMs);
+	return world;
+}
