--- a/packages/daemon/src/scheduler/deadly-tasks.test.ts
+++ b/packages/daemon/src/scheduler/deadly-tasks.test.ts
@@ -174,6 +174,22 @@
 	expect(world.listViolations()).toEqual([]);
 });
 
+test('a minion that is cut off with resets counts as no crash, and none of its tasks runs twice', async () => {
+	const world = await startTestWorld({seed: 47, minionCount: 4});
+	const lasting = world.submit([{count: 4, isLasting: true, maximumPerMinion: 1}]);
+	const ids = submitNeighbours(world, 10);
+	for (let count = 0; count < 5; count += 1) {
+		world.cutWithResets(count % 4, count % 2 === 0 ? 2000 : 7000);
+		await world.advance(9000); // eslint-disable-line no-await-in-loop -- one cut after the other
+		ids.push(...submitNeighbours(world, 4));
+	}
+
+	await world.advance(10_000);
+	expect(world.getLedger().crashes).toEqual([]);
+	expect([world.getState(lasting.id), ...getStates(world, ids)]).toEqual(['active', 'completed']);
+	expect(world.listViolations()).toEqual([]);
+});
+
 test('minions that leave as planned count as no crash', async () => {
 	const world = await startTestWorld({seed: 46, minionCount: 6});
 	const ids = submitNeighbours(world, 10);
--- a/packages/daemon/src/scheduler/minion-resize.test.ts
+++ b/packages/daemon/src/scheduler/minion-resize.test.ts
@@ -29,6 +29,26 @@
 	expect(world.listViolations()).toEqual([]);
 });
 
+test('the size of a pool follows the capacity of its minions', async () => {
+	const sizes: unknown[] = [];
+	const ignore = () => undefined;
+	const info = (message: string, fields?: unknown) => {
+		if (message === 'state of the pools') {
+			sizes.push(fields);
+		}
+	};
+
+	const world = await startTestWorld({
+		seed: 4, minionCount: 1, log: {
+			debug: ignore, info, warn: ignore, error: ignore,
+		},
+	});
+	submitTasks(world, 1);
+	world.resize(0, 3 * cores);
+	await world.advance(2500);
+	expect(sizes.at(-1)).toMatchObject({pools: [{pool: world.pool, capacity: 3}, {}]});
+});
+
 test('a capacity that shrank is kept by the next leader', async () => {
 	const world = await startTestWorld({seed: 2, minionCount: 2});
 	world.resize(0, 2 * cores);
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -79,7 +79,7 @@
 	deadlineMs: number;
 	isSilent: boolean;
 	isGone: boolean;
-	/** Whether the host of the minion that is gone refuses connections to its address. */
+	/** Whether connections to the minion's address are refused. */
 	isRefusing: boolean;
 	isStalled: boolean;
 	/** All runs that start before this time fail shortly after. */
@@ -115,6 +115,8 @@
 	readonly crash: (index: number) => void;
 	/** Like `crash`, but the minion's host refuses connections from then on, and the worker is back sooner, as another minion. */
 	readonly crashVisibly: (index: number) => void;
+	/** Refuses all connections to the minion for this time, as a cut with resets does; its runs go on. */
+	readonly cutWithResets: (index: number, durationMs: number) => void;
 	/** Each minion that starts the task crashes shortly after the start. */
 	readonly makeDeadly: (task: TaskId, options?: {readonly afterMs?: number}) => void;
 	/** Returns how many minions have crashed under a deadly task. */
@@ -1081,6 +1083,16 @@
 				crashVisibly(minion);
 			}
 		},
+		cutWithResets(index, durationMs) {
+			const minion = findMinion(index);
+			if (minion !== undefined) {
+				minion.isRefusing = true;
+				recordFault(durationMs);
+				timers.scheduleOnce(durationMs, () => {
+					minion.isRefusing = false;
+				});
+			}
+		},
 		makeDeadly(task, {afterMs = deadlyDelayMs} = {}) {
 			deadlyTasks.set(task, {afterMs, crashCount: 0, startsAfterBudget: 0});
 		},
