A large frame right behind the handshake closes the connection: failing tests, and logs of links and requests to join

Control hosts now log each change of a link between them, each request to join with its answer, and why a connection was closed. No decision changed.

--- a/packages/daemon/src/peers/connection.ts
+++ b/packages/daemon/src/peers/connection.ts
@@ -8,7 +8,7 @@
 import type {ConnectionId} from '@samphiremill/core';
 import {maximumFrameBytes, maximumHandshakeFrameBytes, maximumSendBufferBytes} from './constants.js';
 import type {PeerCounterStore} from './counters.js';
-import {createFrameDecoder, encodeFrame} from './frames.js';
+import {createFrameDecoder, encodeFrame, type FrameError} from './frames.js';
 import {
 	createHello, createNonce, createProof, isHandshakeMessage, isProofValid, type HandshakeMessage, type LinkEnd,
 } from './handshake.js';
@@ -48,6 +48,8 @@
 	readonly counters: PeerCounterStore;
 	readonly onHello: (from: NodeId) => void;
 	readonly onEstablished: (from: LinkEnd) => void;
+	/** Called with the reason for which received bytes are not valid frames. The connection is closed then. */
+	readonly onFrameError: (error: FrameError, isEstablished: boolean) => void;
 	/** Called with an error that handling a frame threw. The connection is closed then. */
 	readonly onUnexpectedError: (err: unknown) => void;
 	/** Handles a frame received after the handshake. @returns Whether the frame counts as use of the connection. */
@@ -199,6 +201,7 @@
 		if (!decoded.ok) {
 			counters.add('malformedFrames');
 			socket.destroy();
+			options.onFrameError(decoded.err, isEstablished);
 			return;
 		}
 
--- a/packages/daemon/src/peers/odd-frames.test.ts
+++ b/packages/daemon/src/peers/odd-frames.test.ts
@@ -72,12 +72,12 @@
 	};
 
 	return {
-		port: addresses[0].peerPort, left, errors, isGood,
+		port: addresses[0].peerPort, left, errors, counts, timers, isGood,
 	};
 };
 
-/** Links as a node that knows the secret. */
-const linkAs = async (node: string, port: number): Promise<Socket> => {
+/** Links as a node that knows the secret. Bytes given as `first` are written together with the end of the handshake. */
+const linkAs = async (node: string, port: number, first: readonly Uint8Array[] = []): Promise<Socket> => {
 	const socket = connect({host: '127.0.0.1', port});
 	socket.on('error', () => undefined);
 	cleanups.push(() => socket.destroy());
@@ -90,11 +90,10 @@
 		const [challenge] = decoded.ok ? decoded.value : [];
 		if (challenge !== undefined) {
 			const {from} = challenge as HandshakeMessage & {type: 'challenge'}; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- sent by the code under test
-			socket.write(encodeFrame({
-				type: 'proof', proof: createProof({
-					secret, prover: 'dialler', dialler: self, acceptor: from,
-				}),
-			}));
+			const proof = createProof({
+				secret, prover: 'dialler', dialler: self, acceptor: from,
+			});
+			socket.write(Buffer.concat([encodeFrame({type: 'proof', proof}), ...first]));
 			break;
 		}
 	}
@@ -140,6 +139,16 @@
 	expect(await isGood()).toBe(true);
 });
 
+test('a large frame that arrives together with the end of the handshake does not close the connection', async () => {
+	const {port, left, counts, timers} = await startTransport();
+	const entries = Array.from({length: 500}, (_, index) => ({index}));
+	const message = frameText(JSON.stringify({jsonrpc: '2.0', method: 'message', params: {type: 'replica/append', entries}}));
+	await linkAs('other', port, [message]);
+	await advanceUntil(timers, () => counts.length > 0 || left.transport.getCounters().malformedFrames > 0);
+	expect(counts).toEqual([500]);
+	expect(left.transport.getCounters().malformedFrames).toBe(0);
+});
+
 test.each(['', '\u0000', '__proto__', 'x'.repeat(3000), '../..', '255.255.255.255.1'])('a hello of a node named %j ends no process and no other link', async node => {
 	const {port, isGood} = await startTransport();
 	const socket = connect({host: '127.0.0.1', port});
--- a/packages/daemon/src/peers/transport.test.ts
+++ b/packages/daemon/src/peers/transport.test.ts
@@ -114,6 +114,16 @@
 	await advanceUntil(timers, () => left.transport.getCounters().lateAnswers > 0);
 });
 
+test('a link comes up and stays up although large messages wait for it', async () => {
+	const {timers, left, right} = await startPair();
+	const large = 'x'.repeat(10_000);
+	left.transport.send(beta, large);
+	right.transport.send(alpha, large);
+	await advanceUntil(timers, () => [left, right].every(({received, transport}) => received.length > 0 || transport.getCounters().malformedFrames > 0));
+	expect([left, right].map(({received}) => received.map(({message}) => message))).toEqual([[large], [large]]);
+	expect([left, right].map(({transport}) => transport.getCounters().malformedFrames)).toEqual([0, 0]);
+});
+
 test('oversized messages are dropped and counted, and the link stays up', async () => {
 	const {timers, left, right} = await startPair();
 	await advanceUntil(timers, () => isLinked(left) && isLinked(right));
--- a/packages/daemon/src/peers/transport.ts
+++ b/packages/daemon/src/peers/transport.ts
@@ -145,6 +145,9 @@
 				handleEvent(node, {type: 'peerLink/established', connection: id, nowMs: timers.getNow()});
 			},
 			onFrame: handleFrame,
+			onFrameError(reason, isEstablished) {
+				options.onConnectionRejected?.({peer: details.dialledNode ?? connection.getRemoteEnd()?.node, isEstablished, reason});
+			},
 			onUnexpectedError(err) {
 				options.onUnexpectedError?.(err);
 			},
--- a/packages/daemon/src/peers/types.ts
+++ b/packages/daemon/src/peers/types.ts
@@ -2,6 +2,7 @@
 	NodeId, RandomSource, Result, TimerService,
 } from '@samphiremill/common';
 import type {NodeAddress, PeerLinkConfig} from '@samphiremill/core';
+import type {FrameError} from './frames.js';
 
 /** Why a request to a peer has no result. */
 export type PeerRequestError
@@ -41,6 +42,15 @@
 	readonly incarnation: number | undefined;
 };
 
+/** A connection that was closed because of what its other end sent. */
+export type RejectedConnection = {
+	/** The other end, as far as it has named itself. */
+	readonly peer: NodeId | undefined;
+	/** Whether the handshake was over. */
+	readonly isEstablished: boolean;
+	readonly reason: FrameError;
+};
+
 /** Configuration, dependencies and callbacks of a transport. */
 export type PeerTransportOptions = {
 	readonly self: NodeAddress;
@@ -57,6 +67,8 @@
 	readonly cfg?: PeerLinkConfig;
 	readonly onMessage: (from: NodeId, message: unknown) => void;
 	readonly onLinkChanged: (change: PeerLinkChange) => void;
+	/** Called when a connection is closed because a frame on it can't be read. */
+	readonly onConnectionRejected?: (rejected: RejectedConnection) => void;
 	/** Called with an error that a handler threw for a frame. The connection is closed then. */
 	readonly onUnexpectedError?: (err: unknown) => void;
 	/** Handles requests from peers. Without it every request gets an error. */
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -175,8 +175,15 @@
 			if (isUp) {
 				lastLinkedAtMs.set(peer, timers.getNow());
 			}
+
+			if (ledger.controlHosts.has(peer) || settings.seeds.includes(peer)) {
+				log.info(`the link with control host ${peer} is ${isUp ? 'up' : 'down'}`, {peer, isUp});
+			}
 		},
 		onRequest: answerPeer,
+		onConnectionRejected({peer, isEstablished, reason}) {
+			log.warn(`the connection with ${peer ?? 'an unnamed host'} is closed, since a frame on it cannot be read: ${reason.type}`, {peer, isEstablished, reason});
+		},
 		onUnexpectedError(err) {
 			log.error('unexpected error in a message of another host', {err: describeError(err)});
 		},
@@ -326,6 +333,14 @@
 
 	const isMember = () => ledger.controlHosts.get(self)?.storeId === storeId;
 
+	const requestJoin = async () => {
+		const requestedAtMs = timers.getNow();
+		const {type: answer} = await call({type: 'host/join', node: self, storeId}, {timeoutMs: joinRetryPeriodMs});
+		log.info(`asked to join the control hosts: ${answer}`, {
+			answer, storeId, tookMs: Math.round(timers.getNow() - requestedAtMs), sinceStartMs: Math.round(timers.getNow() - startedAtMs), leader: replica.getState().leader, linkedHosts: listControlHosts().filter(node => node !== self && isReachable(node)),
+		});
+	};
+
 	const announceSelf = () => {
 		const periodMs = isMember() ? joinRefreshPeriodMs : joinRetryPeriodMs;
 		if (timers.getNow() - lastAnnouncedAtMs < periodMs || isStopped) {
@@ -335,7 +350,7 @@
 		lastAnnouncedAtMs = timers.getNow();
 		client.addHosts(listControlHosts());
 		if (!isMember()) {
-			void call({type: 'host/join', node: self, storeId}, {timeoutMs: joinRetryPeriodMs});
+			void requestJoin();
 		}
 	};
 
