Frames behind the handshake are held to the limit of the established link

Cause: a chunk of a connection was decoded with the limit in force when it arrived. The dialler sends what waits for the link right behind its proof, so the accepting end held those frames to the 4,096 bytes of the handshake and closed the connection as malformed. The leader dials again at once with the next entries (a configuration alone has more than 4 KB): the link goes up and down four times a second, and requests to join end as uncertain. Change: the decoder gives one frame at a time, with the limit that is in force for that frame.

--- a/packages/daemon/src/peers/connection.ts
+++ b/packages/daemon/src/peers/connection.ts
@@ -193,24 +193,31 @@
 		}
 	};
 
-	socket.setNoDelay(true);
-	socket.on('data', (chunk: Uint8Array) => {
-		counters.add('receivedBytes', chunk.length);
-		times = {...times, lastReceivedAtMs: getNow()};
-		const decoded = decoder.decode(chunk, isEstablished ? maximumFrameBytes : maximumHandshakeFrameBytes);
+	// Returns whether there was a frame.
+	const handleNextFrame = (): boolean => {
+		const decoded = decoder.readFrame(isEstablished ? maximumFrameBytes : maximumHandshakeFrameBytes);
 		if (!decoded.ok) {
 			counters.add('malformedFrames');
 			socket.destroy();
 			options.onFrameError(decoded.err, isEstablished);
-			return;
+			return false;
 		}
 
-		for (const frame of decoded.value) {
-			if (socket.destroyed) {
-				return;
-			}
+		if (decoded.value === undefined) {
+			return false;
+		}
 
-			handleFrameSafely(frame);
+		handleFrameSafely(decoded.value.value);
+		return true;
+	};
+
+	socket.setNoDelay(true);
+	socket.on('data', (chunk: Uint8Array) => {
+		counters.add('receivedBytes', chunk.length);
+		times = {...times, lastReceivedAtMs: getNow()};
+		decoder.addChunk(chunk);
+		while (!socket.destroyed && handleNextFrame()) {
+			// Each frame may change the limit of the next one.
 		}
 	});
 	socket.on('error', () => {
--- a/packages/daemon/src/peers/frames.test.ts
+++ b/packages/daemon/src/peers/frames.test.ts
@@ -2,7 +2,21 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {maximumFrameBytes} from './constants.js';
-import {createFrameDecoder, encodeFrame} from './frames.js';
+import {createFrameDecoder, encodeFrame, type FrameDecoder} from './frames.js';
+
+const readFrames = (decoder: FrameDecoder, chunk: Uint8Array): readonly unknown[] => {
+	decoder.addChunk(chunk);
+	const values: unknown[] = [];
+	for (;;) {
+		const frame = decoder.readFrame(maximumFrameBytes);
+		expect(frame.ok).toBe(true);
+		if (!frame.ok || frame.value === undefined) {
+			return values;
+		}
+
+		values.push(frame.value.value);
+	}
+};
 
 test('frames decode to the same values however the bytes are split into chunks', () => {
 	fc.assert(fc.property(fc.array(fc.jsonValue(), {maxLength: 5}), fc.array(fc.integer({min: 1, max: 9}), {minLength: 1}), (values, sizes) => {
@@ -11,9 +25,7 @@
 		const decoded: unknown[] = [];
 		for (let offset = 0, chunkIndex = 0; offset < bytes.length; chunkIndex += 1) {
 			const end = offset + (sizes[chunkIndex % sizes.length] ?? 1);
-			const result = decoder.decode(bytes.subarray(offset, end), maximumFrameBytes);
-			expect(result.ok).toBe(true);
-			decoded.push(...(result.ok ? result.value : []));
+			decoded.push(...readFrames(decoder, bytes.subarray(offset, end)));
 			offset = end;
 		}
 
@@ -27,8 +39,17 @@
 	fc.assert(fc.property(shared, fc.array(fc.nat(), {minLength: 1, maxLength: 3}), (entries, rounds) => {
 		for (const round of rounds) {
 			const message = {jsonrpc: '2.0', method: 'message', params: {type: 'replica/append', round, entries}};
-			const result = createFrameDecoder().decode(encodeFrame(message), maximumFrameBytes);
-			expect(JSON.stringify(result.ok ? result.value : [])).toBe(JSON.stringify([message]));
+			expect(JSON.stringify(readFrames(createFrameDecoder(), encodeFrame(message)))).toBe(JSON.stringify([message]));
 		}
 	}), {seed: 1});
 });
+
+test('a frame is held to the limit that is in force when it is read, not to that of the frames before it', () => {
+	const decoder = createFrameDecoder();
+	decoder.addChunk(Buffer.concat([encodeFrame('short'), encodeFrame('x'.repeat(100)), encodeFrame('y'.repeat(100))]));
+	expect([10, 200, 50].map(maximumBytes => decoder.readFrame(maximumBytes))).toMatchObject([
+		{ok: true, value: {value: 'short'}},
+		{ok: true, value: {value: 'x'.repeat(100)}},
+		{ok: false, err: {type: 'frame/tooLarge', lengthBytes: 102, maximumBytes: 50}},
+	]);
+});
--- a/packages/daemon/src/peers/frames.ts
+++ b/packages/daemon/src/peers/frames.ts
@@ -12,10 +12,20 @@
 	= | {readonly type: 'frame/tooLarge'; readonly lengthBytes: number; readonly maximumBytes: number}
 		| {readonly type: 'frame/notJson'};
 
+/** A complete frame. */
+export type DecodedFrame = {readonly value: unknown};
+
 /** Decodes a stream of bytes into frames. */
 export type FrameDecoder = {
-	/** @returns The frames completed by these bytes, or the error for which the connection must be closed. */
-	readonly decode: (chunk: Uint8Array, maximumBytes: number) => Result<readonly unknown[], FrameError>;
+	readonly addChunk: (chunk: Uint8Array) => void;
+	/**
+	 * Reads the next frame. The limit may differ from frame to frame, since a chunk may end one phase of a connection and
+	 * begin the next.
+	 *
+	 * @param maximumBytes - The largest body that this frame may have.
+	 * @returns The frame, `undefined` while bytes of it are missing, or the error for which the connection must be closed.
+	 */
+	readonly readFrame: (maximumBytes: number) => Result<DecodedFrame | undefined, FrameError>;
 };
 
 type JsonObject = Readonly<Record<string, unknown>>;
@@ -85,42 +95,44 @@
 	let bufferedBytes = 0;
 	let neededBytes = framePrefixBytes;
 
-	const decode: FrameDecoder['decode'] = (chunk, maximumBytes) => {
-		chunks = [...chunks, chunk];
-		bufferedBytes += chunk.length;
-		if (bufferedBytes < neededBytes) {
-			return createSuccess([]);
-		}
+	const mergeChunks = (): Uint8Array => {
+		const [first] = chunks;
+		const merged = chunks.length === 1 && first !== undefined ? first : Buffer.concat(chunks);
+		chunks = [merged];
+		return merged;
+	};
 
-		const buffered = Buffer.concat(chunks);
-		const frames: unknown[] = [];
-		let offset = 0;
+	const skip = (buffered: Uint8Array, bytes: number) => {
+		chunks = bytes === buffered.length ? [] : [buffered.subarray(bytes)];
+		bufferedBytes = buffered.length - bytes;
 		neededBytes = framePrefixBytes;
-		while (buffered.length - offset >= framePrefixBytes) {
-			const lengthBytes = buffered.readUInt32BE(offset);
-			if (lengthBytes > maximumBytes) {
-				return createFailure({type: 'frame/tooLarge', lengthBytes, maximumBytes});
-			}
+	};
 
-			const end = offset + framePrefixBytes + lengthBytes;
-			if (end > buffered.length) {
-				neededBytes = framePrefixBytes + lengthBytes;
-				break;
+	return {
+		addChunk(chunk) {
+			chunks = [...chunks, chunk];
+			bufferedBytes += chunk.length;
+		},
+		readFrame(maximumBytes) {
+			if (bufferedBytes < neededBytes) {
+				return createSuccess(undefined);
 			}
 
-			const parsed = parseJson(buffered.subarray(offset + framePrefixBytes, end));
-			if (!parsed.ok) {
-				return parsed;
+			const buffered = mergeChunks();
+			const lengthBytes = new DataView(buffered.buffer, buffered.byteOffset).getUint32(0);
+			if (lengthBytes > maximumBytes) {
+				return createFailure({type: 'frame/tooLarge', lengthBytes, maximumBytes});
 			}
 
-			frames.push(parsed.value);
-			offset = end;
-		}
+			const endBytes = framePrefixBytes + lengthBytes;
+			if (endBytes > buffered.length) {
+				neededBytes = endBytes;
+				return createSuccess(undefined);
+			}
 
-		chunks = offset === buffered.length ? [] : [buffered.subarray(offset)];
-		bufferedBytes = buffered.length - offset;
-		return createSuccess(frames);
+			const parsed = parseJson(buffered.subarray(framePrefixBytes, endBytes));
+			skip(buffered, endBytes);
+			return parsed.ok ? createSuccess({value: parsed.value}) : parsed;
+		},
 	};
-
-	return {decode};
 }
--- a/packages/daemon/src/peers/odd-frames.test.ts
+++ b/packages/daemon/src/peers/odd-frames.test.ts
@@ -86,10 +86,10 @@
 	socket.write(encodeFrame(createHello({from: self, to: alpha})));
 	const decoder = createFrameDecoder();
 	for await (const [chunk] of on(socket)) {
-		const decoded = decoder.decode(chunk, maximumBytes);
-		const [challenge] = decoded.ok ? decoded.value : [];
-		if (challenge !== undefined) {
-			const {from} = challenge as HandshakeMessage & {type: 'challenge'}; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- sent by the code under test
+		decoder.addChunk(chunk);
+		const challenge = decoder.readFrame(maximumBytes);
+		if (challenge.ok && challenge.value !== undefined) {
+			const {from} = challenge.value.value as HandshakeMessage & {type: 'challenge'}; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- sent by the code under test
 			const proof = createProof({
 				secret, prover: 'dialler', dialler: self, acceptor: from,
 			});
