The limits of control hosts stand in one place, and tests play with them

Change: `controlHostReplicaLimits` in core, used by the control host and the tests. The maintenance in the tests can be given the hosts that the leader knows, and delays a host again only after `learnerTooSlow` and only for the leader that saw it, as control-host.ts does.

--- a/packages/core/src/replica/constants.ts
+++ b/packages/core/src/replica/constants.ts
@@ -28,6 +28,17 @@
 	maximumPendingRequests: 4096,
 };
 
+/** Limits of control hosts, which are a few milliseconds apart. Followers need not learn of a commit before the next heartbeat. */
+export const controlHostReplicaLimits: ReplicaLimits = {
+	...defaultReplicaLimits,
+	heartbeatPeriodMs: 100,
+	electionTimeoutMs: 600,
+	leaderLeaseMs: 450,
+	commitHeartbeatIntervalMs: 100,
+	snapshotEveryEntries: 3000,
+	trailingEntries: 1500,
+};
+
 /**
  * The interval after which an unanswered proposal, read, voter change, snapshot or formation request is sent
  * again.
--- a/packages/core/src/replica/index.ts
+++ b/packages/core/src/replica/index.ts
@@ -4,7 +4,7 @@
  */
 export type * from './types.js';
 export type * from './messages.js';
-export {defaultReplicaLimits} from './constants.js';
+export {controlHostReplicaLimits, defaultReplicaLimits} from './constants.js';
 export {getConfigurationFreshness, type ConfigurationFreshness} from './confirmation.js';
 export {createReplica} from './create-replica.js';
 export {reduceReplica} from './reduce-replica.js';
--- a/packages/core/src/replica/progress.model.test.ts
+++ b/packages/core/src/replica/progress.model.test.ts
@@ -2,9 +2,10 @@
 import {setImmediate} from 'node:timers/promises';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
+import {controlHostReplicaLimits} from './constants.js';
 import {getLatestVoters} from './log.js';
 import {createTestNetwork, type TestNetwork, type TestNode} from './test-network.js';
-import {controlHostLimits, createMaintainedNetwork} from './test-voter-maintenance.js';
+import {createMaintainedNetwork} from './test-voter-maintenance.js';
 import type {VoterIdentity} from './types.js';
 
 const seed = Number(process.env.SAMPHIREMILL_SEED ?? 35);
@@ -89,7 +90,7 @@
 		async (actions, networkSeed) => {
 			// Yields to the event loop, because long runs would block the test runner's own messages.
 			await setImmediate();
-			const network = createTestNetwork({nodes, seed: networkSeed, limits: {...controlHostLimits, snapshotEveryEntries: 60, trailingEntries: 20}});
+			const network = createTestNetwork({nodes, seed: networkSeed, limits: {...controlHostReplicaLimits, snapshotEveryEntries: 60, trailingEntries: 20}});
 			const {run} = createMaintainedNetwork({network, names, wantedVoters});
 			const check = createChecks(network);
 			run(3000, check);
--- a/packages/core/src/replica/slow-disks.test.ts
+++ b/packages/core/src/replica/slow-disks.test.ts
@@ -1,12 +1,12 @@
 import {expect, test} from 'vitest';
+import {controlHostReplicaLimits} from './constants.js';
 import {createTestNetwork} from './test-network.js';
-import {controlHostLimits} from './test-voter-maintenance.js';
 
 const voterNames = ['a1', 'b1', 'c1'];
 
 const startNetwork = (seed: number) => {
 	const network = createTestNetwork({
-		nodes: voterNames.map(name => ({name, dataCentre: name, kind: 'voter'})), seed, limits: controlHostLimits,
+		nodes: voterNames.map(name => ({name, dataCentre: name, kind: 'voter'})), seed, limits: controlHostReplicaLimits,
 	});
 	network.run(4000);
 	return {network, leader: network.getLeader() ?? ''};
--- a/packages/core/src/replica/test-voter-maintenance.ts
+++ b/packages/core/src/replica/test-voter-maintenance.ts
@@ -4,7 +4,9 @@
 import {toBrand, type NodeId} from '@samphiremill/common';
 import {chooseVoterChange, isLeaderReplaceable, type VoterChangeInput} from './choose-voter-change.js';
 import type {TestNetwork} from './test-network.js';
-import type {RequestId, StoreId, VoterChange} from './types.js';
+import type {
+	RequestId, StoreId, VoterChange, VoterIdentity,
+} from './types.js';
 import {isDiskHanging, listStalledVoters} from './voter-progress.js';
 
 const stepMs = 50;
@@ -13,11 +15,76 @@
 const absenceTimeoutMs = 2500;
 const failedVoterRetryDelayMs = 2000;
 
-/** The limits of control hosts, a few milliseconds apart. */
-export const controlHostLimits = {
-	heartbeatPeriodMs: 100, electionTimeoutMs: 600, leaderLeaseMs: 450, commitHeartbeatIntervalMs: 100,
+/** The part of a control host that maintains the set of voters. */
+export type VoterMaintenance = {
+	/** Notes which nodes are linked now. */
+	readonly recordLinks: () => void;
+	/** Starts the next change that the set of voters needs, if none is under way. */
+	readonly maintain: (leader: string) => void;
 };
 
+/**
+ * Creates the maintenance of voters for all nodes of a network.
+ *
+ * @param options - `listHosts` lists the hosts that may vote, as the leader knows them.
+ */
+export function createVoterMaintenance({network, names, wantedVoters, listHosts}: {
+	readonly network: TestNetwork;
+	readonly names: readonly string[];
+	readonly wantedVoters: number;
+	readonly listHosts: (leader: string) => readonly VoterIdentity[];
+}): VoterMaintenance {
+	const linkedAtMs = new Map<string, number>();
+	const startedByTerm = new Map<number, {readonly id: RequestId; readonly change: VoterChange}>();
+	const retryAtMs = new Map<string, number>();
+
+	return {
+		recordLinks() {
+			for (const left of names) {
+				for (const right of names.filter(name => network.isLinked(left, name))) {
+					linkedAtMs.set(`${left}>${right}`, network.getNowMs());
+				}
+			}
+		},
+		maintain(leader) {
+			const {term, voters} = network.getState(leader);
+			const started = startedByTerm.get(term);
+			const outcome = started && network.getOutcome(started.id);
+			if (started !== undefined && outcome === undefined) {
+				return;
+			}
+
+			startedByTerm.delete(term);
+			if (outcome?.type === 'failed' && outcome.failure.includes('learnerTooSlow') && started?.change.type === 'add') {
+				retryAtMs.set(`${leader}>${started.change.voter.node}`, network.getNowMs() + failedVoterRetryDelayMs);
+			}
+
+			const self = toBrand<NodeId>(leader);
+			const stalled = listStalledVoters(network.getState(leader), {self, nowMs: network.getLocalMs(leader), timeoutMs: absenceTimeoutMs});
+			const isUnlinked = (node: NodeId) => network.getNowMs() - (linkedAtMs.get(`${leader}>${node}`) ?? 0) > absenceTimeoutMs;
+			const input: VoterChangeInput = {
+				self,
+				voters,
+				hosts: listHosts(leader).filter(({node}) => network.getNowMs() >= (retryAtMs.get(`${leader}>${node}`) ?? 0)),
+				wantedVoters,
+				isReachable: node => node === self || network.isLinked(leader, node),
+				isAbsent: node => node === self
+					? isDiskHanging(network.getState(leader), {nowMs: network.getLocalMs(leader), timeoutMs: absenceTimeoutMs})
+					: isUnlinked(node) || stalled.some(voter => voter.node === node),
+			};
+			if (isLeaderReplaceable(input)) {
+				network.giveWay(leader);
+				return;
+			}
+
+			const change = chooseVoterChange(input);
+			if (change !== undefined) {
+				startedByTerm.set(term, {id: network.changeVoters(leader, change), change});
+			}
+		},
+	};
+}
+
 /** A test network whose leader maintains the set of voters, and proposes a command now and then. */
 export type MaintainedNetwork = {
 	/** Runs the network and calls `check` every 50 ms. */
@@ -30,57 +97,14 @@
 	readonly names: readonly string[];
 	readonly wantedVoters: number;
 }): MaintainedNetwork {
-	const linkedAtMs = new Map<string, number>();
-	const startedByTerm = new Map<number, {readonly id: RequestId; readonly change: VoterChange}>();
-	const retryAtMs = new Map<NodeId, number>();
+	const {recordLinks, maintain} = createVoterMaintenance({
+		network,
+		names,
+		wantedVoters,
+		listHosts: () => names.map(name => ({node: toBrand<NodeId>(name), storeId: network.getStoreId(name) ?? toBrand<StoreId>('')})),
+	});
 	let proposalCount = 0;
 
-	const recordLinks = () => {
-		for (const left of names) {
-			for (const right of names.filter(name => network.isLinked(left, name))) {
-				linkedAtMs.set(`${left}>${right}`, network.getNowMs());
-			}
-		}
-	};
-
-	const maintain = (leader: string) => {
-		const {term, voters} = network.getState(leader);
-		const started = startedByTerm.get(term);
-		const outcome = started && network.getOutcome(started.id);
-		if (started !== undefined && outcome === undefined) {
-			return;
-		}
-
-		startedByTerm.delete(term);
-		if (outcome?.type === 'failed' && started?.change.type === 'add') {
-			retryAtMs.set(started.change.voter.node, network.getNowMs() + failedVoterRetryDelayMs);
-		}
-
-		const self = toBrand<NodeId>(leader);
-		const stalled = listStalledVoters(network.getState(leader), {self, nowMs: network.getLocalMs(leader), timeoutMs: absenceTimeoutMs});
-		const isUnlinked = (node: NodeId) => network.getNowMs() - (linkedAtMs.get(`${leader}>${node}`) ?? 0) > absenceTimeoutMs;
-		const input: VoterChangeInput = {
-			self,
-			voters,
-			hosts: names.map(name => ({node: toBrand<NodeId>(name), storeId: network.getStoreId(name) ?? toBrand<StoreId>('')}))
-				.filter(({node}) => network.getNowMs() >= (retryAtMs.get(node) ?? 0)),
-			wantedVoters,
-			isReachable: node => node === self || network.isLinked(leader, node),
-			isAbsent: node => node === self
-				? isDiskHanging(network.getState(leader), {nowMs: network.getLocalMs(leader), timeoutMs: absenceTimeoutMs})
-				: isUnlinked(node) || stalled.some(voter => voter.node === node),
-		};
-		if (isLeaderReplaceable(input)) {
-			network.giveWay(leader);
-			return;
-		}
-
-		const change = chooseVoterChange(input);
-		if (change !== undefined) {
-			startedByTerm.set(term, {id: network.changeVoters(leader, change), change});
-		}
-	};
-
 	const step = () => {
 		network.run(stepMs);
 		recordLinks();
--- a/packages/core/src/replica/voter-maintenance.test.ts
+++ b/packages/core/src/replica/voter-maintenance.test.ts
@@ -1,6 +1,7 @@
 import {expect, test} from 'vitest';
+import {controlHostReplicaLimits} from './constants.js';
 import {createTestNetwork, type TestNode} from './test-network.js';
-import {controlHostLimits, createMaintainedNetwork} from './test-voter-maintenance.js';
+import {createMaintainedNetwork} from './test-voter-maintenance.js';
 
 const voterNames = ['a1', 'b1', 'c1'];
 const seeds = [1, 2, 3, 4, 5, 6];
@@ -9,7 +10,7 @@
 	const names = [...voterNames, ...spares];
 	const network = createTestNetwork({
 		seed,
-		limits: controlHostLimits,
+		limits: controlHostReplicaLimits,
 		nodes: names.map((name): TestNode => ({name, dataCentre: name, kind: voterNames.includes(name) ? 'voter' : 'spareDisk'})),
 	});
 	const {run} = createMaintainedNetwork({network, names, wantedVoters: 3});
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -6,8 +6,8 @@
 	createFailure, createSuccess, describeError, toBrand, waitFor, type DataCentreId, type NodeId, type RandomSource, type RegionId, type Result, type TimerService,
 } from '@samphiremill/common';
 import {
-	applyLedgerCommand, chooseVoterChange, createLedger, createLedgerSnapshot, defaultReplicaLimits, getLastIndex, hasVoter, isDiskHanging, isLeaderReplaceable, listStalledVoters, restoreLedger,
-	type Ledger, type LedgerCommand, type LedgerOutcome, type NodeAddress, type ParseConfiguration, type ReplicaLimits, type ReplicaMessage, type VoterChange, type VoterChangeInput, type VoterIdentity,
+	applyLedgerCommand, chooseVoterChange, controlHostReplicaLimits, createLedger, createLedgerSnapshot, getLastIndex, hasVoter, isDiskHanging, isLeaderReplaceable, listStalledVoters, restoreLedger,
+	type Ledger, type LedgerCommand, type LedgerOutcome, type NodeAddress, type ParseConfiguration, type ReplicaMessage, type VoterChange, type VoterChangeInput, type VoterIdentity,
 } from '@samphiremill/core';
 import {createPeerTransport, getEncodedLength, type PeerRequest} from '../peers/index.js';
 import {createReplicaHost, type ReplicaHost} from '../replica-host.js';
@@ -93,17 +93,6 @@
 
 const leadershipTransferWaitMs = 400;
 
-/** Replication limits for hosts a few milliseconds apart. Followers need not learn of a commit before the next heartbeat. */
-const replicaLimits: ReplicaLimits = {
-	...defaultReplicaLimits,
-	heartbeatPeriodMs: 100,
-	electionTimeoutMs: 600,
-	leaderLeaseMs: 450,
-	commitHeartbeatIntervalMs: 100,
-	snapshotEveryEntries: 3000,
-	trailingEntries: 1500,
-};
-
 /**
  * Starts a control host.
  *
@@ -201,7 +190,7 @@
 
 	const replica: ReplicaHost<LedgerCommand, LedgerOutcome> = createReplicaHost<LedgerCommand, LedgerOutcome>({
 		cfg: {
-			self, nodes: createNodes(settings.seeds), limits: replicaLimits, random, measureEntry: getEncodedLength,
+			self, nodes: createNodes(settings.seeds), limits: controlHostReplicaLimits, random, measureEntry: getEncodedLength,
 		},
 		store,
 		timers,
