--- a/packages/core/src/replica/test-network.ts
+++ b/packages/core/src/replica/test-network.ts
@@ -34,6 +34,8 @@
 	readonly limits?: Partial<ReplicaLimits>;
 	readonly delayMs?: {readonly least: number; readonly most: number};
 	readonly syncMs?: {readonly least: number; readonly most: number};
+	/** Whether messages on one link arrive in the order in which they were sent, as on one connection. */
+	readonly isOrdered?: boolean;
 	/** The probabilities in [0, 1] that a message is lost or delivered twice. */
 	readonly lossProbability?: number;
 	readonly duplicateProbability?: number;
@@ -108,6 +110,9 @@
 	readonly crash: (name: string) => void;
 	readonly restart: (name: string) => void;
 	readonly wipe: (name: string) => void;
+	/** The node's process stands still until `resume`, which handles what came in meanwhile. A crash or restart ends it as well. */
+	readonly pause: (name: string) => void;
+	readonly resume: (name: string) => void;
 	/** Sets how long the syncs of one node take from now on, in milliseconds. */
 	readonly setSyncTime: (name: string, range: {readonly least: number; readonly most: number}) => void;
 	/** From now on until `freeDisk`, no write of the node's disk succeeds. Restarts of the node change nothing about it. */
@@ -135,6 +140,8 @@
 	const scheduled: ScheduledCall[] = [];
 	const blockedLinks = new Set<string>();
 	const fullDisks = new Set<string>();
+	const pausedEvents = new Map<string, Array<() => ReplicaEvent<string>>>();
+	const lastDeliveries = new Map<string, number>();
 	const syncTimes = new Map<string, {readonly least: number; readonly most: number}>();
 	const leadersByTerm = new Map<number, string>();
 	const committedEntries = new Map<number, string>();
@@ -211,11 +218,14 @@
 				continue;
 			}
 
-			schedule(pickBetween(random, delayMs), () => {
-				if (!blockedLinks.has(`${from}>${to}`) && getNode(to).isUp) {
-					handle(to, {
+			const link = `${from}>${to}`;
+			const deliveryMs = Math.max(nowMs + pickBetween(random, delayMs), options.isOrdered === true ? lastDeliveries.get(link) ?? 0 : 0);
+			lastDeliveries.set(link, deliveryMs);
+			schedule(deliveryMs - nowMs, () => {
+				if (!blockedLinks.has(link)) {
+					handleWhenRunning(to, () => ({
 						type: 'peer/received', from: toBrand<NodeId>(from), message, nowMs: getLocalMs(to),
-					});
+					}));
 				}
 			});
 		}
@@ -243,7 +253,7 @@
 			}
 
 			pendingWrites.set(name, queue.slice(count));
-			handle(name, {type: 'replica/persisted', sequence, nowMs: getLocalMs(name)});
+			handleWhenRunning(name, () => ({type: 'replica/persisted', sequence, nowMs: getLocalMs(name)}));
 		};
 
 		schedule(pickBetween(random, syncTimes.get(name) ?? syncMs), sync);
@@ -355,13 +365,22 @@
 		}
 	};
 
+	const handleWhenRunning = (name: string, createEvent: () => ReplicaEvent<string>) => {
+		const waiting = pausedEvents.get(name);
+		if (waiting === undefined) {
+			handle(name, createEvent());
+		} else {
+			waiting.push(createEvent);
+		}
+	};
+
 	const tick = (name: string, incarnation: number) => {
 		const node = nodes.get(name);
 		if (node?.incarnation !== incarnation || !node.isUp) {
 			return;
 		}
 
-		handle(name, {type: 'replica/tick', nowMs: getLocalMs(name)});
+		handleWhenRunning(name, () => ({type: 'replica/tick', nowMs: getLocalMs(name)}));
 		checkFreshness(name, node);
 		schedule(tickIntervalMs, () => {
 			tick(name, incarnation);
@@ -372,6 +391,7 @@
 		const description = options.nodes.find(node => node.name === name) ?? fail(`No node ${name}`);
 		const diskIncarnation = disk === emptyDisk ? incarnation : diskIncarnations.get(name) ?? incarnation;
 		diskIncarnations.set(name, diskIncarnation);
+		pausedEvents.delete(name);
 		const cfg = createCfg(description, diskIncarnation);
 		startedAtMs.set(name, nowMs);
 		const recovered = description.kind === 'diskless' ? undefined : getRecoveredReplica(disk);
@@ -476,6 +496,7 @@
 		},
 		crash(name) {
 			getNode(name).isUp = false;
+			pausedEvents.delete(name);
 		},
 		restart(name) {
 			const node = getNode(name);
@@ -484,6 +505,18 @@
 		wipe(name) {
 			startNode(name, {incarnation: getNode(name).incarnation + 1, disk: emptyDisk});
 		},
+		pause(name) {
+			if (getNode(name).isUp && !pausedEvents.has(name)) {
+				pausedEvents.set(name, []);
+			}
+		},
+		resume(name) {
+			const waiting = pausedEvents.get(name) ?? [];
+			pausedEvents.delete(name);
+			for (const createEvent of waiting) {
+				handle(name, createEvent());
+			}
+		},
 		setSyncTime(name, range) {
 			syncTimes.set(name, range);
 		},
