--- a/packages/core/src/replica/choose-voter-change.test.ts
+++ b/packages/core/src/replica/choose-voter-change.test.ts
@@ -9,10 +9,11 @@
 const c1 = createVoter('c1');
 const d1 = createVoter('d1');
 
-const choose = ({voters, hosts, absent = []}: {
+const choose = ({voters, hosts, absent = [], deferred = []}: {
 	readonly voters: readonly VoterIdentity[];
 	readonly hosts: readonly VoterIdentity[];
 	readonly absent?: readonly string[];
+	readonly deferred?: readonly string[];
 }) => chooseVoterChange({
 	self: a1.node,
 	voters,
@@ -20,6 +21,7 @@
 	wantedVoters: 3,
 	isReachable: node => !absent.includes(node),
 	isAbsent: node => absent.includes(node),
+	isDeferred: node => deferred.includes(node),
 });
 
 test('a voter with a new data folder is replaced first', () => {
@@ -38,3 +40,10 @@
 	expect(choose({voters: [a1, b1, c1, d1], hosts: [a1, b1, c1, d1, createVoter('d2')], absent: ['c1']})).toEqual({type: 'remove', node: 'c1'});
 	expect(choose({voters: [a1, b1, c1, d1], hosts: [a1, b1, c1, d1]})).toEqual({type: 'remove', node: 'b1'});
 });
+
+test('a host that was too slow gives another its turn, and is tried again at once if there is no other', () => {
+	const rejoined = createVoter('c1', 2);
+	expect(choose({voters: [a1, b1, c1], hosts: [a1, b1, rejoined], deferred: ['c1']})).toEqual({type: 'add', voter: rejoined});
+	expect(choose({voters: [a1, b1], hosts: [a1, b1, c1, d1], deferred: ['c1']})).toEqual({type: 'add', voter: d1});
+	expect(choose({voters: [a1, b1], hosts: [a1, b1, c1, d1], deferred: ['c1', 'd1']})).toEqual({type: 'add', voter: c1});
+});
--- a/packages/core/src/replica/choose-voter-change.ts
+++ b/packages/core/src/replica/choose-voter-change.ts
@@ -13,6 +13,8 @@
 	readonly isReachable: (node: NodeId) => boolean;
 	/** Whether the node has been gone, or its disk has hung, for so long that it is to be replaced. */
 	readonly isAbsent: (node: NodeId) => boolean;
+	/** Whether the host was too slow as a learner a moment ago. It is chosen only if no other host can take part. */
+	readonly isDeferred: (node: NodeId) => boolean;
 };
 
 const findCandidate = ({voters, hosts, isReachable, isAbsent}: VoterChangeInput) => hosts.find(({node}) =>
@@ -28,15 +30,7 @@
 	return isAbsent(self) && presentCount >= getQuorumSize(voters.length) && findCandidate(input) !== undefined;
 }
 
-/**
- * Chooses the next change of the set of voters, in this order: a voter whose data folder was replaced is
- * replaced by its new store id; an absent voter is replaced by a host that is there; a host is added while there are
- * too few voters; a surplus voter is removed, an absent one first. Without a host to take its place, an absent
- * voter stays: its removal would not lower the number of hosts that must be up.
- *
- * @returns `undefined` if no change is needed.
- */
-export function chooseVoterChange(input: VoterChangeInput): VoterChange | undefined {
+const chooseAmongHosts = (input: VoterChangeInput): VoterChange | undefined => {
 	const {self, voters, hosts, wantedVoters, isReachable, isAbsent} = input;
 	const rejoined = hosts.find(({node, storeId}) => isReachable(node) && voters.some(voter => voter.node === node && voter.storeId !== storeId));
 	if (rejoined !== undefined) {
@@ -57,4 +51,20 @@
 
 	const surplus = absent ?? voters.find(({node}) => node !== self);
 	return surplus !== undefined && voters.length > wantedVoters ? {type: 'remove', node: surplus.node} : undefined;
+};
+
+/**
+ * Chooses the next change of the set of voters, in this order: a voter whose data folder was replaced is
+ * replaced by its new store id; an absent voter is replaced by a host that is there; a host is added while there are
+ * too few voters; a surplus voter is removed, an absent one first. Without a host to take its place, an absent
+ * voter stays: its removal would not lower the number of hosts that must be up.
+ *
+ * A host that was too slow gives others their turn; without others it is tried again at once, since the next loss
+ * may be one too many.
+ *
+ * @returns `undefined` if no change is needed.
+ */
+export function chooseVoterChange(input: VoterChangeInput): VoterChange | undefined {
+	const hosts = input.hosts.filter(({node}) => !input.isDeferred(node));
+	return chooseAmongHosts({...input, hosts}) ?? chooseAmongHosts(input);
 }
--- a/packages/core/src/replica/constants.ts
+++ b/packages/core/src/replica/constants.ts
@@ -54,6 +54,9 @@
 /** A snapshot transfer without progress is aborted after this time. */
 export const snapshotStallTimeoutMs = 2000;
 
+/** How many snapshots are left out, at most, while a peer fetches the present one. */
+export const maximumDeferredSnapshots = 2;
+
 /** The maximum number of open polls for a confirmation. */
 export const maximumOpenPolls = 32;
 
--- a/packages/core/src/replica/create-replica.ts
+++ b/packages/core/src/replica/create-replica.ts
@@ -54,6 +54,7 @@
 		voters,
 		votersIndex: index,
 		isSnapshotRequested: false,
+		snapshotPulledAtMs: Number.NEGATIVE_INFINITY,
 		electionDeadlineMs: getElectionDeadline(context),
 		candidacies: 0,
 		leaderLastHeardMs: nowMs,
--- /dev/null
+++ b/packages/core/src/replica/interrupted-voter-changes.test.ts
@@ -0,0 +1,51 @@
+import {createSeededRandom} from '@samphiremill/common';
+import {expect, test} from 'vitest';
+import {controlHostReplicaLimits} from './constants.js';
+import {createControlHosts} from './test-control-hosts.js';
+import {createTestNetwork} from './test-network.js';
+import type {ReplicaLimits} from './types.js';
+
+const names = ['a1', 'b1', 'c1'];
+const seeds = [1, 2, 3, 4, 5, 6];
+const firstReturnMs = 1200;
+const catchUpMs = 4000;
+
+const startHosts = (seed: number, limits: Partial<ReplicaLimits> = {}) => {
+	const network = createTestNetwork({
+		nodes: names.map(name => ({name, dataCentre: `of ${name}`, kind: 'voter'})),
+		seed,
+		limits: {...controlHostReplicaLimits, ...limits},
+		delayMs: {least: 0.5, most: 2},
+		isOrdered: true,
+	});
+	const hosts = createControlHosts({
+		network, names, wantedVoters: 3, load: {pauseMs: {least: 1, most: 5}, padding: 60}, random: createSeededRandom(seed),
+	});
+	const areAllVoters = () => {
+		const [leader] = hosts.listActing();
+		const stores = new Set(names.map(name => network.getStoreId(name)));
+		const state = leader === undefined ? undefined : network.getState(leader);
+		return state !== undefined && state.commitIndex >= state.votersIndex
+			&& state.voters.length === names.length && state.voters.every(({storeId}) => stores.has(storeId));
+	};
+
+	return {network, hosts, areAllVoters};
+};
+
+test('a host that receives a snapshot while a newer one replaces it is a voter in time', () => {
+	for (const seed of seeds) {
+		const {network, hosts, areAllVoters} = startHosts(seed, {snapshotEveryEntries: 300, trailingEntries: 150, maximumChunkLength: 2048});
+		hosts.run(30_000);
+		const leader = network.getLeader() ?? '';
+		hosts.lose(leader);
+		hosts.run(firstReturnMs);
+		const isSnapshotNear = () => hosts.listActing().some(name => {
+			const {commitIndex, snapshot} = network.getState(name);
+			return commitIndex - (snapshot?.index ?? 0) > 280;
+		});
+		expect(hosts.run(10_000, isSnapshotNear)).toBe(true);
+		hosts.returnEmpty(leader);
+		hosts.run(catchUpMs);
+		expect(areAllVoters(), `seed ${seed}`).toBe(true);
+	}
+});
--- a/packages/core/src/replica/snapshots.ts
+++ b/packages/core/src/replica/snapshots.ts
@@ -1,5 +1,5 @@
 import type {NodeId} from '@samphiremill/common';
-import {requestResendIntervalMs, snapshotStallTimeoutMs} from './constants.js';
+import {maximumDeferredSnapshots, requestResendIntervalMs, snapshotStallTimeoutMs} from './constants.js';
 import {recordSnapshotProgress} from './leader-stall.js';
 import {
 	compactLog, createLog, getLatestVoters, getRequestsUpTo, getTerm, truncateLog,
@@ -12,10 +12,19 @@
 import {reconcileRole} from './roles.js';
 import type {IncomingSnapshot, ReplicaSnapshot, ReplicaState} from './types.js';
 
-/** Requests a snapshot from the host once enough entries were applied since the last one. */
-export function requestSnapshot<Command>(state: ReplicaState<Command>, {cfg}: ReplicaContext): ReplicaStep<Command> {
+// A new snapshot replaces the one that a peer is fetching, which then has to begin again.
+const isSendingSnapshot = <Command>({snapshotPulledAtMs}: ReplicaState<Command>, {nowMs}: ReplicaContext) =>
+	nowMs - snapshotPulledAtMs < snapshotStallTimeoutMs;
+
+/**
+ * Requests a snapshot from the host once enough entries were applied since the last one. While a peer fetches that
+ * one, the new one waits, but the log does not grow without limit.
+ */
+export function requestSnapshot<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
+	const {snapshotEveryEntries} = context.cfg.limits;
 	const appliedSince = state.commitIndex - (state.snapshot?.index ?? 0);
-	return state.isSnapshotRequested || appliedSince < cfg.limits.snapshotEveryEntries
+	const dueAfter = isSendingSnapshot(state, context) ? snapshotEveryEntries * (1 + maximumDeferredSnapshots) : snapshotEveryEntries;
+	return state.isSnapshotRequested || appliedSince < dueAfter
 		? createStep(state)
 		: createStep({...state, isSnapshotRequested: true}, [{type: 'replica/takeSnapshot', index: state.commitIndex}]);
 }
@@ -76,9 +85,20 @@
 	type: 'replica/pullSnapshot', index, offset,
 });
 
+// The sender has a newer snapshot and no longer the one being fetched, or it has stopped answering. The leader's offer
+// goes before those of others, since it gives up a learner that makes no progress with it.
+const isReplacedBy = (current: IncomingSnapshot, offer: {readonly from: NodeId; readonly index: number}, {leader, nowMs}: {readonly leader: NodeId | undefined; readonly nowMs: number}) => {
+	if (current.from === offer.from) {
+		return offer.index > current.index;
+	}
+
+	const progressedAtMs = current.stallDeadlineMs - snapshotStallTimeoutMs;
+	return offer.from === leader || nowMs - progressedAtMs >= requestResendIntervalMs;
+};
+
 /**
  * Handles the offer of a snapshot by a node that has compacted the entries needed here: starts to fetch the
- * snapshot. An offer during another transfer is ignored; it is repeated later.
+ * snapshot. An offer during another transfer that makes progress is ignored; it is repeated later.
  */
 export function handleSnapshotOffer<Command>(
 	state: ReplicaState<Command>,
@@ -90,7 +110,8 @@
 		return acknowledgeSnapshot(state, context, {to: from, index: message.index});
 	}
 
-	if (state.incomingSnapshot !== undefined) {
+	const current = state.incomingSnapshot;
+	if (current !== undefined && !isReplacedBy(current, {from, index: message.index}, {leader: state.leader, nowMs})) {
 		return createStep(state);
 	}
 
@@ -116,7 +137,8 @@
 		return createStep(state, [createSend(from, {type: 'replica/snapshotOffer', index, length: data.length})]);
 	}
 
-	return createStep(recordSnapshotProgress(state, context, {from, offset: message.offset}), [createSend(from, {
+	const next = {...state, snapshotPulledAtMs: context.nowMs};
+	return createStep(recordSnapshotProgress(next, context, {from, offset: message.offset}), [createSend(from, {
 		type: 'replica/snapshotChunk',
 		index,
 		term,
--- a/packages/core/src/replica/test-voter-maintenance.ts
+++ b/packages/core/src/replica/test-voter-maintenance.ts
@@ -65,7 +65,8 @@
 			const input: VoterChangeInput = {
 				self,
 				voters,
-				hosts: listHosts(leader).filter(({node}) => network.getNowMs() >= (retryAtMs.get(`${leader}>${node}`) ?? 0)),
+				hosts: listHosts(leader),
+				isDeferred: node => network.getNowMs() < (retryAtMs.get(`${leader}>${node}`) ?? 0),
 				wantedVoters,
 				isReachable: node => node === self || network.isLinked(leader, node),
 				isAbsent: node => node === self
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -363,6 +363,8 @@
 	readonly voters: readonly VoterIdentity[];
 	readonly votersIndex: number;
 	readonly isSnapshotRequested: boolean;
+	/** When a peer last asked for a part of the present snapshot, in monotonic milliseconds. */
+	readonly snapshotPulledAtMs: number;
 	readonly electionDeadlineMs: number;
 	/** How often this node was a candidate since it last knew a leader. */
 	readonly candidacies: number;
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -364,12 +364,13 @@
 		const input: VoterChangeInput = {
 			self,
 			voters,
-			hosts: [...ledger.controlHosts.values()].filter(({node}) => nowMs >= (changeRetryAtMs.get(node) ?? nowMs)),
+			hosts: [...ledger.controlHosts.values()],
 			wantedVoters: (2 * settings.toleratedLosses) + 1,
 			isReachable,
 			isAbsent: node => node === self
 				? isDiskHanging(replica.getState(), {nowMs, timeoutMs: voterAbsenceTimeoutMs})
 				: stalled.has(node) || nowMs - (lastLinkedAtMs.get(node) ?? startedAtMs) > voterAbsenceTimeoutMs,
+			isDeferred: node => nowMs < (changeRetryAtMs.get(node) ?? nowMs),
 		};
 		if (isLeaderReplaceable(input)) {
 			log.warn('the disk of this leader hangs; giving way, so that it is replaced', {term});
