A host votes for a candidate whose set names it, although its own log does not yet

A leader that is lost between the two steps of a replacement, before the new voter has the entry that names it, leaves one voter that knows the set and one that ignores requests for its vote: no leader for good, though two of three voters run. Change: a node with a disk answers vote requests of its cluster; the candidate counts only the votes of its own set, by store id, and the vote is synced before it is sent, as before.

--- a/packages/core/src/replica/elections.ts
+++ b/packages/core/src/replica/elections.ts
@@ -176,8 +176,9 @@
 };
 
 /**
- * Answers a vote request. A node that does not vote sends no answer, nor does it answer a request of another
- * cluster.
+ * Answers a vote request of the same cluster. A node with a disk votes although its own log does not name it: the newest
+ * set may do so in an entry that it has not received, and its vote may be needed for a majority. Whoever counts
+ * the votes takes only those of its voters.
  */
 export function handleRequestVote<Command>(
 	state: ReplicaState<Command>,
@@ -185,7 +186,7 @@
 	received: {readonly from: NodeId; readonly message: RequestVoteMessage},
 ): ReplicaStep<Command> {
 	const {message} = received;
-	if (!isVotingReplica(state, context.cfg) || message.clusterId !== state.clusterId) {
+	if (context.cfg.storeId === undefined || message.clusterId !== state.clusterId) {
 		return createStep(state);
 	}
 
