One false row with a high number does not make completed tasks run again

Callers saw: after a minion had once listed the end of an unknown run with a high number, tasks that had completed there ran a second time.

Cause: the highest number of a listing was acknowledged whatever run its row named. A minion drops all ends up to the number that it is told, so its next true ends were gone before they were listed, and their runs counted as lapsed.

Now a number is acknowledged if its row names a run that this incarnation has, or whose late end is awaited, or if the listing before had the same row. The ends of runs that the ledger has forgotten are so still acknowledged, one hold call later.

Ruled out: to acknowledge only numbers that follow one another, since the protocol says that they rise, not that none is left out; to wait for a second listing of every row, which doubles the hold calls. Left: a false number in the row of a known run is acknowledged.

--- /dev/null
+++ b/packages/daemon/src/scheduler/end-acknowledgement.test.ts
@@ -0,0 +1,34 @@
+import {toBrand} from '@samphiremill/common';
+import type {TaskId} from '@samphiremill/core';
+import {expect, test} from 'vitest';
+import {createEndAcknowledgement} from './end-acknowledgement.js';
+import type {FinishedEntry} from './types.js';
+
+const createEntry = (number: number, task: string): FinishedEntry => ({
+	number, task: toBrand<TaskId>(task), run: 1, ending: 'done', checkpoint: '',
+});
+const isKnown = ({task}: FinishedEntry) => task === 'known';
+
+test('ends of known runs are acknowledged at once', () => {
+	const {review, confirm, getLastSeen} = createEndAcknowledgement();
+	const highest = review([createEntry(1, 'known'), createEntry(2, 'known')], isKnown);
+	expect({highest, before: getLastSeen()}).toEqual({highest: 2, before: 0});
+	confirm(highest);
+	expect(getLastSeen()).toBe(2);
+});
+
+test('ends of runs that are not known do not stay listed for good: the second listing of the same row counts', () => {
+	const {review} = createEndAcknowledgement();
+	expect(review([createEntry(1, 'forgotten')], isKnown)).toBe(0);
+	expect(review([createEntry(1, 'forgotten'), createEntry(2, 'other')], isKnown)).toBe(1);
+	expect(review([createEntry(2, 'other')], isKnown)).toBe(2);
+});
+
+test('a row with another number each time is not acknowledged', () => {
+	const {review, confirm, getLastSeen} = createEndAcknowledgement();
+	for (const number of [40, 41, 42]) {
+		confirm(review([createEntry(1, 'known'), createEntry(number, 'x')], isKnown));
+	}
+
+	expect(getLastSeen()).toBe(1);
+});
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -10,6 +10,7 @@
 import {
 	holdRetryDelayMs, holdTimeoutMarginMs, holdWaitMs, orderTimeoutMs, provenServiceMs, warmUpHoldWaitMs,
 } from './constants.js';
+import {createEndAcknowledgement} from './end-acknowledgement.js';
 import {createMinionLease} from './minion-lease.js';
 import {createLossTracker, type LossTracker} from './minion-loss.js';
 import {
@@ -92,7 +93,7 @@
 		foreignLeaseUntilMs: context.hasEarlierIncarnation(record.minion) ? timers.getNow() + longestLeaseMs : 0,
 	});
 	const attribution = createStartAttribution(timers);
-	let lastSeen = 0;
+	const acknowledgement = createEndAcknowledgement();
 	let isSynced = false;
 	let isClosed = false;
 	let health: MinionHealth = initialMinionHealth;
@@ -150,6 +151,8 @@
 		return task !== undefined && isLateRunEnd(task, end);
 	};
 
+	const isAwaitedEnd = (end: RunEnd) => isAssigned(end.task, end.run) || isLateReport(end);
+
 	// A minion that does not answer or is superseded may have started a new incarnation, on which no session would
 	// track the run. A minion that has not listed its runs since its lease expired may still start lapsed runs.
 	const canSendStarts = () => isSynced && !isSilent && !isUnproven() && !lateStartGuard.isSuperseded();
@@ -246,7 +249,7 @@
 	};
 
 	const endRuns = async (ends: readonly RunEnd[]): Promise<boolean> => {
-		const live = ends.filter(end => isAssigned(end.task, end.run) || isLateReport(end));
+		const live = ends.filter(end => isAwaitedEnd(end));
 		return live.length === 0 || commitEnds(live);
 	};
 
@@ -305,11 +308,11 @@
 	});
 
 	const commitListedEnds = async (report: HoldReport, sentAtMs: number) => {
-		const highest = Math.max(lastSeen, ...report.finished.map(({number}) => number));
+		const highest = acknowledgement.review(report.finished, entry => isAwaitedEnd(createRunEnd({...entry, life: record.life}, entry.ending)));
 		const ends = [...toRunEnds(report.finished, record.life), ...inferMissingEnds(trackedRuns.values(), report, sentAtMs)];
 		// An end is acknowledged to the minion only once it is committed.
 		if (await endRuns(ends)) {
-			lastSeen = highest;
+			acknowledgement.confirm(highest);
 		}
 	};
 
@@ -389,7 +392,7 @@
 
 	// A hold call names no incarnation: the next one counts its ends from 1, and would drop those of runs that this
 	// session started there. So ends are acknowledged only while this incarnation has certainly executed all starts.
-	const chooseAcknowledgement = (doubtfulStarts: readonly SentStart[]) => isSilent || lateStartGuard.isSuperseded() || doubtfulStarts.length > 0 ? 0 : lastSeen;
+	const chooseAcknowledgement = (doubtfulStarts: readonly SentStart[]) => isSilent || lateStartGuard.isSuperseded() || doubtfulStarts.length > 0 ? 0 : acknowledgement.getLastSeen();
 
 	const sendHold = async (): Promise<'again' | 'pause'> => {
 		const doubtfulStarts = await attribution.listDoubtful();
