One false reading of a minion's clock neither ends nor prolongs its lease

Callers saw: after a minion had once shown a clock that was an hour ahead, its tasks were not started elsewhere when it died. And if it fell silent just after that answer, they were started elsewhere at once, while they still ran (TWICE).

Cause: each reading replaced the one before. On a reading that is ahead the lease counts as over at the next tick; a deadline that is granted on it never falls, so that afterwards the lease counts as valid for an hour.

Now a reading that is further ahead than the time since the last one allows (from the sending of that call to the receipt of this answer, and the lease's margin) is used only if the next reading that is ahead fits it: then it was this host's clock that stood still. A reading that is behind is used at once, as before: it makes leases count as valid for longer. A first reading has nothing to be compared with; what is granted on it is over once the longest lease has passed after the time in which the last granting call may still be carried out.

Ruled out: the bound by the longest lease alone, as it neither prevents the lease from ending too soon nor holds for a call that is carried out late; a second hold call before the first grant of each session, a probe and a round trip more for each join.

--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -4,7 +4,9 @@
  */
 export type * from './types.js';
 export {applyLedgerCommand} from './apply-ledger-command.js';
-export {freshRunMs, sharedLossMs} from './constants.js';
+export {
+	freshRunMs, leaseMarginMs, minimumClockRate, sharedLossMs,
+} from './constants.js';
 export {
 	createIncarnationId, createTaskId, isIncarnationOf, parseTaskId, type TaskIdParts,
 } from './ids.js';
--- a/packages/daemon/src/scheduler/minion-lease.ts
+++ b/packages/daemon/src/scheduler/minion-lease.ts
@@ -5,10 +5,14 @@
 import {
 	getInheritedLeaseMs, getLeaseDeadline, isLeaseOver, type ClockReading,
 } from '@samphiremill/core';
+import {createClockReadings} from './clock-readings.js';
+import {unansweredStartWindowMs} from './constants.js';
 
 export type MinionLeaseOptions = {
 	readonly timers: TimerService;
 	readonly leaseMs: number;
+	/** The longest lease in milliseconds that a minion accepts, whatever deadline it is given. */
+	readonly longestHoldMs: number;
 	/** Start of the term on the monotonic clock. Leases granted by earlier leaders may still be valid for some time after it. */
 	readonly inheritedSinceMs: number;
 	/** Until when a lease that was granted by a start of the previous incarnation may be valid, on the monotonic clock. */
@@ -17,8 +21,13 @@
 
 /** The lease of one minion incarnation. */
 export type MinionLease = {
-	/** Records a reading of the minion's clock that was received now. */
-	readonly recordClock: (minionClockMs: number) => void;
+	/**
+	 * Records a reading of the minion's clock that was received now. One that is further ahead than the time since the
+	 * earlier ones allows is not used before a second one confirms it.
+	 *
+	 * @param sentAtMs - When the reading was requested, on the monotonic clock.
+	 */
+	readonly recordClock: (minionClockMs: number, sentAtMs: number) => void;
 	/**
 	 * Extends the lease. Must not be called for a minion that does not answer: a call without an answer may have
 	 * been executed.
@@ -38,20 +47,27 @@
 };
 
 /** Creates a lease with no deadline granted and an unknown minion clock. */
-export function createMinionLease({timers, leaseMs, inheritedSinceMs, foreignLeaseUntilMs}: MinionLeaseOptions): MinionLease {
+export function createMinionLease({timers, leaseMs, longestHoldMs, inheritedSinceMs, foreignLeaseUntilMs}: MinionLeaseOptions): MinionLease {
+	const readings = createClockReadings();
 	let clock: ClockReading | undefined;
 	let latestDeadlineMs = 0;
+	let grantedAtMs = 0;
+	// Of a deadline that was granted on a false reading; the call with the last one may be carried out late.
+	const longestValidityMs = unansweredStartWindowMs + getInheritedLeaseMs(longestHoldMs);
 
 	return {
-		recordClock(minionClockMs) {
-			clock = {minionClockMs, receivedAtMs: timers.getNow()};
+		recordClock(minionClockMs, sentAtMs) {
+			const reading = {minionClockMs, sentAtMs, receivedAtMs: timers.getNow()};
+			readings.record(reading);
+			clock = readings.getLatest() === reading ? reading : clock;
 		},
 		grant() {
 			if (clock === undefined) {
 				return undefined;
 			}
 
-			const deadlineMs = getLeaseDeadline(clock, {nowMs: timers.getNow(), leaseMs});
+			grantedAtMs = timers.getNow();
+			const deadlineMs = getLeaseDeadline(clock, {nowMs: grantedAtMs, leaseMs});
 			latestDeadlineMs = Math.max(latestDeadlineMs, deadlineMs);
 			return deadlineMs;
 		},
@@ -65,7 +81,7 @@
 				return !isSynced && nowMs - inheritedSinceMs > getInheritedLeaseMs(leaseMs);
 			}
 
-			return isLeaseOver(clock, {nowMs, deadlineMs: latestDeadlineMs});
+			return isLeaseOver(clock, {nowMs, deadlineMs: latestDeadlineMs}) || nowMs - grantedAtMs > longestValidityMs;
 		},
 		reset() {
 			clock = undefined;
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -88,6 +88,7 @@
 	const lease = createMinionLease({
 		timers,
 		leaseMs,
+		longestHoldMs: context.longestHoldMs,
 		inheritedSinceMs: context.termBeganAtMs,
 		// The deadline of a start that was sent to the previous incarnation is on that incarnation's clock.
 		foreignLeaseUntilMs: context.hasEarlierIncarnation(record.minion) ? timers.getNow() + longestLeaseMs : 0,
@@ -169,12 +170,12 @@
 		}
 	};
 
-	const recordAnswer = (answer: MinionAnswer<unknown>) => {
+	const recordAnswer = (answer: MinionAnswer<unknown>, sentAtMs: number) => {
 		if (answer.type === 'answered') {
 			lastContactAtMs = timers.getNow();
 			lastAnswerAtMs = lastContactAtMs;
 			loss.recordContact();
-			lease.recordClock(answer.clockMs);
+			lease.recordClock(answer.clockMs, sentAtMs);
 		}
 	};
 
@@ -418,7 +419,7 @@
 			return 'pause';
 		}
 
-		recordAnswer(answer);
+		recordAnswer(answer, sentAtMs);
 		updateSilence(answer);
 		isCallOverdue = false;
 		if (answer.type === 'otherLife') {
@@ -556,10 +557,11 @@
 
 			const before = trackedRun.pacePercent;
 			trackedRun.pacePercent = percent;
+			const sentAtMs = timers.getNow();
 			void minions.pace({
 				target, fencingToken, task, run: trackedRun.assignment.run, percent, timeoutMs: orderTimeoutMs,
 			}).then(answer => {
-				recordAnswer(answer);
+				recordAnswer(answer, sentAtMs);
 				if (answer.type !== 'answered') {
 					trackedRun.pacePercent = before;
 				}
--- a/packages/daemon/src/scheduler/odd-answers.test.ts
+++ b/packages/daemon/src/scheduler/odd-answers.test.ts
@@ -134,6 +134,7 @@
 		arm() {
 			isArmed = true;
 		},
+		isArmed: () => isArmed,
 	};
 };
 
@@ -174,3 +175,33 @@
 	await world.advance(30_000);
 	expect(world.countRuns(id)).toBe(3);
 });
+
+test('a first clock reading that is an hour ahead does not keep the tasks of a minion that dies from another for good', async () => {
+	const hourMs = 3_600_000;
+	const {world, arm} = createWorldWithOneOddAnswer(answer => ({...answer, clockMs: Number(answer.clockMs) + hourMs}));
+	arm();
+	await world.advance(2000);
+	const {id} = world.submit([{count: 3, isLasting: true}]);
+	await world.advance(8000);
+	world.silence(0, 600_000);
+	await world.advance(45_000);
+	expect(world.countRuns(id)).toBe(3);
+	expect(world.listViolations()).toEqual([]);
+});
+
+test.each([0, 200, 400])('the tasks of a minion that is silent after one clock reading that is an hour ahead do not run twice (silent after %i ms)', async delayMs => {
+	const hourMs = 3_600_000;
+	const {world, arm, isArmed} = createWorldWithOneOddAnswer(answer => ({...answer, clockMs: Number(answer.clockMs) + hourMs}));
+	await world.advance(2000);
+	world.submit([{count: 3, isLasting: true}]);
+	await world.advance(2000);
+	arm();
+	for (let step = 0; step < 300 && isArmed(); step += 1) {
+		await world.advance(5); // eslint-disable-line no-await-in-loop -- until the odd answer has come
+	}
+
+	await world.advance(delayMs);
+	world.silence(0, 20_000);
+	await world.advance(15_000);
+	expect(world.listViolations()).toEqual([]);
+});
--- a/packages/daemon/src/scheduler/run-orders.ts
+++ b/packages/daemon/src/scheduler/run-orders.ts
@@ -24,7 +24,7 @@
 	readonly isCurrent: (trackedRun: TrackedRun) => boolean;
 	/** Whether starts may be sent to the minion. A start also grants the lease. */
 	readonly canSendStarts: () => boolean;
-	readonly recordAnswer: (answer: MinionAnswer<unknown>) => void;
+	readonly recordAnswer: (answer: MinionAnswer<unknown>, sentAtMs: number) => void;
 	readonly attribution: Pick<StartAttribution, 'send'>;
 	readonly endRuns: (ends: readonly RunEnd[]) => Promise<boolean>;
 	/** Removes the incarnation from the ledger, since the minion has started another one. */
@@ -69,10 +69,11 @@
 			return false;
 		}
 
+		const sentAtMs = timers.getNow();
 		const answer = await minions.stop({
 			target, fencingToken, task, run, timeoutMs: orderTimeoutMs,
 		});
-		recordAnswer(answer);
+		recordAnswer(answer, sentAtMs);
 		if (answer.type === 'answered' && answer.value === 'fenced') {
 			context.onFenced();
 			return false;
@@ -186,6 +187,7 @@
 		}
 
 		const ticket = context.getTicket(task, record.life);
+		const sentAtMs = timers.getNow();
 		const answer = await attribution.send(async () => minions.start({
 			target,
 			fencingToken,
@@ -197,7 +199,7 @@
 			ticket,
 			timeoutMs: orderTimeoutMs,
 		}));
-		recordAnswer(answer);
+		recordAnswer(answer, sentAtMs);
 		switch (answer.type) {
 			case 'answered': {
 				return handleStartResult(trackedRun, answer.value);
