One clock reading that is ahead does not put all later starts in doubt

Callers saw nothing yet; the ends on a minion that once listed its runs with a clock far ahead were acknowledged only in a hold call before which nothing was started.

Cause: a start that is answered with an earlier clock than this incarnation ever showed may have reached the next one. The latest clock was the highest, so one false reading put every later start in doubt, for as long as it was ahead.

Now it is the clock of the last listing. Listings come one after the other, and each names its incarnation, so the last is the highest unless one was false.

Evidence: start-attribution.test.ts, "a listing with a clock that is an hour ahead puts starts in doubt until the next listing only", failed before.

--- a/packages/daemon/src/scheduler/start-attribution.test.ts
+++ b/packages/daemon/src/scheduler/start-attribution.test.ts
@@ -64,3 +64,14 @@
 	expect(await listed).toEqual([]);
 	expect(await listDoubtful()).toHaveLength(1);
 });
+
+test('a listing with a clock that is an hour ahead puts starts in doubt until the next listing only', async () => {
+	const {attribution, send, listDoubtful} = create();
+	attribution.recordListing([], 3_600_000);
+	await send(answerAt(501));
+	const doubtful = await listDoubtful();
+	expect(doubtful).toHaveLength(1);
+	attribution.recordListing(doubtful, 510);
+	await send(answerAt(520));
+	expect(await listDoubtful()).toEqual([]);
+});
--- a/packages/daemon/src/scheduler/start-attribution.ts
+++ b/packages/daemon/src/scheduler/start-attribution.ts
@@ -55,7 +55,7 @@
 			return [...doubtful, ...pending.filter(start => unanswered.has(start))];
 		},
 		recordListing(starts, clockMs) {
-			latestClockMs = Math.max(latestClockMs, clockMs);
+			latestClockMs = clockMs;
 			for (const start of starts) {
 				doubtful.delete(start);
 			}
