One answer that names another start or another minion does not end an incarnation

Callers saw: after a minion had once answered a hold call with another start, or one of its calls with 421, all its tasks were started elsewhere while they still ran there.

Cause: the first such answer ended the incarnation: a 421 removed it from the ledger, another start ended the runs that had been listed.

Now such an answer is checked by a call that changes nothing, until two in a row say the same, or the incarnation answers as itself; then the session goes on. Meanwhile it starts nothing, grants no time, acknowledges nothing, and lets no lease lapse. If nothing answers, the sign counts once the lease is over, at the latest after the longest lease. The time in which starts may still be carried out by the next incarnation counts from the sign, as before, so that a task whose minion and its next incarnation are both lost waits no longer. The clock of an answer that names another start is not taken for this incarnation's any more.

Left: a report of another writer together with a hold answer that names the same start still replaces the incarnation that is there.

--- a/packages/daemon/src/scheduler/late-start-guard.ts
+++ b/packages/daemon/src/scheduler/late-start-guard.ts
@@ -33,8 +33,10 @@
 	/**
 	 * Handles that another incarnation of the minion answers at its address: stops the runs that may have started
 	 * there, then removes the session's incarnation from the ledger.
+	 *
+	 * @param sinceMs - Since when the session has started nothing, on the monotonic clock; now by default.
 	 */
-	readonly handleNextIncarnation: () => Promise<void>;
+	readonly handleNextIncarnation: (sinceMs?: number) => Promise<void>;
 	/** Whether another incarnation was seen. Never reset, since the removal may not have been committed. */
 	readonly isSuperseded: () => boolean;
 	/** Records that a start order got no answer. It may be executed later, also by the next incarnation. */
@@ -118,8 +120,8 @@
 
 	// Stops retrying after the longest lease that the minion accepts. A start that reached the next incarnation granted it
 	// that lease, because its deadline is on the clock of the previous incarnation.
-	const stopPossibleRuns = async (runsToStop: ReadonlyMap<TaskId, number>) => {
-		const untilMs = timers.getNow() + getInheritedLeaseMs(longestHoldMs);
+	const stopPossibleRuns = async (runsToStop: ReadonlyMap<TaskId, number>, sinceMs: number) => {
+		const untilMs = sinceMs + getInheritedLeaseMs(longestHoldMs);
 		let remaining = runsToStop;
 		while (remaining.size > 0 && isOpen() && timers.getNow() < untilMs) {
 			remaining = await stopInNextIncarnation(remaining); // eslint-disable-line no-await-in-loop -- until no run remains
@@ -129,7 +131,7 @@
 		}
 	};
 
-	const retireIncarnation = async () => {
+	const retireIncarnation = async (sinceMs: number) => {
 		const trackedRuns = listTrackedRuns();
 		const uncertainRuns = trackedRuns.filter(trackedRun => hasUncertainStart(trackedRun));
 		dropExpiredStarts();
@@ -138,15 +140,15 @@
 			minion: record.minion, life: record.life, runs: trackedRuns.length, open: [...openRuns].map(([task, run]) => `${task}#${run}`),
 		});
 		await endRuns(trackedRuns.filter(trackedRun => !hasUncertainStart(trackedRun)).map(({assignment}) => createRunEnd(assignment, 'lapsed')));
-		await stopPossibleRuns(openRuns);
+		await stopPossibleRuns(openRuns, sinceMs);
 		await removeIncarnation('it started a new incarnation');
 		retirement = undefined;
 	};
 
 	return {
-		async handleNextIncarnation() {
+		async handleNextIncarnation(sinceMs = timers.getNow()) {
 			hasSeenNextIncarnation = true;
-			retirement ??= retireIncarnation();
+			retirement ??= retireIncarnation(sinceMs);
 			return retirement;
 		},
 		isSuperseded: () => hasSeenNextIncarnation,
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -11,6 +11,7 @@
 	holdRetryDelayMs, holdTimeoutMarginMs, holdWaitMs, orderTimeoutMs, provenServiceMs, warmUpHoldWaitMs,
 } from './constants.js';
 import {createEndAcknowledgement} from './end-acknowledgement.js';
+import {createIncarnationCheck, type IncarnationSign} from './incarnation-check.js';
 import {createMinionLease} from './minion-lease.js';
 import {createLossTracker, type LossTracker} from './minion-loss.js';
 import {
@@ -124,7 +125,7 @@
 	const isAnswering = () => isSynced && !isSilent && timers.getNow() - lastContactAtMs < holdWaitMs + holdTimeoutMarginMs;
 
 	const getUnusableReason = (): UnusableReason | undefined => {
-		if (lateStartGuard.isSuperseded() || isClosed) {
+		if (isReplaced() || isClosed) {
 			return 'superseded';
 		}
 
@@ -156,7 +157,7 @@
 
 	// A minion that does not answer or is superseded may have started a new incarnation, on which no session would
 	// track the run. A minion that has not listed its runs since its lease expired may still start lapsed runs.
-	const canSendStarts = () => isSynced && !isSilent && !isUnproven() && !lateStartGuard.isSuperseded();
+	const canSendStarts = () => isSynced && !isSilent && !isUnproven() && !isReplaced();
 
 	const isCurrent = (trackedRun: TrackedRun) => !isClosed
 		&& trackedRuns.get(trackedRun.assignment.task) === trackedRun
@@ -170,11 +171,15 @@
 		}
 	};
 
+	const recordContact = () => {
+		lastContactAtMs = timers.getNow();
+		lastAnswerAtMs = lastContactAtMs;
+		loss.recordContact();
+	};
+
 	const recordAnswer = (answer: MinionAnswer<unknown>, sentAtMs: number) => {
 		if (answer.type === 'answered') {
-			lastContactAtMs = timers.getNow();
-			lastAnswerAtMs = lastContactAtMs;
-			loss.recordContact();
+			recordContact();
 			lease.recordClock(answer.clockMs, sentAtMs);
 		}
 	};
@@ -262,6 +267,47 @@
 		context.onMinionsChanged();
 	};
 
+	const readIdentity = (answer: MinionAnswer<HoldReport | 'fenced'>): IncarnationSign | 'own' | undefined => {
+		if (answer.type === 'otherLife') {
+			return {type: 'otherMinion'};
+		}
+
+		if (answer.type !== 'answered' || answer.value === 'fenced' || answer.value.bornAtMs === undefined) {
+			return undefined;
+		}
+
+		const {bornAtMs} = answer.value;
+		return bornAtMs === record.bornAtMs ? 'own' : {type: 'otherStart', bornAtMs};
+	};
+
+	const incarnationCheck = createIncarnationCheck({
+		timers,
+		isOpen,
+		isLeaseOver: () => lease.isExpired(isSynced),
+		longestLeaseMs,
+		async ask() {
+			return context.canAct()
+				? readIdentity(await minions.hold({
+					target, fencingToken, lastSeen: 0, deadlineMs: undefined, waitMs: 0, timeoutMs: holdTimeoutMarginMs,
+				}))
+				: undefined;
+		},
+	});
+
+	const isReplaced = () => lateStartGuard.isSuperseded() || incarnationCheck.isPending();
+
+	const followSign = async (sign: IncarnationSign) => {
+		const signedAtMs = timers.getNow();
+		const confirmed = await incarnationCheck.confirm(sign);
+		if (confirmed === undefined) {
+			log.warn(`minion ${record.minion} answered as another one, and then as itself`, {minion: record.minion, life: record.life, sign});
+		} else if (confirmed.type === 'otherStart') {
+			await lateStartGuard.handleNextIncarnation(signedAtMs);
+		} else {
+			await removeIncarnation('another incarnation answers at its address');
+		}
+	};
+
 	const {sendStop, startRun, stopRun} = createRunOrders({
 		record,
 		target,
@@ -276,7 +322,7 @@
 		recordAnswer,
 		attribution,
 		endRuns,
-		removeIncarnation,
+		handleOtherMinion: async () => followSign({type: 'otherMinion'}),
 		pauseAssignments() {
 			unhealthyUntilMs = timers.getNow() + holdWaitMs;
 		},
@@ -320,8 +366,6 @@
 	// Before the lease is granted again, lapses must be committed and late starts of their runs blocked on the minion.
 	const resolveLapses = async () => !hasUncommittedLapse() && await lateStartGuard.blockLapsedRuns() && !hasUncommittedLapse();
 
-	const isOfNextIncarnation = ({bornAtMs}: HoldReport) => bornAtMs !== undefined && bornAtMs !== record.bornAtMs;
-
 	let hasMalformedRows = false;
 
 	// Logged once for as long as the minion lists such rows.
@@ -393,11 +437,20 @@
 
 	// A hold call names no incarnation: the next one counts its ends from 1, and would drop those of runs that this
 	// session started there. So ends are acknowledged only while this incarnation has certainly executed all starts.
-	const chooseAcknowledgement = (doubtfulStarts: readonly SentStart[]) => isSilent || lateStartGuard.isSuperseded() || doubtfulStarts.length > 0 ? 0 : acknowledgement.getLastSeen();
+	const chooseAcknowledgement = (doubtfulStarts: readonly SentStart[]) => isSilent || isReplaced() || doubtfulStarts.length > 0 ? 0 : acknowledgement.getLastSeen();
+
+	const followHoldSign = async (sign: IncarnationSign): Promise<'again' | 'pause'> => {
+		if (sign.type === 'otherStart') {
+			recordContact();
+		}
+
+		await followSign(sign);
+		return sign.type === 'otherStart' ? 'again' : 'pause';
+	};
 
 	const sendHold = async (): Promise<'again' | 'pause'> => {
 		const doubtfulStarts = await attribution.listDoubtful();
-		if (!isOpen() || !context.canAct()) {
+		if (!isOpen() || !context.canAct() || incarnationCheck.isPending()) {
 			return 'pause';
 		}
 
@@ -419,13 +472,14 @@
 			return 'pause';
 		}
 
+		const identity = readIdentity(answer);
+		if (typeof identity === 'object') {
+			return followHoldSign(identity);
+		}
+
 		recordAnswer(answer, sentAtMs);
 		updateSilence(answer);
 		isCallOverdue = false;
-		if (answer.type === 'otherLife') {
-			await removeIncarnation('another incarnation answers at its address');
-			return 'pause';
-		}
 
 		if (answer.type === 'noAnswer' || answer.type === 'notSent') {
 			loss.recordUnansweredHold(answer, {sentAtMs, timeoutMs});
@@ -441,11 +495,6 @@
 			return 'pause';
 		}
 
-		if (isOfNextIncarnation(answer.value)) {
-			await lateStartGuard.handleNextIncarnation();
-			return 'again';
-		}
-
 		loss.recordAnsweredHold();
 		attribution.recordListing(doubtfulStarts, answer.clockMs);
 		await handleHoldReport(answer.value, sentAtMs);
@@ -594,7 +643,7 @@
 
 			if (lateStartGuard.isSuperseded()) {
 				void lateStartGuard.handleNextIncarnation();
-			} else if (!isExpiringLease && context.canAct() && lease.isExpired(isSynced) && listExpiredRuns().length > 0) {
+			} else if (!isExpiringLease && !incarnationCheck.isPending() && context.canAct() && lease.isExpired(isSynced) && listExpiredRuns().length > 0) {
 				void expireLease();
 			}
 		},
@@ -614,7 +663,7 @@
 		listRuns: () => [...trackedRuns.values()].map(trackedRun => toRunView(trackedRun)),
 		loss,
 		getLastContactAtMs: () => lastContactAtMs,
-		handleNextIncarnation: lateStartGuard.handleNextIncarnation,
+		handleNextIncarnation: async () => lateStartGuard.handleNextIncarnation(),
 		hasUnblockedLapsedRuns: lateStartGuard.hasUnblockedLapsedRuns,
 		close() {
 			isClosed = true;
--- a/packages/daemon/src/scheduler/odd-answers.test.ts
+++ b/packages/daemon/src/scheduler/odd-answers.test.ts
@@ -115,13 +115,13 @@
 	}), {seed, numRuns: numberRuns});
 });
 
-const createWorldWithOneOddAnswer = (alter: (answer: Readonly<Record<string, unknown>>) => unknown) => {
+const createWorldWithOneOddAnswer = (alter: (answer: Readonly<Record<string, unknown>>) => unknown, oddCall: Call = 'hold') => {
 	let isArmed = false;
 	const world = createTestWorld({
 		seed: 35,
 		minionCount: 3,
 		alterPort: port => disturbPort(port, (call, answer) => {
-			if (!isArmed || call !== 'hold' || typeof answer !== 'object' || answer === null || !('value' in answer)) {
+			if (!isArmed || call !== oddCall || typeof answer !== 'object' || answer === null || !('value' in answer)) {
 				return answer;
 			}
 
@@ -205,3 +205,48 @@
 	await world.advance(15_000);
 	expect(world.listViolations()).toEqual([]);
 });
+
+const nameOtherStart = (answer: Readonly<Record<string, unknown>>) => {
+	const report = answer.value as {readonly bornAtMs: number}; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the value of an answer to a hold call
+	return {...answer, value: {...report, bornAtMs: report.bornAtMs + 1000}};
+};
+
+test.each([
+	['names another start', 'hold', nameOtherStart],
+	['says that another minion is there, to a hold call', 'hold', () => ({type: 'otherLife'})],
+	['says that another minion is there, to a start', 'start', () => ({type: 'otherLife'})],
+] as const)('the tasks of a minion that once %s do not run twice', async (_, call, alter) => {
+	const {world, arm, isArmed} = createWorldWithOneOddAnswer(alter, call);
+	await world.advance(2000);
+	world.submit([{count: 6, isLasting: true}]);
+	await world.advance(2000);
+	arm();
+	await world.advance(1000);
+	const {id} = world.submit([{count: 6, isLasting: true}]);
+	await world.advance(12_000);
+	expect(isArmed()).toBe(false);
+	expect(world.listViolations()).toEqual([]);
+	expect(world.countRuns(id)).toBe(6);
+	expect(world.countStarts()).toBe(12);
+});
+
+test.each([
+	['names another start', 'hold', nameOtherStart],
+	['says that another minion is there, to a hold call', 'hold', () => ({type: 'otherLife'})],
+	['says that another minion is there, to a start', 'start', () => ({type: 'otherLife'})],
+] as const)('the tasks of a minion that once %s and is silent then run again, and not twice', async (_, call, alter) => {
+	const {world, arm, isArmed} = createWorldWithOneOddAnswer(alter, call);
+	await world.advance(2000);
+	const first = world.submit([{count: 6, isLasting: true}]);
+	await world.advance(2000);
+	arm();
+	const second = world.submit([{count: 6, isLasting: true}]);
+	for (let step = 0; step < 300 && isArmed(); step += 1) {
+		await world.advance(5); // eslint-disable-line no-await-in-loop -- until the odd answer has come
+	}
+
+	world.silence(0, 60_000);
+	await world.advance(14_000);
+	expect(world.listViolations()).toEqual([]);
+	expect([world.countRuns(first.id), world.countRuns(second.id)]).toEqual([6, 6]);
+});
--- a/packages/daemon/src/scheduler/run-orders.ts
+++ b/packages/daemon/src/scheduler/run-orders.ts
@@ -27,8 +27,8 @@
 	readonly recordAnswer: (answer: MinionAnswer<unknown>, sentAtMs: number) => void;
 	readonly attribution: Pick<StartAttribution, 'send'>;
 	readonly endRuns: (ends: readonly RunEnd[]) => Promise<boolean>;
-	/** Removes the incarnation from the ledger, since the minion has started another one. */
-	readonly removeIncarnation: (reason: string) => Promise<void>;
+	/** Handles an answer that says that another minion is at the address. */
+	readonly handleOtherMinion: () => Promise<void>;
 	/** Whether the minion is draining. */
 	readonly isDraining: () => boolean;
 	/** Records that a start got no answer. */
@@ -60,7 +60,7 @@
 }
 
 export function createRunOrders({
-	record, target, context, lease, isCurrent, canSendStarts, isDraining, recordUnansweredStart, recordAnswer, attribution, endRuns, removeIncarnation, pauseAssignments,
+	record, target, context, lease, isCurrent, canSendStarts, isDraining, recordUnansweredStart, recordAnswer, attribution, endRuns, handleOtherMinion, pauseAssignments,
 }: RunOrdersOptions): RunOrders {
 	const {timers, minions, log, fencingToken} = context;
 
@@ -217,8 +217,8 @@
 			}
 
 			case 'otherLife': {
-				await removeIncarnation('another incarnation answers at its address');
-				return 'over';
+				await handleOtherMinion();
+				return 'again';
 			}
 
 			case 'unhealthy': {
