A minion that follows a newer leader does not depose leaders one after the other

Callers saw: one minion that answers "fenced" to each call deposed each leader as soon as it called it, and for as long as it did nothing was started at all.

Cause: the leader gave way at the first such answer of any minion.

Now the leader stops acting at the first such answer of a minion, and commits a command in its term. A newer leader that had been elected by then would have made that impossible, so with the commit the answer is false, and the leader goes on; without it, within a second, it gives way. The minion is granted nothing more, so that its tasks lapse and start elsewhere. Its further answers are checked again once a second, but hold up nobody. A start that gets such an answer is stopped before the run counts as refused, since it may have been carried out; it used to stay as it was.

Minions may hold to a token that this log never had, for example after all hosts lost their disks. Then only a later term reaches them, so the leader gives way, too, if for two seconds more minions refuse it than follow it.

Ruled out: to ask a second minion, as in a fleet whose new leader has reached one minion so far the second does not know of it either.

--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -55,6 +55,16 @@
  */
 export const longestMinionClockMs = 100 * 366 * 24 * 3_600_000;
 
+/**
+ * How long a leader may take to confirm that it leads, after a minion answered that it follows a newer one, and how often a
+ * minion that goes on saying so makes it confirm again.
+ */
+export const fenceCheckTimeoutMs = 1000;
+export const fenceCheckPeriodMs = 1000;
+
+/** How long minions follow a newer leader before they are counted against those that follow this one; all have been called by then. */
+export const fenceSettleMs = 2000;
+
 /** How often the leader checks for work that becomes due with time alone. */
 export const leaderTickPeriodMs = 100;
 
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -20,6 +20,7 @@
 import {createErrorBoundary} from './error-boundary.js';
 import {createDemandMeter} from './demand-meter.js';
 import {createEndedIncarnations} from './ended-incarnations.js';
+import {createFenceCheck} from './fence-check.js';
 import {paceFillers} from './filler-pacing.js';
 import type {SchedulerMetrics} from './metrics.js';
 import {openMinionSession, type MinionSession} from './minion-session.js';
@@ -73,7 +74,7 @@
 	/** When this host learnt of the latest order for a worker, on the monotonic clock. */
 	readonly getLastOrderAtMs: (worker: WorkerId) => number;
 	readonly propose: (command: LedgerCommand) => Promise<ProposalResult>;
-	/** Gives up leadership, since a minion has accepted orders of a newer leader. */
+	/** Gives up leadership, since minions have accepted orders of a newer leader. */
 	readonly onFenced: () => void;
 	readonly minions: MinionPort;
 	readonly advice: AdvicePort;
@@ -97,7 +98,7 @@
 /** Starts the leader of a term. The first command of the term must have been committed and applied. */
 export function startLeader(options: LeaderOptions): Leader {
 	const {
-		self, term, limits, timers, log, getWallClock, getLedger, canAct, propose, workers, metrics, policy = defaultPolicy,
+		self, term, limits, timers, log, getWallClock, getLedger, propose, workers, metrics, policy = defaultPolicy,
 	} = options;
 	const minions = createCheckedMinionPort(options.minions, log);
 	const termStartedAtMs = timers.getNow();
@@ -129,6 +130,19 @@
 
 	const isActive = () => !isStopped;
 
+	const fenceCheck = createFenceCheck({
+		timers,
+		log,
+		async confirmLead() {
+			const {type} = await propose({type: 'term/begun', term});
+			return type === 'applied' && getLedger().term === term;
+		},
+		countFollowers: without => [...sessions.values()].filter(({record, isAnswering}) => !without.has(record.life) && isAnswering()).length,
+		giveWay: options.onFenced,
+	});
+
+	const canAct = () => options.canAct() && !fenceCheck.isPending();
+
 	const logGiveUp = ({id, givenUp, acceptedAtMs, endedAtMs = acceptedAtMs}: Job) => {
 		metrics.count('jobs_given_up_total');
 		log.warn(`job ${id}: given up, since ${givenUp?.lives.length} minions crashed under task ${givenUp?.task}`, {
@@ -213,7 +227,7 @@
 		onRunsEnded() {
 			planner.requestPlan();
 		},
-		onFenced: options.onFenced,
+		onFenced: fenceCheck.recordFenced,
 		getTicket: (task, life) => adviceCache.getTicket(createStepId(task), life),
 		recordFailure: stragglerMitigator.avoidIncarnation,
 		recordCompletion: stragglerMitigator.recordCompletion,
@@ -412,7 +426,7 @@
 
 	return {
 		term,
-		answer: async call => isStopped || !canAct() ? {type: 'unavailable'} : dutyTimes.measure(call.type, async () => answer(call)),
+		answer: async call => isStopped || !options.canAct() ? {type: 'unavailable'} : dutyTimes.measure(call.type, async () => answer(call)),
 		stop() {
 			isStopped = true;
 			clearPoolGauges(metrics);
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -491,7 +491,9 @@
 		}
 
 		if (answer.value === 'fenced') {
-			context.onFenced();
+			// It is granted nothing more, so that its tasks lapse and start elsewhere if it stays so.
+			isSilent = true;
+			context.onFenced(record.life);
 			return 'pause';
 		}
 
--- a/packages/daemon/src/scheduler/odd-answers.test.ts
+++ b/packages/daemon/src/scheduler/odd-answers.test.ts
@@ -250,3 +250,54 @@
 	expect(world.listViolations()).toEqual([]);
 	expect([world.countRuns(first.id), world.countRuns(second.id)]).toEqual([6, 6]);
 });
+
+test('a minion that answers that it follows a newer leader deposes none, and its tasks run elsewhere', async () => {
+	let isFenced = false;
+	let deposedCount = 0;
+	const world = createTestWorld({
+		seed: 35,
+		minionCount: 3,
+		alterPort: port => disturbPort(port, (call, answer) => {
+			if (!isFenced || call === 'pace' || typeof answer !== 'object' || answer === null || !('value' in answer)) {
+				return answer;
+			}
+
+			return {...answer, value: call === 'start' ? {type: 'refused', reason: 'fenced'} : 'fenced'};
+		}),
+		onFenced() {
+			deposedCount += 1;
+		},
+	});
+	await world.advance(2000);
+	const early = world.submit([{count: 6, isLasting: true}]);
+	await world.advance(2000);
+	isFenced = true;
+	const late = world.submit([{count: 6, estimateMs: 500}]);
+	await world.advance(12_000);
+	expect({deposedCount, state: world.getState(late.id), violations: world.listViolations()}).toEqual({deposedCount: 0, state: 'completed', violations: []});
+	expect(world.countRuns(early.id)).toBe(6);
+	isFenced = false;
+	await world.advance(2000);
+	const startsBefore = world.countStartsOn(0);
+	world.submit([{count: 14, estimateMs: 500}]);
+	await world.advance(4000);
+	expect(world.countStartsOn(0)).toBeGreaterThan(startsBefore);
+	expect({deposedCount, violations: world.listViolations()}).toEqual({deposedCount: 0, violations: []});
+});
+
+test.each(['hold', 'start', 'stop'] as const)('the tasks of a minion that once answers a %s call that it follows a newer leader do not run twice', async call => {
+	const {world, arm, isArmed} = createWorldWithOneOddAnswer(answer => ({...answer, value: call === 'start' ? {type: 'refused', reason: 'fenced'} : 'fenced'}), call);
+	await world.advance(2000);
+	world.submit([{count: 6, isLasting: true}]);
+	const cancelled = world.submit([{count: 6, isLasting: true}]);
+	await world.advance(2000);
+	arm();
+	const {id} = world.submit([{count: 6, isLasting: true}]);
+	world.cancel(cancelled.id).catch(() => undefined);
+	await world.advance(12_000);
+	expect({
+		isArmed: isArmed(), runs: world.countRuns(id), cancelled: world.countRuns(cancelled.id), violations: world.listViolations(),
+	}).toEqual({
+		isArmed: false, runs: 6, cancelled: 0, violations: [],
+	});
+});
--- a/packages/daemon/src/scheduler/run-orders.ts
+++ b/packages/daemon/src/scheduler/run-orders.ts
@@ -75,7 +75,7 @@
 		});
 		recordAnswer(answer, sentAtMs);
 		if (answer.type === 'answered' && answer.value === 'fenced') {
-			context.onFenced();
+			context.onFenced(record.life);
 			return false;
 		}
 
@@ -134,7 +134,10 @@
 		const {task} = trackedRun.assignment;
 		switch (result.reason) {
 			case 'fenced': {
-				context.onFenced();
+				context.onFenced(record.life);
+				// The answer may be false and the run may have started.
+				trackedRun.mayStartLate = true;
+				await handleRefusal(trackedRun, 'it follows a newer leader');
 				return 'over';
 			}
 
--- a/packages/daemon/src/scheduler/session-context.ts
+++ b/packages/daemon/src/scheduler/session-context.ts
@@ -40,7 +40,7 @@
 	/** Called after run ends were proposed to the log. */
 	readonly onRunsEnded: () => void;
 	/** Called when a minion answers that it follows a newer leader. */
-	readonly onFenced: () => void;
+	readonly onFenced: (life: IncarnationId) => void;
 	readonly getTicket: (task: Task, life: IncarnationId) => Ticket | undefined;
 	readonly dropTicket: (task: Task, life: IncarnationId) => void;
 	/** Records that a task failed on an incarnation or was refused by it, and should preferably run on another one. */
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -51,6 +51,8 @@
 	readonly getClockError?: () => number;
 	/** Changes what the leader's calls to minions do. */
 	readonly alterPort?: (port: MinionPort) => MinionPort;
+	/** Called when the leader gives up its lead, since minions follow a newer one. */
+	readonly onFenced?: () => void;
 };
 
 /** How a minion handles starts and stops while it still answers hold calls. */
@@ -218,7 +220,7 @@
 /** Starts a simulation with its first leader. */
 export function createTestWorld(options: TestWorldOptions): TestWorld {
 	const {
-		seed, minionCount = 4, lossChance = 0, failureChance = 0, standbyWorkers = 0, orderTurnMs = 3300, leaseMs = 4500, longestHoldMs = 7500, approvalChance = 1, meanLifeMs, log = silentLog, getClockError = () => 0, alterPort = (port: MinionPort) => port, hasWorkerOrders = standbyWorkers > 0,
+		seed, minionCount = 4, lossChance = 0, failureChance = 0, standbyWorkers = 0, orderTurnMs = 3300, leaseMs = 4500, longestHoldMs = 7500, approvalChance = 1, meanLifeMs, log = silentLog, getClockError = () => 0, alterPort = (port: MinionPort) => port, hasWorkerOrders = standbyWorkers > 0, onFenced = () => undefined,
 	} = options;
 	const random: RandomSource = createSeededRandom(seed);
 	const timers = createVirtualTimerService(1000);
@@ -853,7 +855,7 @@
 			propose: createCommandBatcher(async command => propose(command, leaderTerm), err => {
 				throw err;
 			}),
-			onFenced: () => undefined,
+			onFenced,
 			minions: alterPort(port),
 			advice: {
 				async advise({step, minions: asked}) {
