Names in hellos of senders that do not know the secret are not dialled

Cause: the link to a node that is not in the settings was created at its hello, before the proof. Links inside a data centre are kept open, so the host dialled each name.

Now a hello of a name without a link is answered with a challenge, and the link is created once the proof is right. Until then nothing is kept but the connection, which the limit of open handshakes and their timeout bound already.

--- a/packages/daemon/src/peers/transport.test.ts
+++ b/packages/daemon/src/peers/transport.test.ts
@@ -1,9 +1,12 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {connect} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {createVirtualTimerService, toBrand, type NodeId} from '@samphiremill/common';
 import {afterEach, expect, test} from 'vitest';
 import {maximumFrameBytes} from './constants.js';
+import {encodeFrame} from './frames.js';
+import {createHello, createNonce} from './handshake.js';
 import {
 	advanceUntil, createTestAddress, createTestPeer, createTestRelay, getFreePort, type TestPeer,
 } from './test-cluster.js';
@@ -148,3 +151,46 @@
 	const {malformedFrames, rejectedHandshakes} = left.transport.getCounters();
 	expect(malformedFrames + rejectedHandshakes).toBe(1);
 });
+
+test('names in hellos of senders that do not know the secret are not dialled', async () => {
+	const helloCount = 40;
+	const timers = createVirtualTimerService();
+	const self = createTestAddress('alpha', await getFreePort());
+	const address = createTestAddress('beta', await getFreePort());
+	const left = createTestPeer({
+		self, peers: [], timers, resolvePeer: node => ({...address, node}),
+	});
+	cleanups.push(left.transport.close);
+	await left.transport.start();
+	for (let count = 0; count < helloCount; count += 1) {
+		const socket = connect({host: '127.0.0.1', port: self.peerPort});
+		socket.on('error', () => undefined);
+		await once(socket, 'connect'); // eslint-disable-line no-await-in-loop -- one sender after the other
+		socket.write(encodeFrame(createHello({from: {node: toBrand<NodeId>(`x-${count}`), incarnation: 1, nonce: createNonce()}, to: alpha})));
+		await once(socket, 'data'); // eslint-disable-line no-await-in-loop -- the challenge
+		socket.destroy();
+	}
+
+	for (let step = 0; step < 40; step += 1) {
+		timers.advance(200);
+		await sleep(1); // eslint-disable-line no-await-in-loop -- the sockets need turns of the event loop between the steps
+	}
+
+	expect(left.transport.getCounters().dials).toBe(0);
+});
+
+test('a node that is not known before is linked once it has proved that it knows the secret, and dialled when the link is lost', async () => {
+	const timers = createVirtualTimerService();
+	const self = createTestAddress('alpha', await getFreePort());
+	const address = createTestAddress('beta', await getFreePort());
+	const left = createTestPeer({
+		self, peers: [], timers, resolvePeer: node => ({...address, node}),
+	});
+	const right = createTestPeer({self: address, peers: [self], timers});
+	cleanups.push(left.transport.close);
+	await Promise.all([left.transport.start(), right.transport.start()]);
+	await advanceUntil(timers, () => isLinked(left) && isLinked(right));
+	expect(left.transport.getCounters().dials).toBe(0);
+	await right.transport.close();
+	await advanceUntil(timers, () => left.transport.getCounters().dials > 0);
+});
--- a/packages/daemon/src/peers/transport.ts
+++ b/packages/daemon/src/peers/transport.ts
@@ -131,16 +131,23 @@
 			getNow: timers.getNow,
 			counters,
 			onHello(from) {
-				if (!findLink(from)) {
-					counters.add('rejectedHandshakes');
-					connection.destroy();
+				if (links.has(from)) {
+					handleEvent(from, {type: 'peerLink/helloReceived', connection: id, nowMs: timers.getNow()});
 					return;
 				}
 
-				handleEvent(from, {type: 'peerLink/helloReceived', connection: id, nowMs: timers.getNow()});
+				// The name is not authenticated yet, so no link is kept for it: it would be dialled for good.
+				if (from !== self.node && options.resolvePeer?.(from) !== undefined) {
+					connection.sendChallenge();
+					return;
+				}
+
+				counters.add('rejectedHandshakes');
+				connection.destroy();
 			},
 			onEstablished({node, incarnation}) {
 				unauthenticated.delete(id);
+				findLink(node);
 				updateLink(node, {incarnation});
 				handleEvent(node, {type: 'peerLink/established', connection: id, nowMs: timers.getNow()});
 			},
