--- a/packages/daemon/src/scheduler/odd-answers.test.ts
+++ b/packages/daemon/src/scheduler/odd-answers.test.ts
@@ -115,13 +115,13 @@
 	}), {seed, numRuns: numberRuns});
 });
 
-const createWorldWithOneOddAnswer = (alter: (answer: Readonly<Record<string, unknown>>) => unknown) => {
+const createWorldWithOneOddAnswer = (alter: (answer: Readonly<Record<string, unknown>>) => unknown, oddCall: Call = 'hold') => {
 	let isArmed = false;
 	const world = createTestWorld({
 		seed: 35,
 		minionCount: 3,
 		alterPort: port => disturbPort(port, (call, answer) => {
-			if (!isArmed || call !== 'hold' || typeof answer !== 'object' || answer === null || !('value' in answer)) {
+			if (!isArmed || call !== oddCall || typeof answer !== 'object' || answer === null || !('value' in answer)) {
 				return answer;
 			}
 
@@ -134,6 +134,7 @@
 		arm() {
 			isArmed = true;
 		},
+		isArmed: () => isArmed,
 	};
 };
 
@@ -174,3 +175,129 @@
 	await world.advance(30_000);
 	expect(world.countRuns(id)).toBe(3);
 });
+
+test('a first clock reading that is an hour ahead does not keep the tasks of a minion that dies from another for good', async () => {
+	const hourMs = 3_600_000;
+	const {world, arm} = createWorldWithOneOddAnswer(answer => ({...answer, clockMs: Number(answer.clockMs) + hourMs}));
+	arm();
+	await world.advance(2000);
+	const {id} = world.submit([{count: 3, isLasting: true}]);
+	await world.advance(8000);
+	world.silence(0, 600_000);
+	await world.advance(45_000);
+	expect(world.countRuns(id)).toBe(3);
+	expect(world.listViolations()).toEqual([]);
+});
+
+test.each([0, 200, 400])('the tasks of a minion that is silent after one clock reading that is an hour ahead do not run twice (silent after %i ms)', async delayMs => {
+	const hourMs = 3_600_000;
+	const {world, arm, isArmed} = createWorldWithOneOddAnswer(answer => ({...answer, clockMs: Number(answer.clockMs) + hourMs}));
+	await world.advance(2000);
+	world.submit([{count: 3, isLasting: true}]);
+	await world.advance(2000);
+	arm();
+	for (let step = 0; step < 300 && isArmed(); step += 1) {
+		await world.advance(5); // eslint-disable-line no-await-in-loop -- until the odd answer has come
+	}
+
+	await world.advance(delayMs);
+	world.silence(0, 20_000);
+	await world.advance(15_000);
+	expect(world.listViolations()).toEqual([]);
+});
+
+const nameOtherStart = (answer: Readonly<Record<string, unknown>>) => {
+	const report = answer.value as {readonly bornAtMs: number}; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the value of an answer to a hold call
+	return {...answer, value: {...report, bornAtMs: report.bornAtMs + 1000}};
+};
+
+test.each([
+	['names another start', 'hold', nameOtherStart],
+	['says that another minion is there, to a hold call', 'hold', () => ({type: 'otherLife'})],
+	['says that another minion is there, to a start', 'start', () => ({type: 'otherLife'})],
+] as const)('the tasks of a minion that once %s do not run twice', async (_, call, alter) => {
+	const {world, arm, isArmed} = createWorldWithOneOddAnswer(alter, call);
+	await world.advance(2000);
+	world.submit([{count: 6, isLasting: true}]);
+	await world.advance(2000);
+	arm();
+	await world.advance(1000);
+	const {id} = world.submit([{count: 6, isLasting: true}]);
+	await world.advance(12_000);
+	expect(isArmed()).toBe(false);
+	expect(world.listViolations()).toEqual([]);
+	expect(world.countRuns(id)).toBe(6);
+	expect(world.countStarts()).toBe(12);
+});
+
+test.each([
+	['names another start', 'hold', nameOtherStart],
+	['says that another minion is there, to a hold call', 'hold', () => ({type: 'otherLife'})],
+	['says that another minion is there, to a start', 'start', () => ({type: 'otherLife'})],
+] as const)('the tasks of a minion that once %s and is silent then run again, and not twice', async (_, call, alter) => {
+	const {world, arm, isArmed} = createWorldWithOneOddAnswer(alter, call);
+	await world.advance(2000);
+	const first = world.submit([{count: 6, isLasting: true}]);
+	await world.advance(2000);
+	arm();
+	const second = world.submit([{count: 6, isLasting: true}]);
+	for (let step = 0; step < 300 && isArmed(); step += 1) {
+		await world.advance(5); // eslint-disable-line no-await-in-loop -- until the odd answer has come
+	}
+
+	world.silence(0, 60_000);
+	await world.advance(14_000);
+	expect(world.listViolations()).toEqual([]);
+	expect([world.countRuns(first.id), world.countRuns(second.id)]).toEqual([6, 6]);
+});
+
+test('a minion that answers that it follows a newer leader deposes none, and its tasks run elsewhere', async () => {
+	let isFenced = false;
+	let deposedCount = 0;
+	const world = createTestWorld({
+		seed: 35,
+		minionCount: 3,
+		alterPort: port => disturbPort(port, (call, answer) => {
+			if (!isFenced || call === 'pace' || typeof answer !== 'object' || answer === null || !('value' in answer)) {
+				return answer;
+			}
+
+			return {...answer, value: call === 'start' ? {type: 'refused', reason: 'fenced'} : 'fenced'};
+		}),
+		onFenced() {
+			deposedCount += 1;
+		},
+	});
+	await world.advance(2000);
+	const early = world.submit([{count: 6, isLasting: true}]);
+	await world.advance(2000);
+	isFenced = true;
+	const late = world.submit([{count: 6, estimateMs: 500}]);
+	await world.advance(12_000);
+	expect({deposedCount, state: world.getState(late.id), violations: world.listViolations()}).toEqual({deposedCount: 0, state: 'completed', violations: []});
+	expect(world.countRuns(early.id)).toBe(6);
+	isFenced = false;
+	await world.advance(2000);
+	const startsBefore = world.countStartsOn(0);
+	world.submit([{count: 14, estimateMs: 500}]);
+	await world.advance(4000);
+	expect(world.countStartsOn(0)).toBeGreaterThan(startsBefore);
+	expect({deposedCount, violations: world.listViolations()}).toEqual({deposedCount: 0, violations: []});
+});
+
+test.each(['hold', 'start', 'stop'] as const)('the tasks of a minion that once answers a %s call that it follows a newer leader do not run twice', async call => {
+	const {world, arm, isArmed} = createWorldWithOneOddAnswer(answer => ({...answer, value: call === 'start' ? {type: 'refused', reason: 'fenced'} : 'fenced'}), call);
+	await world.advance(2000);
+	world.submit([{count: 6, isLasting: true}]);
+	const cancelled = world.submit([{count: 6, isLasting: true}]);
+	await world.advance(2000);
+	arm();
+	const {id} = world.submit([{count: 6, isLasting: true}]);
+	world.cancel(cancelled.id).catch(() => undefined);
+	await world.advance(12_000);
+	expect({
+		isArmed: isArmed(), runs: world.countRuns(id), cancelled: world.countRuns(cancelled.id), violations: world.listViolations(),
+	}).toEqual({
+		isArmed: false, runs: 6, cancelled: 0, violations: [],
+	});
+});
--- a/packages/daemon/src/scheduler/run-orders.ts
+++ b/packages/daemon/src/scheduler/run-orders.ts
@@ -24,11 +24,11 @@
 	readonly isCurrent: (trackedRun: TrackedRun) => boolean;
 	/** Whether starts may be sent to the minion. A start also grants the lease. */
 	readonly canSendStarts: () => boolean;
-	readonly recordAnswer: (answer: MinionAnswer<unknown>) => void;
+	readonly recordAnswer: (answer: MinionAnswer<unknown>, sentAtMs: number) => void;
 	readonly attribution: Pick<StartAttribution, 'send'>;
 	readonly endRuns: (ends: readonly RunEnd[]) => Promise<boolean>;
-	/** Removes the incarnation from the ledger, since the minion has started another one. */
-	readonly removeIncarnation: (reason: string) => Promise<void>;
+	/** Handles an answer that says that another minion is at the address. */
+	readonly handleOtherMinion: () => Promise<void>;
 	/** Whether the minion is draining. */
 	readonly isDraining: () => boolean;
 	/** Records that a start got no answer. */
@@ -60,7 +60,7 @@
 }
 
 export function createRunOrders({
-	record, target, context, lease, isCurrent, canSendStarts, isDraining, recordUnansweredStart, recordAnswer, attribution, endRuns, removeIncarnation, pauseAssignments,
+	record, target, context, lease, isCurrent, canSendStarts, isDraining, recordUnansweredStart, recordAnswer, attribution, endRuns, handleOtherMinion, pauseAssignments,
 }: RunOrdersOptions): RunOrders {
 	const {timers, minions, log, fencingToken} = context;
 
@@ -69,12 +69,13 @@
 			return false;
 		}
 
+		const sentAtMs = timers.getNow();
 		const answer = await minions.stop({
 			target, fencingToken, task, run, timeoutMs: orderTimeoutMs,
 		});
-		recordAnswer(answer);
+		recordAnswer(answer, sentAtMs);
 		if (answer.type === 'answered' && answer.value === 'fenced') {
-			context.onFenced();
+			context.onFenced(record.life);
 			return false;
 		}
 
@@ -133,7 +134,10 @@
 		const {task} = trackedRun.assignment;
 		switch (result.reason) {
 			case 'fenced': {
-				context.onFenced();
+				context.onFenced(record.life);
+				// The answer may be false and the run may have started.
+				trackedRun.mayStartLate = true;
+				await handleRefusal(trackedRun, 'it follows a newer leader');
 				return 'over';
 			}
 
@@ -186,6 +190,7 @@
 		}
 
 		const ticket = context.getTicket(task, record.life);
+		const sentAtMs = timers.getNow();
 		const answer = await attribution.send(async () => minions.start({
 			target,
 			fencingToken,
@@ -197,7 +202,7 @@
 			ticket,
 			timeoutMs: orderTimeoutMs,
 		}));
-		recordAnswer(answer);
+		recordAnswer(answer, sentAtMs);
 		switch (answer.type) {
 			case 'answered': {
 				return handleStartResult(trackedRun, answer.value);
@@ -215,8 +220,8 @@
 			}
 
 			case 'otherLife': {
-				await removeIncarnation('another incarnation answers at its address');
-				return 'over';
+				await handleOtherMinion();
+				return 'again';
 			}
 
 			case 'unhealthy': {
