The program sets no names of functions while it runs

Cause: with keepNames esbuild sets the name of each function by Object.defineProperty whenever the function is created, also of each closure of a session, a timer or a call.

--- a/scripts/undici-plugin.js
+++ b/scripts/undici-plugin.js
@@ -12,8 +12,10 @@
 /** Options with which every program is bundled. */
 export const bundleOptions = {
 	bundle: true,
-	minify: true,
-	keepNames: true,
+	minifySyntax: true,
+	minifyWhitespace: true,
+	// Shortened identifiers need `keepNames` for readable stacks, and it sets the name of each function whenever one is created.
+	minifyIdentifiers: false,
 	platform: 'node',
 	target: 'node20',
 	format: 'esm',
