What a host sends while it handles what has arrived goes to each peer in one write

Cause: frames were written once a tick, so each answer of a relay that the leader handled caused a write of its own for the next hold call; a frame was copied twice, and a received chunk once more.

Change: frames are collected until the event loop has handled what was ready, and then written as one buffer. The limit of the send buffer counts what is not written yet. A frame is encoded in one pass, and a chunk that holds whole frames is not copied.

--- a/packages/daemon/src/peers/connection.ts
+++ b/packages/daemon/src/peers/connection.ts
@@ -2,8 +2,8 @@
  * One TCP connection of a peer link: does the handshake, sends and receives frames, and records when
  * the connection was last used.
  */
+import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
-import process from 'node:process';
 import type {MonotonicMs, NodeId} from '@samphiremill/common';
 import type {ConnectionId} from '@samphiremill/core';
 import {maximumFrameBytes, maximumHandshakeFrameBytes, maximumSendBufferBytes} from './constants.js';
@@ -66,16 +66,29 @@
 	let isEstablished = false;
 	let times: ConnectionTimes = {lastReceivedAtMs: getNow(), lastSentAtMs: getNow(), lastUsedAtMs: getNow()};
 
-	// Frames that are sent in one turn of the event loop go to the socket in one write.
-	const corkUntilNextTick = () => {
-		if (socket.writableCorked === 0) {
-			socket.cork();
-			process.nextTick(() => {
-				socket.uncork();
-			});
+	let unsentFrames: Uint8Array[] = [];
+	let unsentBytes = 0;
+
+	const flush = () => {
+		const frames = unsentFrames;
+		unsentFrames = [];
+		unsentBytes = 0;
+		if (!socket.destroyed) {
+			socket.write(frames.length === 1 ? frames[0] ?? '' : Buffer.concat(frames));
 		}
 	};
 
+	// All that is sent while the event loop handles what has arrived goes to the socket in one write. A leader sends to
+	// each of a few hosts for each of many answers.
+	const append = (frame: Uint8Array) => {
+		if (unsentFrames.length === 0) {
+			setImmediate(flush);
+		}
+
+		unsentFrames.push(frame);
+		unsentBytes += frame.length;
+	};
+
 	// A value that JSON cannot hold, for example one that is nested too deeply, does not fit into a frame either.
 	const encode = (value: unknown): Uint8Array | undefined => {
 		try {
@@ -92,12 +105,11 @@
 			return 'tooLarge';
 		}
 
-		if (socket.destroyed || socket.writableLength + frame.length > maximumSendBufferBytes) {
+		if (socket.destroyed || socket.writableLength + unsentBytes + frame.length > maximumSendBufferBytes) {
 			return 'bufferFull';
 		}
 
-		corkUntilNextTick();
-		socket.write(frame);
+		append(frame);
 		counters.add('sentFrames');
 		counters.add('sentBytes', frame.length);
 		times = {...times, lastSentAtMs: getNow(), ...(!isHeartbeat && {lastUsedAtMs: getNow()})};
--- a/packages/daemon/src/peers/frames.ts
+++ b/packages/daemon/src/peers/frames.ts
@@ -5,7 +5,8 @@
 import {createFailure, createSuccess, type Result} from '@samphiremill/common';
 import {framePrefixBytes} from './constants.js';
 
-const textDecoder = new TextDecoder();
+/** Takes the place of the length prefix until the length of the body is known. Each character is one byte in UTF-8. */
+const emptyPrefix = '\0'.repeat(framePrefixBytes);
 
 /** Why received bytes are not valid frames. */
 export type FrameError
@@ -49,7 +50,8 @@
 
 const encodeWithoutClosingBrace = (value: JsonObject) => JSON.stringify(value).slice(0, -1);
 
-const encodeJson = (value: unknown): string => {
+// JSON has no text for `undefined` or a function.
+const encodeJson = (value: unknown): string | undefined => {
 	if (!isMessageWithEntries(value)) {
 		return JSON.stringify(value);
 	}
@@ -61,17 +63,23 @@
 
 /**
  * Encodes a JSON value as a frame with its length prefix.
+ *
+ * @throws TypeError if the value is not a JSON value.
  */
 export function encodeFrame(value: unknown): Uint8Array {
-	const body = Buffer.from(encodeJson(value));
-	const prefix = Buffer.alloc(framePrefixBytes);
-	prefix.writeUInt32BE(body.length);
-	return Buffer.concat([prefix, body]);
+	const json = encodeJson(value);
+	if (json === undefined) {
+		throw new TypeError('the value has no JSON text');
+	}
+
+	const frame = Buffer.from(`${emptyPrefix}${json}`);
+	frame.writeUInt32BE(frame.length - framePrefixBytes);
+	return frame;
 }
 
-function parseJson(body: Uint8Array): Result<unknown, FrameError> {
+function parseJson(body: string): Result<unknown, FrameError> {
 	try {
-		return createSuccess<unknown>(JSON.parse(textDecoder.decode(body)));
+		return createSuccess<unknown>(JSON.parse(body));
 	} catch {
 		return createFailure({type: 'frame/notJson'});
 	}
@@ -92,7 +100,7 @@
 			return createSuccess([]);
 		}
 
-		const buffered = Buffer.concat(chunks);
+		const buffered = chunks.length === 1 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat(chunks);
 		const frames: unknown[] = [];
 		let offset = 0;
 		neededBytes = framePrefixBytes;
@@ -108,7 +116,7 @@
 				break;
 			}
 
-			const parsed = parseJson(buffered.subarray(offset + framePrefixBytes, end));
+			const parsed = parseJson(buffered.toString('utf8', offset + framePrefixBytes, end));
 			if (!parsed.ok) {
 				return parsed;
 			}
