A leader of more than 50 minions calls them through relays, and not again where nothing listens

Above it, the leader called each minion that a relay had found gone once more, and opened up to 40 connection pools a second for workers that had been switched off.

Change: the limit is 50, so that the sites of 35 to 40 workers keep direct calls. A refused connection is left at the relay's answer; the next call asks the next relay, and the leader itself once none is left.

Test: the leader does not call where a relay was refused (it did); needsRelays for 80 and 40 minions.

--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -173,7 +173,7 @@
 export const peakDemandRetentionMs = 45_000;
 
 /** Up to this many minions, the leader keeps all connections to them itself. */
-export const maximumDirectMinions = 100;
+export const maximumDirectMinions = 50;
 
 /** How often the leader checks which control hosts can relay calls to minions. */
 export const relayCheckPeriodMs = 250;
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -18,7 +18,7 @@
 import {createCommandBatcher} from './command-batcher.js';
 import {clusterCallMethod, createClusterClient} from './cluster-client.js';
 import {
-	failedVoterRetryDelayMs, joinRefreshPeriodMs, joinRetryPeriodMs, leadershipCheckPeriodMs, maximumDirectMinions, voterAbsenceTimeoutMs, voterCheckPeriodMs,
+	failedVoterRetryDelayMs, joinRefreshPeriodMs, joinRetryPeriodMs, leadershipCheckPeriodMs, voterAbsenceTimeoutMs, voterCheckPeriodMs,
 } from './constants.js';
 import {
 	startLeader, type Leader, type SchedulerLimits,
@@ -27,7 +27,7 @@
 import type {LeadershipStatus} from './leadership-status.js';
 import type {SchedulerMetrics} from './metrics.js';
 import {
-	executeMinionCall, createRelayedMinionPort, minionCallMethod, type MinionCall,
+	executeMinionCall, createRelayedMinionPort, minionCallMethod, needsRelays, type MinionCall,
 } from './minion-relay.js';
 import {createWorkerOrderTimes} from './worker-order-times.js';
 import type {
@@ -228,10 +228,9 @@
 		},
 	});
 
-	// With few minions, direct calls cost less than relayed ones.
-	const listRelays = () => ledger.incarnations.size <= maximumDirectMinions
-		? []
-		: transport.listLinkedPeers().filter(node => ledger.controlHosts.has(node));
+	const listRelays = () => needsRelays(ledger.incarnations.size)
+		? transport.listLinkedPeers().filter(node => ledger.controlHosts.has(node))
+		: [];
 
 	const relayedMinions = createRelayedMinionPort({
 		direct: options.minions, transport, timers, listRelays,
--- a/packages/daemon/src/scheduler/minion-relay.test.ts
+++ b/packages/daemon/src/scheduler/minion-relay.test.ts
@@ -3,7 +3,9 @@
 } from '@samphiremill/common';
 import type {IncarnationId, TaskId} from '@samphiremill/core';
 import {expect, test} from 'vitest';
-import {executeMinionCall, createRelayedMinionPort, type MinionCall} from './minion-relay.js';
+import {
+	executeMinionCall, createRelayedMinionPort, needsRelays, type MinionCall,
+} from './minion-relay.js';
 import type {MinionPort} from './types.js';
 
 const hosts = ['host-1', 'host-2'].map(name => toBrand<NodeId>(name));
@@ -25,7 +27,7 @@
 	retain: () => undefined,
 });
 
-type Outcome = 'answered' | 'odd' | 'silent' | 'unreachable' | 'lostMinion';
+type Outcome = 'answered' | 'odd' | 'refused' | 'silent' | 'unreachable' | 'lostMinion';
 
 const createWorld = () => {
 	const timers = createVirtualTimerService();
@@ -48,6 +50,10 @@
 						return createSuccess(null);
 					}
 
+					case 'refused': {
+						return createSuccess({type: 'notSent', isRefused: true});
+					}
+
 					case 'lostMinion': {
 						return createSuccess({type: 'noAnswer'});
 					}
@@ -113,6 +119,22 @@
 	expect(calls.length).toBe(4);
 });
 
+test('where nothing listens, the leader does not call too, and the next call asks the next relay', async () => {
+	const {calls, world, stop} = createWorld();
+	world.outcome = 'refused';
+	expect(await stop('10.0.0.1:80')).toBe('notSent');
+	expect(await stop('10.0.0.1:80')).toBe('notSent');
+	expect(new Set(calls)).toEqual(new Set(hosts.map(host => `${host} 10.0.0.1:80`)));
+	// No relay is left.
+	expect(await stop('10.0.0.1:80')).toBe('answered');
+	expect(calls.at(-1)).toBe('direct 10.0.0.1:80');
+});
+
+test('the calls of a fleet of 80 minions are relayed, those of 40 are not', () => {
+	expect(needsRelays(80)).toBe(true);
+	expect(needsRelays(40)).toBe(false);
+});
+
 test('a relay whose answer has no form counts as one that got no answer, and is not used for some seconds', async () => {
 	const {calls, world, stop} = createWorld();
 	world.outcome = 'odd';
--- a/packages/daemon/src/scheduler/minion-relay.ts
+++ b/packages/daemon/src/scheduler/minion-relay.ts
@@ -7,7 +7,9 @@
 	assertNever, rankMembers, type NodeId, type TimerService,
 } from '@samphiremill/common';
 import type {PeerTransport} from '../peers/index.js';
-import {relayBackoffMs, relayCheckPeriodMs, relayTimeoutMarginMs} from './constants.js';
+import {
+	maximumDirectMinions, relayBackoffMs, relayCheckPeriodMs, relayTimeoutMarginMs,
+} from './constants.js';
 import type {MinionAnswer, MinionPort} from './types.js';
 
 /** The peer method on which control hosts accept calls to minions. */
@@ -65,6 +67,11 @@
 
 const isAnswer = (value: unknown): value is MinionAnswer<unknown> => typeof value === 'object' && value !== null && 'type' in value && typeof value.type === 'string';
 
+/** Whether the calls to this many minions go through relays. A few cost the leader little. */
+export function needsRelays(minionCount: number): boolean {
+	return minionCount > maximumDirectMinions;
+}
+
 /** Creates a port that sends the calls for each minion through one relay, chosen by the minion's address. */
 export function createRelayedMinionPort({direct, transport, timers, listRelays}: RelayedMinionPortOptions): MinionPort {
 	const rankedByAddress = new Map<string, readonly NodeId[]>();
@@ -125,8 +132,9 @@
 			avoidRelay(address, relay);
 		}
 
-		// A call that may have reached the minion is not resent here; the caller decides on a retry.
-		return answer.type === 'notSent' ? executeMinionCall(call, {minions: direct, term: call.order.fencingToken}) : answer;
+		// A call that may have reached the minion is not resent here; the caller decides on a retry. Where nothing listens, as at
+		// each worker that was switched off, the leader would be refused too, so the next call asks the next relay.
+		return answer.type === 'notSent' && answer.isRefused !== true ? executeMinionCall(call, {minions: direct, term: call.order.fencingToken}) : answer;
 	};
 
 	/* eslint-disable @typescript-eslint/no-unsafe-type-assertion -- the answer to a call of a kind has that kind's value */
