A wait for a promise leaves no timer behind; rates read the clock once

The meter of demand read the clock for each job of the last 6 s, four times a pool and tick. A session asked twice in a row whether the leader may act.

Change: waitAtMost cancels its timer; the clock is read once for each list; the session asks once.

Not measured apart.

--- a/packages/daemon/src/scheduler/demand-meter.test.ts
+++ b/packages/daemon/src/scheduler/demand-meter.test.ts
@@ -63,3 +63,29 @@
 		}
 	`);
 });
+
+test('a rate takes as many readings of the clock however many jobs were submitted', () => {
+	const countReadings = (jobCount: number) => {
+		const timers = createVirtualTimerService();
+		let count = 0;
+		const meter = createDemandMeter({
+			...timers,
+			getNow() {
+				count += 1;
+				return timers.getNow();
+			},
+		});
+		for (let number = 0; number < jobCount; number += 1) {
+			meter.recordJob(pool, {id: toBrand<JobId>(String(number)), work: 1});
+		}
+
+		count = 0;
+		meter.getRate(pool);
+		meter.getRateLowerBound(pool);
+		meter.getPeakRate(pool);
+		meter.getWorkSince(pool, 0);
+		return count;
+	};
+
+	expect(countReadings(500)).toBe(countReadings(1));
+});
--- a/packages/daemon/src/scheduler/demand-meter.ts
+++ b/packages/daemon/src/scheduler/demand-meter.ts
@@ -36,9 +36,15 @@
 	const arrivals = new Map<PoolId, readonly IdentifiedArrival[]>();
 	const peaks = new Map<PoolId, readonly Peak[]>();
 
-	const getRecent = (pool: PoolId) => (arrivals.get(pool) ?? []).filter(({atMs}) => timers.getNow() - atMs < arrivalRetentionMs);
+	const getRecent = (pool: PoolId) => {
+		const nowMs = timers.getNow();
+		return (arrivals.get(pool) ?? []).filter(({atMs}) => nowMs - atMs < arrivalRetentionMs);
+	};
 
-	const listPeaks = (pool: PoolId) => (peaks.get(pool) ?? []).filter(({sinceMs}) => timers.getNow() - sinceMs < peakDemandRetentionMs);
+	const listPeaks = (pool: PoolId) => {
+		const nowMs = timers.getNow();
+		return (peaks.get(pool) ?? []).filter(({sinceMs}) => nowMs - sinceMs < peakDemandRetentionMs);
+	};
 
 	const recordPeak = (pool: PoolId, rate: number) => {
 		const known = listPeaks(pool);
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -2,7 +2,7 @@
  * The leader's session with one incarnation of a minion. It renews the lease, sends orders for the runs, and processes
  * the minion's listings of its runs.
  */
-import {describeError, waitFor} from '@samphiremill/common';
+import {describeError, waitAtMost, waitFor} from '@samphiremill/common';
 import {
 	findTask, getInheritedLeaseMs, getRunLimit, getStep, isLateRunEnd, isSuspectedSlow, recordSlowness, recordRunDone, recordRunFailed, initialMinionHealth, initialMinionSpeed,
 	type MinionHealth, type MinionSpeed, type MinionRecord, type RunAssignment, type RunEnd, type Task, type TaskId,
@@ -359,7 +359,7 @@
 		pendingEndsCommit ??= commitListedEnds(report, sentAtMs).finally(() => {
 			pendingEndsCommit = undefined;
 		});
-		await Promise.race([pendingEndsCommit, waitFor(timers, holdWaitMs)]);
+		await waitAtMost(timers, pendingEndsCommit, holdWaitMs);
 		startUnsentRuns();
 		if (!wasSynced) {
 			context.onMinionsChanged();
@@ -454,7 +454,9 @@
 	// The loop must outlive any error: without it nobody renews the lease or learns what the minion runs.
 	const takeHoldTurn = async (): Promise<'again' | 'pause'> => {
 		try {
-			const next = context.canAct() ? await sendHold() : 'pause';
+			const canAct = context.canAct();
+			isCallOverdue ||= !canAct;
+			const next = canAct ? await sendHold() : 'pause';
 			isHoldFailing = false;
 			return next;
 		} catch (err) {
@@ -469,7 +471,6 @@
 
 	const runHoldLoop = async () => {
 		while (isOpen()) {
-			isCallOverdue ||= !context.canAct();
 			const next = await takeHoldTurn(); // eslint-disable-line no-await-in-loop -- hold calls are sequential
 			if (next === 'pause') {
 				await waitFor(timers, holdRetryDelayMs); // eslint-disable-line no-await-in-loop -- hold calls are sequential
