Minions of a large fleet report to the control hosts that do not lead

Nothing changes in what is committed before a report is answered.

Test: of 300 minions none is sent to the leader, and no host gets twice its part; a small fleet reports to the leader.

--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -3,7 +3,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import {
-	createFailure, createSuccess, describeError, toBrand, waitFor, type DataCentreId, type NodeId, type RandomSource, type RegionId, type Result, type TimerService,
+	createFailure, createSuccess, describeError, toBrand, waitFor, type DataCentreId, type MinionId, type NodeId, type RandomSource, type RegionId, type Result, type TimerService,
 } from '@samphiremill/common';
 import {
 	applyLedgerCommand, chooseVoterChange, createLedger, createLedgerSnapshot, defaultReplicaLimits, getLastIndex, hasVoter, isDiskHanging, isLeaderReplaceable, listStalledVoters, restoreLedger,
@@ -27,7 +27,7 @@
 import type {LeadershipStatus} from './leadership-status.js';
 import type {SchedulerMetrics} from './metrics.js';
 import {
-	executeMinionCall, createRelayedMinionPort, minionCallMethod, needsRelays, type MinionCall,
+	chooseReportHost, executeMinionCall, createRelayedMinionPort, minionCallMethod, needsRelays, type MinionCall,
 } from './minion-relay.js';
 import {createWorkerOrderTimes} from './worker-order-times.js';
 import type {
@@ -72,7 +72,8 @@
 export type ControlHost = {
 	/** Has the leader answer a call, on this host or another. */
 	readonly call: (call: ClusterCall, options: {readonly timeoutMs: number}) => Promise<ClusterAnswer>;
-	readonly getLeader: () => NodeId | undefined;
+	/** Returns the control host that a minion should send its reports to; `undefined` while no leader is known. */
+	readonly getReportHost: (minion: MinionId) => NodeId | undefined;
 	/** Returns what this host knows of the leadership; `undefined` in the first second. */
 	readonly getLeadership: () => LeadershipStatus | undefined;
 	readonly setSeeds: (seeds: readonly NodeId[]) => void;
@@ -421,7 +422,9 @@
 
 	return createSuccess({
 		call,
-		getLeader: () => replica.getState().leader,
+		getReportHost: minion => chooseReportHost({
+			minion, self, leader: replica.getState().leader, relays: listRelays(),
+		}),
 		getLeadership: leadershipReport.getStatus,
 		setSeeds(seeds) {
 			client.addHosts(seeds);
--- a/packages/daemon/src/scheduler/minion-relay.test.ts
+++ b/packages/daemon/src/scheduler/minion-relay.test.ts
@@ -4,7 +4,7 @@
 import type {IncarnationId, TaskId} from '@samphiremill/core';
 import {expect, test} from 'vitest';
 import {
-	executeMinionCall, createRelayedMinionPort, needsRelays, type MinionCall,
+	chooseReportHost, executeMinionCall, createRelayedMinionPort, needsRelays, type MinionCall,
 } from './minion-relay.js';
 import type {MinionPort} from './types.js';
 
@@ -130,6 +130,32 @@
 	expect(calls.at(-1)).toBe('direct 10.0.0.1:80');
 });
 
+test('the minions of a large fleet send their reports to the hosts that do not lead, each to one', () => {
+	const [leader, ...relays] = Array.from({length: 8}, (_, index) => toBrand<NodeId>(`host-${index}`));
+	const minions = Array.from({length: 300}, (_, index) => toBrand<MinionId>(`i-${index}`));
+	const chosen = minions.map(minion => chooseReportHost({
+		minion, self: leader ?? toBrand<NodeId>(''), leader, relays,
+	}));
+	const counts = relays.map(relay => chosen.filter(host => host === relay).length);
+	expect(counts.reduce((sum, count) => sum + count, 0)).toBe(300);
+	expect(Math.max(...counts)).toBeLessThan(2 * 300 / relays.length);
+	// The host keeps the reports that it gets.
+	expect(chooseReportHost({
+		minion: toBrand<MinionId>('i-1'), self: toBrand<NodeId>('host-3'), leader, relays: [toBrand<NodeId>('host-2')],
+	})).toBe('host-3');
+});
+
+test('the minions of a small fleet send their reports to the leader, if one is known', () => {
+	const minion = toBrand<MinionId>('i-1');
+	const [leader, self] = [toBrand<NodeId>('host-0'), toBrand<NodeId>('host-1')];
+	expect(chooseReportHost({
+		minion, self, leader, relays: [],
+	})).toBe(leader);
+	expect(chooseReportHost({
+		minion, self, leader: undefined, relays: [leader],
+	})).toBe(undefined);
+});
+
 test('the calls of a fleet of 80 minions are relayed, those of 40 are not', () => {
 	expect(needsRelays(80)).toBe(true);
 	expect(needsRelays(40)).toBe(false);
--- a/packages/daemon/src/scheduler/minion-relay.ts
+++ b/packages/daemon/src/scheduler/minion-relay.ts
@@ -4,7 +4,7 @@
  * A relay makes no decisions: it forwards the call and returns the answer.
  */
 import {
-	assertNever, rankMembers, type NodeId, type TimerService,
+	assertNever, rankMembers, type MinionId, type NodeId, type TimerService,
 } from '@samphiremill/common';
 import type {PeerTransport} from '../peers/index.js';
 import {
@@ -72,6 +72,27 @@
 	return minionCount > maximumDirectMinions;
 }
 
+/**
+ * Chooses the control host that takes a minion's reports. A host that does not lead passes them on to the leader, in one of the
+ * frames that it sends anyway; an HTTP request and its answer cost the leader several times as much.
+ *
+ * @param self - The host that has the report now.
+ * @param relays - The other control hosts that are reachable; empty while reports to the leader are cheaper.
+ * @returns The host, or `undefined` while no leader is known.
+ */
+export function chooseReportHost({minion, self, leader, relays}: {
+	readonly minion: MinionId;
+	readonly self: NodeId;
+	readonly leader: NodeId | undefined;
+	readonly relays: readonly NodeId[];
+}): NodeId | undefined {
+	if (leader === undefined || relays.length === 0) {
+		return leader;
+	}
+
+	return leader === self ? rankMembers(minion, relays)[0] : self;
+}
+
 /** Creates a port that sends the calls for each minion through one relay, chosen by the minion's address. */
 export function createRelayedMinionPort({direct, transport, timers, listRelays}: RelayedMinionPortOptions): MinionPort {
 	const rankedByAddress = new Map<string, readonly NodeId[]>();
