--- a/packages/daemon/src/peers/frames.test.ts
+++ b/packages/daemon/src/peers/frames.test.ts
@@ -1,22 +1,8 @@
 import {Buffer} from 'node:buffer';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {maximumFrameBytes} from './constants.js';
-import {createFrameDecoder, encodeFrame, type FrameDecoder} from './frames.js';
-
-const readFrames = (decoder: FrameDecoder, chunk: Uint8Array): readonly unknown[] => {
-	decoder.addChunk(chunk);
-	const values: unknown[] = [];
-	for (;;) {
-		const frame = decoder.readFrame(maximumFrameBytes);
-		expect(frame.ok).toBe(true);
-		if (!frame.ok || frame.value === undefined) {
-			return values;
-		}
-
-		values.push(frame.value.value);
-	}
-};
+import {createFrameDecoder, encodeFrame} from './frames.js';
+import {readFrames} from './test-frames.js';
 
 test('frames decode to the same values however the bytes are split into chunks', () => {
 	fc.assert(fc.property(fc.array(fc.jsonValue(), {maxLength: 5}), fc.array(fc.integer({min: 1, max: 9}), {minLength: 1}), (values, sizes) => {
@@ -25,7 +11,7 @@
 		const decoded: unknown[] = [];
 		for (let offset = 0, chunkIndex = 0; offset < bytes.length; chunkIndex += 1) {
 			const end = offset + (sizes[chunkIndex % sizes.length] ?? 1);
-			decoded.push(...readFrames(decoder, bytes.subarray(offset, end)));
+			decoded.push(...readFrames(bytes.subarray(offset, end), decoder));
 			offset = end;
 		}
 
@@ -39,7 +25,7 @@
 	fc.assert(fc.property(shared, fc.array(fc.nat(), {minLength: 1, maxLength: 3}), (entries, rounds) => {
 		for (const round of rounds) {
 			const message = {jsonrpc: '2.0', method: 'message', params: {type: 'replica/append', round, entries}};
-			expect(JSON.stringify(readFrames(createFrameDecoder(), encodeFrame(message)))).toBe(JSON.stringify([message]));
+			expect(JSON.stringify(readFrames(encodeFrame(message)))).toBe(JSON.stringify([message]));
 		}
 	}), {seed: 1});
 });
--- a/packages/daemon/src/scheduler/minion-relay.test.ts
+++ b/packages/daemon/src/scheduler/minion-relay.test.ts
@@ -3,7 +3,9 @@
 } from '@samphiremill/common';
 import type {IncarnationId, TaskId} from '@samphiremill/core';
 import {expect, test} from 'vitest';
-import {executeMinionCall, createRelayedMinionPort, type MinionCall} from './minion-relay.js';
+import {
+	chooseReportHost, executeMinionCall, createRelayedMinionPort, needsRelays, type MinionCall,
+} from './minion-relay.js';
 import type {MinionPort} from './types.js';
 
 const hosts = ['host-1', 'host-2'].map(name => toBrand<NodeId>(name));
@@ -25,7 +27,7 @@
 	retain: () => undefined,
 });
 
-type Outcome = 'answered' | 'odd' | 'silent' | 'unreachable' | 'lostMinion';
+type Outcome = 'answered' | 'odd' | 'refused' | 'silent' | 'unreachable' | 'lostMinion';
 
 const createWorld = () => {
 	const timers = createVirtualTimerService();
@@ -48,6 +50,10 @@
 						return createSuccess(null);
 					}
 
+					case 'refused': {
+						return createSuccess({type: 'notSent', isRefused: true});
+					}
+
 					case 'lostMinion': {
 						return createSuccess({type: 'noAnswer'});
 					}
@@ -113,6 +119,48 @@
 	expect(calls.length).toBe(4);
 });
 
+test('where nothing listens, the leader does not call too, and the next call asks the next relay', async () => {
+	const {calls, world, stop} = createWorld();
+	world.outcome = 'refused';
+	expect(await stop('10.0.0.1:80')).toBe('notSent');
+	expect(await stop('10.0.0.1:80')).toBe('notSent');
+	expect(new Set(calls)).toEqual(new Set(hosts.map(host => `${host} 10.0.0.1:80`)));
+	// No relay is left.
+	expect(await stop('10.0.0.1:80')).toBe('answered');
+	expect(calls.at(-1)).toBe('direct 10.0.0.1:80');
+});
+
+test('the minions of a large fleet send their reports to the hosts that do not lead, each to one', () => {
+	const [leader, ...relays] = Array.from({length: 8}, (_, index) => toBrand<NodeId>(`host-${index}`));
+	const minions = Array.from({length: 300}, (_, index) => toBrand<MinionId>(`i-${index}`));
+	const chosen = minions.map(minion => chooseReportHost({
+		minion, self: leader ?? toBrand<NodeId>(''), leader, relays,
+	}));
+	const counts = relays.map(relay => chosen.filter(host => host === relay).length);
+	expect(counts.reduce((sum, count) => sum + count, 0)).toBe(300);
+	expect(Math.max(...counts)).toBeLessThan(2 * 300 / relays.length);
+	// The host keeps the reports that it gets.
+	expect(chooseReportHost({
+		minion: toBrand<MinionId>('i-1'), self: toBrand<NodeId>('host-3'), leader, relays: [toBrand<NodeId>('host-2')],
+	})).toBe('host-3');
+});
+
+test('the minions of a small fleet send their reports to the leader, if one is known', () => {
+	const minion = toBrand<MinionId>('i-1');
+	const [leader, self] = [toBrand<NodeId>('host-0'), toBrand<NodeId>('host-1')];
+	expect(chooseReportHost({
+		minion, self, leader, relays: [],
+	})).toBe(leader);
+	expect(chooseReportHost({
+		minion, self, leader: undefined, relays: [leader],
+	})).toBe(undefined);
+});
+
+test('the calls of a fleet of 80 minions are relayed, those of 40 are not', () => {
+	expect(needsRelays(80)).toBe(true);
+	expect(needsRelays(40)).toBe(false);
+});
+
 test('a relay whose answer has no form counts as one that got no answer, and is not used for some seconds', async () => {
 	const {calls, world, stop} = createWorld();
 	world.outcome = 'odd';
