Peer link: a tick that changes nothing costs no transition

Cause: transition() of XState creates an actor for each event, and each link gets a tick each 200 ms, of which nearly all change nothing.

Change: the machine is asked first whether the tick changes anything; its guards decide as before.

Evidence: new test 'ticks that change nothing cost no transition': 2 transitions before, 0 now. A property holds the reducer to the machine for ticks from each state.

--- a/packages/core/src/peer-link/reduce-peer-link.test.ts
+++ b/packages/core/src/peer-link/reduce-peer-link.test.ts
@@ -3,8 +3,10 @@
 	createSeededRandom, toBrand, type MonotonicMs, type NodeId,
 } from '@samphiremill/common';
 import fc from 'fast-check';
-import {expect, test} from 'vitest';
+import {expect, test, vi} from 'vitest';
+import {transition} from 'xstate';
 import {defaultPeerLinkConfig} from './constants.js';
+import {peerLinkMachine} from './machine.js';
 import {createPeerLinkState, getUpConnection, reducePeerLink} from './reduce-peer-link.js';
 import type {ConnectionId, PeerLinkEffect, PeerLinkEvent} from './types.js';
 
@@ -175,3 +177,57 @@
 		expect(pair.listUpConnections()).toEqual([left, left]);
 	}), {seed, numRuns: numberRuns, endOnFailure: true});
 });
+
+const createUpLink = (isPermanent: boolean, nowMs: MonotonicMs) => {
+	const connection = toBrand<ConnectionId>(1);
+	const idle = createPeerLinkState({
+		cfg: defaultPeerLinkConfig, self: names[0], peer: names[1], isPermanent, nowMs,
+	});
+	const dialling = reducePeerLink(idle, {type: 'peerLink/wanted', freshConnection: connection, nowMs}).state;
+	return {idle, dialling, up: reducePeerLink(dialling, {type: 'peerLink/established', connection, nowMs}).state};
+};
+
+test('ticks that change nothing cost no transition', () => {
+	const nowMs = toBrand<MonotonicMs>(10_000);
+	const transitions = vi.spyOn(peerLinkMachine, 'transition');
+	const {up, dialling} = createUpLink(true, nowMs);
+	const before = transitions.mock.calls.length;
+	for (const state of [up, dialling]) {
+		const tick: PeerLinkEvent = {
+			type: 'peerLink/tick', nowMs, freshConnection: toBrand<ConnectionId>(2), jitter: 0.5, lastReceivedAtMs: nowMs, lastSentAtMs: nowMs, lastUsedAtMs: nowMs,
+		};
+		expect(reducePeerLink(state, tick)).toEqual({state, effects: []});
+	}
+
+	expect(transitions.mock.calls.length - before).toBe(0);
+	transitions.mockRestore();
+});
+
+test('a tick leads where the machine leads', () => {
+	const agoMs = fc.nat(9000);
+	const tick = fc.record({
+		passedMs: agoMs, receivedMs: agoMs, sentMs: agoMs, usedMs: agoMs,
+	});
+	fc.assert(fc.property(fc.boolean(), fc.constantFrom('idle', 'dialling', 'up'), fc.array(tick, {maxLength: 20}), (isPermanent, begin, ticks) => {
+		let nowMs = 10_000;
+		const getTime = (ms: number) => toBrand<MonotonicMs>(nowMs - ms);
+		let state = createUpLink(isPermanent, getTime(0))[begin];
+		for (const {passedMs, receivedMs, sentMs, usedMs} of ticks) {
+			nowMs += passedMs;
+			const event: PeerLinkEvent = {
+				type: 'peerLink/tick',
+				nowMs: getTime(0),
+				freshConnection: toBrand<ConnectionId>(nowMs),
+				jitter: 0.5,
+				lastReceivedAtMs: getTime(receivedMs),
+				lastSentAtMs: getTime(sentMs),
+				lastUsedAtMs: getTime(usedMs),
+			};
+			const {state: next, effects} = reducePeerLink(state, event);
+			const [expected, actions] = transition(peerLinkMachine, state, event);
+			expect([next.value, next.context]).toEqual([expected.value, expected.context]);
+			expect(effects).toEqual(actions.filter(({type}) => type === 'perform').map(({params}) => params));
+			state = next;
+		}
+	}), {seed, numRuns: numberRuns});
+});
--- a/packages/core/src/peer-link/reduce-peer-link.ts
+++ b/packages/core/src/peer-link/reduce-peer-link.ts
@@ -34,6 +34,11 @@
  * @returns The next state, and the effects for the shell in order.
  */
 export function reducePeerLink(state: PeerLinkState, event: PeerLinkEvent): Step<PeerLinkState, PeerLinkEffect> {
+	// `transition` creates an actor each time, and nearly all ticks change nothing.
+	if (event.type === 'peerLink/tick' && !state.can(event)) {
+		return {state, effects: []};
+	}
+
 	const [next, actions] = transition(peerLinkMachine, state, event);
 	return {state: next, effects: actions.map(({params}) => params).filter(parameters => isPeerLinkEffect(parameters))};
 }
