The leader asks for the workers that run without listing all minions

Cause: listSwitchedOff listed all running workers with their kind, runs and usability to learn which workers have a minion, and was called about five times a tick (moves, maintenance, and twice for the balance of the pools). A look for changes of the minions read each session's record from the ledger and made two lists of some 250, each 100 ms and at each change.

Change: the registry of sessions knows the workers that have a minion; the look compares keys and the number of entries; the absence of a minion is computed only for minions that have been out of contact for the shorter of the two limits. No decision changes.

--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -277,6 +277,10 @@
 
 	const dropAbsentMinions = () => {
 		for (const session of sessions.values()) {
+			if (timers.getNow() - session.getLastContactAtMs() <= minionAbsenceTimeoutMs) {
+				continue;
+			}
+
 			const hasRuns = (getLedger().incarnations.get(session.record.life)?.runs.size ?? 0) > 0;
 			const absenceMs = session.hasUnblockedLapsedRuns() ? lapsedStartAbsenceTimeoutMs : minionAbsenceTimeoutMs;
 			if (!hasRuns && timers.getNow() - session.getLastContactAtMs() > absenceMs) {
@@ -304,6 +308,7 @@
 			runCount: getLedger().incarnations.get(record.life)?.runs.size ?? 0,
 			isMovable: isUsable(),
 		})),
+		isRunning: sessions.hasWorker,
 		listPoolBalances: () => pools.listPoolBalances(),
 		isStandbyPool: pool => getLedger().configuration?.pools.some(definition => definition.isStandby && definition.pool === pool) ?? false,
 		isCordonedForMaintenance: worker => maintenance.isCordoned(worker),
--- a/packages/daemon/src/scheduler/session-registry.ts
+++ b/packages/daemon/src/scheduler/session-registry.ts
@@ -1,7 +1,7 @@
 /**
  * The leader's minion sessions, one for each minion incarnation in the ledger.
  */
-import type {PoolId} from '@samphiremill/common';
+import type {PoolId, WorkerId} from '@samphiremill/common';
 import type {Ledger, IncarnationId, MinionRecord} from '@samphiremill/core';
 import type {MinionSession} from './minion-session.js';
 
@@ -9,6 +9,8 @@
 export type SessionRegistry = {
 	readonly get: (life: IncarnationId) => MinionSession | undefined;
 	readonly values: () => Iterable<MinionSession>;
+	/** Whether the worker has a minion with a session. */
+	readonly hasWorker: (worker: WorkerId) => boolean;
 	/** Returns the sessions of one pool. */
 	readonly listPool: (pool: PoolId) => Iterable<MinionSession>;
 	/** Opens sessions for incarnations that joined the ledger and closes those of incarnations that left it. */
@@ -24,39 +26,60 @@
 }): SessionRegistry {
 	const sessions = new Map<IncarnationId, MinionSession>();
 	const byPool = new Map<PoolId, Set<MinionSession>>();
+	const byWorker = new Map<WorkerId, Set<MinionSession>>();
+
+	const getOrAdd = <Key>(index: Map<Key, Set<MinionSession>>, key: Key): Set<MinionSession> => {
+		const known = index.get(key) ?? new Set();
+		index.set(key, known);
+		return known;
+	};
 
 	const add = (record: MinionRecord) => {
 		const session = open(record);
 		sessions.set(record.life, session);
-		const poolSessions = byPool.get(record.pool) ?? new Set();
-		byPool.set(record.pool, poolSessions);
-		poolSessions.add(session);
+		getOrAdd(byPool, record.pool).add(session);
+		getOrAdd(byWorker, record.worker).add(session);
 	};
 
 	const remove = (session: MinionSession) => {
+		const {life, pool, worker} = session.record;
 		session.close();
-		sessions.delete(session.record.life);
-		byPool.get(session.record.pool)?.delete(session);
+		sessions.delete(life);
+		byPool.get(pool)?.delete(session);
+		const left = byWorker.get(worker);
+		left?.delete(session);
+		if (left?.size === 0) {
+			byWorker.delete(worker);
+		}
 	};
 
 	return {
 		get: life => sessions.get(life),
 		values: () => sessions.values(),
+		hasWorker: worker => byWorker.has(worker),
 		listPool: pool => byPool.get(pool) ?? [],
 		sync() {
 			const {incarnations} = getLedger();
-			const endedSessions = [...sessions.values()].filter(({record}) => !incarnations.has(record.life));
-			const newIncarnations = [...incarnations.values()].filter(({record}) => !sessions.has(record.life));
-			if (endedSessions.length === 0 && newIncarnations.length === 0) {
-				return;
+			let hasChanged = false;
+			for (const [life, session] of sessions) {
+				if (!incarnations.has(life)) {
+					remove(session);
+					hasChanged = true;
+				}
 			}
 
-			for (const session of endedSessions) {
-				remove(session);
+			// No incarnation is missing if there are as many as sessions, each of which is of one.
+			if (sessions.size !== incarnations.size) {
+				for (const [life, {record}] of incarnations) {
+					if (!sessions.has(life)) {
+						add(record);
+						hasChanged = true;
+					}
+				}
 			}
 
-			for (const {record} of newIncarnations) {
-				add(record);
+			if (!hasChanged) {
+				return;
 			}
 
 			retainAddresses(new Set([...sessions.values()].map(({record}) => record.address)));
--- a/packages/daemon/src/scheduler/worker-moves.test.ts
+++ b/packages/daemon/src/scheduler/worker-moves.test.ts
@@ -9,7 +9,7 @@
 import {expect, test} from 'vitest';
 import {firstWorkerOrderDelayMs, leaderTickPeriodMs} from './constants.js';
 import {createSchedulerMetrics} from './metrics.js';
-import type {WorkerOrderResult} from './types.js';
+import type {ListedWorker, WorkerOrderResult} from './types.js';
 import {createWorkerMoves} from './worker-moves.js';
 import {createWorkerOrders} from './worker-orders.js';
 
@@ -27,12 +27,22 @@
 	setImmediate(resolve);
 });
 
+const listed: readonly ListedWorker[] = [
+	{
+		worker, pool: standbyPool, state: 'up', millicores: 8000,
+	},
+	{
+		worker: toBrand<WorkerId>('worker-2'), pool: standbyPool, state: 'up', millicores: 8000,
+	},
+];
+
 // The plan moves the worker out of its pool whenever no long-running task waits there.
 const start = () => {
 	const timers = createVirtualTimerService();
 	let result: WorkerOrderResult = 'throttled';
 	let waitingLastingCount = 0;
 	let orderCount = 0;
+	let listCount = 0;
 	const carryOut = async () => {
 		orderCount += 1;
 		await new Promise<void>(resolve => {
@@ -47,13 +57,17 @@
 			debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined,
 		},
 		metrics: createSchedulerMetrics(),
-		workers: {beginUpkeep: carryOut, moveToPool: carryOut, list: async () => createSuccess([])},
+		workers: {beginUpkeep: carryOut, moveToPool: carryOut, list: async () => createSuccess(listed)},
 		orders: createWorkerOrders({
 			self: toBrand<NodeId>('host-1'), term: 1, timers, turnMs: 3300, getLedger: createLedger, getLastOrderAtMs: () => 0, canAct: () => true, commit: async () => true,
 		}),
-		listRunning: () => [{
-			worker, life, pool, millicores: 8000, kind: '', runCount: 0, isMovable: true,
-		}],
+		listRunning() {
+			listCount += 1;
+			return [{
+				worker, life, pool, millicores: 8000, kind: '', runCount: 0, isMovable: true,
+			}];
+		},
+		isRunning: other => other === worker,
 		listPoolBalances: () => [createBalance({pool, isStandby: false, waitingLastingCount}), createBalance({pool: standbyPool, isStandby: true, waitingLastingCount: 0})],
 		isStandbyPool: other => other === standbyPool,
 		isCordonedForMaintenance: () => false,
@@ -74,6 +88,7 @@
 			waitingLastingCount = count;
 		},
 		countOrders: () => orderCount,
+		countLists: () => listCount,
 		async advance(durationMs: number) {
 			for (let passedMs = 0; passedMs < durationMs; passedMs += 10) {
 				timers.advance(10);
@@ -116,3 +131,14 @@
 	await world.advance(1000);
 	expect(world.moves.isCordoned(worker)).toBe(false);
 });
+
+test('the running workers are listed once a tick, however often the workers that are switched off are asked for', async () => {
+	const world = start();
+	world.setWaiting(1);
+	await world.advance(firstWorkerOrderDelayMs + 1000);
+	const before = world.countLists();
+	expect(world.moves.listSwitchedOff().map(row => row.worker)).toEqual(['worker-2']);
+	expect(world.countLists() - before).toBe(0);
+	world.moves.tick();
+	expect(world.countLists() - before).toBe(1);
+});
--- a/packages/daemon/src/scheduler/worker-moves.ts
+++ b/packages/daemon/src/scheduler/worker-moves.ts
@@ -34,6 +34,8 @@
 	readonly workers: WorkerPort;
 	readonly orders: WorkerOrders;
 	readonly listRunning: () => readonly RunningWorker[];
+	/** Whether the worker is among the running ones. */
+	readonly isRunning: (worker: WorkerId) => boolean;
 	readonly listPoolBalances: () => readonly PoolBalance[];
 	readonly isStandbyPool: (pool: PoolId) => boolean;
 	/** Whether the worker is drained for maintenance. */
@@ -70,7 +72,7 @@
 	readonly isUncertain: boolean;
 };
 
-export function createWorkerMoves({timers, log, metrics, workers, orders, listRunning, listPoolBalances, isStandbyPool, isCordonedForMaintenance, moveMs, areEarlierPlansSettled, planWorkerMoves, term, commit, onChanged}: WorkerMovesOptions): WorkerMoves {
+export function createWorkerMoves({timers, log, metrics, workers, orders, listRunning, isRunning, listPoolBalances, isStandbyPool, isCordonedForMaintenance, moveMs, areEarlierPlansSettled, planWorkerMoves, term, commit, onChanged}: WorkerMovesOptions): WorkerMoves {
 	const active = new Map<WorkerId, ActiveMove>();
 	const idleSince = new Map<WorkerId, number>();
 	const refusedAtMs = new Map<WorkerId, number>();
@@ -80,12 +82,7 @@
 
 	const isAvailable = (worker: WorkerId) => !active.has(worker) && !isCordonedForMaintenance(worker) && orders.canOrder(worker) && timers.getNow() - (refusedAtMs.get(worker) ?? Number.NEGATIVE_INFINITY) > refusedMoveDelayMs;
 
-	const getSwitchedOnWorkers = () => new Set(listRunning().map(({worker}) => worker));
-
-	const listSwitchedOff = () => {
-		const on = getSwitchedOnWorkers();
-		return listedWorkers.filter(({worker, pool, state}) => isStandbyPool(pool) && state === 'up' && !on.has(worker));
-	};
+	const listSwitchedOff = () => listedWorkers.filter(({worker, pool, state}) => state === 'up' && !isRunning(worker) && isStandbyPool(pool));
 
 	const refreshList = async () => {
 		isListing = true;
