Session ticks and cordons ask the cheap question first

Change: the lease is asked first; lists are read in place. No decision changes. No test of its own: nothing can be counted from outside the session but canAct, which the existing tests of sessions cover.

--- a/packages/daemon/src/scheduler/maintenance-controller.ts
+++ b/packages/daemon/src/scheduler/maintenance-controller.ts
@@ -67,10 +67,16 @@
 	});
 
 	// The maintenance may start at any moment, also before the first tick of a new leader.
-	const isOrdered = (worker: WorkerId) => [...getLedger().waves.values()].some(({ordered}) => {
-		const order = ordered.get(worker);
-		return order !== undefined && order.begunAtMs === undefined;
-	});
+	const isOrdered = (worker: WorkerId) => {
+		for (const {ordered} of getLedger().waves.values()) {
+			const order = ordered.get(worker);
+			if (order !== undefined && order.begunAtMs === undefined) {
+				return true;
+			}
+		}
+
+		return false;
+	};
 
 	// The last known state of a minion that does not answer may be out of date, so its runs don't count as serving.
 	const isServing = (task: Task) => task.runs.some(({life}) => {
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -509,7 +509,7 @@
 
 	// Tracks runs that an earlier leader assigned, or that this leader assigned without learning of the commit.
 	const adoptUnknownRuns = () => {
-		for (const [task, number] of listLedgerRuns()) {
+		for (const [task, number] of context.getLedger().incarnations.get(record.life)?.runs ?? []) {
 			if (isAssigned(task, number) && trackedRuns.get(task)?.assignment.run !== number) {
 				trackedRuns.set(task, createTrackedRun({task, run: number, life: record.life}, {isInherited: true}));
 			}
@@ -589,7 +589,7 @@
 
 			if (lateStartGuard.isSuperseded()) {
 				void lateStartGuard.handleNextIncarnation();
-			} else if (!isExpiringLease && context.canAct() && lease.isExpired(isSynced) && listExpiredRuns().length > 0) {
+			} else if (!isExpiringLease && lease.isExpired(isSynced) && context.canAct() && listExpiredRuns().length > 0) {
 				void expireLease();
 			}
 		},
