A property over one false answer of a minion and what happens to it afterwards

Ten well-formed false answers (an unknown end, another start, 421, "fenced", clocks an hour ahead and at 5 ms, to hold and start calls), each followed by a silence, a cut, a restart, a crash or nothing: no rule is broken and all tasks run afterwards.

--- a/packages/daemon/src/scheduler/odd-answers.test.ts
+++ b/packages/daemon/src/scheduler/odd-answers.test.ts
@@ -2,12 +2,13 @@
 import {createSeededRandom} from '@samphiremill/common';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {createTestWorld} from './test-world.js';
+import {createTestWorld, type TestWorld} from './test-world.js';
 import type {MinionPort} from './types.js';
 
 const seed = Number(process.env.SAMPHIREMILL_SEED ?? 35);
 const numberRuns = Number(process.env.SAMPHIREMILL_RUNS ?? 15);
 
+const hourMs = 3_600_000;
 const oddMinionAddress = '10.0.0.1:80';
 
 type Call = keyof Omit<MinionPort, 'retain'>;
@@ -138,17 +139,19 @@
 	};
 };
 
+const listUnknownEnd = (answer: Readonly<Record<string, unknown>>) => {
+	const report = answer.value as {readonly finished: readonly unknown[]}; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the value of an answer to a hold call
+	return {
+		...answer, value: {
+			...report, finished: [...report.finished, {
+				number: 40, task: 'x.0.0.0', run: 1, ending: 'done', checkpoint: '',
+			}],
+		},
+	};
+};
+
 test('one listed end of an unknown run with a high number does not make completed tasks run again', async () => {
-	const {world, arm} = createWorldWithOneOddAnswer(answer => {
-		const report = answer.value as {readonly finished: readonly unknown[]}; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the value of an answer to a hold call
-		return {
-			...answer, value: {
-				...report, finished: [...report.finished, {
-					number: 40, task: 'x.0.0.0', run: 1, ending: 'done', checkpoint: '',
-				}],
-			},
-		};
-	});
+	const {world, arm} = createWorldWithOneOddAnswer(listUnknownEnd);
 	await world.advance(2000);
 	world.submit([{count: 6, isLasting: true}]);
 	world.submit([{count: 4, estimateMs: 3000}]);
@@ -164,7 +167,6 @@
 });
 
 test('one clock reading that is an hour ahead does not keep the tasks of a minion that dies from another', async () => {
-	const hourMs = 3_600_000;
 	const {world, arm} = createWorldWithOneOddAnswer(answer => ({...answer, clockMs: Number(answer.clockMs) + hourMs}));
 	await world.advance(2000);
 	const {id} = world.submit([{count: 3, isLasting: true}]);
@@ -177,7 +179,6 @@
 });
 
 test('a first clock reading that is an hour ahead does not keep the tasks of a minion that dies from another for good', async () => {
-	const hourMs = 3_600_000;
 	const {world, arm} = createWorldWithOneOddAnswer(answer => ({...answer, clockMs: Number(answer.clockMs) + hourMs}));
 	arm();
 	await world.advance(2000);
@@ -190,7 +191,6 @@
 });
 
 test.each([0, 200, 400])('the tasks of a minion that is silent after one clock reading that is an hour ahead do not run twice (silent after %i ms)', async delayMs => {
-	const hourMs = 3_600_000;
 	const {world, arm, isArmed} = createWorldWithOneOddAnswer(answer => ({...answer, clockMs: Number(answer.clockMs) + hourMs}));
 	await world.advance(2000);
 	world.submit([{count: 3, isLasting: true}]);
@@ -301,3 +301,68 @@
 		isArmed: false, runs: 6, cancelled: 0, violations: [],
 	});
 });
+
+const falseAnswers: ReadonlyArray<readonly [Call, (answer: Readonly<Record<string, unknown>>) => unknown]> = [
+	['hold', listUnknownEnd],
+	['hold', nameOtherStart],
+	['hold', () => ({type: 'otherLife'})],
+	['start', () => ({type: 'otherLife'})],
+	['hold', answer => ({...answer, value: 'fenced'})],
+	['start', answer => ({...answer, value: {type: 'refused', reason: 'fenced'}})],
+	['hold', answer => ({...answer, clockMs: Number(answer.clockMs) + hourMs})],
+	['start', answer => ({...answer, clockMs: Number(answer.clockMs) + hourMs})],
+	['hold', answer => ({...answer, clockMs: 5})],
+	['start', answer => ({...answer, clockMs: 5})],
+];
+
+const happenings = {
+	silence(world: TestWorld) {
+		world.silence(0, 60_000);
+	},
+	shortSilence(world: TestWorld) {
+		world.silence(0, 4000);
+	},
+	restart(world: TestWorld) {
+		world.restart(0);
+	},
+	cut(world: TestWorld) {
+		world.cutFromLeader(0, 5000);
+	},
+	crash(world: TestWorld) {
+		world.crash(0);
+	},
+	nothing: () => undefined,
+};
+
+test('one false answer of a minion, and what may happen to it afterwards, break no rule', async () => {
+	await fc.assert(fc.asyncProperty(fc.constantFrom(...falseAnswers), fc.record({
+		seed: fc.integer({min: 1, max: 1000}),
+		phaseMs: fc.integer({min: 0, max: 700}),
+		silentAfterMs: fc.integer({min: 0, max: 1500}),
+		after: fc.constantFrom<keyof typeof happenings>('silence', 'shortSilence', 'restart', 'cut', 'crash', 'nothing'),
+	}), async ([call, alter], {seed: worldSeed, phaseMs, silentAfterMs, after}) => {
+		let isArmed = false;
+		const world = createTestWorld({
+			seed: worldSeed,
+			minionCount: 3,
+			alterPort: port => disturbPort(port, (called, answer) => {
+				if (!isArmed || called !== call || typeof answer !== 'object' || answer === null || !('value' in answer)) {
+					return answer;
+				}
+
+				isArmed = false;
+				return alter({...answer});
+			}),
+		});
+		await world.advance(2000);
+		const early = world.submit([{count: 6, isLasting: true}]);
+		await world.advance(1000 + phaseMs);
+		isArmed = true;
+		const late = world.submit([{count: 4, estimateMs: 500}, {count: 3, isLasting: true, dependsOn: [0]}]);
+		await world.advance(silentAfterMs);
+		happenings[after](world);
+		await world.advance(20_000);
+		expect(world.listViolations()).toEqual([]);
+		expect([world.countRuns(early.id), world.countRuns(late.id)]).toEqual([6, 3]);
+	}), {seed, numRuns: numberRuns});
+});
