--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -2,7 +2,7 @@
  * The leader's session with one incarnation of a minion. It renews the lease, sends orders for the runs, and processes
  * the minion's listings of its runs.
  */
-import {describeError, waitFor} from '@samphiremill/common';
+import {describeError, waitAtMost, waitFor} from '@samphiremill/common';
 import {
 	findTask, getInheritedLeaseMs, getRunLimit, getStep, isLateRunEnd, isSuspectedSlow, recordSlowness, recordRunDone, recordRunFailed, initialMinionHealth, initialMinionSpeed,
 	type MinionHealth, type MinionSpeed, type MinionRecord, type RunAssignment, type RunEnd, type Task, type TaskId,
@@ -359,7 +359,7 @@
 		pendingEndsCommit ??= commitListedEnds(report, sentAtMs).finally(() => {
 			pendingEndsCommit = undefined;
 		});
-		await Promise.race([pendingEndsCommit, waitFor(timers, holdWaitMs)]);
+		await waitAtMost(timers, holdWaitMs, pendingEndsCommit);
 		startUnsentRuns();
 		if (!wasSynced) {
 			context.onMinionsChanged();
--- a/packages/daemon/src/scheduler/start-attribution.ts
+++ b/packages/daemon/src/scheduler/start-attribution.ts
@@ -2,7 +2,7 @@
  * Attributes the starts that a session sends to its incarnation of the minion. An answer to a start names no
  * incarnation, but the clock of each incarnation begins anew, so an answer with an earlier clock came from another one.
  */
-import {waitFor, type TimerService} from '@samphiremill/common';
+import {waitAtMost, type TimerService} from '@samphiremill/common';
 import {startAnswerWaitMs} from './constants.js';
 import type {MinionAnswer, StartResult} from './types.js';
 
@@ -48,7 +48,7 @@
 		async listDoubtful() {
 			const pending = [...unanswered];
 			if (pending.length > 0) {
-				await Promise.race([Promise.all(pending), waitFor(timers, startAnswerWaitMs)]);
+				await waitAtMost(timers, startAnswerWaitMs, Promise.all(pending));
 			}
 
 			// Starts that were sent during the wait do not count, or a busy minion would always have one.
