--- a/packages/core/src/replica/snapshots.ts
+++ b/packages/core/src/replica/snapshots.ts
@@ -85,13 +85,18 @@
 	type: 'replica/pullSnapshot', index, offset,
 });
 
-// The sender has a newer snapshot and no longer the one being fetched, or it has stopped answering. The leader's offer
-// goes before those of others, since it gives up a learner that makes no progress with it.
+// The sender has a newer snapshot and no longer the one being fetched, or it has stopped answering. The leader goes before
+// others, since it gives up a learner that makes no progress with it; its transfer ends only by the stall, or slow
+// transfers from two senders would end each other again and again.
 const isReplacedBy = (current: IncomingSnapshot, offer: {readonly from: NodeId; readonly index: number}, {leader, nowMs}: {readonly leader: NodeId | undefined; readonly nowMs: number}) => {
 	if (current.from === offer.from) {
 		return offer.index > current.index;
 	}
 
+	if (current.from === leader) {
+		return false;
+	}
+
 	const progressedAtMs = current.stallDeadlineMs - snapshotStallTimeoutMs;
 	return offer.from === leader || nowMs - progressedAtMs >= requestResendIntervalMs;
 };
