A request that leaves the queue of a link unsent ends as not sent; an answer that fits into no frame as an error

Callers saw 504 for what had certainly not run: a request that waited for a link was dropped after 1 s, or when the send buffer was full, and ended 1.2 s later as one that may have been carried out; an answer of more than a frame was dropped, and the caller waited its whole timeout.

--- a/packages/daemon/src/peers/rpc.ts
+++ b/packages/daemon/src/peers/rpc.ts
@@ -25,6 +25,8 @@
 	readonly request: (req: OutgoingPeerRequest) => Promise<RequestResult>;
 	/** Settles the request that this answer from a peer belongs to. */
 	readonly receiveResponse: (from: NodeId, res: JSONRPCResponse) => void;
+	/** Settles a request that was queued and then dropped with `peer/notSent`. */
+	readonly failUnsent: (id: JSONRPCID) => void;
 	/** Settles the pending requests to this peer with `peer/noAnswer`. */
 	readonly failPending: (peer: NodeId) => void;
 };
@@ -74,6 +76,9 @@
 				? createSuccess<unknown>(result)
 				: createFailure({type: 'peer/failed', message: error.message}));
 		},
+		failUnsent(id) {
+			settle(id, createFailure({type: 'peer/notSent'}));
+		},
 		failPending(peer) {
 			for (const [id, {to}] of pending) {
 				if (to === peer) {
--- a/packages/daemon/src/peers/transport.ts
+++ b/packages/daemon/src/peers/transport.ts
@@ -13,7 +13,7 @@
 	type ConnectionId, type NodeAddress, type PeerLinkEffect, type PeerLinkEvent, type PeerLinkState,
 } from '@samphiremill/core';
 import {
-	createJSONRPCNotification, isJSONRPCRequest, isJSONRPCResponse, type JSONRPCRequest,
+	createJSONRPCErrorResponse, createJSONRPCNotification, isJSONRPCRequest, isJSONRPCResponse, JSONRPCErrorCode, type JSONRPCRequest,
 } from 'json-rpc-2.0';
 import {createPeerConnection, type PeerConnection, type PeerConnectionOptions} from './connection.js';
 import {
@@ -110,14 +110,23 @@
 		return outcome === 'sent';
 	};
 
+	const isExpired = ({queuedAtMs}: QueuedMessage) => timers.getNow() - queuedAtMs > queuedMessageLifetimeMs;
+
+	const failIfRequest = ({payload: {id}}: QueuedMessage) => {
+		if (id !== undefined) {
+			rpc.failUnsent(id);
+		}
+	};
+
 	const flushQueue = (peer: NodeId) => {
 		const queuedMessages = links.get(peer)?.queuedMessages ?? [];
 		updateLink(peer, {queuedMessages: []});
-		for (const {queuedAtMs, payload} of queuedMessages) {
-			if (timers.getNow() - queuedAtMs <= queuedMessageLifetimeMs) {
-				write(peer, payload);
-			} else {
+		for (const message of queuedMessages) {
+			if (isExpired(message)) {
 				counters.add('droppedMessages');
+				failIfRequest(message);
+			} else if (!write(peer, message.payload)) {
+				failIfRequest(message);
 			}
 		}
 	};
@@ -242,7 +251,10 @@
 
 	const answer = async (from: NodeId, req: JSONRPCRequest) => {
 		const res = await answerRequest({from, rpc: req}, options.onRequest);
-		findUpConnection(from)?.send(res);
+		const connection = findUpConnection(from);
+		if (connection?.send(res) === 'tooLarge') {
+			connection.send(createJSONRPCErrorResponse(req.id ?? '', JSONRPCErrorCode.InternalError, 'the answer does not fit into a frame'));
+		}
 	};
 
 	const handleFrame = (from: NodeId, frame: unknown): boolean => {
@@ -288,9 +300,13 @@
 	const rpc = createPeerRpc({timers, counters, send: sendPayload});
 
 	const dropExpiredMessages = (peer: NodeId, queuedMessages: readonly QueuedMessage[]) => {
-		const unexpired = queuedMessages.filter(({queuedAtMs}) => timers.getNow() - queuedAtMs <= queuedMessageLifetimeMs);
-		counters.add('droppedMessages', queuedMessages.length - unexpired.length);
+		const unexpired = queuedMessages.filter(message => !isExpired(message));
+		const expired = queuedMessages.filter(message => isExpired(message));
+		counters.add('droppedMessages', expired.length);
 		updateLink(peer, {queuedMessages: unexpired});
+		for (const message of expired) {
+			failIfRequest(message);
+		}
 	};
 
 	const tickLink = (peer: NodeId, {state, queuedMessages}: Link) => {
