--- a/packages/daemon/src/peers/odd-frames.test.ts
+++ b/packages/daemon/src/peers/odd-frames.test.ts
@@ -7,28 +7,21 @@
 import process from 'node:process';
 import {createVirtualTimerService, toBrand, type NodeId} from '@samphiremill/common';
 import fc from 'fast-check';
-import {afterEach, expect, test} from 'vitest';
+import {expect, test} from 'vitest';
 import {createFrameDecoder, encodeFrame} from './frames.js';
 import {
 	createHello, createNonce, createProof, type HandshakeMessage, type LinkEnd,
 } from './handshake.js';
 import {
-	advanceUntil, createTestAddress, createTestPeer, getFreePort,
+	advanceUntil, alpha, beta, createTestAddress, createTestPeer, getFreePort, runAfterEach,
 } from './test-cluster.js';
 
 const seed = Number(process.env.SAMPHIREMILL_SEED ?? 35);
 const numberRuns = Number(process.env.SAMPHIREMILL_RUNS ?? 60);
-const alpha = toBrand<NodeId>('alpha');
-const beta = toBrand<NodeId>('beta');
 const secret = 'cluster secret';
 const maximumBytes = 1024 * 1024;
 const nestingDepth = 200_000;
-let cleanups: Array<() => unknown> = [];
-
-afterEach(async () => {
-	await Promise.all(cleanups.map(async cleanup => cleanup()));
-	cleanups = [];
-});
+const cleanUp = runAfterEach();
 
 const frameText = (text: string | Uint8Array): Uint8Array => {
 	const body = Buffer.from(text);
@@ -61,7 +54,7 @@
 		},
 	});
 	const right = createTestPeer({self: addresses[1], peers: addresses, timers});
-	cleanups.push(left.transport.close, right.transport.close);
+	cleanUp(left.transport.close, right.transport.close);
 	await Promise.all([left.transport.start(), right.transport.start()]);
 	await advanceUntil(timers, () => right.transport.listLinkedPeers().length === 1);
 	const isGood = async () => {
@@ -80,7 +73,7 @@
 const linkAs = async (node: string, port: number, first: readonly Uint8Array[] = []): Promise<Socket> => {
 	const socket = connect({host: '127.0.0.1', port});
 	socket.on('error', () => undefined);
-	cleanups.push(() => socket.destroy());
+	cleanUp(() => socket.destroy());
 	await once(socket, 'connect');
 	const self: LinkEnd = {node: toBrand<NodeId>(node), incarnation: 5, nonce: createNonce()};
 	socket.write(encodeFrame(createHello({from: self, to: alpha})));
@@ -153,7 +146,7 @@
 	const {port, isGood} = await startTransport();
 	const socket = connect({host: '127.0.0.1', port});
 	socket.on('error', () => undefined);
-	cleanups.push(() => socket.destroy());
+	cleanUp(() => socket.destroy());
 	await once(socket, 'connect');
 	socket.write(encodeFrame(createHello({from: {node: toBrand<NodeId>(node), incarnation: 1, nonce: createNonce()}, to: alpha})));
 	expect(await isGood()).toBe(true);
--- a/packages/daemon/src/peers/test-cluster.ts
+++ b/packages/daemon/src/peers/test-cluster.ts
@@ -11,6 +11,7 @@
 	type VirtualTimerService,
 } from '@samphiremill/common';
 import type {NodeAddress} from '@samphiremill/core';
+import {afterEach} from 'vitest';
 import {createPeerTransport} from './transport.js';
 import type {PeerLinkChange, PeerTransport, PeerTransportOptions} from './types.js';
 
@@ -29,6 +30,27 @@
 	readonly close: () => void;
 };
 
+/** The two nodes of most tests. */
+export const alpha = toBrand<NodeId>('alpha');
+export const beta = toBrand<NodeId>('beta');
+
+/** Whether the peer has exactly one link that is up. */
+export function isLinked({transport}: TestPeer): boolean {
+	return transport.listLinkedPeers().length === 1;
+}
+
+/** Runs the given actions after each test of the file. Returns a function that adds actions. */
+export function runAfterEach(): (...actions: ReadonlyArray<() => unknown>) => void {
+	let cleanups: Array<() => unknown> = [];
+	afterEach(async () => {
+		await Promise.all(cleanups.map(async cleanup => cleanup()));
+		cleanups = [];
+	});
+	return (...actions) => {
+		cleanups.push(...actions);
+	};
+}
+
 /** Finds a free port of the loopback interface. The port is not reserved. */
 export async function getFreePort(): Promise<number> {
 	const server = createServer();
--- a/packages/daemon/src/peers/transport.test.ts
+++ b/packages/daemon/src/peers/transport.test.ts
@@ -3,26 +3,15 @@
 import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createVirtualTimerService, toBrand, type NodeId} from '@samphiremill/common';
-import {afterEach, expect, test} from 'vitest';
+import {expect, test} from 'vitest';
 import {maximumFrameBytes} from './constants.js';
 import {encodeFrame} from './frames.js';
 import {createHello, createNonce} from './handshake.js';
 import {
-	advanceUntil, createTestAddress, createTestPeer, createTestRelay, getFreePort, type TestPeer,
+	advanceUntil, alpha, beta, createTestAddress, createTestPeer, createTestRelay, getFreePort, isLinked, runAfterEach,
 } from './test-cluster.js';
 
-const alpha = toBrand<NodeId>('alpha');
-const beta = toBrand<NodeId>('beta');
-let cleanups: Array<() => unknown> = [];
-
-afterEach(async () => {
-	await Promise.all(cleanups.map(async cleanup => cleanup()));
-	cleanups = [];
-});
-
-function isLinked({transport}: TestPeer): boolean {
-	return transport.listLinkedPeers().length === 1;
-}
+const cleanUp = runAfterEach();
 
 async function startPair(options: {
 	readonly alpha?: Partial<Parameters<typeof createTestPeer>[0]>;
@@ -36,7 +25,7 @@
 	const right = createTestPeer({
 		self: addresses[1], peers: addresses, timers, ...options.beta,
 	});
-	cleanups.push(left.transport.close, right.transport.close);
+	cleanUp(left.transport.close, right.transport.close);
 	await Promise.all([left.transport.start(), right.transport.start()]);
 	return {
 		timers, left, right, addresses,
@@ -80,7 +69,7 @@
 	const self = createTestAddress('alpha', await getFreePort());
 	const left = createTestPeer({self, peers: [{...address, peerPort: relay.port}], timers});
 	const right = createTestPeer({self: address, peers: [{...self, peerPort: 9}], timers});
-	cleanups.push(left.transport.close, right.transport.close, relay.close);
+	cleanUp(left.transport.close, right.transport.close, relay.close);
 	await Promise.all([left.transport.start(), right.transport.start()]);
 	await advanceUntil(timers, () => isLinked(left) && isLinked(right));
 	relay.muteOpenConnections();
@@ -170,7 +159,7 @@
 	const left = createTestPeer({
 		self, peers: [], timers, resolvePeer: node => ({...address, node}),
 	});
-	cleanups.push(left.transport.close);
+	cleanUp(left.transport.close);
 	await left.transport.start();
 	for (let count = 0; count < helloCount; count += 1) {
 		const socket = connect({host: '127.0.0.1', port: self.peerPort});
@@ -197,7 +186,7 @@
 		self, peers: [], timers, resolvePeer: node => ({...address, node}),
 	});
 	const right = createTestPeer({self: address, peers: [self], timers});
-	cleanups.push(left.transport.close);
+	cleanUp(left.transport.close);
 	await Promise.all([left.transport.start(), right.transport.start()]);
 	await advanceUntil(timers, () => isLinked(left) && isLinked(right));
 	expect(left.transport.getCounters().dials).toBe(0);
--- a/packages/daemon/src/peers/waiting-requests.test.ts
+++ b/packages/daemon/src/peers/waiting-requests.test.ts
@@ -5,24 +5,15 @@
 import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createVirtualTimerService, toBrand, type NodeId} from '@samphiremill/common';
-import {afterEach, expect, test} from 'vitest';
+import {expect, test} from 'vitest';
 import {maximumFrameBytes, queuedMessageLifetimeMs} from './constants.js';
 import {encodeFrame} from './frames.js';
 import {createHello, createNonce} from './handshake.js';
 import {
-	advanceUntil, createTestAddress, createTestPeer, getFreePort, type TestPeer,
+	advanceUntil, alpha, beta, createTestAddress, createTestPeer, getFreePort, isLinked, runAfterEach,
 } from './test-cluster.js';
 
-const alpha = toBrand<NodeId>('alpha');
-const beta = toBrand<NodeId>('beta');
-let cleanups: Array<() => unknown> = [];
-
-afterEach(async () => {
-	await Promise.all(cleanups.map(async cleanup => cleanup()));
-	cleanups = [];
-});
-
-const isLinked = ({transport}: TestPeer) => transport.listLinkedPeers().length === 1;
+const cleanUp = runAfterEach();
 
 const startPair = async (onRequest: () => Promise<unknown> = async () => 'done') => {
 	const timers = createVirtualTimerService();
@@ -31,7 +22,7 @@
 	const right = createTestPeer({
 		self: addresses[1], peers: addresses, timers, onRequest,
 	});
-	cleanups.push(left.transport.close, right.transport.close);
+	cleanUp(left.transport.close, right.transport.close);
 	return {
 		timers, left, right, addresses,
 	};
@@ -87,7 +78,7 @@
 	const left = createTestPeer({
 		self: address, peers: [], timers, resolvePeer: node => ({...address, node, peerPort: 9}),
 	});
-	cleanups.push(left.transport.close);
+	cleanUp(left.transport.close);
 	await left.transport.start();
 	for (const name of ['ghost-1', 'ghost-2', 'ghost-3']) {
 		const socket = connect({host: '127.0.0.1', port: address.peerPort});
