--- a/review/stand-ins/system.js
+++ b/review/stand-ins/system.js
@@ -238,6 +238,14 @@
 			await rm(folder, {recursive: true, force: true});
 		},
 	};
+	// The processes must not outlive the script.
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.once(signal, async () => {
+			await system.close();
+			process.exit(2);
+		});
+	}
+
 	return system;
 }
 /* eslint-enable camelcase */
