--- a/review/stand-ins/minion.js
+++ b/review/stand-ins/minion.js
@@ -2,7 +2,12 @@
  * A stand-in for a minion, by the page on the protocol: it reports itself, runs work units under a lease, and refuses what
  * the page says. Work units run for the milliseconds that their `taskSpec` names; those whose spec is `lasts` run on.
  */
+import {spawn} from 'node:child_process';
 import {once} from 'node:events';
+import {connect} from 'node:net';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {call, serve} from './http.js';
 
 const heartbeatMs = 1500;
@@ -11,8 +16,36 @@
 // A machine without power does not respond.
 const neverAnswer = once(new EventTarget(), 'answer');
 
-/** Starts a minion. `record` takes one line for each start and end; `listControls` returns the control addresses. */
-export async function startMinion({id, service, host, port, zone, controlPort, listControls, record, stopMs = 100, maxHoldMs = 6000}) {
+const connectWaitMs = 40;
+const mostQueued = 64;
+
+const startFront = async (...args) => {
+	const front = spawn(process.execPath, [path.join(import.meta.dirname, 'front.js'), ...args.map(String)], {stdio: ['ignore', 'pipe', 'inherit']});
+	await once(front.stdout, 'data');
+	return front;
+};
+
+// Opens connections until one hangs. Returns all of them.
+const fillQueue = async (host, port) => {
+	const sockets = [];
+	for (let count = 0; count < mostQueued; count++) {
+		const socket = connect({host, port});
+		socket.on('error', () => undefined);
+		sockets.push(socket);
+		await sleep(connectWaitMs / 4); // eslint-disable-line no-await-in-loop -- one after the other
+		if (socket.connecting) {
+			await sleep(connectWaitMs); // eslint-disable-line no-await-in-loop -- one after the other
+			if (socket.connecting) {
+				break;
+			}
+		}
+	}
+
+	return sockets;
+};
+
+/** Starts a minion. If it has a `backHost`, it listens there, behind a process that can lose power. `record` takes one line for each start and end; `listControls` returns the control addresses. */
+export async function startMinion({id, service, host, port, zone, controlPort, listControls, record, stopMs = 100, maxHoldMs = 6000, backHost}) {
 	const bornMs = Date.now();
 	const startedMs = performance.now();
 	const runs = new Map();
@@ -132,7 +165,7 @@
 		};
 	};
 
-	const server = await serve({host, port}, async (path, body, req) => {
+	const server = await serve({host: backHost ?? host, port}, async (path, body, req) => {
 		if (isGone) {
 			return neverAnswer;
 		}
@@ -205,6 +238,8 @@
 		}
 	};
 
+	const front = backHost === undefined ? undefined : await startFront(host, port, backHost, port);
+	let queued = [];
 	let isReporting = false;
 	const reportOnce = async () => {
 		if (!isReporting) {
@@ -231,7 +266,7 @@
 			onHold = () => undefined;
 		},
 		/** Loses power for good: everything that runs ends, and nothing is answered any more. */
-		lose() {
+		async lose() {
 			isGone = true;
 			record(`minion ${id} is lost for good, with ${runs.size} runs`);
 			for (const {timer} of runs.values()) {
@@ -239,11 +274,21 @@
 			}
 
 			runs.clear();
+			front?.kill('SIGSTOP');
+			if (front !== undefined) {
+				queued = await fillQueue(host, port);
+				record(`minion ${id}: new connections hang after ${queued.length}`);
+			}
 		},
 		close() {
 			isStopped = true;
 			clearInterval(reportTimer);
 			clearInterval(leaseTimer);
+			front?.kill('SIGKILL');
+			for (const socket of queued) {
+				socket.destroy();
+			}
+
 			server.closeAllConnections();
 			server.close();
 		},
--- a/review/stand-ins/system.js
+++ b/review/stand-ins/system.js
@@ -202,6 +202,7 @@
 		controls: controlHosts.map((host, index) => createProcess(`core-${index + 1}`, host, {isControl: true, zone: zones[index % 3]})),
 		entries: entryHosts.map((host, index) => createProcess(`edge-${index + 1}`, host, {isControl: false, zone: zones[index % 3]})),
 		minionHost: `${network}.201`,
+		backHost: `${network}.202`,
 		network,
 		/** A machine that replaces another one: a new address and an empty disk. */
 		createReplacement(zone) {
