--- a/packages/core/src/replica/leader-stall.ts
+++ b/packages/core/src/replica/leader-stall.ts
@@ -7,6 +7,7 @@
 import {getQuorumValue, hasVoter} from './quorum.js';
 import type {ReplicaContext} from './replica-step.js';
 import type {Leadership, ReplicaConfig, ReplicaState} from './types.js';
+import {recordSnapshotChunk} from './peer-traffic.js';
 import {getVoterProgress} from './voter-progress.js';
 
 /**
@@ -64,7 +65,7 @@
 		...state,
 		leadership: {
 			...leadership,
-			progress: leadership.progress.set(from, {...progress, syncedAtMs: nowMs}),
+			progress: leadership.progress.set(from, {...recordSnapshotChunk(progress), syncedAtMs: nowMs}),
 			activity: isVoter ? {...leadership.activity, progressedAtMs: nowMs, leaseHeldAtMs: nowMs} : leadership.activity,
 		},
 	};
--- a/packages/core/src/replica/replication.ts
+++ b/packages/core/src/replica/replication.ts
@@ -16,6 +16,7 @@
 import {
 	enterTerm, getElectionDeadline, stepDown, transitionRole,
 } from './roles.js';
+import {createPeerTraffic, recordRejection} from './peer-traffic.js';
 import {sendNewEntries, sendRound, setProgress} from './sending.js';
 import type {
 	Leadership, LogEntry, LogPayload, PeerProgress, ReplicaConfig, ReplicaState, StoreId, VoterIdentity,
@@ -33,6 +34,8 @@
 	syncedAtMs: sinceMs,
 	ackedSentAtMs: Number.NEGATIVE_INFINITY,
 	echo: undefined,
+	traffic: createPeerTraffic(),
+	highestSentIndex: 0,
 });
 
 const getPeers = <Command>(
@@ -194,7 +197,7 @@
 		// A delayed rejection must not revert what the peer has acknowledged since.
 		const nextIndex = Math.max(progress.matchIndex, message.receivedIndex) + 1;
 		return {
-			...acknowledged, nextIndex, receivedIndex: nextIndex - 1, inFlight: 0,
+			...recordRejection(acknowledged), nextIndex, receivedIndex: nextIndex - 1, inFlight: 0,
 		};
 	}
 
--- a/packages/core/src/replica/sending.ts
+++ b/packages/core/src/replica/sending.ts
@@ -5,6 +5,7 @@
 import {
 	createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
+import {recordRewind, recordSentEntries} from './peer-traffic.js';
 import type {Leadership, PeerProgress, ReplicaState} from './types.js';
 
 /**
@@ -88,7 +89,7 @@
 	const nextIndex = progress.nextIndex + message.entries.length;
 	const inFlight = progress.inFlight + (message.entries.length > 0 ? 1 : 0);
 	return createStep(
-		setProgress(state, peer, {...progress, nextIndex, inFlight}),
+		setProgress(state, peer, recordSentEntries({...progress, nextIndex, inFlight}, message.entries, context.cfg.measureEntry)),
 		[createSend(peer, message), ...offer],
 	);
 }
@@ -124,7 +125,7 @@
 	const isWaiting = progress.nextIndex > progress.receivedIndex + 1;
 	const isOverdue = nowMs - progress.lastAckMs > cfg.limits.retransmitTimeoutMs;
 	return isWaiting && isOverdue && progress.lastAckMs > 0
-		? {...progress, nextIndex: progress.receivedIndex + 1, inFlight: 0}
+		? {...recordRewind(progress), nextIndex: progress.receivedIndex + 1, inFlight: 0}
 		: progress;
 };
 
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -145,6 +145,21 @@
 /** The current role of a replica. An observer neither votes nor counts towards a quorum. */
 export type ReplicaRole = 'observer' | 'follower' | 'preCandidate' | 'candidate' | 'leader';
 
+/** What a leader has sent to one peer since it keeps the peer's progress. */
+export type PeerTraffic = {
+	/** Messages with entries. */
+	readonly messages: number;
+	/** Bytes of the entries; 0 if entries are not measured. */
+	readonly bytes: number;
+	/** Entries that had been sent before. */
+	readonly repeatedEntries: number;
+	/** Messages that the peer rejected because entries before them were missing. */
+	readonly rejections: number;
+	/** How often unanswered messages counted as lost. */
+	readonly rewinds: number;
+	readonly snapshotChunks: number;
+};
+
 /** The leader's view of one voter or learner. */
 export type PeerProgress = {
 	/** Only answers from this data folder count. */
@@ -163,6 +178,9 @@
 	readonly ackedSentAtMs: number;
 	/** When the peer sent its newest answer, on the peer's own clock. */
 	readonly echo: ConfirmationEcho | undefined;
+	readonly traffic: PeerTraffic;
+	/** The highest index that was sent to the peer. */
+	readonly highestSentIndex: number;
 };
 
 /** A change to the voter set. */
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -401,11 +401,29 @@
 		});
 	};
 
+	// What was sent to the learner tells why it caught up slowly; it is unknown once the change has failed.
+	const describeCatchUp = (change: VoterChange) => {
+		const {leadership, log: replicaLog, snapshot} = replica.getState();
+		return {
+			sent: change.type === 'add' ? leadership?.progress.get(change.voter.node)?.traffic : undefined,
+			logEntries: getLastIndex(replicaLog) - replicaLog.baseIndex,
+			snapshotLength: snapshot?.data.length ?? 0,
+		};
+	};
+
 	const changeVoters = async (change: VoterChange, term: number) => {
 		changingInTerm = term;
-		log.info('the voters change', {change, voters: replica.getState().voters.map(({node}: VoterIdentity) => node)});
+		const changedAtMs = timers.getNow();
+		const {droppedMessages} = transport.getCounters();
+		log.info('the voters change', {change, voters: replica.getState().voters.map(({node}: VoterIdentity) => node), ...describeCatchUp(change)});
 		const result = await replica.changeVoters(change);
-		log.info(`the change of voters ${result.ok ? 'succeeded' : 'failed'}`, {change, ...(!result.ok && {err: result.err})});
+		log.info(`the change of voters ${result.ok ? 'succeeded' : 'failed'}`, {
+			change,
+			...(!result.ok && {err: result.err}),
+			tookMs: Math.round(timers.getNow() - changedAtMs),
+			droppedMessages: transport.getCounters().droppedMessages - droppedMessages,
+			...describeCatchUp(change),
+		});
 		changingInTerm = changingInTerm === term ? undefined : changingInTerm;
 		if (result.ok) {
 			maintainVoters();
