--- a/packages/core/src/replica/constants.ts
+++ b/packages/core/src/replica/constants.ts
@@ -1,5 +1,7 @@
 import type {ReplicaLimits} from './types.js';
 
+const bytesPerMebibyte = 1_048_576;
+
 /** Default intervals and limits, for entry hosts with a one-way latency of up to 100 ms. */
 export const defaultReplicaLimits: ReplicaLimits = {
 	heartbeatPeriodMs: 250,
@@ -20,7 +22,12 @@
 	upstreamRetryMs: 5000,
 	learnerTimeoutMs: 60_000,
 	snapshotEveryEntries: 1000,
+	minimumSnapshotBytes: 4 * bytesPerMebibyte,
+	maximumSnapshotBytes: 16 * bytesPerMebibyte,
+	maximumLogBytes: 32 * bytesPerMebibyte,
 	trailingEntries: 500,
+	trailingBytes: 8 * bytesPerMebibyte,
+	maximumUncommittedBytes: 8 * bytesPerMebibyte,
 	maximumBatchEntries: 64,
 	maximumBatchBytes: 262_144,
 	maximumInFlightMessages: 4,
@@ -54,6 +61,9 @@
 /** A snapshot transfer without progress is aborted after this time. */
 export const snapshotStallTimeoutMs = 2000;
 
+/** The bytes of further entries, for each UTF-16 code unit of a snapshot, after which the next one is due. */
+export const entryBytesPerSnapshotLength = 2;
+
 /** How many snapshots are left out, at most, while a peer fetches the present one. */
 export const maximumDeferredSnapshots = 2;
 
--- a/packages/core/src/replica/create-replica.ts
+++ b/packages/core/src/replica/create-replica.ts
@@ -5,7 +5,7 @@
 import {createStep, type ReplicaContext, type ReplicaStep} from './replica-step.js';
 import {getElectionDeadline, reconcileRole} from './roles.js';
 import type {
-	LogEntry, RecoveredReplica, ReplicaLog, ReplicaSnapshot, ReplicaState,
+	LogEntry, RecoveredReplica, ReplicaConfig, ReplicaLog, ReplicaSnapshot, ReplicaState,
 } from './types.js';
 
 // The product of these two stays within the integers that a number represents exactly.
@@ -15,15 +15,16 @@
 const restoreLog = <Command>(
 	entries: ReadonlyArray<LogEntry<Command>>,
 	snapshot: ReplicaSnapshot | undefined,
+	measureEntry: ReplicaConfig['measureEntry'],
 ): ReplicaLog<Command> => {
 	const [first] = entries;
 	if (snapshot === undefined || first === undefined || first.index > snapshot.index) {
 		const base = snapshot ?? {index: 0, term: 0};
-		return appendEntries(createLog<Command>(base, snapshot?.requests), entries);
+		return appendEntries(createLog<Command>(base, snapshot?.requests), entries, measureEntry);
 	}
 
 	const compacted = snapshot.requests.filter(({index}) => index <= first.index);
-	return appendEntries(createLog<Command>(first, compacted), entries.slice(1));
+	return appendEntries(createLog<Command>(first, compacted), entries.slice(1), measureEntry);
 };
 
 /**
@@ -39,7 +40,7 @@
 ): ReplicaStep<Command> {
 	const {nowMs} = context;
 	const {hardState, snapshot, entries}: RecoveredReplica<Command> = recovered ?? {hardState: {term: 0}, entries: []};
-	const log = restoreLog(entries, snapshot);
+	const log = restoreLog(entries, snapshot, context.cfg.measureEntry);
 	const processIncarnation = Math.floor(context.cfg.random() * incarnationCount);
 	const {voters, index} = getLatestVoters(log, {voters: snapshot?.voters ?? [], index: snapshot?.index ?? 0});
 	const state: ReplicaState<Command> = {
--- a/packages/core/src/replica/following.ts
+++ b/packages/core/src/replica/following.ts
@@ -42,7 +42,7 @@
 	const hasConflict = first.index <= getLastIndex(state.log);
 	const retainedLog = hasConflict ? truncateLog(state.log, first.index) : state.log;
 	const isVoterSetAffected = hasConflict || newEntries.some(({payload}) => payload.type === 'voters');
-	const next = {...state, log: appendEntries(retainedLog, newEntries)};
+	const next = {...state, log: appendEntries(retainedLog, newEntries, context.cfg.measureEntry)};
 	return persistState(
 		reconcileRole(isVoterSetAffected ? setVotersFromLog(next) : next, context),
 		context,
--- a/packages/core/src/replica/log.ts
+++ b/packages/core/src/replica/log.ts
@@ -1,7 +1,7 @@
 import {List, Map as ImmutableMap} from 'immutable';
 import {maximumRememberedRequests} from './constants.js';
 import type {
-	IndexedRequest, LogEntry, ReplicaConfig, ReplicaLog, RequestId, VoterIdentity,
+	IndexedRequest, LogEntry, ReplicaConfig, ReplicaLimits, ReplicaLog, RequestId, VoterIdentity,
 } from './types.js';
 
 /**
@@ -18,6 +18,8 @@
 		baseIndex: base.index,
 		baseTerm: base.term,
 		entries: List(),
+		endOffsets: List(),
+		baseOffset: 0,
 		compactedRequests: List(requests),
 		requests: ImmutableMap(requests.map(({requestId, index}) => [requestId, index] as const)),
 	};
@@ -55,37 +57,56 @@
 	return log.entries.slice(Math.max(0, range.from - log.baseIndex - 1), Math.max(0, range.until - log.baseIndex - 1)).toArray();
 }
 
+// The offset behind an entry. What is compacted counts as before the first retained entry.
+const getEndOffset = <Command>({baseIndex, baseOffset, endOffsets}: ReplicaLog<Command>, index: number): number => index <= baseIndex
+	? baseOffset
+	: endOffsets.get(index - baseIndex - 1) ?? endOffsets.last() ?? baseOffset;
+
+/**
+ * Returns the bytes of the retained entries after one index up to another; 0 if entries are not measured.
+ *
+ * @param range - The index before the first entry, and the index of the last one.
+ */
+export function getBytesBetween<Command>(log: ReplicaLog<Command>, {after, upTo}: {readonly after: number; readonly upTo: number}): number {
+	return Math.max(0, getEndOffset(log, upTo) - getEndOffset(log, after));
+}
+
 /**
  * Returns as many entries as one message may hold. A peer would drop a message above its size limit each time
  * and never catch up.
  *
- * @param cfg - The limits of a message and the function that measures an entry.
+ * @param cfg - The limits of a message.
  * @param range - The first index and the index after the last one that may be sent.
  */
 export function getMessageEntries<Command>(
 	log: ReplicaLog<Command>,
-	{measureEntry, limits: {maximumBatchEntries, maximumBatchBytes}}: ReplicaConfig,
+	{limits}: ReplicaConfig,
 	{from, until}: {readonly from: number; readonly until: number},
 ): ReadonlyArray<LogEntry<Command>> {
-	const entries = getEntries(log, {from, until: Math.min(until, from + maximumBatchEntries)});
-	return measureEntry === undefined ? entries : limitEntriesBySize(entries, {measureEntry, maximumBytes: maximumBatchBytes});
+	const lastIndex = getLastMessageIndex(log, limits, {previousIndex: from - 1, lastIndex: until - 1});
+	return getEntries(log, {from, until: lastIndex + 1});
 }
 
 /**
- * Returns as many of the first entries as stay within the size limit, but at least one.
+ * Returns the index of the last entry that one message may hold. A message holds at least one entry: a single one that is larger than
+ * the limit still fits into a frame.
  *
- * @param limits - The function that measures an entry, and the maximum total size, in bytes.
+ * @param limits - The maximum numbers of entries and of their bytes in a message.
+ * @param previousIndex - The index before the first entry of the message.
+ * @param lastIndex - The last index that may be sent.
  */
-export function limitEntriesBySize<Command>(
-	entries: ReadonlyArray<LogEntry<Command>>,
-	{measureEntry, maximumBytes}: {readonly measureEntry: (entry: LogEntry<unknown>) => number; readonly maximumBytes: number},
-): ReadonlyArray<LogEntry<Command>> {
-	let bytes = 0;
-	const firstExcluded = entries.findIndex((entry, position) => {
-		bytes += measureEntry(entry);
-		return position > 0 && bytes > maximumBytes;
-	});
-	return firstExcluded === -1 ? entries : entries.slice(0, firstExcluded);
+export function getLastMessageIndex<Command>(
+	log: ReplicaLog<Command>,
+	{maximumBatchEntries, maximumBatchBytes}: Pick<ReplicaLimits, 'maximumBatchEntries' | 'maximumBatchBytes'>,
+	{previousIndex, lastIndex}: {readonly previousIndex: number; readonly lastIndex: number},
+): number {
+	const longest = Math.min(lastIndex, previousIndex + maximumBatchEntries);
+	let index = Math.min(longest, previousIndex + 1);
+	while (index < longest && getBytesBetween(log, {after: previousIndex, upTo: index + 1}) <= maximumBatchBytes) {
+		index += 1;
+	}
+
+	return index;
 }
 
 const getRequests = <Command>(entries: Iterable<LogEntry<Command>>): readonly IndexedRequest[] =>
@@ -111,9 +132,24 @@
  * Returns the log with entries appended.
  *
  * @param entries - Entries that follow the last one without a gap.
+ * @param measureEntry - Returns the bytes of an entry. Without it, no entry counts towards a limit in bytes.
  */
-export function appendEntries<Command>(log: ReplicaLog<Command>, entries: ReadonlyArray<LogEntry<Command>>): ReplicaLog<Command> {
-	return {...log, entries: log.entries.push(...entries), requests: addRequests(log.requests, getRequests(entries))};
+export function appendEntries<Command>(
+	log: ReplicaLog<Command>,
+	entries: ReadonlyArray<LogEntry<Command>>,
+	measureEntry: ReplicaConfig['measureEntry'],
+): ReplicaLog<Command> {
+	let offset = log.endOffsets.last() ?? log.baseOffset;
+	const endOffsets = entries.map(entry => {
+		offset += measureEntry?.(entry) ?? 0;
+		return offset;
+	});
+	return {
+		...log,
+		entries: log.entries.push(...entries),
+		endOffsets: log.endOffsets.push(...endOffsets),
+		requests: addRequests(log.requests, getRequests(entries)),
+	};
 }
 
 /**
@@ -126,6 +162,7 @@
 	return {
 		...log,
 		entries: log.entries.take(size),
+		endOffsets: log.endOffsets.take(size),
 		requests: removeRequests(log.requests, getRequests(log.entries.skip(size))),
 	};
 }
@@ -147,11 +184,33 @@
 		baseIndex: newBaseIndex,
 		baseTerm,
 		entries: log.entries.skip(count),
+		endOffsets: log.endOffsets.skip(count),
+		baseOffset: getEndOffset(log, newBaseIndex),
 		compactedRequests: compacted.takeLast(maximumRememberedRequests),
 		requests: removeRequests(log.requests, compacted.skipLast(maximumRememberedRequests)),
 	};
 }
 
+/**
+ * Returns the index up to which entries may be removed behind a snapshot. The newest ones are kept for peers that are a little
+ * behind; a peer that is further behind gets the snapshot.
+ *
+ * @param snapshotIndex - The last index of the snapshot.
+ * @param limits - The maximum numbers of entries, and of their bytes, to keep.
+ */
+export function getCompactionIndex<Command>(
+	log: ReplicaLog<Command>,
+	snapshotIndex: number,
+	{trailingEntries, trailingBytes}: Pick<ReplicaLimits, 'trailingEntries' | 'trailingBytes'>,
+): number {
+	let index = Math.min(snapshotIndex, Math.max(log.baseIndex, snapshotIndex - trailingEntries));
+	while (index < snapshotIndex && getBytesBetween(log, {after: index, upTo: snapshotIndex}) > trailingBytes) {
+		index += 1;
+	}
+
+	return index;
+}
+
 /**
  * Returns the newest proposals up to an index, oldest first.
  *
--- a/packages/core/src/replica/proposals.ts
+++ b/packages/core/src/replica/proposals.ts
@@ -1,12 +1,13 @@
 import {assertNever, type NodeId} from '@samphiremill/common';
 import {requestResendIntervalMs} from './constants.js';
+import {getBytesBetween, getLastIndex} from './log.js';
 import type {ForwardedMessage, ForwardMessage} from './messages.js';
 import {appendAsLeader} from './replication.js';
 import {
 	chainSteps, createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
 import type {
-	PendingProposal, ReplicaEffect, ReplicaFailure, ReplicaState, RequestId,
+	PendingProposal, ReplicaConfig, ReplicaEffect, ReplicaFailure, ReplicaState, RequestId,
 } from './types.js';
 
 const failProposal = <Command>(
@@ -17,6 +18,10 @@
 	type: 'replica/proposalFailed', requestId, failure, leader: state.leader,
 }]);
 
+// While no majority syncs, a leader's log must not grow with each proposal that is made meanwhile.
+const hasRoom = <Command>({log, commitIndex}: ReplicaState<Command>, {limits}: ReplicaConfig) =>
+	getBytesBetween(log, {after: commitIndex, upTo: getLastIndex(log)}) < limits.maximumUncommittedBytes;
+
 const appendOnce = <Command>(
 	state: ReplicaState<Command>,
 	context: ReplicaContext,
@@ -41,6 +46,10 @@
 	}
 
 	const isLocal = isAcceptingProposals(state);
+	if (isLocal && !state.log.requests.has(requestId) && !hasRoom(state, context.cfg)) {
+		return pending.wasSent ? createStep(state) : failProposal(state, requestId, {type: 'notProposed', reason: 'busy'});
+	}
+
 	const to = state.leader === context.cfg.self ? undefined : state.leader;
 	const sent: PendingProposal<Command> = {
 		...pending,
@@ -99,8 +108,13 @@
 	}
 
 	const index = state.log.requests.get(message.requestId);
-	return index !== undefined && index <= state.commitIndex
-		? answer({type: 'committed', index})
+	if (index !== undefined && index <= state.commitIndex) {
+		return answer({type: 'committed', index});
+	}
+
+	// An earlier leader may hold the proposal, so it is not known that it has no effect.
+	return index === undefined && !hasRoom(state, context.cfg)
+		? answer({type: 'failed', failure: {type: 'unknown'}})
 		: appendOnce(state, context, message);
 }
 
--- a/packages/core/src/replica/replication.ts
+++ b/packages/core/src/replica/replication.ts
@@ -108,7 +108,7 @@
 	const voterEntry = entries.findLast(({payload}) => payload.type === 'voters');
 	const next: ReplicaState<Command> = {
 		...state,
-		log: appendEntries(state.log, entries),
+		log: appendEntries(state.log, entries, context.cfg.measureEntry),
 		...(voterEntry?.payload.type === 'voters' && {voters: voterEntry.payload.voters, votersIndex: voterEntry.index}),
 	};
 	return chainSteps(
--- a/packages/core/src/replica/snapshots.ts
+++ b/packages/core/src/replica/snapshots.ts
@@ -1,8 +1,10 @@
 import type {NodeId} from '@samphiremill/common';
-import {maximumDeferredSnapshots, requestResendIntervalMs, snapshotStallTimeoutMs} from './constants.js';
+import {
+	entryBytesPerSnapshotLength, maximumDeferredSnapshots, requestResendIntervalMs, snapshotStallTimeoutMs,
+} from './constants.js';
 import {recordSnapshotProgress} from './leader-stall.js';
 import {
-	compactLog, createLog, getLatestVoters, getRequestsUpTo, getTerm, truncateLog,
+	compactLog, createLog, getBytesBetween, getCompactionIndex, getLatestVoters, getRequestsUpTo, getTerm, truncateLog,
 } from './log.js';
 import type {PullSnapshotMessage, SnapshotChunkMessage, SnapshotOfferMessage} from './messages.js';
 import {persistState, sendWhenPersisted} from './persistence.js';
@@ -10,21 +12,33 @@
 	chainSteps, createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
 import {reconcileRole} from './roles.js';
-import type {IncomingSnapshot, ReplicaSnapshot, ReplicaState} from './types.js';
+import type {
+	IncomingSnapshot, ReplicaLimits, ReplicaSnapshot, ReplicaState,
+} from './types.js';
 
 // A new snapshot replaces the one that a peer is fetching, which then has to begin again.
 const isSendingSnapshot = <Command>({snapshotPulledAtMs}: ReplicaState<Command>, {nowMs}: ReplicaContext) =>
 	nowMs - snapshotPulledAtMs < snapshotStallTimeoutMs;
 
+// A large state gets a snapshot less often, so that writing it costs no more than a part of what the entries cost.
+const getBytesUntilSnapshot = <Command>({snapshot}: ReplicaState<Command>, {minimumSnapshotBytes, maximumSnapshotBytes}: ReplicaLimits) =>
+	Math.min(maximumSnapshotBytes, Math.max(minimumSnapshotBytes, entryBytesPerSnapshotLength * (snapshot?.data.length ?? 0)));
+
+const isSnapshotDue = <Command>(state: ReplicaState<Command>, context: ReplicaContext): boolean => {
+	const {limits} = context.cfg;
+	const after = state.snapshot?.index ?? 0;
+	const turns = isSendingSnapshot(state, context) ? 1 + maximumDeferredSnapshots : 1;
+	const bytes = getBytesBetween(state.log, {after, upTo: state.commitIndex});
+	return state.commitIndex - after >= turns * limits.snapshotEveryEntries
+		|| bytes >= Math.min(limits.maximumLogBytes, turns * getBytesUntilSnapshot(state, limits));
+};
+
 /**
- * Requests a snapshot from the host once enough entries were applied since the last one. While a peer fetches that
- * one, the new one waits, but the log does not grow without limit.
+ * Requests a snapshot from the host once enough entries, or bytes of entries, were applied since the last one. While a peer
+ * fetches that one, the new one waits, but the log does not grow without limit.
  */
 export function requestSnapshot<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
-	const {snapshotEveryEntries} = context.cfg.limits;
-	const appliedSince = state.commitIndex - (state.snapshot?.index ?? 0);
-	const dueAfter = isSendingSnapshot(state, context) ? snapshotEveryEntries * (1 + maximumDeferredSnapshots) : snapshotEveryEntries;
-	return state.isSnapshotRequested || appliedSince < dueAfter
+	return state.isSnapshotRequested || !isSnapshotDue(state, context)
 		? createStep(state)
 		: createStep({...state, isSnapshotRequested: true}, [{type: 'replica/takeSnapshot', index: state.commitIndex}]);
 }
@@ -53,7 +67,7 @@
 	const snapshot: ReplicaSnapshot = {
 		index, term, voters: getVotersAt(state, index), clusterId: state.clusterId, requests: getRequestsUpTo(state.log, index), data,
 	};
-	const log = compactLog(state.log, index - context.cfg.limits.trailingEntries);
+	const log = compactLog(state.log, getCompactionIndex(state.log, index, context.cfg.limits));
 	return persistState({...afterRequest, log, snapshot}, context, {snapshot, firstIndex: log.baseIndex + 1});
 }
 
--- a/packages/core/src/replica/test-network.ts
+++ b/packages/core/src/replica/test-network.ts
@@ -36,6 +36,10 @@
 	readonly syncMs?: {readonly least: number; readonly most: number};
 	/** Whether messages on one link arrive in the order in which they were sent, as on one connection. */
 	readonly isOrdered?: boolean;
+	/** The bandwidth of each link in each direction, and the bytes that may wait for it; a message that does not fit is dropped. */
+	readonly links?: {readonly bytesPerMs: number; readonly bufferBytes: number};
+	/** Returns what the state keeps of a command, so that snapshots stay small; by default all of it. */
+	readonly keepOfCommand?: (command: string) => string;
 	/** The probabilities in [0, 1] that a message is lost or delivered twice. */
 	readonly lossProbability?: number;
 	readonly duplicateProbability?: number;
@@ -67,6 +71,10 @@
 
 /** The numbers of messages and bytes that a node has sent and received. */
 export type NodeTraffic = {
+	/** Messages that did not fit into the buffer of their link. */
+	readonly droppedMessages: number;
+	/** The most bytes that waited for one link at a time. */
+	readonly longestQueueBytes: number;
 	readonly sentBytes: number;
 	readonly sentMessages: number;
 	readonly receivedBytes: number;
@@ -74,7 +82,7 @@
 };
 
 const emptyTraffic: NodeTraffic = {
-	sentBytes: 0, sentMessages: 0, receivedBytes: 0, receivedMessages: 0,
+	droppedMessages: 0, longestQueueBytes: 0, sentBytes: 0, sentMessages: 0, receivedBytes: 0, receivedMessages: 0,
 };
 
 /** A running test network. */
@@ -92,6 +100,8 @@
 	/** Whether both nodes run and messages pass in both directions. */
 	readonly isLinked: (left: string, right: string) => boolean;
 	readonly getStoreId: (name: string) => StoreId | undefined;
+	/** The content of the node's disk. */
+	readonly getDisk: (name: string) => PersistedState<string>;
 	/** Counts from the start, in bytes of JSON. */
 	readonly getTraffic: (name: string) => NodeTraffic;
 	readonly run: (durationMs: number) => void;
@@ -134,6 +144,7 @@
 	const limits = {...defaultReplicaLimits, ...options.limits};
 	const delayMs = options.delayMs ?? {least: 1, most: 10};
 	const syncMs = options.syncMs ?? {least: 1, most: 5};
+	const keepOfCommand = options.keepOfCommand ?? (command => command);
 	let {lossProbability = 0, duplicateProbability = 0} = options;
 	let nowMs = 0;
 	let nextRequest = 0;
@@ -142,6 +153,7 @@
 	const fullDisks = new Set<string>();
 	const pausedEvents = new Map<string, Array<() => ReplicaEvent<string>>>();
 	const lastDeliveries = new Map<string, number>();
+	const linkFreeAtMs = new Map<string, number>();
 	const syncTimes = new Map<string, {readonly least: number; readonly most: number}>();
 	const leadersByTerm = new Map<number, string>();
 	const committedEntries = new Map<number, string>();
@@ -172,6 +184,7 @@
 		nodes: replicaNodes,
 		limits,
 		random,
+		...(options.links !== undefined && {measureEntry: (entry: LogEntry<unknown>) => JSON.stringify(entry).length}),
 	});
 
 	const nodes = new Map<string, RunningNode>();
@@ -206,8 +219,34 @@
 		}
 	};
 
+	// Returns how long a message takes to leave the sender; `undefined` if it does not fit into the buffer.
+	const occupyLink = ({from, to, size}: {readonly from: string; readonly to: string; readonly size: number}): number | undefined => {
+		if (options.links === undefined) {
+			return 0;
+		}
+
+		const {bytesPerMs, bufferBytes} = options.links;
+		const link = `${from}>${to}`;
+		const freeAtMs = Math.max(nowMs, linkFreeAtMs.get(link) ?? 0);
+		const queuedBytes = ((freeAtMs - nowMs) * bytesPerMs) + size;
+		const sender = traffic.get(from) ?? emptyTraffic;
+		if (queuedBytes > bufferBytes) {
+			traffic.set(from, {...sender, droppedMessages: sender.droppedMessages + 1});
+			return undefined;
+		}
+
+		traffic.set(from, {...sender, longestQueueBytes: Math.max(sender.longestQueueBytes, queuedBytes)});
+		linkFreeAtMs.set(link, freeAtMs + (size / bytesPerMs));
+		return freeAtMs + (size / bytesPerMs) - nowMs;
+	};
+
 	const send = (from: string, to: string, message: ReplicaMessage<string>) => {
 		const size = JSON.stringify(message).length;
+		const leavingMs = occupyLink({from, to, size});
+		if (leavingMs === undefined) {
+			return;
+		}
+
 		const sender = traffic.get(from) ?? emptyTraffic;
 		traffic.set(from, {...sender, sentBytes: sender.sentBytes + size, sentMessages: sender.sentMessages + 1});
 		const receiver = traffic.get(to) ?? emptyTraffic;
@@ -219,7 +258,7 @@
 			}
 
 			const link = `${from}>${to}`;
-			const deliveryMs = Math.max(nowMs + pickBetween(random, delayMs), options.isOrdered === true ? lastDeliveries.get(link) ?? 0 : 0);
+			const deliveryMs = Math.max(nowMs + leavingMs + pickBetween(random, delayMs), options.isOrdered === true ? lastDeliveries.get(link) ?? 0 : 0);
 			lastDeliveries.set(link, deliveryMs);
 			schedule(deliveryMs - nowMs, () => {
 				if (!blockedLinks.has(link)) {
@@ -282,7 +321,7 @@
 						fail(`${name} applied entry ${entry.index} after entry ${node.applied.length}`);
 					}
 
-					node.applied.push(entry.payload.type === 'command' ? entry.payload.command : '');
+					node.applied.push(entry.payload.type === 'command' ? keepOfCommand(entry.payload.command) : '');
 				}
 
 				break;
@@ -433,6 +472,7 @@
 		isLinked: (left, right) => getNode(left).isUp && getNode(right).isUp
 			&& !blockedLinks.has(`${left}>${right}`) && !blockedLinks.has(`${right}>${left}`),
 		getStoreId: name => getNode(name).cfg.storeId,
+		getDisk: name => getNode(name).disk,
 		getTraffic: name => traffic.get(name) ?? emptyTraffic,
 		run(durationMs) {
 			const untilMs = nowMs + durationMs;
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -72,6 +72,10 @@
 	readonly baseIndex: number;
 	readonly baseTerm: number;
 	readonly entries: List<LogEntry<Command>>;
+	/** The bytes of all entries up to each retained one, counted from `baseOffset`; as many as there are entries. */
+	readonly endOffsets: List<number>;
+	/** The offset of the first retained entry, in bytes. Offsets only mean something as differences. */
+	readonly baseOffset: number;
 	/** The newest proposals whose entries are compacted, oldest first. Their number is limited. */
 	readonly compactedRequests: List<IndexedRequest>;
 	/** The index of each known proposal, so that a resent proposal is not appended twice. */
@@ -120,7 +124,16 @@
 	readonly upstreamRetryMs: number;
 	readonly learnerTimeoutMs: number;
 	readonly snapshotEveryEntries: number;
+	/** A snapshot is due after twice its bytes of further entries, within these limits. */
+	readonly minimumSnapshotBytes: number;
+	readonly maximumSnapshotBytes: number;
+	/** The maximum number of bytes of entries since the newest snapshot, also while a peer fetches it. */
+	readonly maximumLogBytes: number;
+	/** The maximum numbers of entries, and of their bytes, that are kept behind the newest snapshot. */
 	readonly trailingEntries: number;
+	readonly trailingBytes: number;
+	/** A leader with more bytes of uncommitted entries accepts no further proposal. */
+	readonly maximumUncommittedBytes: number;
 	readonly maximumBatchEntries: number;
 	/** The maximum total size of the entries in one message. A single entry may exceed it. */
 	readonly maximumBatchBytes: number;
