--- a/packages/core/src/replica/constants.ts
+++ b/packages/core/src/replica/constants.ts
@@ -31,7 +31,11 @@
 	maximumBatchEntries: 64,
 	maximumBatchBytes: 262_144,
 	maximumInFlightMessages: 4,
-	maximumChunkLength: 32_768,
+	// Half of a connection's send buffer, so that heartbeats, votes and calls always have room beside the log.
+	maximumInFlightBytes: bytesPerMebibyte,
+	maximumPushedBytes: bytesPerMebibyte / 2,
+	// At three bytes a code unit it fits into a frame, with the message around it.
+	maximumChunkLength: 262_144,
 	maximumPendingRequests: 4096,
 };
 
--- a/packages/core/src/replica/feed.ts
+++ b/packages/core/src/replica/feed.ts
@@ -3,17 +3,17 @@
 import {addConfirmationRequest} from './confirmation.js';
 import {subscriptionTimeoutMs} from './constants.js';
 import {acceptEntries} from './following.js';
-import {getMessageEntries} from './log.js';
+import {getBytesBetween, getEntries, getLastMessageIndex} from './log.js';
 import type {FeedMessage, PullMessage} from './messages.js';
 import {isVotingReplica} from './quorum.js';
 import {
 	chainSteps, createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
 import {enterTerm} from './roles.js';
-import type {ReplicaConfig, ReplicaState} from './types.js';
+import type {FeedSubscriber, ReplicaConfig, ReplicaState} from './types.js';
 import {getUpstream, recordUpstreamContact} from './upstream.js';
 
-// Sends one batch. A subscriber that lacks further entries pulls them, so a slow one is never overloaded.
+// Sends one batch. A subscriber that lacks further entries pulls them.
 const feedSubscriber = <Command>(
 	state: ReplicaState<Command>,
 	{cfg, nowMs}: ReplicaContext,
@@ -30,10 +30,11 @@
 			: [createSend(to, {type: 'replica/snapshotOffer', index: snapshot.index, length: snapshot.data.length})]);
 	}
 
-	const entries = getMessageEntries(log, cfg, {from: previousIndex + 1, until: commitIndex + 1});
+	const lastIndex = getLastMessageIndex(log, cfg.limits, {previousIndex, lastIndex: commitIndex});
+	const entries = getEntries(log, {from: previousIndex + 1, until: lastIndex + 1});
 	const sentIndex = previousIndex + entries.length;
-	const renewedAtMs = state.feed.subscribers.get(to)?.renewedAtMs ?? nowMs;
-	const subscribers = state.feed.subscribers.set(to, {sentIndex, renewedAtMs});
+	const {pulledIndex, renewedAtMs} = state.feed.subscribers.get(to) ?? {pulledIndex: previousIndex, renewedAtMs: nowMs};
+	const subscribers = state.feed.subscribers.set(to, {sentIndex, pulledIndex, renewedAtMs});
 	return createStep({...state, feed: {...state.feed, subscribers}}, [createSend(to, {
 		type: 'replica/feed', previousIndex, entries, commitIndex, clusterId, leader,
 	})]);
@@ -59,7 +60,7 @@
 		return createStep(state);
 	}
 
-	const subscribers = state.feed.subscribers.set(from, {sentIndex: lastIndex, renewedAtMs: context.nowMs});
+	const subscribers = state.feed.subscribers.set(from, {sentIndex: lastIndex, pulledIndex: lastIndex, renewedAtMs: context.nowMs});
 	const subscribed = {...state, feed: {...state.feed, subscribers}};
 	const next = token === undefined ? subscribed : addConfirmationRequest(subscribed, from, {token, receivedAtMs: context.nowMs});
 	return token === undefined || lastIndex < state.commitIndex
@@ -67,9 +68,17 @@
 		: createStep(next);
 }
 
-/** Sends newly committed entries to all subscribers that lack them. */
+// A subscriber that has not confirmed what was pushed may be slow, and what is pushed on would fill the send buffer. Its next pull, at the
+// latest the one by which it renews its subscription, brings it the rest.
+const mayPush = <Command>({log, commitIndex}: ReplicaState<Command>, {limits}: ReplicaConfig, {sentIndex, pulledIndex}: FeedSubscriber) => {
+	const lastIndex = getLastMessageIndex(log, limits, {previousIndex: sentIndex, lastIndex: commitIndex});
+	return sentIndex === pulledIndex || getBytesBetween(log, {after: pulledIndex, upTo: lastIndex}) <= limits.maximumPushedBytes;
+};
+
+/** Sends newly committed entries to all subscribers that lack them, as far as they keep up. */
 export function pushFeed<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
-	const subscribersBehind = [...state.feed.subscribers].filter(([, {sentIndex}]) => sentIndex < state.commitIndex);
+	const subscribersBehind = [...state.feed.subscribers]
+		.filter(([, subscriber]) => subscriber.sentIndex < state.commitIndex && mayPush(state, context.cfg, subscriber));
 	return chainSteps(
 		createStep(state),
 		...subscribersBehind.map(([to, {sentIndex}]) => (next: ReplicaState<Command>) =>
--- a/packages/core/src/replica/large-entries.test.ts
+++ b/packages/core/src/replica/large-entries.test.ts
@@ -10,6 +10,7 @@
 const names = ['a1', 'b1', 'c1'];
 const mebibyte = 1_048_576;
 const entryLength = 390_000;
+const largestEntryLength = 780_000;
 const entryCount = 160;
 const changePeriodMs = 270;
 const outageMs = 1500;
@@ -36,10 +37,10 @@
 		network, names, wantedVoters: 3, load: {pauseMs: {least: 5, most: 20}, padding: 500}, random: createSeededRandom(seed),
 	});
 	let changeCount = 0;
-	const changeOften = (count: number, check?: () => void) => {
+	const changeOften = (count: number, {length = entryLength, check}: {readonly length?: number; readonly check?: () => void} = {}) => {
 		for (let change = 0; change < count; change += 1) {
 			changeCount += 1;
-			network.propose(network.getLeader() ?? '', `change ${changeCount} `.padEnd(entryLength, '.'));
+			network.propose(network.getLeader() ?? '', `change ${changeCount} `.padEnd(length, '.'));
 			hosts.run(changePeriodMs);
 			check?.();
 		}
@@ -103,10 +104,28 @@
 ])('the log stays within its bytes in memory and on the disk through many large entries, while $situation', ({disturb}) => {
 	const play = startHosts(2);
 	disturb(play);
-	play.changeOften(entryCount, () => {
-		for (const bytes of play.measureLogs()) {
-			expect(bytes).toBeLessThan(maximumLogBytes);
-		}
+	play.changeOften(entryCount, {
+		check() {
+			for (const bytes of play.measureLogs()) {
+				expect(bytes).toBeLessThan(maximumLogBytes);
+			}
+		},
 	});
 	expect(play.hosts.listActing()).toHaveLength(1);
 }, 120_000);
+
+// Review of issue 44, case 1: what a peer had not answered was counted in messages, overflowed the send buffer and left again and again.
+test('a host that was away for a while gets what it lacks once, and nothing is dropped for a full send buffer', () => {
+	const {network, hosts, changeOften, getLeader} = startHosts(3);
+	changeOften(2, {length: largestEntryLength});
+	const leader = getLeader();
+	const [away = ''] = getFollowers(leader);
+	hosts.lose(away);
+	changeOften(9, {length: largestEntryLength});
+	const before = {sent: network.getTraffic(leader), received: network.getTraffic(away)};
+	hosts.restart(away);
+	expect(hosts.run(catchUpMs, () => network.getState(away).commitIndex >= network.getState(leader).commitIndex - 1)).toBe(true);
+	expect(network.getTraffic(leader).droppedMessages).toBe(before.sent.droppedMessages);
+	expect(network.getTraffic(away).receivedBytes - before.received.receivedBytes).toBeLessThan(10 * largestEntryLength);
+	expect(network.getTraffic(leader).longestQueueBytes).toBeLessThan(mebibyte + largestEntryLength);
+}, 120_000);
--- a/packages/core/src/replica/log.ts
+++ b/packages/core/src/replica/log.ts
@@ -71,22 +71,6 @@
 	return Math.max(0, getEndOffset(log, upTo) - getEndOffset(log, after));
 }
 
-/**
- * Returns as many entries as one message may hold. A peer would drop a message above its size limit each time
- * and never catch up.
- *
- * @param cfg - The limits of a message.
- * @param range - The first index and the index after the last one that may be sent.
- */
-export function getMessageEntries<Command>(
-	log: ReplicaLog<Command>,
-	{limits}: ReplicaConfig,
-	{from, until}: {readonly from: number; readonly until: number},
-): ReadonlyArray<LogEntry<Command>> {
-	const lastIndex = getLastMessageIndex(log, limits, {previousIndex: from - 1, lastIndex: until - 1});
-	return getEntries(log, {from, until: lastIndex + 1});
-}
-
 /**
  * Returns the index of the last entry that one message may hold. A message holds at least one entry: a single one that is larger than
  * the limit still fits into a frame.
--- a/packages/core/src/replica/peer-traffic.ts
+++ b/packages/core/src/replica/peer-traffic.ts
@@ -2,14 +2,12 @@
  * Counts what a leader sends to a peer, so that the log tells why a host catches up slowly: too much to send, the same entries
  * again and again, or a peer that answers late.
  */
-import type {
-	LogEntry, PeerProgress, PeerTraffic, ReplicaConfig,
-} from './types.js';
+import type {PeerProgress, PeerTraffic} from './types.js';
 
 /** Creates the counts of a peer to which nothing was sent. */
 export function createPeerTraffic(): PeerTraffic {
 	return {
-		messages: 0, bytes: 0, repeatedEntries: 0, rejections: 0, rewinds: 0, snapshotChunks: 0,
+		messages: 0, bytes: 0, lostEntries: 0, rejections: 0, rewinds: 0, snapshotChunks: 0,
 	};
 }
 
@@ -20,7 +18,7 @@
 		traffic: {
 			messages: traffic.messages + (added.messages ?? 0),
 			bytes: traffic.bytes + (added.bytes ?? 0),
-			repeatedEntries: traffic.repeatedEntries + (added.repeatedEntries ?? 0),
+			lostEntries: traffic.lostEntries + (added.lostEntries ?? 0),
 			rejections: traffic.rejections + (added.rejections ?? 0),
 			rewinds: traffic.rewinds + (added.rewinds ?? 0),
 			snapshotChunks: traffic.snapshotChunks + (added.snapshotChunks ?? 0),
@@ -29,31 +27,29 @@
 };
 
 /**
- * Counts the entries of one message.
+ * Counts a message with entries.
  *
- * @param entries - The entries sent, without a gap; a message without entries is not counted.
- * @param measureEntry - Returns the bytes of an entry.
+ * @param bytes - The bytes of the entries.
  */
-export function recordSentEntries(progress: PeerProgress, entries: ReadonlyArray<LogEntry<unknown>>, measureEntry: ReplicaConfig['measureEntry']): PeerProgress {
-	const lastIndex = entries.at(-1)?.index;
-	if (lastIndex === undefined) {
-		return progress;
-	}
-
-	const bytes = measureEntry === undefined ? 0 : entries.reduce((sum, entry) => sum + measureEntry(entry), 0);
-	const repeatedEntries = entries.filter(({index}) => index <= progress.highestSentIndex).length;
-	const highestSentIndex = Math.max(progress.highestSentIndex, lastIndex);
-	return {...addTraffic(progress, {messages: 1, bytes, repeatedEntries}), highestSentIndex};
+export function recordSentEntries(progress: PeerProgress, bytes: number): PeerProgress {
+	return addTraffic(progress, {messages: 1, bytes});
 }
 
-/** Counts a message that the peer rejected. */
+const countInFlightEntries = ({inFlight}: PeerProgress) => inFlight.reduce((sum, {previousIndex, lastIndex}) => sum + lastIndex - previousIndex, 0);
+
+/** Counts a message that the peer rejected because entries before it were missing. */
 export function recordRejection(progress: PeerProgress): PeerProgress {
 	return addTraffic(progress, {rejections: 1});
 }
 
-/** Counts unanswered messages that are taken for lost. */
+/** Counts what is in flight as lost, because the peer rejected it. */
+export function recordRejectedEntries(progress: PeerProgress): PeerProgress {
+	return addTraffic(progress, {lostEntries: countInFlightEntries(progress)});
+}
+
+/** Counts what is in flight as lost, because it was not answered. */
 export function recordRewind(progress: PeerProgress): PeerProgress {
-	return addTraffic(progress, {rewinds: 1});
+	return addTraffic(progress, {rewinds: 1, lostEntries: countInFlightEntries(progress)});
 }
 
 /** Counts a chunk of the snapshot that the peer fetched. */
--- a/packages/core/src/replica/replication.ts
+++ b/packages/core/src/replica/replication.ts
@@ -16,7 +16,7 @@
 import {
 	enterTerm, getElectionDeadline, stepDown, transitionRole,
 } from './roles.js';
-import {createPeerTraffic, recordRejection} from './peer-traffic.js';
+import {createPeerTraffic, recordRejectedEntries, recordRejection} from './peer-traffic.js';
 import {sendNewEntries, sendRound, setProgress} from './sending.js';
 import type {
 	Leadership, LogEntry, LogPayload, PeerProgress, ReplicaConfig, ReplicaState, StoreId, VoterIdentity,
@@ -28,14 +28,15 @@
 	nextIndex: lastIndex + 1,
 	matchIndex: 0,
 	receivedIndex: 0,
-	inFlight: 0,
+	inFlight: [],
+	inFlightSinceMs: 0,
+	isProbing: true,
 	ackedRound: 0,
 	lastAckMs: 0,
 	syncedAtMs: sinceMs,
 	ackedSentAtMs: Number.NEGATIVE_INFINITY,
 	echo: undefined,
 	traffic: createPeerTraffic(),
-	highestSentIndex: 0,
 });
 
 const getPeers = <Command>(
@@ -180,6 +181,20 @@
 	return nowMs >= updated.nextHeartbeatMs ? sendRound(next, context) : createStep(next);
 }
 
+// A peer rejects each message behind a gap. The first rejection tells where to continue; the ones that were on their way then
+// tell nothing new, and must not make the same entries leave again.
+const rewindRejected = (progress: PeerProgress, message: AppendedMessage, nowMs: number): PeerProgress => {
+	// A delayed rejection must not revert what the peer has acknowledged since.
+	const receivedIndex = Math.max(progress.matchIndex, message.receivedIndex);
+	const isKnown = progress.isProbing && progress.inFlight[0]?.previousIndex === receivedIndex;
+	const counted = recordRejection(progress);
+	return isKnown
+		? counted
+		: {
+			...recordRejectedEntries(counted), nextIndex: receivedIndex + 1, receivedIndex, inFlight: [], inFlightSinceMs: nowMs, isProbing: true,
+		};
+};
+
 const updateProgress = (
 	progress: PeerProgress,
 	message: AppendedMessage,
@@ -187,24 +202,23 @@
 ): PeerProgress => {
 	const acknowledged = {
 		...progress,
-		inFlight: Math.max(0, progress.inFlight - 1),
 		ackedRound: Math.max(progress.ackedRound, message.round),
 		ackedSentAtMs: Math.max(progress.ackedSentAtMs, sentAtMs ?? Number.NEGATIVE_INFINITY),
 		lastAckMs: nowMs,
 		echo: message.echo,
 	};
 	if (!message.isAccepted) {
-		// A delayed rejection must not revert what the peer has acknowledged since.
-		const nextIndex = Math.max(progress.matchIndex, message.receivedIndex) + 1;
-		return {
-			...recordRejection(acknowledged), nextIndex, receivedIndex: nextIndex - 1, inFlight: 0,
-		};
+		return rewindRejected(acknowledged, message, nowMs);
 	}
 
 	const receivedIndex = Math.max(progress.receivedIndex, message.receivedIndex);
 	const matchIndex = Math.max(progress.matchIndex, message.matchIndex);
+	const inFlight = progress.inFlight.filter(({lastIndex}) => lastIndex > receivedIndex);
 	return {
 		...acknowledged,
+		inFlight,
+		inFlightSinceMs: receivedIndex > progress.receivedIndex ? nowMs : progress.inFlightSinceMs,
+		isProbing: progress.isProbing && inFlight.length > 0,
 		matchIndex,
 		syncedAtMs: matchIndex > progress.matchIndex || matchIndex >= commitIndex ? nowMs : progress.syncedAtMs,
 		receivedIndex,
--- a/packages/core/src/replica/sending.ts
+++ b/packages/core/src/replica/sending.ts
@@ -1,12 +1,16 @@
 import type {NodeId} from '@samphiremill/common';
 import {hasLeaderLease} from './leader-lease.js';
-import {getLastIndex, getMessageEntries, getTerm} from './log.js';
+import {
+	getBytesBetween, getEntries, getLastIndex, getLastMessageIndex, getTerm,
+} from './log.js';
 import type {AppendMessage, ConfirmationEcho} from './messages.js';
 import {
 	createSend, createStep, type ReplicaContext, type ReplicaStep,
 } from './replica-step.js';
 import {recordRewind, recordSentEntries} from './peer-traffic.js';
-import type {Leadership, PeerProgress, ReplicaState} from './types.js';
+import type {
+	Leadership, PeerProgress, ReplicaLimits, ReplicaState,
+} from './types.js';
 
 /**
  * Returns the state with new progress for a peer.
@@ -25,12 +29,29 @@
 		: {...state, leadership: {...leadership, progress: leadership.progress.set(peer, progress)}};
 }
 
+// The last index of the next message to a peer. Equal to `previousIndex` if no entry may be sent now: what is in flight is bounded in
+// messages and in bytes, so that it fits into the send buffer beside the heartbeats. A peer with nothing in flight may always get one.
+const getNextLastIndex = <Command>(
+	{log}: ReplicaState<Command>,
+	{maximumInFlightMessages, maximumInFlightBytes, ...limits}: ReplicaLimits,
+	{nextIndex, receivedIndex, inFlight, isProbing}: PeerProgress,
+): number => {
+	const previousIndex = nextIndex - 1;
+	const lastIndex = getLastMessageIndex(log, limits, {previousIndex, lastIndex: getLastIndex(log)});
+	if (inFlight.length === 0) {
+		return lastIndex;
+	}
+
+	const isFull = isProbing || inFlight.length >= maximumInFlightMessages;
+	return isFull || getBytesBetween(log, {after: receivedIndex, upTo: lastIndex}) > maximumInFlightBytes ? previousIndex : lastIndex;
+};
+
 const createAppend = <Command>(
 	state: ReplicaState<Command>,
-	context: ReplicaContext,
-	{round, previousIndex, confirms}: {
+	{round, previousIndex, lastIndex, confirms}: {
 		readonly round: number;
 		readonly previousIndex: number;
+		readonly lastIndex: number;
 		readonly confirms: ConfirmationEcho | undefined;
 	},
 ): AppendMessage<Command> | undefined => {
@@ -48,14 +69,28 @@
 		round,
 		previousIndex: isCompacted ? 0 : previousIndex,
 		previousTerm: previousTerm ?? 0,
-		entries: isCompacted ? [] : getMessageEntries(state.log, context.cfg, {from: previousIndex + 1, until: getLastIndex(state.log) + 1}),
+		entries: isCompacted ? [] : getEntries(state.log, {from: previousIndex + 1, until: lastIndex + 1}),
 		commitIndex: isCompacted ? 0 : state.commitIndex,
 		...(confirms !== undefined && !isCompacted && {confirms}),
 	};
 };
 
+const addInFlight = <Command>(
+	{log}: ReplicaState<Command>,
+	{nowMs}: ReplicaContext,
+	{progress, lastIndex}: {readonly progress: PeerProgress; readonly lastIndex: number},
+): PeerProgress => {
+	const previousIndex = progress.nextIndex - 1;
+	return {
+		...recordSentEntries(progress, getBytesBetween(log, {after: previousIndex, upTo: lastIndex})),
+		nextIndex: lastIndex + 1,
+		inFlight: [...progress.inFlight, {previousIndex, lastIndex}],
+		inFlightSinceMs: progress.inFlight.length === 0 ? nowMs : progress.inFlightSinceMs,
+	};
+};
+
 /**
- * Sends a peer the entries it lacks, as one message that counts as in flight.
+ * Sends a peer one message: the next entries that it lacks, as far as they may be in flight now, or else a heartbeat.
  *
  * @param state - A leader.
  * @param peer - A voter or learner.
@@ -72,9 +107,10 @@
 	}
 
 	const previousIndex = progress.nextIndex - 1;
-	const message = createAppend(state, context, {
+	const message = createAppend(state, {
 		round: leadership.round,
 		previousIndex,
+		lastIndex: getNextLastIndex(state, context.cfg.limits, progress),
 		confirms: hasLeaderLease(state, context) ? progress.echo : undefined,
 	});
 	if (message === undefined) {
@@ -86,16 +122,14 @@
 			type: 'replica/snapshotOffer', index: state.snapshot.index, length: state.snapshot.data.length,
 		})]
 		: [];
-	const nextIndex = progress.nextIndex + message.entries.length;
-	const inFlight = progress.inFlight + (message.entries.length > 0 ? 1 : 0);
-	return createStep(
-		setProgress(state, peer, recordSentEntries({...progress, nextIndex, inFlight}, message.entries, context.cfg.measureEntry)),
-		[createSend(peer, message), ...offer],
-	);
+	const next = message.entries.length === 0
+		? state
+		: setProgress(state, peer, addInFlight(state, context, {progress, lastIndex: previousIndex + message.entries.length}));
+	return createStep(next, [createSend(peer, message), ...offer]);
 }
 
 /**
- * Sends a peer new entries until the maximum number of unanswered messages is in flight.
+ * Sends a peer new entries until as many messages or bytes are in flight as may be.
  *
  * @param state - A leader.
  * @param peer - A voter or learner.
@@ -111,7 +145,7 @@
 		const canSend = progress !== undefined
 			&& progress.nextIndex <= getLastIndex(step.state.log)
 			&& progress.nextIndex > step.state.log.baseIndex
-			&& progress.inFlight < context.cfg.limits.maximumInFlightMessages;
+			&& getNextLastIndex(step.state, context.cfg.limits, progress) >= progress.nextIndex;
 		if (!canSend) {
 			return step;
 		}
@@ -121,11 +155,14 @@
 	}
 }
 
+// What is in flight for too long counts as lost. It may still arrive, so from then on one message at a time is sent. A peer that has never
+// answered is sent nothing more.
 const rewindLostMessages = (progress: PeerProgress, {cfg, nowMs}: ReplicaContext): PeerProgress => {
-	const isWaiting = progress.nextIndex > progress.receivedIndex + 1;
-	const isOverdue = nowMs - progress.lastAckMs > cfg.limits.retransmitTimeoutMs;
-	return isWaiting && isOverdue && progress.lastAckMs > 0
-		? {...recordRewind(progress), nextIndex: progress.receivedIndex + 1, inFlight: 0}
+	const isOverdue = progress.inFlight.length > 0 && nowMs - progress.inFlightSinceMs > cfg.limits.retransmitTimeoutMs;
+	return isOverdue && progress.lastAckMs > 0
+		? {
+			...recordRewind(progress), nextIndex: progress.receivedIndex + 1, inFlight: [], isProbing: true,
+		}
 		: progress;
 };
 
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -138,6 +138,11 @@
 	/** The maximum total size of the entries in one message. A single entry may exceed it. */
 	readonly maximumBatchBytes: number;
 	readonly maximumInFlightMessages: number;
+	/** The maximum number of bytes of entries sent to a peer and not answered. A single entry may exceed it. */
+	readonly maximumInFlightBytes: number;
+	/** The maximum number of bytes of entries pushed to a subscriber that it has not confirmed by a pull. A single entry may exceed it. */
+	readonly maximumPushedBytes: number;
+	/** The maximum number of UTF-16 code units of a snapshot in one message. */
 	readonly maximumChunkLength: number;
 	readonly maximumPendingRequests: number;
 };
@@ -164,8 +169,8 @@
 	readonly messages: number;
 	/** Bytes of the entries; 0 if entries are not measured. */
 	readonly bytes: number;
-	/** Entries that had been sent before. */
-	readonly repeatedEntries: number;
+	/** Entries that were sent and then counted as lost. */
+	readonly lostEntries: number;
 	/** Messages that the peer rejected because entries before them were missing. */
 	readonly rejections: number;
 	/** How often unanswered messages counted as lost. */
@@ -173,6 +178,13 @@
 	readonly snapshotChunks: number;
 };
 
+/** A message with entries that is not answered yet. */
+export type InFlightMessage = {
+	/** The index before the first entry. */
+	readonly previousIndex: number;
+	readonly lastIndex: number;
+};
+
 /** The leader's view of one voter or learner. */
 export type PeerProgress = {
 	/** Only answers from this data folder count. */
@@ -182,7 +194,12 @@
 	readonly matchIndex: number;
 	/** The peer has received entries up to this index, synced or not. */
 	readonly receivedIndex: number;
-	readonly inFlight: number;
+	/** Oldest first. */
+	readonly inFlight: readonly InFlightMessage[];
+	/** When something was last learnt of the messages in flight, or the first of them was sent. */
+	readonly inFlightSinceMs: number;
+	/** Whether it is unknown up to which index the peer's log matches. One message at a time is sent to find out. */
+	readonly isProbing: boolean;
 	readonly ackedRound: number;
 	readonly lastAckMs: number;
 	/** When the peer last reported newly synced entries, or that it had synced everything committed. */
@@ -192,8 +209,6 @@
 	/** When the peer sent its newest answer, on the peer's own clock. */
 	readonly echo: ConfirmationEcho | undefined;
 	readonly traffic: PeerTraffic;
-	/** The highest index that was sent to the peer. */
-	readonly highestSentIndex: number;
 };
 
 /** A change to the voter set. */
@@ -336,6 +351,8 @@
 /** A node that this node feeds with committed entries. */
 export type FeedSubscriber = {
 	readonly sentIndex: number;
+	/** The index that the subscriber named in its last pull. */
+	readonly pulledIndex: number;
 	readonly renewedAtMs: number;
 };
 
