--- a/packages/daemon/src/peers/constants.ts
+++ b/packages/daemon/src/peers/constants.ts
@@ -12,5 +12,7 @@
 export const queuedMessageLifetimeMs = 1000;
 /** How often each link is checked for due heartbeats, mute connections and due retries. */
 export const linkTickPeriodMs = 200;
+/** The total length of the texts of log entries that are kept for the next peer, in UTF-16 code units. */
+export const maximumEncodedEntryLength = 4 * 1024 * 1024;
 /** The size of the length prefix of a frame. */
 export const framePrefixBytes = 4;
--- a/packages/daemon/src/peers/frames.ts
+++ b/packages/daemon/src/peers/frames.ts
@@ -3,7 +3,8 @@
  */
 import {Buffer} from 'node:buffer';
 import {createFailure, createSuccess, type Result} from '@samphiremill/common';
-import {framePrefixBytes} from './constants.js';
+import {framePrefixBytes, maximumEncodedEntryLength} from './constants.js';
+import {createTextCache, type JsonObject} from './text-cache.js';
 
 /** Takes the place of the length prefix until the length of the body is known. Each character is one byte in UTF-8. */
 const emptyPrefix = '\0'.repeat(framePrefixBytes);
@@ -29,8 +30,6 @@
 	readonly readFrame: (maximumBytes: number) => Result<DecodedFrame | undefined, FrameError>;
 };
 
-type JsonObject = Readonly<Record<string, unknown>>;
-
 // The envelope and the parameters each have another member besides the entries, so that `encodeJson` can put a comma after it.
 type MessageWithEntries = {
 	readonly method: string;
@@ -42,20 +41,14 @@
 	&& 'method' in value && 'type' in value.params
 	&& 'entries' in value.params && Array.isArray(value.params.entries);
 
-// A log entry is immutable and is sent to several peers, so it is encoded only once.
-const encodedEntries = new WeakMap<JsonObject, string>();
-
-const encodeEntry = (entry: JsonObject): string => {
-	const encoded = encodedEntries.get(entry) ?? JSON.stringify(entry);
-	encodedEntries.set(entry, encoded);
-	return encoded;
-};
+// A log entry is immutable and is sent to several peers within a short time, so it is encoded only once.
+const encodedEntries = createTextCache(JSON.stringify, maximumEncodedEntryLength);
 
 /**
- * Returns the length of a log entry in a frame, in characters.
+ * Returns the size of a log entry in a frame, in bytes.
  */
-export function getEncodedLength(entry: JsonObject): number {
-	return encodeEntry(entry).length;
+export function getEncodedBytes(entry: JsonObject): number {
+	return Buffer.byteLength(encodedEntries.encode(entry));
 }
 
 const encodeWithoutClosingBrace = (value: JsonObject) => JSON.stringify(value).slice(0, -1);
@@ -67,7 +60,7 @@
 	}
 
 	const {params: {entries, ...fields}, ...envelope} = value;
-	const encoded = entries.map(entry => encodeEntry(entry)).join(',');
+	const encoded = entries.map(entry => encodedEntries.encode(entry)).join(',');
 	return `${encodeWithoutClosingBrace(envelope)},"params":${encodeWithoutClosingBrace(fields)},"entries":[${encoded}]}}`;
 };
 
--- a/packages/daemon/src/peers/index.ts
+++ b/packages/daemon/src/peers/index.ts
@@ -1,3 +1,3 @@
 export type * from './types.js';
 export * from './transport.js';
-export {getEncodedLength} from './frames.js';
+export {getEncodedBytes} from './frames.js';
--- a/packages/daemon/src/runtime/control-host.ts
+++ b/packages/daemon/src/runtime/control-host.ts
@@ -16,6 +16,7 @@
 	type NodeAddress,
 	type ReplicaMessage,
 } from '@samphiremill/core';
+import {getEncodedBytes} from '../peers/index.js';
 import {createReplicaHost, type ReplicaHost} from '../replica-host.js';
 import type {ReplicaStore} from '../store/index.js';
 import type {StructuredLogger} from './types.js';
@@ -70,6 +71,7 @@
 			nodes: addresses.map(({node, dataCentre, isVoter}) => ({node, dataCentre, isInitialVoter: isVoter})),
 			limits: defaultReplicaLimits,
 			random,
+			measureEntry: getEncodedBytes,
 		},
 		...(store === undefined ? {} : {store}),
 		timers,
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -9,7 +9,7 @@
 	applyLedgerCommand, chooseVoterChange, controlHostReplicaLimits, createLedger, createLedgerSnapshot, getLastIndex, hasVoter, isDiskHanging, isLeaderReplaceable, listStalledVoters, restoreLedger,
 	type Ledger, type LedgerCommand, type LedgerOutcome, type NodeAddress, type ParseConfiguration, type ReplicaMessage, type VoterChange, type VoterChangeInput, type VoterIdentity,
 } from '@samphiremill/core';
-import {createPeerTransport, getEncodedLength, type PeerRequest} from '../peers/index.js';
+import {createPeerTransport, getEncodedBytes, type PeerRequest} from '../peers/index.js';
 import {createReplicaHost, type ReplicaHost} from '../replica-host.js';
 import type {StructuredLogger} from '../runtime/types.js';
 import {openReplicaStore, type ReplicaStore, type StoreError} from '../store/index.js';
@@ -191,7 +191,7 @@
 
 	const replica: ReplicaHost<LedgerCommand, LedgerOutcome> = createReplicaHost<LedgerCommand, LedgerOutcome>({
 		cfg: {
-			self, nodes: createNodes(settings.seeds), limits: controlHostReplicaLimits, random, measureEntry: getEncodedLength,
+			self, nodes: createNodes(settings.seeds), limits: controlHostReplicaLimits, random, measureEntry: getEncodedBytes,
 		},
 		store,
 		timers,
