--- a/packages/daemon/src/replica-host.ts
+++ b/packages/daemon/src/replica-host.ts
@@ -305,7 +305,7 @@
 		return {result, outcome, hasFailed: failedRequests.delete(requestId)};
 	};
 
-	const initialStep = createReplica<Command>({cfg, nowMs: timers.getNow()}, store?.recovered);
+	const initialStep = createReplica<Command>({cfg, nowMs: timers.getNow()}, store?.takeRecovered());
 	let {state} = initialStep;
 	for (const effect of initialStep.effects) {
 		if (effect.type === 'replica/installSnapshot') {
--- a/packages/daemon/src/store/failed-writes.test.ts
+++ b/packages/daemon/src/store/failed-writes.test.ts
@@ -90,7 +90,7 @@
 // Opens the folder again, and returns the last index that it holds. Everything up to it must be there.
 const recover = async (fileSystem: TestFileSystem) => {
 	const {store} = await startStore(fileSystem);
-	const {hardState, snapshot, entries} = store.recovered;
+	const {hardState, snapshot, entries} = store.takeRecovered();
 	const firstEntry = entries[0]?.index ?? (snapshot?.index ?? 0) + 1;
 	const last = entries.at(-1)?.index ?? snapshot?.index ?? 0;
 	expect(firstEntry).toBeLessThanOrEqual((snapshot?.index ?? 0) + 1);
--- a/packages/daemon/src/store/open-replica-store.ts
+++ b/packages/daemon/src/store/open-replica-store.ts
@@ -165,6 +165,19 @@
 	});
 };
 
+const createTakeOnce = <Value>(value: Value): () => Value => {
+	let kept: Value | undefined = value;
+	return () => {
+		const taken = kept;
+		kept = undefined;
+		if (taken === undefined) {
+			throw new RangeError('the recovered content was taken before');
+		}
+
+		return taken;
+	};
+};
+
 const openLockedStore = async <Command>(
 	storeFolder: StoreFolder,
 	{timers, observer}: {readonly timers: TimerService; readonly observer: StoreObserver},
@@ -186,7 +199,7 @@
 	});
 	return createSuccess({
 		storeId: storeId.value,
-		recovered: getRecoveredReplica(persistedState),
+		takeRecovered: createTakeOnce(getRecoveredReplica(persistedState)),
 		write: writer.write,
 		close: writer.close,
 	});
--- a/packages/daemon/src/store/record-codec.ts
+++ b/packages/daemon/src/store/record-codec.ts
@@ -1,6 +1,9 @@
+import {Buffer} from 'node:buffer';
 import crc32 from 'crc-32';
 
 const headerBytes = 8;
+/** Takes the place of the header until length and checksum are known. Each character is one byte in UTF-8. */
+const emptyHeader = '\0'.repeat(headerBytes);
 const sectorBytes = 512;
 
 const getChecksum = (payload: Uint8Array) => crc32.buf(payload) >>> 0; // eslint-disable-line no-bitwise -- the library gives a signed integer
@@ -9,12 +12,11 @@
  * Encodes a JSON value as a record: length, CRC-32 and JSON text.
  */
 export function encodeRecord(value: unknown): Uint8Array {
-	const payload = new TextEncoder().encode(JSON.stringify(value));
-	const record = new Uint8Array(headerBytes + payload.length);
-	const header = new DataView(record.buffer);
-	header.setUint32(0, payload.length, true);
-	header.setUint32(4, getChecksum(payload), true);
-	record.set(payload, headerBytes);
+	// The place of the header is part of the text, so that the payload is not copied.
+	const record = Buffer.from(`${emptyHeader}${JSON.stringify(value)}`);
+	const payload = record.subarray(headerBytes);
+	record.writeUInt32LE(payload.length, 0);
+	record.writeUInt32LE(getChecksum(payload), 4);
 	return record;
 }
 
--- a/packages/daemon/src/store/store.test.ts
+++ b/packages/daemon/src/store/store.test.ts
@@ -5,7 +5,7 @@
 import fc from 'fast-check';
 import {createVirtualTimerService, toBrand} from '@samphiremill/common';
 import type {
-	LogEntry, PersistedWrite, RequestId, StoreId,
+	LogEntry, PersistedWrite, RequestId, StoreId, RecoveredReplica,
 } from '@samphiremill/core';
 import {
 	afterEach, beforeEach, expect, test,
@@ -52,8 +52,9 @@
 	return opened.value;
 };
 
-const getLastRecovered = ({recovered}: ReplicaStore<string>) =>
-	recovered.entries.at(-1)?.index ?? recovered.snapshot?.index ?? 0;
+const getLastIndex = ({entries, snapshot}: RecoveredReplica<string>) => entries.at(-1)?.index ?? snapshot?.index ?? 0;
+
+const getLastRecovered = (store: ReplicaStore<string>) => getLastIndex(store.takeRecovered());
 
 // Makes eleven writes one after the other, with a snapshot after the fourth and the eighth. Returns the last acknowledged index.
 const writeWithSnapshots = async (store: ReplicaStore<string>) => {
@@ -101,8 +102,9 @@
 			fileSystem.crash(keptShare);
 			const store = await openOrThrow(fileSystem);
 			/* eslint-enable no-await-in-loop */
-			expect(getLastRecovered(store), `operation ${operation}`).toBeGreaterThanOrEqual(acknowledged);
-			expect(store.recovered.entries.map(({index}) => index).every((index, position, all) => position === 0 || index === (all[position - 1] ?? 0) + 1)).toBe(true);
+			const recovered = store.takeRecovered();
+			expect(getLastIndex(recovered), `operation ${operation}`).toBeGreaterThanOrEqual(acknowledged);
+			expect(recovered.entries.map(({index}) => index).every((index, position, all) => position === 0 || index === (all[position - 1] ?? 0) + 1)).toBe(true);
 			await store.close(); // eslint-disable-line no-await-in-loop -- one crash after the other
 		}
 	}
--- a/packages/daemon/src/store/torn-records.test.ts
+++ b/packages/daemon/src/store/torn-records.test.ts
@@ -43,7 +43,7 @@
 const getLastIndex = async (fileSystem: TestFileSystem) => {
 	const store = await openOrFail(fileSystem);
 	await store.close();
-	return store.recovered.entries.at(-1)?.index ?? 0;
+	return store.takeRecovered().entries.at(-1)?.index ?? 0;
 };
 
 const anySizes = fc.array(fc.integer({min: 1, max: 5000}), {minLength: 2, maxLength: 4});
--- a/packages/daemon/src/store/types.ts
+++ b/packages/daemon/src/store/types.ts
@@ -39,8 +39,13 @@
 export type ReplicaStore<Command> = {
 	/** Identifies the data folder. An emptied folder gets a new id. */
 	readonly storeId: StoreId;
-	/** The content of the folder when it was opened. */
-	readonly recovered: RecoveredReplica<Command>;
+	/**
+	 * Returns the content of the folder when it was opened. To be called once: the store does not keep it, so that its memory is free
+	 * when the replica needs it no longer.
+	 *
+	 * @throws RangeError at the second call.
+	 */
+	readonly takeRecovered: () => RecoveredReplica<Command>;
 	/**
 	 * Resolves once this write and all earlier ones are synced. A write that fails is tried again until the disk accepts it;
 	 * only closing the store ends it with an error. Writes that are synced together share one promise.
