--- a/packages/daemon/src/scheduler/command-batcher.test.ts
+++ b/packages/daemon/src/scheduler/command-batcher.test.ts
@@ -74,6 +74,23 @@
 	expect(nameCommands().map(names => names.length)).toEqual([2, 2]);
 });
 
+// Review of issue 44, case 2: what waited was bounded by nothing, so a log that accepts nothing filled the memory.
+test('while the log accepts nothing, commands beyond the bytes that may wait are refused at once, and the others keep their turn', async () => {
+	const {settles, submit, proposed} = createLog();
+	const configuration = 'x'.repeat(800_000);
+	const results = Array.from({length: 40}, async () => submit({type: 'configuration/replaced', document: configuration}));
+	await waitForNextTurn();
+	expect(proposed).toHaveLength(1);
+	const settled = await Promise.race([Promise.all(results.slice(25)), waitForNextTurn()]);
+	expect(settled).toEqual(Array.from({length: 15}, () => ({type: 'notProposed'})));
+	settles[0]?.({type: 'applied', outcome: {type: 'applied'}});
+	expect(await results[0]).toEqual({type: 'applied', outcome: {type: 'applied'}});
+	await waitForNextTurn();
+	expect(proposed).toHaveLength(2);
+	const later = submit({type: 'configuration/replaced', document: configuration});
+	expect(await Promise.race([later, waitForNextTurn()])).toBeUndefined();
+});
+
 test('a proposal with an unknown result settles all its commands as unknown', async () => {
 	const {settles, submit} = createLog();
 	const decisions = ['a', 'b'].map(async name => submit(cancel(name)));
--- a/packages/daemon/src/scheduler/command-batcher.ts
+++ b/packages/daemon/src/scheduler/command-batcher.ts
@@ -30,6 +30,9 @@
 const maximumCommandBytes = 917_504;
 const maximumBytesPerProposal = 524_288;
 
+/** Most bytes of the commands that wait, while the log accepts nothing. Beyond it callers are refused at once. */
+const maximumQueuedBytes = 16 * 1024 * 1024;
+
 const rejectFailed = (decision: ProposalResult): ProposalResult => {
 	if (decision.type !== 'applied' || decision.outcome?.type !== 'failed') {
 		return decision;
@@ -73,13 +76,14 @@
 
 /**
  * Creates a function that proposes a command, alone or in a batch with others. Commands are applied in the
- * order of the calls. A command that is too large for the log is not proposed.
+ * order of the calls. A command that is too large for the log, or that finds the queue full, is not proposed.
  *
  * @param propose - Proposes one command to the log. If it throws, the result of its commands is `unknown`.
  * @param onError - Called with what `propose` threw.
  */
 export function createCommandBatcher(propose: (command: LedgerCommand) => Promise<ProposalResult>, onError: (err: unknown) => void): (command: LedgerCommand) => Promise<ProposalResult> {
 	let queue: QueuedCommand[] = [];
+	let queuedBytes = 0;
 	let pendingProposalCount = 0;
 	let isFlushScheduled = false;
 
@@ -96,6 +100,7 @@
 	const proposeNext = async () => {
 		const batch = takeBatch(queue);
 		queue = queue.slice(batch.length);
+		queuedBytes -= batch.reduce((sum, {bytes}) => sum + bytes, 0);
 		pendingProposalCount += 1;
 		const [only] = batch;
 		if (only !== undefined && batch.length === 1) {
@@ -121,12 +126,13 @@
 
 	return async command => new Promise(resolve => {
 		const bytes = getBytes(command);
-		if (bytes > maximumCommandBytes) {
+		if (bytes > maximumCommandBytes || queuedBytes + bytes > maximumQueuedBytes) {
 			resolve({type: 'notProposed'});
 			return;
 		}
 
 		queue.push({command, bytes, settle: resolve});
+		queuedBytes += bytes;
 		if (!isFlushScheduled && pendingProposalCount < maximumPendingProposals) {
 			isFlushScheduled = true;
 			// Batches the commands of one turn of the event loop.
