--- a/packages/daemon/src/store/open-replica-store.ts
+++ b/packages/daemon/src/store/open-replica-store.ts
@@ -56,7 +56,7 @@
 ): Promise<Result<RecoveredContent<Command>, StoreError>> => {
 	const unexpectedFile = names.find(name => isContentFile(name) && name !== getSegmentName(1));
 	const file = path.join(folder, getSegmentName(1));
-	const firstSegment = names.includes(getSegmentName(1)) ? readSegment(file, await fileSystem.readFile(file)) : undefined;
+	const firstSegment = names.includes(getSegmentName(1)) ? await readSegment(fileSystem, file) : undefined;
 	if (unexpectedFile !== undefined || (firstSegment !== undefined && (!firstSegment.ok || firstSegment.value.nextSequence > 2))) {
 		return createDamagedError(path.join(folder, identityName), 'the folder contains a log but no identity');
 	}
@@ -90,7 +90,6 @@
 type FoundSegment<Command> = {
 	readonly name: string;
 	readonly segment: SegmentContent<Command>;
-	readonly lengthBytes: number;
 };
 
 const readNewestSegment = async <Command>(
@@ -104,14 +103,13 @@
 	}
 
 	const file = path.join(folder, name);
-	const bytes = await fileSystem.readFile(file);
-	const read = readSegment<Command>(file, bytes);
+	const read = await readSegment<Command>(fileSystem, file);
 	if (!read.ok) {
 		return read;
 	}
 
 	return read.value.hasCheckpoint
-		? createSuccess({name, segment: read.value, lengthBytes: bytes.length})
+		? createSuccess({name, segment: read.value})
 		: createDamagedError(file, 'the checkpoint at the start of the segment is incomplete');
 };
 
@@ -145,13 +143,13 @@
 		return found;
 	}
 
-	const {name, segment, lengthBytes} = found.value;
+	const {name, segment} = found.value;
 	const persistedState = await loadSnapshot(storeFolder, segment);
 	if (!persistedState.ok) {
 		return persistedState;
 	}
 
-	if (segment.validLengthBytes < lengthBytes) {
+	if (segment.validLengthBytes < segment.lengthBytes) {
 		await fileSystem.truncate(path.join(folder, name), segment.validLengthBytes);
 	}
 
--- a/packages/daemon/src/store/record-codec.ts
+++ b/packages/daemon/src/store/record-codec.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import crc32 from 'crc-32';
+import {parsePayload} from './payload-parser.js';
 
 const headerBytes = 8;
 /** Takes the place of the header until length and checksum are known. Each character is one byte in UTF-8. */
@@ -114,7 +115,26 @@
 		return classifyBadRecord(bytes, {offset, length});
 	}
 
-	return {type: 'record', value: JSON.parse(new TextDecoder().decode(payload)), nextOffset: end};
+	return {type: 'record', value: parsePayload(payload), nextOffset: end};
+}
+
+/**
+ * Reads the record at an offset if it is whole.
+ *
+ * @param read - Returns the bytes from an offset on, fewer than asked for only at the end of the file.
+ * @returns The record; `undefined` if there is none, or if it is incomplete or damaged.
+ */
+export async function readIntactRecord(read: (offset: number, lengthBytes: number) => Promise<Uint8Array>, offset: number): Promise<DecodedRecord | undefined> {
+	const prefix = await read(offset, headerBytes);
+	if (prefix.length < headerBytes) {
+		return undefined;
+	}
+
+	const {length, checksum} = readHeader(prefix, 0);
+	const payload = await read(offset + headerBytes, length);
+	return length > 0 && payload.length === length && getChecksum(payload) === checksum
+		? {type: 'record', value: parsePayload(payload), nextOffset: offset + headerBytes + length}
+		: undefined;
 }
 
 const openingBrace = 0x7B;
--- a/packages/daemon/src/store/segment.ts
+++ b/packages/daemon/src/store/segment.ts
@@ -5,7 +5,8 @@
 	applyPersistedWrite, createPersistedState, type HardState, type LogEntry, type PersistedWrite, type PersistedState, type ReplicaSnapshot,
 } from '@samphiremill/core';
 import {decodeRecord} from './record-codec.js';
-import type {StoreError} from './types.js';
+import {openRecordReader, type RecordReader} from './record-reader.js';
+import type {StoreError, StoreFileSystem} from './types.js';
 
 /** The name of the file that holds the store id. */
 export const identityName = 'identity.json';
@@ -30,6 +31,8 @@
 	readonly persistedState: PersistedState<Command>;
 	readonly snapshotIndex: number;
 	readonly nextSequence: number;
+	/** The length of the file. */
+	readonly lengthBytes: number;
 	/** The offset at which a torn tail starts; the length of the file if there is none. */
 	readonly validLengthBytes: number;
 	readonly hasCheckpoint: boolean;
@@ -52,19 +55,13 @@
 	return {...next, persistedState};
 };
 
-/**
- * Reads a segment.
- *
- * @param file - The file name, for errors.
- * @returns The content up to a torn tail, or `store/damaged` with the offset of the damage.
- */
-export function readSegment<Command>(file: string, bytes: Uint8Array): Result<SegmentContent<Command>, StoreError> {
+const readRecords = async <Command>(file: string, reader: RecordReader): Promise<Result<SegmentContent<Command>, StoreError>> => {
 	let segment: SegmentContent<Command> = {
-		persistedState: createPersistedState(), snapshotIndex: 0, nextSequence: 0, validLengthBytes: 0, hasCheckpoint: false,
+		persistedState: createPersistedState(), snapshotIndex: 0, nextSequence: 0, lengthBytes: reader.lengthBytes, validLengthBytes: 0, hasCheckpoint: false,
 	};
 	for (;;) {
 		const offset = segment.validLengthBytes;
-		const decoded = decodeRecord(bytes, offset);
+		const decoded = await reader.readRecord(offset); // eslint-disable-line no-await-in-loop -- each record tells where the next one begins
 		if (decoded.type === 'end' || decoded.type === 'torn') {
 			return createSuccess(segment);
 		}
@@ -86,6 +83,21 @@
 
 		segment = {...applyRecord(segment, record), validLengthBytes: decoded.nextOffset};
 	}
+};
+
+/**
+ * Reads a segment.
+ *
+ * @returns The content up to a torn tail, or `store/damaged` with the offset of the damage.
+ * @throws The errors of the file operations.
+ */
+export async function readSegment<Command>(fileSystem: StoreFileSystem, file: string): Promise<Result<SegmentContent<Command>, StoreError>> {
+	const reader = await openRecordReader(fileSystem, file);
+	try {
+		return await readRecords<Command>(file, reader);
+	} finally {
+		await reader.close();
+	}
 }
 
 /**
--- a/packages/daemon/src/store/store-file-system.ts
+++ b/packages/daemon/src/store/store-file-system.ts
@@ -1,7 +1,8 @@
+import {Buffer} from 'node:buffer';
 import {
 	mkdir, open, readdir, readFile, rename, rm, truncate,
 } from 'node:fs/promises';
-import type {StoreFile, StoreFileSystem} from './types.js';
+import type {StoreFile, StoreFileReader, StoreFileSystem} from './types.js';
 
 const openToAppend = async (file: string): Promise<StoreFile> => {
 	const handle = await open(file, 'a');
@@ -18,6 +19,30 @@
 	};
 };
 
+const openToRead = async (file: string): Promise<StoreFileReader> => {
+	const handle = await open(file, 'r');
+	const {size} = await handle.stat();
+	return {
+		lengthBytes: size,
+		async read(offset, lengthBytes) {
+			const buffer = Buffer.allocUnsafe(Math.max(0, Math.min(lengthBytes, size - offset)));
+			let filled = 0;
+			// `read` may return only a part of the data.
+			while (filled < buffer.length) {
+				const {bytesRead} = await handle.read(buffer, filled, buffer.length - filled, offset + filled); // eslint-disable-line no-await-in-loop -- the parts follow each other
+				if (bytesRead === 0) {
+					break;
+				}
+
+				filled += bytesRead;
+			}
+
+			return buffer.subarray(0, filled);
+		},
+		close: async () => handle.close(),
+	};
+};
+
 const syncFolder = async (folder: string) => {
 	const handle = await open(folder, 'r');
 	try {
@@ -34,6 +59,7 @@
 	},
 	listFiles: async folder => readdir(folder),
 	readFile: async file => readFile(file),
+	openToRead,
 	openToAppend,
 	truncate: async (file, length) => truncate(file, length),
 	rename: async (from, to) => rename(from, to),
--- a/packages/daemon/src/store/store.test.ts
+++ b/packages/daemon/src/store/store.test.ts
@@ -11,8 +11,11 @@
 	afterEach, beforeEach, expect, test,
 } from 'vitest';
 import {openReplicaStore} from './open-replica-store.js';
+import {storeFileSystem} from './store-file-system.js';
 import {createTestFileSystem, type TestFileSystem} from './test-file-system.js';
-import type {ReplicaStore, StoreError, StoreObserver} from './types.js';
+import type {
+	ReplicaStore, StoreError, StoreFileSystem, StoreObserver,
+} from './types.js';
 
 let folder = '';
 
@@ -204,3 +207,47 @@
 	expect(opened.length).toBe(1);
 	await Promise.all(opened.map(async start => start.value.close()));
 });
+
+// Review of issue 44, case 2: the start read whole segments, so a host that had written more than fits into memory ended at each start.
+test('a start reads a segment in parts, however long it is', async () => {
+	const command = 'x'.repeat(300_000);
+	const written = await openReplicaStore<string>({folder, timers: createVirtualTimerService(), shouldLock: false});
+	if (!written.ok) {
+		throw new Error(JSON.stringify(written.err));
+	}
+
+	for (let index = 1; index <= 20; index += 1) {
+		// eslint-disable-next-line no-await-in-loop -- each write becomes a record of its own
+		await written.value.write({hardState: {term: 1}, entries: [{index, term: 1, payload: {type: 'command', requestId: toBrand<RequestId>(`r${index}`), command}}]});
+	}
+
+	await written.value.close();
+	const readBytes: number[] = [];
+	const fileSystem: StoreFileSystem = {
+		...storeFileSystem,
+		async readFile(file) {
+			const content = await storeFileSystem.readFile(file);
+			readBytes.push(content.length);
+			return content;
+		},
+		async openToRead(file) {
+			const reader = await storeFileSystem.openToRead(file);
+			return {
+				...reader,
+				async read(offset, lengthBytes) {
+					const part = await reader.read(offset, lengthBytes);
+					readBytes.push(part.length);
+					return part;
+				},
+			};
+		},
+	};
+	const opened = await openReplicaStore<string>({
+		folder, fileSystem, timers: createVirtualTimerService(), shouldLock: false,
+	});
+	const recovered = opened.ok ? opened.value.takeRecovered().entries : [];
+	expect(recovered.map(({payload}) => payload.type === 'command' ? payload.command.length : 0))
+		.toEqual(Array.from({length: 20}, () => command.length));
+	expect(Math.max(...readBytes)).toBeLessThan(2_000_000);
+	await (opened.ok ? opened.value.close() : undefined);
+});
--- a/packages/daemon/src/store/test-file-system.ts
+++ b/packages/daemon/src/store/test-file-system.ts
@@ -103,6 +103,16 @@
 			return [...names.keys()];
 		},
 		readFile: async file => Uint8Array.from(getExisting(file).content),
+		async openToRead(file) {
+			const content = Uint8Array.from(getExisting(file).content);
+			return {
+				lengthBytes: content.length,
+				read: async (offset, lengthBytes) => content.subarray(offset, offset + lengthBytes),
+				async close() {
+					// Nothing is held open.
+				},
+			};
+		},
 		async openToAppend(file) {
 			countOperation();
 			const name = path.basename(file);
--- a/packages/daemon/src/store/types.ts
+++ b/packages/daemon/src/store/types.ts
@@ -62,11 +62,20 @@
 	readonly close: () => Promise<void>;
 };
 
+/** A file that is read in parts. */
+export type StoreFileReader = {
+	readonly lengthBytes: number;
+	/** Reads bytes from an offset on; fewer than asked for only at the end of the file. */
+	readonly read: (offset: number, lengthBytes: number) => Promise<Uint8Array>;
+	readonly close: () => Promise<void>;
+};
+
 /** The file operations that the store needs. Tests pass an implementation that fails on purpose. */
 export type StoreFileSystem = {
 	readonly createFolder: (folder: string) => Promise<void>;
 	readonly listFiles: (folder: string) => Promise<readonly string[]>;
 	readonly readFile: (file: string) => Promise<Uint8Array>;
+	readonly openToRead: (file: string) => Promise<StoreFileReader>;
 	readonly openToAppend: (file: string) => Promise<StoreFile>;
 	readonly truncate: (file: string, length: number) => Promise<void>;
 	readonly rename: (from: string, to: string) => Promise<void>;
