--- a/packages/daemon/src/scheduler/cluster-client.ts
+++ b/packages/daemon/src/scheduler/cluster-client.ts
@@ -5,6 +5,7 @@
 	toBrand, waitFor, type NodeId, type TimerService,
 } from '@samphiremill/common';
 import type {PeerTransport} from '../peers/index.js';
+import {getAnswerAfterDoubt} from './answer-after-doubt.js';
 import {callAttemptTimeoutMs, callRetryDelayMs} from './constants.js';
 import type {ClusterCall, ClusterCallResult, ClusterReply} from './types.js';
 
@@ -92,6 +93,11 @@
 		return result.value.type === 'answer' ? {type: 'answered', answer: result.value.answer} : {type: 'notRun'};
 	};
 
+	const getResultAfterDoubt = (request: ClusterCall, result: ClusterCallResult): ClusterCallResult => {
+		const answer = result.type === 'answered' ? getAnswerAfterDoubt(request, result.answer) : undefined;
+		return answer === undefined || answer.type === 'uncertain' ? {type: 'uncertain'} : {type: 'answered', answer};
+	};
+
 	const isFinal = (result: ClusterCallResult) =>
 		result.type === 'answered' && result.answer.type !== 'unavailable' && result.answer.type !== 'uncertain';
 
@@ -112,13 +118,8 @@
 
 				const hadLeader = leader !== undefined;
 				const result = await attempt(call, remainingMs); // eslint-disable-line no-await-in-loop -- hosts are tried one at a time
-				// An earlier attempt may have been carried out although a later one was refused.
-				if (isUncertain && result.type === 'answered' && result.answer.type === 'refused') {
-					return {type: 'uncertain'};
-				}
-
 				if (isFinal(result)) {
-					return result;
+					return isUncertain ? getResultAfterDoubt(call, result) : result;
 				}
 
 				isUncertain ||= result.type === 'uncertain' || (result.type === 'answered' && result.answer.type === 'uncertain');
