--- a/packages/daemon/src/scheduler/cluster-client.test.ts
+++ b/packages/daemon/src/scheduler/cluster-client.test.ts
@@ -81,3 +81,58 @@
 	const {type} = await result;
 	expect(type).toBe(expected);
 });
+
+// Review of issue 44, case 3: entry hosts refused callers for good once the control hosts had been replaced one by one under a leader that answered.
+test.each([false, true])('the hosts that a leader names replace those of the settings, and are asked when it is gone (settings read again: %s)', async isReread => {
+	const timers = createVirtualTimerService(0);
+	const toNode = (name: string) => toBrand<NodeId>(name);
+	let running = new Map<string, {readonly leader: string; readonly hosts?: readonly string[]}>([['a', {leader: 'a', hosts: ['a', 'b', 'c']}]]);
+	const asked: string[] = [];
+	const client = createClusterClient({
+		timers,
+		self: toNode('entry'),
+		seeds: ['a', 'b', 'c'].map(name => toNode(name)),
+		transport: {
+			async request({to, timeoutMs}) {
+				asked.push(to);
+				const host = running.get(to);
+				if (host === undefined) {
+					await new Promise<void>(resolve => {
+						timers.scheduleOnce(timeoutMs, resolve);
+					});
+					return createFailure({type: 'peer/noAnswer'});
+				}
+
+				return createSuccess<unknown>(host.leader === to
+					? {
+						type: 'answer', leader: to, answer: {type: 'noConfiguration'}, hosts: host.hosts,
+					}
+					: {type: 'notLeader', leader: host.leader, hosts: host.hosts});
+			},
+		},
+	});
+	const callAndWait = async () => {
+		const result = client.call(call, {timeoutMs: 3000});
+		for (let passedMs = 0; passedMs < 3500; passedMs += 50) {
+			timers.advance(50);
+			for (let turn = 0; turn < 5; turn += 1) {
+				await Promise.resolve(); // eslint-disable-line no-await-in-loop -- virtual time advances in steps
+			}
+		}
+
+		return result;
+	};
+
+	expect(await callAndWait()).toMatchObject({type: 'answered'});
+	// Each host is replaced while `a` leads, and `a` last.
+	running = new Map([['a', {leader: 'a', hosts: ['a', 'd', 'e']}]]);
+	expect(await callAndWait()).toMatchObject({type: 'answered'});
+	if (isReread) {
+		client.setSeeds(['d', 'e', 'f'].map(name => toNode(name)));
+	}
+
+	running = new Map([['d', {leader: 'e', hosts: ['d', 'e', 'f']}], ['e', {leader: 'e', hosts: ['d', 'e', 'f']}], ['f', {leader: 'e', hosts: ['d', 'e', 'f']}]]);
+	asked.length = 0;
+	expect(await callAndWait(), asked.join(' ')).toMatchObject({type: 'answered'});
+	expect(client.getHosts().slice(0, 3)).toEqual(['d', 'e', 'f']);
+});
--- a/packages/daemon/src/scheduler/cluster-client.ts
+++ b/packages/daemon/src/scheduler/cluster-client.ts
@@ -12,6 +12,9 @@
 /** Method of the peer requests that carry a `ClusterCall` to a control host. */
 export const clusterCallMethod = 'cluster/call';
 
+/** While hosts are known that another host has named, every so-many-th attempt goes to a host of the settings. */
+const settingsTurn = 4;
+
 /** When a call stops being retried. */
 export type ClusterCallOptions = {
 	readonly timeoutMs: number;
@@ -25,6 +28,8 @@
 	readonly call: (call: ClusterCall, options: ClusterCallOptions) => Promise<ClusterCallResult>;
 	/** Adds control hosts that were learnt of from another source. */
 	readonly addHosts: (hosts: readonly NodeId[]) => void;
+	/** Replaces the control hosts of the settings. */
+	readonly setSeeds: (seeds: readonly NodeId[]) => void;
 	readonly setLeader: (leader: NodeId | undefined) => void;
 	readonly getHosts: () => readonly NodeId[];
 };
@@ -43,29 +48,38 @@
 	readonly self: NodeId;
 	readonly seeds: readonly NodeId[];
 }): ClusterClient {
-	const hosts = new Set<NodeId>(seeds);
+	let settingsHosts = seeds;
+	let namedHosts: ReadonlySet<NodeId> = new Set();
 	let leader: NodeId | undefined;
 	let nextHost = 0;
 
 	const addHosts = (found: readonly NodeId[]) => {
-		for (const host of found) {
-			hosts.add(host);
-		}
+		namedHosts = new Set([...namedHosts, ...found]);
 	};
 
+	const listHosts = () => [...new Set([...namedHosts, ...settingsHosts])];
+
 	const chooseHost = (): NodeId | undefined => {
 		if (leader !== undefined && leader !== self) {
 			return leader;
 		}
 
-		const others = [...hosts].filter(host => host !== self);
+		// The hosts of the settings may all have been replaced, so they are asked less often than those that a host has named. They
+		// stay the way back when all of those are gone.
+		const named = [...namedHosts].filter(host => host !== self);
+		const others = settingsHosts.filter(host => host !== self && !namedHosts.has(host));
 		nextHost += 1;
-		return others[nextHost % Math.max(1, others.length)];
+		return others.length > 0 && (named.length === 0 || nextHost % settingsTurn === 0)
+			? others[Math.floor(nextHost / (named.length === 0 ? 1 : settingsTurn)) % others.length]
+			: named[nextHost % Math.max(1, named.length)];
 	};
 
 	const applyReply = (reply: ClusterReply) => {
 		if (reply.type === 'notLeader') {
 			addHosts(reply.hosts);
+		} else if (reply.hosts !== undefined) {
+			// A leader knows which hosts are there. What others have named may be gone.
+			namedHosts = new Set(reply.hosts);
 		}
 
 		leader = reply.leader;
@@ -106,7 +120,10 @@
 		setLeader(found) {
 			leader = found;
 		},
-		getHosts: () => [...hosts],
+		setSeeds(next) {
+			settingsHosts = next;
+		},
+		getHosts: listHosts,
 		async call(call, {timeoutMs, shouldGiveUp = () => false}) {
 			const startedAtMs = timers.getNow();
 			let isUncertain = false;
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -298,13 +298,19 @@
 
 	const listControlHosts = () => [...new Set([...replica.getState().voters.map(({node}) => node), ...ledger.controlHosts.keys()])];
 
+	const listReachableHosts = () => listControlHosts().filter(node => isReachable(node));
+
 	const answerLocally = async (call: ClusterCall): Promise<ClusterReply> => {
 		if (leader === undefined) {
 			const knownLeader = replica.getState().leader;
 			return {type: 'notLeader', leader: knownLeader === self ? undefined : knownLeader, hosts: listControlHosts()};
 		}
 
-		return {type: 'answer', answer: await leader.answer(call), leader: self};
+		const answer = await leader.answer(call);
+		// Each entry host reads the limits once a second, and so learns of replaced hosts while the leader stays.
+		return {
+			type: 'answer', answer, leader: self, ...(call.type === 'limits/read' && {hosts: listReachableHosts()}),
+		};
 	};
 
 	const call: ControlHost['call'] = async (request, {timeoutMs}) => {
@@ -450,7 +456,7 @@
 		}),
 		getLeadership: leadershipReport.getStatus,
 		setSeeds(seeds) {
-			client.addHosts(seeds);
+			client.setSeeds(seeds);
 			replica.setNodes(createNodes(seeds));
 		},
 		async stop() {
--- a/packages/daemon/src/scheduler/entry-host.ts
+++ b/packages/daemon/src/scheduler/entry-host.ts
@@ -97,7 +97,7 @@
 		onLimits(listener) {
 			listeners.push(listener);
 		},
-		setSeeds: client.addHosts,
+		setSeeds: client.setSeeds,
 		async stop() {
 			cancelPolling();
 			await transport.close();
--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -66,7 +66,13 @@
 
 /** A control host's reply to a `ClusterCall` from another process. */
 export type ClusterReply
-	= | {readonly type: 'answer'; readonly answer: ClusterAnswer; readonly leader: NodeId}
+	= | {
+		readonly type: 'answer';
+		readonly answer: ClusterAnswer;
+		readonly leader: NodeId;
+		/** The control hosts that the leader reaches; only in answers to calls that are repeated at intervals. */
+		readonly hosts?: readonly NodeId[];
+	}
 	/** The request was not processed. */
 		| {readonly type: 'notLeader'; readonly leader: NodeId | undefined; readonly hosts: readonly NodeId[]};
 
