Voters: of several hosts that were too slow, the one that failed longest ago goes first

Cause: slow hosts took turns, since each is deferred for as long as a try takes, and the order of hosts decided between those that were not. Change: the choice knows when each host failed. Tests: deferred-hosts.test.ts with two and three slow hosts, red before; their entry leaves KNOWN-RED.txt. The input of the test has the time of the failure besides, the check is the same.

--- a/packages/core/src/replica/choose-voter-change.test.ts
+++ b/packages/core/src/replica/choose-voter-change.test.ts
@@ -22,6 +22,7 @@
 	isReachable: node => !absent.includes(node),
 	isAbsent: node => absent.includes(node),
 	isDeferred: node => deferred.includes(node),
+	getFailedAtMs: () => undefined,
 });
 
 test('a voter with a new data folder is replaced first', () => {
--- a/packages/core/src/replica/choose-voter-change.ts
+++ b/packages/core/src/replica/choose-voter-change.ts
@@ -15,6 +15,8 @@
 	readonly isAbsent: (node: NodeId) => boolean;
 	/** Whether the host was too slow as a learner a moment ago. It is chosen only if no other host can take part. */
 	readonly isDeferred: (node: NodeId) => boolean;
+	/** When the host was last too slow as a learner, or a time that follows it; `undefined` if it never was. */
+	readonly getFailedAtMs: (node: NodeId) => number | undefined;
 };
 
 const findCandidate = ({voters, hosts, isReachable, isAbsent}: VoterChangeInput) => hosts.find(({node}) =>
@@ -59,12 +61,13 @@
  * too few voters; a surplus voter is removed, an absent one first. Without a host to take its place, an absent
  * voter stays: its removal would not lower the number of hosts that must be up.
  *
- * A host that was too slow gives others their turn; without others it is tried again at once, since the next loss
- * may be one too many.
+ * A host that was too slow gives others their turn, and of several the one that failed longest ago goes first; without others it
+ * is tried again at once, since the next loss may be one too many.
  *
  * @returns `undefined` if no change is needed.
  */
 export function chooseVoterChange(input: VoterChangeInput): VoterChange | undefined {
-	const hosts = input.hosts.filter(({node}) => !input.isDeferred(node));
-	return chooseAmongHosts({...input, hosts}) ?? chooseAmongHosts(input);
+	const getFailedAtMs = ({node}: VoterIdentity) => input.getFailedAtMs(node) ?? Number.NEGATIVE_INFINITY;
+	const hosts = input.hosts.toSorted((left, right) => getFailedAtMs(left) < getFailedAtMs(right) ? -1 : Number(getFailedAtMs(left) > getFailedAtMs(right)));
+	return chooseAmongHosts({...input, hosts: hosts.filter(({node}) => !input.isDeferred(node))}) ?? chooseAmongHosts({...input, hosts});
 }
--- a/packages/core/src/replica/deferred-hosts.test.ts
+++ b/packages/core/src/replica/deferred-hosts.test.ts
@@ -26,6 +26,7 @@
 			isReachable: () => true,
 			isAbsent: () => false,
 			isDeferred: node => at < (retryAtMs.get(node) ?? 0),
+			getFailedAtMs: node => retryAtMs.get(node),
 		});
 		const node = change?.type === 'add' ? change.voter.node : '';
 		chosen.push(node);
--- a/packages/core/src/replica/test-voter-maintenance.ts
+++ b/packages/core/src/replica/test-voter-maintenance.ts
@@ -67,6 +67,7 @@
 				voters,
 				hosts: listHosts(leader),
 				isDeferred: node => network.getNowMs() < (retryAtMs.get(`${leader}>${node}`) ?? 0),
+				getFailedAtMs: node => retryAtMs.get(`${leader}>${node}`),
 				wantedVoters,
 				isReachable: node => node === self || network.isLinked(leader, node),
 				isAbsent: node => node === self
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -377,6 +377,7 @@
 				? isDiskHanging(replica.getState(), {nowMs, timeoutMs: voterAbsenceTimeoutMs})
 				: stalled.has(node) || nowMs - (lastLinkedAtMs.get(node) ?? startedAtMs) > voterAbsenceTimeoutMs,
 			isDeferred: node => nowMs < (changeRetryAtMs.get(node) ?? nowMs),
+			getFailedAtMs: node => changeRetryAtMs.get(node),
 		};
 		if (isLeaderReplaceable(input)) {
 			log.warn('the disk of this leader hangs; giving way, so that it is replaced', {term});
