Peer links: the backoff starts anew only after a link that lasted

Cause: each handshake reset the backoff, also of a link that was closed at once: 150 dials in 30 s where a dial that fails gets at most 25. Change: failures are forgotten when a link that was up for the longest backoff (3 s) ends.

--- a/packages/core/src/peer-link/machine.ts
+++ b/packages/core/src/peer-link/machine.ts
@@ -70,9 +70,10 @@
 		},
 		enter: assign({enteredAtMs: ({event}) => event.nowMs}),
 		startDial: assign({connection: ({event}) => 'freshConnection' in event ? event.freshConnection : undefined}),
-		adopt: assign({
-			connection: scope => getEventConnection(scope),
-			failedDials: 0,
+		adopt: assign({connection: scope => getEventConnection(scope)}),
+		// A connection that is closed right after its handshake is no better than a dial that fails.
+		forgetFailures: assign({
+			failedDials: scope => hasBeenInStateFor(scope, scope.context.cfg.maximumBackoffMs) ? 0 : scope.context.failedDials,
 		}),
 		planRetry: assign({
 			connection: undefined,
@@ -135,7 +136,7 @@
 		},
 		up: {
 			entry: ['enter', 'adopt', reportUp],
-			exit: reportDown,
+			exit: ['forgetFailures', reportDown],
 			on: {
 				'peerLink/established': {
 					guard: not('isOwnConnection'),
