--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -74,7 +74,7 @@
 		readonly hosts?: readonly NodeId[];
 	}
 	/** The request was not processed. */
-		| {readonly type: 'notLeader'; readonly leader: NodeId | undefined; readonly hosts: readonly NodeId[]};
+	| {readonly type: 'notLeader'; readonly leader: NodeId | undefined; readonly hosts: readonly NodeId[]};
 
 /** The incarnation of a minion that a call is addressed to. */
 export type MinionTarget = {
