--- a/packages/core/src/replica/interrupted-voter-changes.test.ts
+++ b/packages/core/src/replica/interrupted-voter-changes.test.ts
@@ -21,15 +21,7 @@
 	const hosts = createControlHosts({
 		network, names, wantedVoters: 3, load: {pauseMs: {least: 1, most: 5}, padding: 60}, random: createSeededRandom(seed),
 	});
-	const areAllVoters = () => {
-		const [leader] = hosts.listActing();
-		const stores = new Set(names.map(name => network.getStoreId(name)));
-		const state = leader === undefined ? undefined : network.getState(leader);
-		return state !== undefined && state.commitIndex >= state.votersIndex
-			&& state.voters.length === names.length && state.voters.every(({storeId}) => stores.has(storeId));
-	};
-
-	return {network, hosts, areAllVoters};
+	return {network, hosts};
 };
 
 test('a new voter that has not received the set that names it votes for a host that has', () => {
@@ -56,7 +48,7 @@
 
 test('a host that receives a snapshot while a newer one replaces it is a voter in time', () => {
 	for (const seed of seeds) {
-		const {network, hosts, areAllVoters} = startHosts(seed, {snapshotEveryEntries: 300, trailingEntries: 150, maximumChunkLength: 2048});
+		const {network, hosts} = startHosts(seed, {snapshotEveryEntries: 300, trailingEntries: 150, maximumChunkLength: 2048});
 		hosts.run(30_000);
 		const leader = network.getLeader() ?? '';
 		hosts.lose(leader);
@@ -68,6 +60,6 @@
 		expect(hosts.run(10_000, isSnapshotNear)).toBe(true);
 		hosts.returnEmpty(leader);
 		hosts.run(catchUpMs);
-		expect(areAllVoters(), `seed ${seed}`).toBe(true);
+		expect(hosts.areAllVoters(), `seed ${seed}`).toBe(true);
 	}
 });
--- a/packages/core/src/replica/large-entries.test.ts
+++ b/packages/core/src/replica/large-entries.test.ts
@@ -47,20 +47,12 @@
 	};
 
 	const getLeader = () => network.getLeader() ?? '';
-	const areAllVoters = () => {
-		const [leader] = hosts.listActing();
-		const stores = new Set(names.map(name => network.getStoreId(name)));
-		const state = leader === undefined ? undefined : network.getState(leader);
-		return state !== undefined && state.commitIndex >= state.votersIndex
-			&& state.voters.length === names.length && state.voters.every(({storeId}) => stores.has(storeId));
-	};
-
 	const measureLogs = () => names.flatMap(name => [network.getState(name).log.entries, network.getDisk(name).entries])
 		.map(entries => entries.reduce((sum, {payload}) => sum + (payload.type === 'command' ? payload.command.length : 0), 0));
 
 	hosts.run(3000);
 	return {
-		network, hosts, changeOften, getLeader, areAllVoters, measureLogs,
+		network, hosts, changeOften, getLeader, measureLogs,
 	};
 };
 
@@ -68,14 +60,14 @@
 
 // Review of issue 44, case 1: the log of many large entries took longer to reach a host with an empty disk than the time until the next loss.
 test('each host that returns with an empty disk after many large entries is a voter again in time for the next loss', () => {
-	const {network, hosts, changeOften, getLeader, areAllVoters} = startHosts(1);
+	const {network, hosts, changeOften, getLeader} = startHosts(1);
 	changeOften(entryCount);
 	for (const pickVictim of [() => getFollowers(getLeader())[0], getLeader, () => getFollowers(getLeader())[1], getLeader]) {
 		const victim = pickVictim() ?? '';
 		hosts.lose(victim);
 		hosts.run(outageMs);
 		hosts.returnEmpty(victim);
-		expect(hosts.run(catchUpMs, areAllVoters), `${victim} at ${network.getNowMs()}`).toBe(true);
+		expect(hosts.run(catchUpMs, hosts.areAllVoters), `${victim} at ${network.getNowMs()}`).toBe(true);
 		changeOften(4);
 	}
 }, 120_000);
--- a/packages/core/src/replica/test-control-hosts.ts
+++ b/packages/core/src/replica/test-control-hosts.ts
@@ -27,6 +27,8 @@
 	readonly run: (durationMs: number, check?: () => boolean) => boolean;
 	/** The hosts that lead with a lease and have begun their term. */
 	readonly listActing: () => readonly string[];
+	/** Whether a host leads, and exactly the present data folders of all hosts are voters. */
+	readonly areAllVoters: () => boolean;
 	/** The number of commands of the load that were acknowledged. */
 	readonly getAcknowledgedCount: () => number;
 	readonly lose: (name: string) => void;
@@ -220,6 +222,13 @@
 			return false;
 		},
 		listActing: () => names.filter(name => isActing(name)),
+		areAllVoters() {
+			const leader = names.find(name => isActing(name));
+			const stores = new Set(names.map(name => network.getStoreId(name)));
+			const state = leader === undefined ? undefined : network.getState(leader);
+			return state !== undefined && state.commitIndex >= state.votersIndex
+				&& state.voters.length === names.length && state.voters.every(({storeId}) => stores.has(storeId));
+		},
 		getAcknowledgedCount: () => acknowledgedCount,
 		lose(name) {
 			startProcess(name);
