Tests of the cluster client share one client in virtual time

Three tests of cluster-client.test.ts and one of answer-after-doubt.test.ts built the same client and let time pass in the same way.

--- a/packages/daemon/src/scheduler/answer-after-doubt.test.ts
+++ b/packages/daemon/src/scheduler/answer-after-doubt.test.ts
@@ -1,10 +1,10 @@
 import {
-	createFailure, createSuccess, createVirtualTimerService, toBrand, type MinionId, type NodeId, type WaveId,
+	createFailure, createSuccess, toBrand, type MinionId, type NodeId, type WaveId,
 } from '@samphiremill/common';
 import type {StoreId} from '@samphiremill/core';
 import {expect, test} from 'vitest';
 import {getAnswerAfterDoubt} from './answer-after-doubt.js';
-import {createClusterClient} from './cluster-client.js';
+import {createTestClusterClient} from './test-cluster-client.js';
 import type {ClusterAnswer, ClusterCall} from './types.js';
 
 const target = {host: 'h', path: '/q/0000000000000001', key: 'k'};
@@ -58,24 +58,12 @@
 });
 
 test.each(['unknownKey', 'unknownQueue', 'noConfiguration'] as const)('a submission whose first attempt got no answer is uncertain when the second one is answered %s', async type => {
-	const timers = createVirtualTimerService(0);
 	let attempts = 0;
-	const client = createClusterClient({
-		timers,
-		self: toBrand<NodeId>('entry'),
-		seeds: [toBrand<NodeId>('control-1'), toBrand<NodeId>('control-2')],
-		transport: {
-			async request() {
-				attempts += 1;
-				return attempts === 1 ? createFailure({type: 'peer/noAnswer'}) : createSuccess<unknown>({type: 'answer', leader: 'control-1', answer: {type}});
-			},
-		},
+	const {client, passTime} = createTestClusterClient(() => async () => {
+		attempts += 1;
+		return attempts === 1 ? createFailure({type: 'peer/noAnswer'}) : createSuccess<unknown>({type: 'answer', leader: 'control-1', answer: {type}});
 	});
 	const result = client.call(calls[0]!, {timeoutMs: 3000});
-	for (let passedMs = 0; passedMs < 1000; passedMs += 50) {
-		timers.advance(50);
-		await Promise.resolve(); // eslint-disable-line no-await-in-loop -- virtual time advances in steps
-	}
-
+	await passTime(1000);
 	expect([attempts, await result]).toEqual([2, {type: 'uncertain'}]);
 });
--- a/packages/daemon/src/scheduler/cluster-client.test.ts
+++ b/packages/daemon/src/scheduler/cluster-client.test.ts
@@ -1,41 +1,20 @@
 import {
-	createFailure, createSuccess, createVirtualTimerService, toBrand, type NodeId,
+	createFailure, createSuccess, toBrand, waitFor, type NodeId,
 } from '@samphiremill/common';
 import {expect, test} from 'vitest';
-import {createClusterClient} from './cluster-client.js';
+import {createTestClusterClient} from './test-cluster-client.js';
 
 const attemptMs = 300;
 const call = {type: 'limits/read'} as const;
 
 const setUp = (error: 'peer/notSent' | 'peer/noAnswer') => {
-	const timers = createVirtualTimerService(0);
 	let attempts = 0;
-	const client = createClusterClient({
-		timers,
-		self: toBrand<NodeId>('entry'),
-		seeds: [toBrand<NodeId>('control-1'), toBrand<NodeId>('control-2')],
-		transport: {
-			async request() {
-				attempts += 1;
-				await new Promise<void>(resolve => {
-					timers.scheduleOnce(attemptMs, resolve);
-				});
-				return createFailure({type: error});
-			},
-		},
+	const testClient = createTestClusterClient(timers => async () => {
+		attempts += 1;
+		await waitFor(timers, attemptMs);
+		return createFailure({type: error});
 	});
-	const passTime = async (durationMs: number) => {
-		for (let passedMs = 0; passedMs < durationMs; passedMs += 50) {
-			timers.advance(50);
-			await Promise.resolve(); // eslint-disable-line no-await-in-loop -- virtual time advances in steps
-			await Promise.resolve(); // eslint-disable-line no-await-in-loop -- virtual time advances in steps
-			await Promise.resolve(); // eslint-disable-line no-await-in-loop -- virtual time advances in steps
-		}
-	};
-
-	return {
-		timers, client, passTime, countAttempts: () => attempts,
-	};
+	return {...testClient, countAttempts: () => attempts};
 };
 
 test('a call that should be given up before its first attempt is not sent', async () => {
@@ -56,70 +35,42 @@
 });
 
 test.each([[['lost', 'refused'], 'uncertain'], [['refused'], 'answered']] as const)('a refusal is passed on only if no earlier attempt may have been carried out (%j)', async (outcomes, expected) => {
-	const timers = createVirtualTimerService(0);
 	let attempt = 0;
 	const refusal = {
 		type: 'answer', leader: 'control-1', answer: {type: 'refused', reason: 'poolFull', retryAfterMs: 1000},
 	};
-	const client = createClusterClient({
-		timers,
-		self: toBrand<NodeId>('entry'),
-		seeds: [toBrand<NodeId>('control-1'), toBrand<NodeId>('control-2')],
-		transport: {
-			async request() {
-				attempt += 1;
-				return outcomes[attempt - 1] === 'lost' ? createFailure({type: 'peer/noAnswer'}) : createSuccess<unknown>(refusal);
-			},
-		},
+	const {client, passTime} = createTestClusterClient(() => async () => {
+		attempt += 1;
+		return outcomes[attempt - 1] === 'lost' ? createFailure({type: 'peer/noAnswer'}) : createSuccess<unknown>(refusal);
 	});
 	const result = client.call(call, {timeoutMs: 3000});
-	for (let passedMs = 0; passedMs < 1000; passedMs += 50) {
-		timers.advance(50);
-		await Promise.resolve(); // eslint-disable-line no-await-in-loop -- virtual time advances in steps
-	}
-
+	await passTime(1000);
 	const {type} = await result;
 	expect(type).toBe(expected);
 });
 
 // Review of issue 44, case 3: entry hosts refused callers for good once the control hosts had been replaced one by one under a leader that answered.
 test.each([false, true])('the hosts that a leader names replace those of the settings, and are asked when it is gone (settings read again: %s)', async isReread => {
-	const timers = createVirtualTimerService(0);
 	const toNode = (name: string) => toBrand<NodeId>(name);
 	let running = new Map<string, {readonly leader: string; readonly hosts?: readonly string[]}>([['a', {leader: 'a', hosts: ['a', 'b', 'c']}]]);
 	const asked: string[] = [];
-	const client = createClusterClient({
-		timers,
-		self: toNode('entry'),
-		seeds: ['a', 'b', 'c'].map(name => toNode(name)),
-		transport: {
-			async request({to, timeoutMs}) {
-				asked.push(to);
-				const host = running.get(to);
-				if (host === undefined) {
-					await new Promise<void>(resolve => {
-						timers.scheduleOnce(timeoutMs, resolve);
-					});
-					return createFailure({type: 'peer/noAnswer'});
-				}
+	const {client, passTime} = createTestClusterClient(timers => async ({to, timeoutMs}) => {
+		asked.push(to);
+		const host = running.get(to);
+		if (host === undefined) {
+			await waitFor(timers, timeoutMs);
+			return createFailure({type: 'peer/noAnswer'});
+		}
 
-				return createSuccess<unknown>(host.leader === to
-					? {
-						type: 'answer', leader: to, answer: {type: 'noConfiguration'}, hosts: host.hosts,
-					}
-					: {type: 'notLeader', leader: host.leader, hosts: host.hosts});
-			},
-		},
-	});
+		return createSuccess<unknown>(host.leader === to
+			? {
+				type: 'answer', leader: to, answer: {type: 'noConfiguration'}, hosts: host.hosts,
+			}
+			: {type: 'notLeader', leader: host.leader, hosts: host.hosts});
+	}, ['a', 'b', 'c']);
 	const callAndWait = async () => {
 		const result = client.call(call, {timeoutMs: 3000});
-		for (let passedMs = 0; passedMs < 3500; passedMs += 50) {
-			timers.advance(50);
-			for (let turn = 0; turn < 5; turn += 1) {
-				await Promise.resolve(); // eslint-disable-line no-await-in-loop -- virtual time advances in steps
-			}
-		}
-
+		await passTime(3500);
 		return result;
 	};
 
