--- a/packages/daemon/src/peers/connection.ts
+++ b/packages/daemon/src/peers/connection.ts
@@ -76,6 +76,7 @@
 		unsentFrames = [];
 		unsentBytes = 0;
 		if (!socket.destroyed) {
+			counters.add('writes');
 			socket.write(frames.length === 1 ? frames[0] ?? '' : Buffer.concat(frames));
 		}
 	};
@@ -225,6 +226,7 @@
 
 	socket.setNoDelay(true);
 	socket.on('data', (chunk: Uint8Array) => {
+		counters.add('reads');
 		counters.add('receivedBytes', chunk.length);
 		times = {...times, lastReceivedAtMs: getNow()};
 		decoder.addChunk(chunk);
--- a/packages/daemon/src/peers/counters.ts
+++ b/packages/daemon/src/peers/counters.ts
@@ -8,11 +8,14 @@
 
 /** Creates counters that all start at zero. */
 export function createPeerCounters(): PeerCounterStore {
-	let counters: PeerCounters = {
+	// Counted several times for each frame, so not copied at each change.
+	const counters: Record<keyof PeerCounters, number> = {
 		sentFrames: 0,
 		sentBytes: 0,
+		writes: 0,
 		receivedFrames: 0,
 		receivedBytes: 0,
+		reads: 0,
 		droppedMessages: 0,
 		oversizedMessages: 0,
 		lateAnswers: 0,
@@ -23,8 +26,8 @@
 	};
 	return {
 		add(name, amount = 1) {
-			counters = {...counters, [name]: counters[name] + amount};
+			counters[name] += amount;
 		},
-		get: () => counters,
+		get: () => ({...counters}),
 	};
 }
--- a/packages/daemon/src/peers/types.ts
+++ b/packages/daemon/src/peers/types.ts
@@ -17,8 +17,12 @@
 export type PeerCounters = {
 	readonly sentFrames: number;
 	readonly sentBytes: number;
+	/** Writes to sockets; each sends all frames that are ready for a peer. */
+	readonly writes: number;
 	readonly receivedFrames: number;
 	readonly receivedBytes: number;
+	/** Reads from sockets. */
+	readonly reads: number;
 	/** Messages dropped because there was no link, its queue or send buffer was full, or they were queued for too long. */
 	readonly droppedMessages: number;
 	/** Messages dropped because they were larger than a frame may be. */
--- a/packages/daemon/src/replica-host.ts
+++ b/packages/daemon/src/replica-host.ts
@@ -38,6 +38,17 @@
 	readonly err: unknown;
 };
 
+/** A snapshot of the applied state that this node made. The process does nothing else meanwhile. */
+export type SnapshotTaken = {
+	/** The last entry in the snapshot. */
+	readonly index: number;
+	readonly length: number;
+	/** How long it took to serialise the state, in milliseconds. */
+	readonly serializeMs: number;
+	/** How long it took to hand the snapshot over to the log and the store, in milliseconds. */
+	readonly handOverMs: number;
+};
+
 /** The role of this node and the leader that it knows. */
 export type RoleChange = {
 	readonly role: ReplicaRole;
@@ -63,6 +74,7 @@
 	/** Replaces the applied state by a snapshot that `createSnapshot` made on any node. */
 	readonly installSnapshot: (data: string) => void;
 	readonly onRoleChanged?: (change: RoleChange) => void;
+	readonly onSnapshotTaken?: (taken: SnapshotTaken) => void;
 	/** Must not throw. The replica goes on. */
 	readonly onFailure?: (failure: ReplicaHostFailure) => void;
 };
@@ -181,8 +193,14 @@
 		}
 
 		const isTaken = contain('replica/takeSnapshot', index, () => {
+			const beganAtMs = timers.getNow();
+			const data = options.createSnapshot();
+			const serializedAtMs = timers.getNow();
 			dispatch({
-				type: 'replica/snapshotTaken', index, data: options.createSnapshot(), nowMs: timers.getNow(),
+				type: 'replica/snapshotTaken', index, data, nowMs: serializedAtMs,
+			});
+			options.onSnapshotTaken?.({
+				index, length: data.length, serializeMs: serializedAtMs - beganAtMs, handOverMs: timers.getNow() - serializedAtMs,
 			});
 		});
 		if (!isTaken) {
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -220,6 +220,12 @@
 				void startLeading(term);
 			}
 		},
+		onSnapshotTaken({index, length, serializeMs, handOverMs}) {
+			metrics.record('snapshot_ms', serializeMs + handOverMs);
+			log.info(`snapshot of the log up to entry ${index}: ${length} characters`, {
+				index, length, serializeMs: Math.round(serializeMs), handOverMs: Math.round(handOverMs), isLeading: leader !== undefined,
+			});
+		},
 		onFailure({activity, index, err}) {
 			log.error(`unexpected error in ${activity}`, {activity, index, err: describeError(err)});
 		},
@@ -275,7 +281,8 @@
 				leader = undefined;
 				replica.giveWay();
 			},
-			minions: relayedMinions,
+			minions: relayedMinions.port,
+			getTraffic: () => ({...relayedMinions.getCounts(), ...transport.getCounters()}),
 			advice: options.advice,
 			workers: options.workers,
 			checkConfiguration: options.checkConfiguration,
--- a/packages/daemon/src/scheduler/duty-times.test.ts
+++ b/packages/daemon/src/scheduler/duty-times.test.ts
@@ -14,7 +14,8 @@
 		debug: recordFields, info: recordFields, warn: recordFields, error: recordFields,
 	};
 	let work = {activeMs: 0, collectionMs: 0};
-	const dutyTimes = createDutyTimes({timers, log, getProcessTimes: () => work});
+	let traffic = {sentFrames: 10, dials: 2};
+	const dutyTimes = createDutyTimes({timers, log, getProcessTimes: () => work, getTraffic: () => traffic});
 	expect(dutyTimes.measure('plans', () => {
 		timers.advance(200);
 		return 7;
@@ -27,8 +28,9 @@
 	expect(lines).toEqual([]);
 	timers.advance(100);
 	work = {activeMs: 800, collectionMs: 50};
+	traffic = {sentFrames: 15, dials: 2};
 	dutyTimes.report();
-	expect(lines).toEqual([{activeMs: 800, collectionMs: 50, duties: {plans: 300}}]);
+	expect(lines).toEqual([{activeMs: 800, collectionMs: 50, duties: {plans: 300}, counts: {plans: 2}, traffic: {sentFrames: 5}}]);
 	timers.advance(1000);
 	work = {activeMs: 900, collectionMs: 50};
 	dutyTimes.report();
--- a/packages/daemon/src/scheduler/duty-times.ts
+++ b/packages/daemon/src/scheduler/duty-times.ts
@@ -18,14 +18,18 @@
  * Creates the timer of one leader's duties.
  *
  * @param options - `getProcessTimes` returns how long the process has been active and has collected garbage since it started, in milliseconds.
+ * `getTraffic` returns counts of what it sent and received since then.
  */
-export function createDutyTimes({timers, log, getProcessTimes}: {
+export function createDutyTimes({timers, log, getProcessTimes, getTraffic = () => ({})}: {
 	readonly timers: Pick<TimerService, 'getNow'>;
 	readonly log: StructuredLogger;
 	readonly getProcessTimes: () => {readonly activeMs: number; readonly collectionMs: number};
+	readonly getTraffic?: (() => Readonly<Record<string, number>>) | undefined;
 }): DutyTimes {
 	const spentMs = new Map<string, number>();
+	const timesDone = new Map<string, number>();
 	let before = getProcessTimes();
+	let trafficBefore = getTraffic();
 	let reportedAtMs: number = timers.getNow();
 
 	return {
@@ -34,6 +38,7 @@
 			try {
 				return action();
 			} finally {
+				timesDone.set(duty, (timesDone.get(duty) ?? 0) + 1);
 				spentMs.set(duty, (spentMs.get(duty) ?? 0) + timers.getNow() - startedAtMs);
 			}
 		},
@@ -45,15 +50,20 @@
 
 			const processTimes = getProcessTimes();
 			const activeMs = processTimes.activeMs - before.activeMs;
+			const traffic = getTraffic();
 			if (activeMs > periodMs * busyThreshold) {
 				log.info(`the leader was busy for ${Math.round(activeMs)} of ${Math.round(periodMs)} ms`, {
 					activeMs: Math.round(activeMs),
 					collectionMs: Math.round(processTimes.collectionMs - before.collectionMs),
 					duties: Object.fromEntries([...spentMs].map(([duty, ms]) => [duty, Math.round(ms)])),
+					counts: Object.fromEntries(timesDone),
+					traffic: Object.fromEntries(Object.entries(traffic).map(([name, count]) => [name, count - (trafficBefore[name] ?? 0)]).filter(([, count]) => count !== 0)),
 				});
 			}
 
 			spentMs.clear();
+			timesDone.clear();
+			trafficBefore = traffic;
 			before = processTimes;
 			reportedAtMs = timers.getNow();
 		},
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -77,6 +77,8 @@
 	/** Gives up leadership, since minions have accepted orders of a newer leader. */
 	readonly onFenced: () => void;
 	readonly minions: MinionPort;
+	/** Counts since the start of this process of what it sent and received, for the report of a busy second. */
+	readonly getTraffic?: () => Readonly<Record<string, number>>;
 	readonly advice: AdvicePort;
 	readonly workers: WorkerPort;
 	readonly checkConfiguration: (document: string) => readonly ConfigurationFinding[];
@@ -126,7 +128,7 @@
 		}
 	});
 	collections.observe({entryTypes: ['gc']});
-	const dutyTimes = createDutyTimes({timers, log, getProcessTimes: () => ({activeMs: performance.eventLoopUtilization().active, collectionMs})});
+	const dutyTimes = createDutyTimes({timers, log, getProcessTimes: () => ({activeMs: performance.eventLoopUtilization().active, collectionMs}), getTraffic: options.getTraffic});
 
 	const isActive = () => !isStopped;
 
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -25,7 +25,7 @@
 		| 'requests_not_answered_total';
 
 /** Names of the latency histograms, in milliseconds. */
-export type SchedulerLatency = 'commit_ms' | 'plan_ms' | 'request_ms';
+export type SchedulerLatency = 'commit_ms' | 'plan_ms' | 'request_ms' | 'snapshot_ms';
 
 /** Names of the gauges. */
 export type SchedulerGauge = 'pool_cores' | 'pool_burst_readiness' | 'control_host' | 'entry_host';
--- a/packages/daemon/src/scheduler/minion-relay-load.test.ts
+++ b/packages/daemon/src/scheduler/minion-relay-load.test.ts
@@ -36,7 +36,7 @@
 		pace: async () => ({type: 'noAnswer'}),
 		retain: () => undefined,
 	};
-	const minions = createRelayedMinionPort({
+	const {port: minions} = createRelayedMinionPort({
 		timers,
 		direct,
 		listRelays: () => Array.from({length: relayCount}, (_, index) => toBrand<NodeId>(`host-${index}`)),
--- a/packages/daemon/src/scheduler/minion-relay.test.ts
+++ b/packages/daemon/src/scheduler/minion-relay.test.ts
@@ -33,7 +33,7 @@
 	const timers = createVirtualTimerService();
 	const calls: string[] = [];
 	const world = {outcome: 'answered' as Outcome, relays: hosts};
-	const minions = createRelayedMinionPort({
+	const {port: minions} = createRelayedMinionPort({
 		timers,
 		direct: createPort(calls),
 		listRelays: () => world.relays,
--- a/packages/daemon/src/scheduler/minion-relay.ts
+++ b/packages/daemon/src/scheduler/minion-relay.ts
@@ -93,8 +93,24 @@
 	return leader === self ? rankMembers(minion, relays)[0] : self;
 }
 
+/** Calls to minions since the start of the process, by the way they took. */
+export type MinionCallCounts = {
+	readonly relayedCalls: number;
+	/** Calls that the leader made itself. */
+	readonly directCalls: number;
+	/** Calls that a relay did not carry to the minion, or without an answer of the minion. */
+	readonly unansweredCalls: number;
+};
+
+/** The port of the leader to the minions, and what went through it. */
+export type RelayedMinionPort = {
+	readonly port: MinionPort;
+	readonly getCounts: () => MinionCallCounts;
+};
+
 /** Creates a port that sends the calls for each minion through one relay, chosen by the minion's address. */
-export function createRelayedMinionPort({direct, transport, timers, listRelays}: RelayedMinionPortOptions): MinionPort {
+export function createRelayedMinionPort({direct, transport, timers, listRelays}: RelayedMinionPortOptions): RelayedMinionPort {
+	const counts = {relayedCalls: 0, directCalls: 0, unansweredCalls: 0};
 	const rankedByAddress = new Map<string, readonly NodeId[]>();
 	/** Relays that are temporarily not used for a minion, with the time until which they are avoided. */
 	const avoidedByAddress = new Map<string, ReadonlyMap<NodeId, number>>();
@@ -133,7 +149,13 @@
 		avoidedByAddress.set(address, new Map([...known, [relay, timers.getNow() + relayBackoffMs]]));
 	};
 
+	const callDirectly = async (call: MinionCall) => {
+		counts.directCalls += 1;
+		return executeMinionCall(call, {minions: direct, term: call.order.fencingToken});
+	};
+
 	const relayCall = async (call: MinionCall, relay: NodeId): Promise<MinionAnswer<unknown>> => {
+		counts.relayedCalls += 1;
 		const result = await transport.request({
 			to: relay, method: minionCallMethod, params: call, timeoutMs: call.order.timeoutMs + relayTimeoutMarginMs,
 		});
@@ -150,16 +172,17 @@
 		const relay = chooseRelay(address);
 		const answer: MinionAnswer<unknown> = relay === undefined ? {type: 'notSent'} : await relayCall(call, relay);
 		if (relay !== undefined && (answer.type === 'noAnswer' || answer.type === 'notSent')) {
+			counts.unansweredCalls += 1;
 			avoidRelay(address, relay);
 		}
 
 		// A call that may have reached the minion is not resent here; the caller decides on a retry. Where nothing listens, as at
 		// each worker that was switched off, the leader would be refused too, so the next call asks the next relay.
-		return answer.type === 'notSent' && answer.isRefused !== true ? executeMinionCall(call, {minions: direct, term: call.order.fencingToken}) : answer;
+		return answer.type === 'notSent' && answer.isRefused !== true ? callDirectly(call) : answer;
 	};
 
 	/* eslint-disable @typescript-eslint/no-unsafe-type-assertion -- the answer to a call of a kind has that kind's value */
-	return {
+	const port: MinionPort = {
 		hold: async order => await send({type: 'hold', order}) as Awaited<ReturnType<MinionPort['hold']>>,
 		start: async order => await send({type: 'start', order}) as Awaited<ReturnType<MinionPort['start']>>,
 		stop: async order => await send({type: 'stop', order}) as Awaited<ReturnType<MinionPort['stop']>>,
@@ -176,4 +199,5 @@
 		},
 	};
 	/* eslint-enable @typescript-eslint/no-unsafe-type-assertion */
+	return {port, getCounts: () => ({...counts})};
 }
