Commits and the answers of relays go in bundles, so that a busy leader reads and writes less often

Cause: the leader's processor time. Each commit is a message to five hosts and an answer of each, and each answer of a relay arrives in a read of its own.

- Proposals begin 20 ms apart at least, unless more waits than one takes; what follows a quiet time does not wait.
- A host that carries calls to minions keeps an answer for up to 10 ms, or until it sends anything else there.
- Commands that end runs are bounded in bytes without encoding them once more.
- Whether the leader may act is computed once for each state of the replica, not for each order.

--- a/packages/core/src/replica/index.ts
+++ b/packages/core/src/replica/index.ts
@@ -13,7 +13,7 @@
 	applyPersistedWrite, createPersistedState, getRecoveredReplica, type PersistedWrite, type PersistedState,
 } from './persisted-state.js';
 export {chooseVoterChange, isLeaderReplaceable, type VoterChangeInput} from './choose-voter-change.js';
-export {getConfirmedSendMs, hasLeaderLease} from './leader-lease.js';
+export {getConfirmedSendMs, hasLeaderLease, isLeaderLeaseHeld} from './leader-lease.js';
 export {getLastIndex} from './log.js';
 export {getQuorumSize, hasVoter} from './quorum.js';
 export {isDiskHanging, listStalledVoters} from './voter-progress.js';
--- a/packages/core/src/replica/leader-lease.ts
+++ b/packages/core/src/replica/leader-lease.ts
@@ -23,10 +23,21 @@
 	state: ReplicaState<Command>,
 	context: ReplicaContext,
 ): boolean {
-	const {leadership} = state;
-	if (leadership === undefined || !leadership.isLeaseUsable || state.commitIndex < leadership.firstIndex) {
+	return isLeaderLeaseHeld(state, {...context, confirmedAtMs: getConfirmedSendMs(state, context)});
+}
+
+/**
+ * Does the same as `hasLeaderLease` for a caller that knows when the newest round that a majority has acknowledged was sent.
+ *
+ * @param context - `confirmedAtMs` is what `getConfirmedSendMs` returns for the state.
+ */
+export function isLeaderLeaseHeld<Command>(
+	{leadership, commitIndex}: ReplicaState<Command>,
+	{nowMs, cfg, confirmedAtMs}: Pick<ReplicaContext, 'cfg' | 'nowMs'> & {readonly confirmedAtMs: number},
+): boolean {
+	if (leadership === undefined || !leadership.isLeaseUsable || commitIndex < leadership.firstIndex) {
 		return false;
 	}
 
-	return context.nowMs < getConfirmedSendMs(state, context) + context.cfg.limits.leaderLeaseMs;
+	return nowMs < confirmedAtMs + cfg.limits.leaderLeaseMs;
 }
--- a/packages/daemon/src/peers/connection.test.ts
+++ b/packages/daemon/src/peers/connection.test.ts
@@ -3,7 +3,7 @@
 import type {Socket} from 'node:net';
 import process from 'node:process';
 import {
-	createVirtualTimerService, toBrand, waitFor, type NodeId,
+	createVirtualTimerService, toBrand, waitFor, type NodeId, type TimerService,
 } from '@samphiremill/common';
 import type {ConnectionId} from '@samphiremill/core';
 import {expect, test} from 'vitest';
@@ -35,13 +35,13 @@
 	};
 };
 
-const openConnection = (socket: Socket) => createPeerConnection({
+const openConnection = (socket: Socket, timers: TimerService = createVirtualTimerService()) => createPeerConnection({
 	id: toBrand<ConnectionId>(1),
 	socket,
 	self: {node: toBrand<NodeId>('alpha'), incarnation: 1},
 	dialledNode: undefined,
 	secret: 'secret',
-	getNow: createVirtualTimerService().getNow,
+	timers,
 	counters: createPeerCounters(),
 	onHello: () => undefined,
 	onEstablished: () => undefined,
@@ -81,6 +81,30 @@
 	expect(writes).toHaveLength(2);
 });
 
+test('frames that may wait go to the socket in one write, after their time or with the next frame that may not (incident 51)', async () => {
+	const {socket, writes, release} = createRecordingSocket();
+	const timers = createVirtualTimerService();
+	const {send} = openConnection(socket, timers);
+	for (let number = 0; number < 5; number += 1) {
+		send({number}, {delayMs: 10});
+		timers.advance(1);
+		await waitForTurn(); // eslint-disable-line no-await-in-loop -- each frame in a turn of its own
+	}
+
+	expect(writes).toHaveLength(0);
+	timers.advance(5);
+	release();
+	expect(readFrames(Buffer.concat(writes))).toEqual(Array.from({length: 5}, (_, number) => ({number})));
+
+	send({number: 5}, {delayMs: 10});
+	send({number: 6});
+	await waitForTurn();
+	release();
+	timers.advance(10);
+	expect(writes).toHaveLength(2);
+	expect(readFrames(Buffer.concat(writes.slice(1)))).toEqual([{number: 5}, {number: 6}]);
+});
+
 test('the limit of the send buffer counts what is not written yet', () => {
 	const {socket} = createRecordingSocket();
 	const {send} = openConnection(socket);
--- a/packages/daemon/src/peers/connection.ts
+++ b/packages/daemon/src/peers/connection.ts
@@ -4,7 +4,9 @@
  */
 import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
-import type {MonotonicMs, NodeId} from '@samphiremill/common';
+import type {
+	CancelTimer, MonotonicMs, NodeId, TimerService,
+} from '@samphiremill/common';
 import type {ConnectionId} from '@samphiremill/core';
 import {maximumFrameBytes, maximumHandshakeFrameBytes, maximumSendBufferBytes} from './constants.js';
 import type {PeerCounterStore} from './counters.js';
@@ -24,12 +26,20 @@
 /** The result of sending a frame; only `sent` means that it was written to the socket. */
 export type SendOutcome = 'sent' | 'bufferFull' | 'tooLarge';
 
+/** How a frame is sent. */
+export type SendOptions = {
+	/** Whether it is a heartbeat, which doesn't count as use of the connection. */
+	readonly isHeartbeat?: boolean;
+	/** How long it may wait for other frames, so that they are written together, in milliseconds. */
+	readonly delayMs?: number;
+};
+
 /** A connection that is in its handshake or established. */
 export type PeerConnection = {
 	readonly id: ConnectionId;
 	/** Accepts the received `hello` by answering it with `challenge`. */
 	readonly sendChallenge: () => void;
-	readonly send: (value: unknown, isHeartbeat?: boolean) => SendOutcome;
+	readonly send: (value: unknown, options?: SendOptions) => SendOutcome;
 	readonly destroy: () => void;
 	readonly getTimes: () => ConnectionTimes;
 	/** @returns The identity that the other end claims; authenticated once the connection is established. */
@@ -44,7 +54,7 @@
 	/** The node that is dialled; `undefined` on an accepted connection. */
 	readonly dialledNode: NodeId | undefined;
 	readonly secret: string;
-	readonly getNow: () => MonotonicMs;
+	readonly timers: Pick<TimerService, 'getNow' | 'scheduleOnce'>;
 	readonly counters: PeerCounterStore;
 	readonly onHello: (from: NodeId) => void;
 	readonly onEstablished: (from: LinkEnd) => void;
@@ -61,7 +71,8 @@
  * Creates the connection of a socket. On a dialled connection the handshake starts once the socket is connected.
  */
 export function createPeerConnection(options: PeerConnectionOptions): PeerConnection {
-	const {socket, secret, dialledNode, getNow, counters} = options;
+	const {socket, secret, dialledNode, counters, timers} = options;
+	const {getNow} = timers;
 	const localEnd: LinkEnd = {...options.self, nonce: createNonce()};
 	const decoder = createFrameDecoder();
 	let remoteEnd: LinkEnd | undefined;
@@ -70,12 +81,18 @@
 
 	let unsentFrames: Uint8Array[] = [];
 	let unsentBytes = 0;
+	/** Whether the frames are written once the event loop has handled what has arrived. */
+	let isFlushDue = false;
+	let cancelDelayedFlush: CancelTimer | undefined;
 
 	const flush = () => {
+		isFlushDue = false;
+		cancelDelayedFlush?.();
+		cancelDelayedFlush = undefined;
 		const frames = unsentFrames;
 		unsentFrames = [];
 		unsentBytes = 0;
-		if (!socket.destroyed) {
+		if (!socket.destroyed && frames.length > 0) {
 			counters.add('writes');
 			socket.write(frames.length === 1 ? frames[0] ?? '' : Buffer.concat(frames));
 		}
@@ -83,13 +100,15 @@
 
 	// All that is sent while the event loop handles what has arrived goes to the socket in one write. A leader sends to
 	// each of a few hosts for each of many answers.
-	const append = (frame: Uint8Array) => {
-		if (unsentFrames.length === 0) {
-			setImmediate(flush);
-		}
-
+	const append = (frame: Uint8Array, delayMs: number) => {
 		unsentFrames.push(frame);
 		unsentBytes += frame.length;
+		if (delayMs > 0) {
+			cancelDelayedFlush ??= isFlushDue ? undefined : timers.scheduleOnce(delayMs, flush);
+		} else if (!isFlushDue) {
+			isFlushDue = true;
+			setImmediate(flush);
+		}
 	};
 
 	// A value that JSON cannot hold, for example one that is nested too deeply, does not fit into a frame either.
@@ -101,7 +120,7 @@
 		}
 	};
 
-	const write = (value: unknown, isHeartbeat = false): SendOutcome => {
+	const write = (value: unknown, {isHeartbeat = false, delayMs = 0}: SendOptions = {}): SendOutcome => {
 		const frame = encode(value);
 		if (frame === undefined || frame.length > maximumFrameBytes) {
 			counters.add('oversizedMessages');
@@ -112,7 +131,7 @@
 			return 'bufferFull';
 		}
 
-		append(frame);
+		append(frame, delayMs);
 		counters.add('sentFrames');
 		counters.add('sentBytes', frame.length);
 		times = {...times, lastSentAtMs: getNow(), ...(!isHeartbeat && {lastUsedAtMs: getNow()})};
--- a/packages/daemon/src/peers/transport.ts
+++ b/packages/daemon/src/peers/transport.ts
@@ -137,7 +137,7 @@
 			id,
 			self: {node: self.node, incarnation: options.incarnation},
 			secret: options.secret,
-			getNow: timers.getNow,
+			timers,
 			counters,
 			onHello(from) {
 				if (links.has(from)) {
@@ -226,7 +226,7 @@
 			}
 
 			case 'peerLink/sendHeartbeat': {
-				connections.get(effect.connection)?.send(createJSONRPCNotification(heartbeatMethod), true);
+				connections.get(effect.connection)?.send(createJSONRPCNotification(heartbeatMethod), {isHeartbeat: true});
 				return;
 			}
 
@@ -252,7 +252,7 @@
 	const answer = async (from: NodeId, req: JSONRPCRequest) => {
 		const res = await answerRequest({from, rpc: req}, options.onRequest);
 		const connection = findUpConnection(from);
-		if (connection?.send(res) === 'tooLarge') {
+		if (connection?.send(res, {delayMs: options.getAnswerDelayMs?.(req.method) ?? 0}) === 'tooLarge') {
 			connection.send(createJSONRPCErrorResponse(req.id ?? '', JSONRPCErrorCode.InternalError, 'the answer does not fit into a frame'));
 		}
 	};
--- a/packages/daemon/src/peers/types.ts
+++ b/packages/daemon/src/peers/types.ts
@@ -75,6 +75,11 @@
 	readonly onConnectionRejected?: (rejected: RejectedConnection) => void;
 	/** Called with an error that a handler threw for a frame. The connection is closed then. */
 	readonly onUnexpectedError?: (err: unknown) => void;
+	/**
+	 * Returns how long the answers to requests of a method may wait for other frames to the same peer, in milliseconds; 0 by
+	 * default. They wait no longer than until anything else is sent there.
+	 */
+	readonly getAnswerDelayMs?: (method: string) => number;
 	/** Handles requests from peers. Without it every request gets an error. */
 	readonly onRequest?: (req: PeerRequest) => Promise<unknown>;
 };
--- a/packages/daemon/src/replica-host.ts
+++ b/packages/daemon/src/replica-host.ts
@@ -8,7 +8,7 @@
 	createReplica,
 	getConfigurationFreshness,
 	getConfirmedSendMs,
-	hasLeaderLease,
+	isLeaderLeaseHeld,
 	reduceReplica,
 	type ConfigurationFreshness,
 	type LogEntry,
@@ -334,6 +334,17 @@
 		}
 	}
 
+	let confirmed: {readonly of: ReplicaState<Command>; readonly sentAtMs: number} | undefined;
+
+	// Asked for each order to a minion, far more often than the state changes. This node itself counts as heard from now.
+	const getConfirmedMs = () => {
+		if (confirmed?.of !== state) {
+			confirmed = {of: state, sentAtMs: getConfirmedSendMs(state, {cfg, nowMs: Number.POSITIVE_INFINITY})};
+		}
+
+		return Math.min(confirmed.sentAtMs, timers.getNow());
+	};
+
 	const cancelTick = timers.scheduleEvery(tickPeriodMs, () => {
 		dispatch({type: 'replica/tick', nowMs: timers.getNow()});
 	});
@@ -369,8 +380,8 @@
 			dispatch({type: 'replica/giveWay', nowMs: timers.getNow()});
 		},
 		getFreshness: () => hasLostState ? 'stale' : getConfigurationFreshness(state, {nowMs: timers.getNow(), leaseMs: cfg.limits.configurationLeaseMs}),
-		hasLeaderLease: () => !hasLostState && hasLeaderLease(state, {cfg, nowMs: timers.getNow()}),
-		wasConfirmedSince: sinceMs => getConfirmedSendMs(state, {cfg, nowMs: timers.getNow()}) > sinceMs,
+		hasLeaderLease: () => !hasLostState && isLeaderLeaseHeld(state, {cfg, nowMs: timers.getNow(), confirmedAtMs: getConfirmedMs()}),
+		wasConfirmedSince: sinceMs => getConfirmedMs() > sinceMs,
 		setNodes(nodes) {
 			cfg = {...cfg, nodes};
 		},
--- a/packages/daemon/src/scheduler/command-batcher.test.ts
+++ b/packages/daemon/src/scheduler/command-batcher.test.ts
@@ -1,5 +1,5 @@
 import {
-	toBrand, type JobId, type PoolId, type QueueId,
+	createVirtualTimerService, toBrand, type JobId, type PoolId, type QueueId,
 } from '@samphiremill/common';
 import {plainStep, type LedgerCommand} from '@samphiremill/core';
 import {expect, test} from 'vitest';
@@ -13,20 +13,26 @@
 
 const cancel = (name: string): LedgerCommand => ({type: 'job/cancelled', id: toBrand<JobId>(name), atMs: 0});
 
-const createLog = () => {
+const createLog = ({spacingMs = 0}: {readonly spacingMs?: number} = {}) => {
+	const timers = createVirtualTimerService();
 	const proposed: LedgerCommand[] = [];
 	const settles: Array<(decision: ProposalResult) => void> = [];
-	const submit = createCommandBatcher(async command => {
-		proposed.push(command);
-		return new Promise(resolve => {
-			settles.push(resolve);
-		});
-	}, err => {
-		throw err;
+	const submit = createCommandBatcher({
+		timers,
+		spacingMs,
+		async propose(command) {
+			proposed.push(command);
+			return new Promise(resolve => {
+				settles.push(resolve);
+			});
+		},
+		onError(err) {
+			throw err;
+		},
 	});
 	const nameCommands = () => proposed.map(command => command.type === 'batch' ? command.commands.map(part => part.type === 'job/cancelled' ? part.id : '') : command.type);
 	return {
-		settles, submit, nameCommands, proposed,
+		timers, settles, submit, nameCommands, proposed,
 	};
 };
 
@@ -54,6 +60,46 @@
 	expect(nameCommands()).toEqual(['job/cancelled', ['b', 'c', 'd']]);
 });
 
+test('commands that arrive soon after a proposal began share the next one, also if it is settled at once (incident 51)', async () => {
+	const {timers, settles, submit, nameCommands} = createLog({spacingMs: 20});
+	void submit(cancel('a'));
+	await waitForNextTurn();
+	settles[0]?.({type: 'applied', outcome: {type: 'applied'}});
+	for (const name of ['b', 'c', 'd']) {
+		timers.advance(5);
+		void submit(cancel(name));
+		await waitForNextTurn(); // eslint-disable-line no-await-in-loop -- turns run one at a time
+	}
+
+	expect(nameCommands()).toEqual(['job/cancelled']);
+	timers.advance(5);
+	expect(nameCommands()).toEqual(['job/cancelled', ['b', 'c', 'd']]);
+});
+
+test('after a quiet time a command is proposed at once', async () => {
+	const {timers, settles, submit, nameCommands} = createLog({spacingMs: 20});
+	void submit(cancel('a'));
+	await waitForNextTurn();
+	settles[0]?.({type: 'applied', outcome: {type: 'applied'}});
+	timers.advance(20);
+	void submit(cancel('b'));
+	await waitForNextTurn();
+	expect(nameCommands()).toEqual(['job/cancelled', 'job/cancelled']);
+});
+
+test('more commands than one proposal takes do not wait', async () => {
+	const {settles, submit, proposed} = createLog({spacingMs: 20});
+	void submit(cancel('a'));
+	await waitForNextTurn();
+	for (let index = 0; index < 300; index += 1) {
+		void submit(cancel(`b${index}`));
+	}
+
+	settles[0]?.({type: 'applied', outcome: {type: 'applied'}});
+	await waitForNextTurn();
+	expect(proposed.length).toBe(2);
+});
+
 test('jobs with large payloads are split over several proposals of limited length', async () => {
 	const {settles, submit, nameCommands} = createLog();
 	const accept = (name: string): LedgerCommand => ({
@@ -110,11 +156,16 @@
 	const reportedErrors: unknown[] = [];
 	let failuresLeft = 2;
 	// eslint-disable-next-line @typescript-eslint/promise-function-async -- one case throws before there is a promise
-	const submit = createCommandBatcher((): Promise<ProposalResult> => {
-		failuresLeft -= 1;
-		return failuresLeft < 0 ? Promise.resolve({type: 'applied', outcome: undefined}) : fail();
-	}, err => {
-		reportedErrors.push(err);
+	const submit = createCommandBatcher({
+		timers: createVirtualTimerService(),
+		spacingMs: 0,
+		propose(): Promise<ProposalResult> {
+			failuresLeft -= 1;
+			return failuresLeft < 0 ? Promise.resolve({type: 'applied', outcome: undefined}) : fail();
+		},
+		onError(err) {
+			reportedErrors.push(err);
+		},
 	});
 	const single = submit(cancel('a'));
 	await waitForNextTurn();
@@ -163,9 +214,11 @@
 });
 
 test.each([{mayHaveEffect: true, expected: 'unknown'}, {mayHaveEffect: false, expected: 'notProposed'}])('a command that failed while it was applied is not said to have had no effect (mayHaveEffect: $mayHaveEffect)', async ({mayHaveEffect, expected}) => {
-	const propose = createCommandBatcher(
-		async () => ({type: 'applied', outcome: {type: 'failed', reason: 'an error', mayHaveEffect}}),
-		() => undefined,
-	);
+	const propose = createCommandBatcher({
+		timers: createVirtualTimerService(),
+		spacingMs: 0,
+		propose: async () => ({type: 'applied', outcome: {type: 'failed', reason: 'an error', mayHaveEffect}}),
+		onError: () => undefined,
+	});
 	expect(await propose({type: 'term/begun', term: 1})).toEqual({type: expected});
 });
--- a/packages/daemon/src/scheduler/command-batcher.ts
+++ b/packages/daemon/src/scheduler/command-batcher.ts
@@ -1,8 +1,10 @@
 /**
- * Group commit: commands that arrive while a proposal is pending are proposed together in the next one.
- * The number of commits thus depends on the duration of a commit and not on the number of commands.
+ * Group commit: commands that arrive while a proposal is pending, or soon after the last one began, are proposed together in
+ * the next one. The number of commits thus depends on neither the number of commands nor the number of moments at which
+ * they arrive: each commit costs the leader a message to each other host, and an answer.
  */
 import {Buffer} from 'node:buffer';
+import type {TimerService} from '@samphiremill/common';
 import type {LedgerCommand, LedgerOutcome} from '@samphiremill/core';
 
 /**
@@ -53,14 +55,31 @@
 // Only accepted jobs carry a payload.
 const getPayloadLength = (command: LedgerCommand) => command.type === 'job/accepted' ? command.job.specification.payload.length : 0;
 
-// The ids and numbers of an assigned run take less than this. A few of them need no exact count.
-const mostBytesPerAssignedRun = 512;
-const uncountedRuns = 16;
+// The ids, numbers and words of a run take less than this, and a code unit of its checkpoint at most six bytes of JSON.
+const mostBytesPerRun = 512;
+const mostBytesPerCodeUnit = 6;
 
-/** Returns the bytes of a command as JSON; for a few assigned runs, which come most often, an upper bound. */
-const getBytes = (command: LedgerCommand): number => command.type === 'runs/assigned' && command.runs.length <= uncountedRuns
-	? (command.runs.length + 1) * mostBytesPerAssignedRun
-	: Buffer.byteLength(JSON.stringify(command));
+/** A bound up to this one is used as it is; several such commands still fit into a proposal. */
+const largestUncountedBytes = maximumBytesPerProposal / 8;
+
+// Most commands assign and end runs.
+const boundBytes = (command: LedgerCommand): number => {
+	if (command.type === 'runs/assigned') {
+		return (command.runs.length + 1) * mostBytesPerRun;
+	}
+
+	if (command.type === 'runs/ended' && command.loss === undefined) {
+		return command.ends.reduce((sum, {checkpoint}) => sum + mostBytesPerRun + (checkpoint.length * mostBytesPerCodeUnit), mostBytesPerRun);
+	}
+
+	return Number.POSITIVE_INFINITY;
+};
+
+/** Returns the bytes of a command as JSON, or an upper bound if that is small. */
+const getBytes = (command: LedgerCommand): number => {
+	const bound = boundBytes(command);
+	return bound <= largestUncountedBytes ? bound : Buffer.byteLength(JSON.stringify(command));
+};
 
 const takeBatch = (queue: readonly QueuedCommand[]): readonly QueuedCommand[] => {
 	let length = 0;
@@ -74,14 +93,23 @@
 	return firstExcluded === -1 ? queue : queue.slice(0, firstExcluded);
 };
 
+/** Dependencies of a batcher. */
+export type CommandBatcherOptions = {
+	readonly timers: Pick<TimerService, 'getNow' | 'scheduleOnce'>;
+	/** Proposes one command to the log. If it throws, the result of its commands is `unknown`. */
+	readonly propose: (command: LedgerCommand) => Promise<ProposalResult>;
+	/** Called with what `propose` threw. */
+	readonly onError: (err: unknown) => void;
+	/** Least time between the beginnings of two proposals, in milliseconds, unless more waits than one proposal takes. */
+	readonly spacingMs: number;
+};
+
 /**
  * Creates a function that proposes a command, alone or in a batch with others. Commands are applied in the
  * order of the calls. A command that is too large for the log, or that finds the queue full, is not proposed.
- *
- * @param propose - Proposes one command to the log. If it throws, the result of its commands is `unknown`.
- * @param onError - Called with what `propose` threw.
  */
-export function createCommandBatcher(propose: (command: LedgerCommand) => Promise<ProposalResult>, onError: (err: unknown) => void): (command: LedgerCommand) => Promise<ProposalResult> {
+export function createCommandBatcher({timers, propose, onError, spacingMs}: CommandBatcherOptions): (command: LedgerCommand) => Promise<ProposalResult> {
+	let lastBeganAtMs = Number.NEGATIVE_INFINITY;
 	let queue: QueuedCommand[] = [];
 	let queuedBytes = 0;
 	let pendingProposalCount = 0;
@@ -100,6 +128,7 @@
 	const proposeNext = async () => {
 		const batch = takeBatch(queue);
 		queue = queue.slice(batch.length);
+		lastBeganAtMs = timers.getNow();
 		queuedBytes -= batch.reduce((sum, {bytes}) => sum + bytes, 0);
 		pendingProposalCount += 1;
 		const [only] = batch;
@@ -116,12 +145,23 @@
 		flush();
 	};
 
+	const getWaitMs = () => takeBatch(queue).length < queue.length ? 0 : lastBeganAtMs + spacingMs - timers.getNow();
+
 	const flush = () => {
 		isFlushScheduled = false;
-		if (queue.length > 0 && pendingProposalCount < maximumPendingProposals) {
-			void proposeNext();
-			flush();
+		if (queue.length === 0 || pendingProposalCount >= maximumPendingProposals) {
+			return;
 		}
+
+		const waitMs = getWaitMs();
+		if (waitMs > 0) {
+			isFlushScheduled = true;
+			timers.scheduleOnce(waitMs, flush);
+			return;
+		}
+
+		void proposeNext();
+		flush();
 	};
 
 	return async command => new Promise(resolve => {
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -80,6 +80,12 @@
 /** Minimum time between two plans. */
 export const planIntervalMs = 8;
 
+/**
+ * Least time between the beginnings of two commits. Each costs the leader a message to every other control host and an
+ * answer, so what is decided within this time goes together; what follows a quiet time does not wait.
+ */
+export const commitSpacingMs = 20;
+
 /** How often a control host announces itself until the ledger lists it, and how often after that. */
 export const joinRetryPeriodMs = 500;
 export const joinRefreshPeriodMs = 3000;
@@ -191,6 +197,12 @@
 /** Time that a relayed call may take in addition to the minion's timeout. */
 export const relayTimeoutMarginMs = 50;
 
+/**
+ * How long a relay may keep the answer to a call to a minion, to send it together with others. It delays what waits for an end
+ * by less than a commit; each read costs the leader as much as several answers in one.
+ */
+export const relayAnswerDelayMs = 10;
+
 /** How long a relay is not used for a minion that it did not reach. */
 export const relayBackoffMs = 5000;
 
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -18,7 +18,7 @@
 import {createCommandBatcher} from './command-batcher.js';
 import {clusterCallMethod, createClusterClient} from './cluster-client.js';
 import {
-	failedVoterRetryDelayMs, joinRefreshPeriodMs, joinRetryPeriodMs, leadershipCheckPeriodMs, voterAbsenceTimeoutMs, voterCheckPeriodMs,
+	commitSpacingMs, failedVoterRetryDelayMs, joinRefreshPeriodMs, joinRetryPeriodMs, leadershipCheckPeriodMs, relayAnswerDelayMs, voterAbsenceTimeoutMs, voterCheckPeriodMs,
 } from './constants.js';
 import {
 	startLeader, type Leader, type SchedulerLimits,
@@ -170,6 +170,7 @@
 				log.info(`the link with control host ${peer} is ${isUp ? 'up' : 'down'}`, {peer, isUp});
 			}
 		},
+		getAnswerDelayMs: method => method === minionCallMethod ? relayAnswerDelayMs : 0,
 		onRequest: answerPeer,
 		onConnectionRejected({peer, isEstablished, reason}) {
 			log.warn(`the connection with ${peer ?? 'an unnamed host'} is closed, since a frame on it cannot be read: ${reason.type}`, {peer, isEstablished, reason});
@@ -241,17 +242,22 @@
 
 	const canAct = () => replica.hasLeaderLease() && replica.wasConfirmedSince(clockGuard.check());
 
-	const propose = createCommandBatcher(async command => {
-		const proposedAtMs = timers.getNow();
-		const result = await replica.propose(command);
-		metrics.record('commit_ms', timers.getNow() - proposedAtMs);
-		if (result.ok) {
-			return result.value.hasFailed ? {type: 'unknown'} : {type: 'applied', outcome: result.value.outcome};
-		}
+	const propose = createCommandBatcher({
+		timers,
+		spacingMs: commitSpacingMs,
+		async propose(command) {
+			const proposedAtMs = timers.getNow();
+			const result = await replica.propose(command);
+			metrics.record('commit_ms', timers.getNow() - proposedAtMs);
+			if (result.ok) {
+				return result.value.hasFailed ? {type: 'unknown'} : {type: 'applied', outcome: result.value.outcome};
+			}
 
-		return {type: result.err.type === 'notProposed' ? 'notProposed' : 'unknown'};
-	}, err => {
-		log.error('unexpected error in a proposal', {err: describeError(err)});
+			return {type: result.err.type === 'notProposed' ? 'notProposed' : 'unknown'};
+		},
+		onError(err) {
+			log.error('unexpected error in a proposal', {err: describeError(err)});
+		},
 	});
 
 	const isLeading = (term: number) => {
--- a/packages/daemon/src/scheduler/test-world.ts
+++ b/packages/daemon/src/scheduler/test-world.ts
@@ -15,6 +15,7 @@
 import type {StructuredLogger} from '../runtime/types.js';
 import {createSchedulerMetrics} from './metrics.js';
 import {createCommandBatcher, type ProposalResult} from './command-batcher.js';
+import {commitSpacingMs} from './constants.js';
 import {startLeader, type Leader} from './leader.js';
 import {createWorkerOrderTimes} from './worker-order-times.js';
 import type {
@@ -852,8 +853,13 @@
 			getLedger: () => ledger,
 			canAct: () => term === leaderTerm && timers.getNow() >= leaderPausedUntilMs,
 			getLastOrderAtMs: workerOrderTimes.getLastOrderAtMs,
-			propose: createCommandBatcher(async command => propose(command, leaderTerm), err => {
-				throw err;
+			propose: createCommandBatcher({
+				timers,
+				spacingMs: commitSpacingMs,
+				propose: async command => propose(command, leaderTerm),
+				onError(err) {
+					throw err;
+				},
 			}),
 			onFenced,
 			minions: alterPort(port),
