Reports that tell nothing new are answered by the hosts that receive them; a leader does less for each minion and job

- A control host that does not lead, and has heard from a leader, answers the report of an incarnation that its ledger holds with the same address, pool, worker, capacity and drain state, and tells the leader of all of them five times a second, with their age.
- After three refused hold calls a minion without runs is called every 2 s, and at once when it reports.
- Admission takes the capacity of a pool's minions as it was up to 50 ms ago.

Checked: a late report of an ended incarnation gets 'done' from the leader as well, so a follower that is behind says nothing else; a report with another capacity always goes to the leader.

--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -14,7 +14,7 @@
 	countPendingJobs, createLedger, findQueue, findTask, getPublicJobState, getStep, getStepProgress, isJobId, isLateRunEnd, listTasks,
 	type QueueMatch, type PublicJobState,
 } from './ledger.js';
-export {fitsInto} from './resources.js';
+export {fitsInto, isSameAmount} from './resources.js';
 export {createLedgerSnapshot, listExpiredJobs, restoreLedger} from './snapshot.js';
 export {
 	getInheritedLeaseMs, getLeaseDeadline, isLeaseOver, type ClockReading,
--- a/packages/core/src/scheduler/resources.ts
+++ b/packages/core/src/scheduler/resources.ts
@@ -28,6 +28,11 @@
 		&& wanted.gpus <= free.gpus;
 }
 
+/** Returns whether two amounts are the same in each resource. */
+export function isSameAmount(left: Resources, right: Resources): boolean {
+	return fitsInto(left, right) && fitsInto(right, left);
+}
+
 /** Returns the capacity that is left. */
 export function subtractResources(capacity: Resources, used: Resources): Resources {
 	return {
--- a/packages/daemon/src/scheduler/answer-after-doubt.test.ts
+++ b/packages/daemon/src/scheduler/answer-after-doubt.test.ts
@@ -20,6 +20,7 @@
 	{type: 'wave/read', wave: toBrand<WaveId>('w')},
 	{type: 'host/join', node: toBrand<NodeId>('n'), storeId: toBrand<StoreId>('s')},
 	{type: 'limits/read'},
+	{type: 'minion/reportsSeen', reports: []},
 ];
 
 const answers: readonly ClusterAnswer[] = [
@@ -53,6 +54,7 @@
 		  "wave/read: accepted (refused) jobState unknownJob unknownQueue unknownKey invalidRequest noConfiguration done unavailable",
 		  "host/join: accepted (refused) jobState (unknownJob) (unknownQueue) (unknownKey) (invalidRequest) (noConfiguration) done (unavailable)",
 		  "limits/read: accepted (refused) jobState unknownJob unknownQueue unknownKey invalidRequest noConfiguration done unavailable",
+		  "minion/reportsSeen: accepted (refused) jobState unknownJob unknownQueue unknownKey invalidRequest noConfiguration done unavailable",
 		]
 	`);
 });
--- a/packages/daemon/src/scheduler/answer-after-doubt.ts
+++ b/packages/daemon/src/scheduler/answer-after-doubt.ts
@@ -43,7 +43,8 @@
 		case 'job/read':
 		case 'configuration/read':
 		case 'wave/read':
-		case 'limits/read': {
+		case 'limits/read':
+		case 'minion/reportsSeen': {
 			return false;
 		}
 
--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -3,8 +3,8 @@
  */
 import {waitFor, type JobId, type TimerService} from '@samphiremill/common';
 import {
-	countPendingJobs, fitsInto, getPublicJobState, getOccurrenceWork, isJobId, isWaveCompleted,
-	type Job, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord, type Resources,
+	countPendingJobs, getPublicJobState, getOccurrenceWork, isJobId, isSameAmount, isWaveCompleted,
+	type Job, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord,
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
 import type {ProposalResult} from './command-batcher.js';
@@ -19,7 +19,7 @@
 import type {ReportedIncarnations} from './reported-incarnations.js';
 import type {SessionRegistry} from './session-registry.js';
 import type {
-	CallerTarget, ClusterAnswer, ClusterCall, ConfigurationFinding, MinionReport,
+	CallerTarget, ClusterAnswer, ClusterCall, ConfigurationFinding, MinionReport, SeenReport,
 } from './types.js';
 
 /** Dependencies of the handlers. */
@@ -45,8 +45,6 @@
 	readonly onChanged: () => void;
 };
 
-const isSameAmount = (left: Resources, right: Resources) => fitsInto(left, right) && fitsInto(right, left);
-
 // The ledger removes such an incarnation when the new one joins.
 const isReplacedBy = (known: MinionRecord, record: MinionRecord) => known.bornAtMs <= record.bornAtMs
 	&& (known.minion === record.minion || known.worker === record.worker || known.address === record.address);
@@ -245,6 +243,14 @@
 		return {type: 'done'};
 	};
 
+	const recordSeenReports = (reports: readonly SeenReport[]): ClusterAnswer => {
+		for (const {life, sequence, ageMs} of reports) {
+			sessions.get(life)?.recordReport({sequence, ageMs});
+		}
+
+		return {type: 'done'};
+	};
+
 	// Resolves to whether the ledger holds the reported capacity, or a later report overtook this one.
 	const updateCapacity = async (report: MinionReport): Promise<boolean> => {
 		const {life, minion, capacity} = report.record;
@@ -364,6 +370,10 @@
 				return handleMinionReport(call.report);
 			}
 
+			case 'minion/reportsSeen': {
+				return recordSeenReports(call.reports);
+			}
+
 			case 'minion/leave': {
 				return handleMinionLeave(call);
 			}
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -49,6 +49,16 @@
 /** Delay after a hold call that could not be sent. */
 export const holdRetryDelayMs = 250;
 
+/**
+ * The same for a minion without runs at whose address no process has listened for a few calls. It is called sooner once it
+ * reports.
+ */
+export const refusedHoldRetryDelayMs = 2000;
+export const refusedHoldsBeforeBackoff = 2;
+
+/** How long a control host that does not lead collects the reports of minions before it tells the leader of them. */
+export const reportBundlePeriodMs = 200;
+
 /**
  * Highest reading of a minion's clock, which counts from the minion's start: 100 years. A lease granted on a higher one
  * would never be over.
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -18,7 +18,7 @@
 import {createCommandBatcher} from './command-batcher.js';
 import {clusterCallMethod, createClusterClient} from './cluster-client.js';
 import {
-	commitSpacingMs, failedVoterRetryDelayMs, joinRefreshPeriodMs, joinRetryPeriodMs, leadershipCheckPeriodMs, relayAnswerDelayMs, voterAbsenceTimeoutMs, voterCheckPeriodMs,
+	commitSpacingMs, failedVoterRetryDelayMs, joinRefreshPeriodMs, joinRetryPeriodMs, leadershipCheckPeriodMs, relayAnswerDelayMs, reportBundlePeriodMs, voterAbsenceTimeoutMs, voterCheckPeriodMs,
 } from './constants.js';
 import {
 	startLeader, type Leader, type SchedulerLimits,
@@ -29,6 +29,7 @@
 import {
 	chooseReportHost, executeMinionCall, createRelayedMinionPort, minionCallMethod, needsRelays, type MinionCall,
 } from './minion-relay.js';
+import {createReportCollector} from './report-collector.js';
 import {createWorkerOrderTimes} from './worker-order-times.js';
 import type {
 	AdvicePort, ClusterAnswer, ClusterCall, ClusterReply, ConfigurationFinding, MinionPort, WorkerPort,
@@ -326,11 +327,24 @@
 		};
 	};
 
+	const reportCollector = createReportCollector({
+		timers,
+		getLedger: () => ledger,
+		isInContact: () => replica.getState().leader !== undefined && replica.getFreshness() === 'fresh',
+		send(reports) {
+			void call({type: 'minion/reportsSeen', reports}, {timeoutMs: reportBundlePeriodMs});
+		},
+	});
+
 	const call: ControlHost['call'] = async (request, {timeoutMs}) => {
 		if (leader !== undefined) {
 			return leader.answer(request);
 		}
 
+		if (request.type === 'minion/report' && reportCollector.collect(request.report)) {
+			return {type: 'done'};
+		}
+
 		const result = await client.call(request, {timeoutMs});
 		if (result.type === 'answered') {
 			return result.answer;
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -2,13 +2,13 @@
  * The leader's session with one incarnation of a minion. It renews the lease, sends orders for the runs, and processes
  * the minion's listings of its runs.
  */
-import {describeError, waitAtMost, waitFor} from '@samphiremill/common';
+import {describeError, waitAtMost} from '@samphiremill/common';
 import {
 	findTask, getInheritedLeaseMs, getRunLimit, getStep, isLateRunEnd, isSuspectedSlow, recordSlowness, recordRunDone, recordRunFailed, initialMinionHealth, initialMinionSpeed,
 	type MinionHealth, type MinionSpeed, type MinionRecord, type RunAssignment, type RunEnd, type Task, type TaskId,
 } from '@samphiremill/core';
 import {
-	holdRetryDelayMs, holdTimeoutMarginMs, holdWaitMs, orderTimeoutMs, provenServiceMs, warmUpHoldWaitMs,
+	holdRetryDelayMs, holdTimeoutMarginMs, holdWaitMs, orderTimeoutMs, provenServiceMs, refusedHoldRetryDelayMs, refusedHoldsBeforeBackoff, warmUpHoldWaitMs,
 } from './constants.js';
 import {createEndAcknowledgement} from './end-acknowledgement.js';
 import {createIncarnationCheck, type IncarnationSign} from './incarnation-check.js';
@@ -39,7 +39,8 @@
 	/** Stops a run if this session tracks it. */
 	readonly stop: (task: TaskId, reason: string) => void;
 	readonly setPace: (task: TaskId, percent: number) => void;
-	readonly recordReport: (report: MinionReport) => void;
+	/** Records a report that the minion sent; `ageMs` tells how long ago it arrived, if at another host. */
+	readonly recordReport: (report: Pick<MinionReport, 'sequence'> & {readonly ageMs?: number}) => void;
 	/** Whether the minion sent the report before another one that has arrived. */
 	readonly isOutdated: (report: MinionReport) => boolean;
 	readonly tick: () => void;
@@ -113,6 +114,10 @@
 	/** Whether the leader could not act when the next hold call was due. */
 	let isCallOverdue = false;
 	let lastAnswerAtMs: number = timers.getNow();
+	/** How many of the last hold calls were refused by the minion's host, one after the other. */
+	let refusedHolds = 0;
+	/** Ends the pause before the next hold call. */
+	let endHoldPause: (() => void) | undefined;
 	const loss = createLossTracker({
 		record, timers, log, context, listTrackedRuns: () => [...trackedRuns.values()],
 	});
@@ -480,6 +485,7 @@
 		recordAnswer(answer, sentAtMs);
 		updateSilence(answer);
 		isCallOverdue = false;
+		refusedHolds = answer.type === 'notSent' && answer.isRefused === true ? refusedHolds + 1 : 0;
 
 		if (answer.type === 'noAnswer' || answer.type === 'notSent') {
 			loss.recordUnansweredHold(answer, {sentAtMs, timeoutMs});
@@ -524,11 +530,26 @@
 		}
 	};
 
+	// Where no process listens, as on a worker under maintenance, the next incarnation reports by itself. Without runs there is
+	// no lease to renew.
+	const getHoldPauseMs = () => refusedHolds > refusedHoldsBeforeBackoff && listLedgerRuns().length === 0 ? refusedHoldRetryDelayMs : holdRetryDelayMs;
+
+	const pauseHolds = async () => {
+		await new Promise<void>(resolve => {
+			const cancelTimer = timers.scheduleOnce(getHoldPauseMs(), resolve);
+			endHoldPause = () => {
+				cancelTimer();
+				resolve();
+			};
+		});
+		endHoldPause = undefined;
+	};
+
 	const runHoldLoop = async () => {
 		while (isOpen()) {
 			const next = await takeHoldTurn(); // eslint-disable-line no-await-in-loop -- hold calls are sequential
 			if (next === 'pause') {
-				await waitFor(timers, holdRetryDelayMs); // eslint-disable-line no-await-in-loop -- hold calls are sequential
+				await pauseHolds(); // eslint-disable-line no-await-in-loop -- hold calls are sequential
 			}
 		}
 	};
@@ -620,13 +641,14 @@
 			});
 		},
 		isOutdated: report => report.sequence < sequence,
-		recordReport(report) {
-			if (report.sequence <= sequence) {
+		recordReport({sequence: reported, ageMs = 0}) {
+			if (reported <= sequence) {
 				return;
 			}
 
-			sequence = report.sequence;
-			lastContactAtMs = timers.getNow();
+			sequence = reported;
+			lastContactAtMs = Math.max(lastContactAtMs, timers.getNow() - ageMs);
+			endHoldPause?.();
 		},
 		tick() {
 			adoptUnknownRuns();
--- a/packages/daemon/src/scheduler/pool-view.ts
+++ b/packages/daemon/src/scheduler/pool-view.ts
@@ -52,6 +52,17 @@
 // A pool keeps its workers while more than this part of its processors is in demand.
 const loadedPoolThreshold = 0.6;
 
+/** How long the capacity of a pool's minions is taken as it was, in milliseconds. Jobs come faster than minions come and go. */
+const capacityRefreshMs = 50;
+
+/** What the minions of a pool have that may be given work. */
+type PlaceableCapacity = {
+	readonly measuredAtMs: number;
+	readonly cpuMillicores: number;
+	/** The largest amount of each resource; `undefined` without minions. */
+	readonly largest: Resources | undefined;
+};
+
 const sumMillicores = (capacities: readonly Resources[]) => capacities.reduce((sum, {cpuMillicores}) => sum + cpuMillicores, 0);
 
 const getLargest = (capacities: readonly Resources[]): Resources | undefined => capacities.length === 0
@@ -67,7 +78,19 @@
 	let bursts = emptyBurstHistory;
 	let latestBalances: readonly PoolBalance[] | undefined;
 
-	const listPlaceable = (pool: PoolId) => [...sessions.listPool(pool)].filter(session => isPlaceable(session));
+	const capacities = new Map<PoolId, PlaceableCapacity>();
+
+	const measureCapacity = (pool: PoolId): PlaceableCapacity => {
+		const placeable = [...sessions.listPool(pool)].filter(session => isPlaceable(session)).map(({record}) => record.capacity);
+		const measured = {measuredAtMs: timers.getNow(), cpuMillicores: sumMillicores(placeable), largest: getLargest(placeable)};
+		capacities.set(pool, measured);
+		return measured;
+	};
+
+	const getCapacity = (pool: PoolId): PlaceableCapacity => {
+		const known = capacities.get(pool);
+		return known !== undefined && timers.getNow() - known.measuredAtMs < capacityRefreshMs ? known : measureCapacity(pool);
+	};
 
 	// A new leader has not seen a burst of any pool yet. For some time it expects each pool to need an equal part of the fleet.
 	const getDefaultPeak = (poolCount: number) => {
@@ -106,7 +129,7 @@
 		const forecasts = recordInflows(definitions.filter(({isStandby}) => !isStandby).map(({pool}) => pool), defaultPeak);
 		return definitions.map(({pool, isStandby}) => {
 			const {longRunningMillicores, waitingLongRunningCount, runningMillicores, readyMillicores, workLeft} = measurePoolWorkload(getLedger(), pool, getWallClock());
-			const cpuMillicores = sumMillicores(listPlaceable(pool).map(({record}) => record.capacity));
+			const {cpuMillicores} = measureCapacity(pool);
 			const incomingMillicores = getIncomingMillicores(pool);
 			return {
 				pool,
@@ -131,13 +154,12 @@
 
 	const getLoad = (pool: PoolId, {team, work}: PoolLoadRequest): PoolLoad => {
 		const {longRunningMillicores} = measurePoolWorkload(getLedger(), pool, getWallClock());
-		const capacities = listPlaceable(pool).map(({record}) => record.capacity);
-		const cpuMillicores = sumMillicores(capacities);
+		const {cpuMillicores, largest} = getCapacity(pool);
 		return {
 			cpuMillicores: Math.max(0, cpuMillicores + getIncomingMillicores(pool) - longRunningMillicores),
 			parallelismLimit: {poolMillicores: cpuMillicores, teamMillicores: team?.maximum.cpuMillicores ?? 0},
 			workAhead: measureWorkAhead(getLedger(), {pool, work, nowMs: getWallClock()}),
-			largestMinion: getLargest(capacities),
+			largestMinion: largest,
 		};
 	};
 
--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -25,6 +25,14 @@
 	readonly remainingMs: number | undefined;
 };
 
+/** A report that a control host which does not lead has answered, since it tells the leader nothing else. */
+export type SeenReport = {
+	readonly life: IncarnationId;
+	readonly sequence: number;
+	/** How long ago the report arrived, in milliseconds. */
+	readonly ageMs: number;
+};
+
 /** A request that only the leading control host answers. */
 export type ClusterCall
 	= | {readonly type: 'job/submit'; readonly target: CallerTarget; readonly specification: JobSpecification}
@@ -33,6 +41,7 @@
 		| {readonly type: 'configuration/replace'; readonly document: string}
 		| {readonly type: 'configuration/read'}
 		| {readonly type: 'minion/report'; readonly report: MinionReport}
+		| {readonly type: 'minion/reportsSeen'; readonly reports: readonly SeenReport[]}
 		| {readonly type: 'minion/leave'; readonly minion: MinionId; readonly bornAtMs: number | undefined}
 		| {readonly type: 'wave/start'; readonly wave: Pick<MaintenanceWave, 'wave' | 'workers' | 'maximumAtOnce'>; readonly durationMs: number}
 		| {readonly type: 'wave/read'; readonly wave: WaveId}
