--- a/packages/daemon/src/scheduler/command-batcher.test.ts
+++ b/packages/daemon/src/scheduler/command-batcher.test.ts
@@ -155,10 +155,10 @@
 ])('a proposal that %s settles its commands as unknown and is reported, and later proposals go on', async (_, fail) => {
 	const reportedErrors: unknown[] = [];
 	let failuresLeft = 2;
-	// eslint-disable-next-line @typescript-eslint/promise-function-async -- one case throws before there is a promise
 	const submit = createCommandBatcher({
 		timers: createVirtualTimerService(),
 		spacingMs: 0,
+		// eslint-disable-next-line @typescript-eslint/promise-function-async -- one case throws before there is a promise
 		propose(): Promise<ProposalResult> {
 			failuresLeft -= 1;
 			return failuresLeft < 0 ? Promise.resolve({type: 'applied', outcome: undefined}) : fail();
--- a/packages/daemon/src/scheduler/duty-times.test.ts
+++ b/packages/daemon/src/scheduler/duty-times.test.ts
@@ -15,7 +15,9 @@
 	};
 	let work = {activeMs: 0, collectionMs: 0};
 	let traffic = {sentFrames: 10, dials: 2};
-	const dutyTimes = createDutyTimes({timers, log, getProcessTimes: () => work, getTraffic: () => traffic});
+	const dutyTimes = createDutyTimes({
+		timers, log, getProcessTimes: () => work, getTraffic: () => traffic,
+	});
 	expect(dutyTimes.measure('plans', () => {
 		timers.advance(200);
 		return 7;
@@ -30,7 +32,9 @@
 	work = {activeMs: 800, collectionMs: 50};
 	traffic = {sentFrames: 15, dials: 2};
 	dutyTimes.report();
-	expect(lines).toEqual([{activeMs: 800, collectionMs: 50, duties: {plans: 300}, counts: {plans: 2}, traffic: {sentFrames: 5}}]);
+	expect(lines).toEqual([{
+		activeMs: 800, collectionMs: 50, duties: {plans: 300}, counts: {plans: 2}, traffic: {sentFrames: 5},
+	}]);
 	timers.advance(1000);
 	work = {activeMs: 900, collectionMs: 50};
 	dutyTimes.report();
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -128,7 +128,9 @@
 		}
 	});
 	collections.observe({entryTypes: ['gc']});
-	const dutyTimes = createDutyTimes({timers, log, getProcessTimes: () => ({activeMs: performance.eventLoopUtilization().active, collectionMs}), getTraffic: options.getTraffic});
+	const dutyTimes = createDutyTimes({
+		timers, log, getProcessTimes: () => ({activeMs: performance.eventLoopUtilization().active, collectionMs}), getTraffic: options.getTraffic,
+	});
 
 	const isActive = () => !isStopped;
 
--- a/packages/daemon/src/scheduler/report-collector.ts
+++ b/packages/daemon/src/scheduler/report-collector.ts
@@ -26,8 +26,7 @@
 
 const isKnown = ({incarnations}: Ledger, {record, isDraining}: MinionReport): boolean => {
 	const known = incarnations.get(record.life);
-	return known !== undefined
-		&& known.isDraining === isDraining
+	return known?.isDraining === isDraining
 		&& known.record.address === record.address
 		&& known.record.pool === record.pool
 		&& known.record.worker === record.worker
