--- a/packages/core/src/replica/test-network.ts
+++ b/packages/core/src/replica/test-network.ts
@@ -12,7 +12,7 @@
 import {
 	applyPersistedWrite, createPersistedState, getRecoveredReplica, type PersistedState,
 } from './persisted-state.js';
-import {hasLeaderLease} from './leader-lease.js';
+import {getConfirmedSendMs, hasLeaderLease, isLeaderLeaseHeld} from './leader-lease.js';
 import {reduceReplica} from './reduce-replica.js';
 import type {
 	LogEntry, PersistEffect, ReplicaConfig, ReplicaEffect, ReplicaEvent, ReplicaLimits, ReplicaState, RequestId, StoreId, VoterChange,
@@ -514,7 +514,15 @@
 		},
 		hasLeaderLease(name) {
 			const {cfg, state, isUp} = getNode(name);
-			return isUp && hasLeaderLease(state, {cfg, nowMs: getLocalMs(name)});
+			const nowMs = getLocalMs(name);
+			const isHeld = hasLeaderLease(state, {cfg, nowMs});
+			// A host asks with what it computed once for the state.
+			const confirmedAtMs = Math.min(nowMs, getConfirmedSendMs(state, {cfg, nowMs: Number.POSITIVE_INFINITY}));
+			if (isLeaderLeaseHeld(state, {cfg, nowMs, confirmedAtMs}) !== isHeld) {
+				throw new Error(`the lease of ${name} at ${nowMs} ms differs from the one that is computed once for the state`);
+			}
+
+			return isUp && isHeld;
 		},
 		cut(from, to) {
 			blockedLinks.add(`${from}>${to}`);
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -648,7 +648,9 @@
 
 			sequence = reported;
 			lastContactAtMs = Math.max(lastContactAtMs, timers.getNow() - ageMs);
-			endHoldPause?.();
+			if (refusedHolds > 0) {
+				endHoldPause?.();
+			}
 		},
 		tick() {
 			adoptUnknownRuns();
