Tests: the event loop runs after each test, so that long synchronous models do not end the run

Traced: large-entries.test.ts took 67.6 s there, and its six tests are synchronous, so the worker handled no message of the runner for longer than the runner's 60 s. No test, bound or timeout is changed.

--- a/vitest.config.js
+++ b/vitest.config.js
@@ -14,6 +14,7 @@
 	test: {
 		include: ['packages/*/src/**/*.test.ts', 'platform/src/**/*.test.ts', 'examples/**/*.test.ts', 'bench/**/*.test.ts'],
 		testTimeout: 60_000,
+		setupFiles: ['scripts/test-setup.js'],
 		// Each soak test starts five processes.
 		maxConcurrency: 3,
 		// Imports CommonJS packages as Node.js does.
