--- a/review/stand-ins-2/run-case.js
+++ b/review/stand-ins-2/run-case.js
@@ -46,7 +46,7 @@
 	let outcome = 'notRun';
 	process.once('SIGTERM', async () => {
 		await cleanUp();
-		process.exit(exitCodes.notRun); // eslint-disable-line unicorn/no-process-exit -- the exit code is the result
+		process.exit(exitCodes.notRun);
 	});
 	try {
 		const network = await chooseNetwork();
