Review: long checkpoints keep the ends of a minion's runs out of the log (case 8)

Cause: all ends of a listing go into the log as one command, which is larger than the log takes; the session takes the refusal for one that passes.

--- a/review/stand-ins-2/minion.js
+++ b/review/stand-ins-2/minion.js
@@ -21,11 +21,11 @@
 /**
  * Starts a minion that reports to the control hosts.
  *
- * @param options - `handleCall` may take over a call: it gets the path, the body and a function that carries the call out, and returns the
+ * @param options - `createCheckpoint` returns what a run has saved, given its task and its start. `handleCall` may take over a call: it gets the path, the body and a function that carries the call out, and returns the
  * answer, or `undefined` for none. `onStart` and `onEnd` are called with each start and end of a run.
  */
 export async function startMinion({
-	id, machine = `m-${id}`, service, host, port, controlAddresses, taskMs = 1000, longRunningPayload = 'stays', capacity = {cpu: 32_000, memMb: 65_536, gpu: 0}, record, handleCall = async ({run}) => run(), onStart = () => undefined, onEnd = () => undefined,
+	id, machine = `m-${id}`, service, host, port, controlAddresses, taskMs = 1000, longRunningPayload = 'stays', capacity = {cpu: 32_000, memMb: 65_536, gpu: 0}, record, createCheckpoint = () => '', handleCall = async ({run}) => run(), onStart = () => undefined, onEnd = () => undefined,
 }) {
 	const bornAtMs = Date.now();
 	const runs = new Map();
@@ -40,10 +40,10 @@
 	const getClock = () => Date.now() - bornAtMs;
 
 	const endRun = (task, how) => {
-		const {run} = runs.get(task);
+		const {run, startedAtMs} = runs.get(task);
 		runs.delete(task);
 		closed.set(task, Math.max(closed.get(task) ?? 0, run));
-		finished.push([nextNumber, task, run, how, '']);
+		finished.push([nextNumber, task, run, how, createCheckpoint(task, startedAtMs)]);
 		nextNumber += 1;
 		record(`minion ${id}: run ${run} of ${task} ended ${how}`);
 		onEnd({task, run, how});
@@ -80,7 +80,7 @@
 
 		return {
 			status: 200, body: {
-				clockMs: getClock(), born: bornAtMs, running: [...runs].map(([task, {run, isLongRunning}]) => [task, run, '', isLongRunning ? 100 : 50, 0]), finished: finished.slice(0, 500),
+				clockMs: getClock(), born: bornAtMs, running: [...runs].map(([task, {run, isLongRunning, startedAtMs}]) => [task, run, createCheckpoint(task, startedAtMs), isLongRunning ? 100 : 50, 0]), finished: finished.slice(0, 500),
 			},
 		};
 	};
@@ -103,7 +103,9 @@
 
 		extendLease(deadlineMs);
 		const isLongRunning = taskSpec === longRunningPayload;
-		runs.set(task, {run: runId, isLongRunning, endsAtMs: isLongRunning ? Number.POSITIVE_INFINITY : Date.now() + taskMs});
+		runs.set(task, {
+			run: runId, isLongRunning, startedAtMs: Date.now(), endsAtMs: isLongRunning ? Number.POSITIVE_INFINITY : Date.now() + taskMs,
+		});
 		record(`minion ${id}: run ${runId} of ${task} started`);
 		onStart({task, run: runId, minion: id});
 		return {status: 200, body: {clockMs: getClock(), born: bornAtMs}};
