--- a/review/stand-ins-2/case-8.js
+++ b/review/stand-ins-2/case-8.js
@@ -8,8 +8,10 @@
 import {startMinion} from './minion.js';
 import {runCase, sendConfig} from './run-case.js';
 
-const id = '5c0e7a21d94b36f8';
-const taskCount = 300;
+/** The largest width of a step on the site is 24 to 32 work units. */
+const jobCount = 13;
+const tasksPerJob = 24;
+const taskCount = jobCount * tasksPerJob;
 const taskMs = 25_000;
 const joinMs = 3000;
 const startsTimeoutMs = 15_000;
@@ -41,26 +43,34 @@
 	});
 	addCleanUp(minion.crash);
 	await sleep(joinMs);
-	const submitted = await call({
-		address: cluster.frontends[0],
-		path: `/storm/${id}`,
-		method: 'POST',
-		headers,
-		body: {
-			taskSpec: 'call the houses',
-			steps: [{
-				count: taskCount, cpu: 100, memMb: 64, estimateMs: taskMs, checkpointing: true,
-			}],
-		},
-	});
-	record(`job ${id} of ${taskCount} work units handed in: ${submitted.status}`);
+	const ids = Array.from({length: jobCount}, (_, index) => (index + 1).toString(16).padStart(16, '5c0e7a21d94b36f8'));
+	for (const [index, id] of ids.entries()) {
+		// eslint-disable-next-line no-await-in-loop -- one job after the other
+		const {status} = await call({
+			address: cluster.frontends[index % cluster.frontends.length],
+			path: `/storm/${id}`,
+			method: 'POST',
+			headers,
+			body: {
+				taskSpec: 'call the houses',
+				steps: [{
+					count: tasksPerJob, cpu: 100, memMb: 64, estimateMs: taskMs, checkpointing: true,
+				}],
+			},
+		});
+		record(`job ${id} of ${tasksPerJob} work units handed in: ${status}`);
+		if (status !== 200) {
+			throw new Error('a job was not accepted');
+		}
+	}
+
 	const untilMs = Date.now() + startsTimeoutMs;
 	while (minion.countRuns() < taskCount && Date.now() < untilMs) {
 		await sleep(100); // eslint-disable-line no-await-in-loop -- polls
 	}
 
 	record(`minion i-1 runs ${minion.countRuns()} work units`);
-	if (submitted.status !== 200 || minion.countRuns() < taskCount) {
+	if (minion.countRuns() < taskCount) {
 		throw new Error('the work units did not start in time');
 	}
 
@@ -80,10 +90,17 @@
 	const backAtMs = Date.now();
 	await sleep(recoveryMs + idleMs);
 	const startedAgain = starts.filter(({atMs}) => atMs > backAtMs).length;
-	const {status, body} = await call({address: cluster.frontends[0], path: `/storm/${id}`, headers});
 	record(`${startedAgain} work units were started again; minion i-1 runs ${minion.countRuns()}`);
-	record(`GET /storm/${id}: ${status} ${body?.state}`);
-	return hasTrouble && startedAgain === 0 && body?.state !== 'completed'
-		? [`LOST: the accepted job has had nothing running for ${(recoveryMs + idleMs) / 1000} s after all machines were back, and is "${body?.state}"; its minion is idle`]
+	const states = [];
+	for (const id of ids) {
+		// eslint-disable-next-line no-await-in-loop -- one job after the other
+		const {status, body} = await call({address: cluster.frontends[0], path: `/storm/${id}`, headers});
+		record(`GET /storm/${id}: ${status} ${body?.state}`);
+		states.push(body?.state);
+	}
+
+	const open = states.filter(state => state !== 'completed').length;
+	return hasTrouble && startedAgain === 0 && open > 0
+		? [`LOST: ${open} accepted jobs have had nothing running for ${(recoveryMs + idleMs) / 1000} s after all machines were back; their minion is idle`]
 		: [];
 });
--- a/review/stand-ins-2/run-case.js
+++ b/review/stand-ins-2/run-case.js
@@ -1,5 +1,4 @@
 /** Runs one case: starts the cluster, plays the case, writes the record, and ends with the exit code that the review asks for. */
-import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {chooseNetwork, startCluster} from './cluster.js';
@@ -30,10 +29,13 @@
 /**
  * Runs a case.
  *
+ * The first argument of the process is the file that the record is written to.
+ *
  * @param folder - The folder of the case, relative to the repository.
  * @param play - Plays the case; resolves to the breaks of the rule that it saw. It throws if the case could not run.
  */
 export async function runCase(folder, play) {
+	const recordFile = process.argv.at(2);
 	const record = createRecord();
 	const hasTrouble = process.env.TROUBLE !== '0';
 	const cleanUps = [];
@@ -46,6 +48,8 @@
 	let outcome = 'notRun';
 	process.once('SIGTERM', async () => {
 		await cleanUp();
+		record.add('ended from outside');
+		record.save(recordFile);
 		process.exit(exitCodes.notRun);
 	});
 	try {
@@ -75,7 +79,7 @@
 
 	await cleanUp();
 	record.add(`outcome: ${outcome}`);
-	record.save(path.join(folder, 'record.txt'));
+	record.save(recordFile);
 	console.log(`${folder}: ${outcome}`);
 	process.exit(exitCodes[outcome]); // eslint-disable-line unicorn/no-process-exit -- the exit code is the result
 }
