--- a/packages/core/src/scheduler/constants.ts
+++ b/packages/core/src/scheduler/constants.ts
@@ -102,3 +102,9 @@
 /** How many losses are kept per task, and how many crashes in all. */
 export const maximumLosses = 6;
 export const maximumCrashes = 32;
+
+/** Most tasks of a step that is a gang: its members are assigned in one command, which has to fit into an entry of the log. */
+export const maximumGangTasks = 512;
+
+/** Most runs that a loss names, so that the command that carries it fits into an entry of the log. */
+export const maximumLostRuns = 256;
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -5,7 +5,7 @@
 export type * from './types.js';
 export {applyLedgerCommand} from './apply-ledger-command.js';
 export {
-	freshRunMs, leaseMarginMs, minimumClockRate, sharedLossMs,
+	freshRunMs, leaseMarginMs, maximumGangTasks, maximumLostRuns, minimumClockRate, sharedLossMs,
 } from './constants.js';
 export {
 	createIncarnationId, createTaskId, isIncarnationOf, parseTaskId, type TaskIdParts,
--- a/packages/daemon/src/scheduler/begin-term.test.ts
+++ b/packages/daemon/src/scheduler/begin-term.test.ts
@@ -8,7 +8,7 @@
 	debug: ignoreLine, info: ignoreLine, warn: ignoreLine, error: ignoreLine,
 };
 
-const begin = (results: ReadonlyArray<ProposalResult['type']>, options: Partial<Pick<TermStart, 'isCurrent' | 'startDuties'>> = {}) => {
+const begin = (results: ReadonlyArray<Exclude<ProposalResult['type'], 'tooLarge'>>, options: Partial<Pick<TermStart, 'isCurrent' | 'startDuties'>> = {}) => {
 	const timers = createVirtualTimerService(0);
 	const happened: string[] = [];
 	let hasBegun = false;
--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -10,7 +10,9 @@
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
 import type {ProposalResult} from './command-batcher.js';
-import {departurePollPeriodMs, departureTimeoutMs, maximumStartAheadMs} from './constants.js';
+import {
+	departurePollPeriodMs, departureTimeoutMs, maximumReplacedLosses, maximumStartAheadMs,
+} from './constants.js';
 import type {DemandMeter} from './demand-meter.js';
 import type {EndedIncarnations} from './ended-incarnations.js';
 import {createAcceptedJob, checkAccess, type GrantedAccess} from './job-access.js';
@@ -58,7 +60,7 @@
 		return {type: 'uncertain'};
 	}
 
-	return decision.type === 'notProposed' && decision.isTooLarge === true
+	return decision.type === 'tooLarge'
 		? {type: 'invalidRequest', message: 'the request is too large to be stored'}
 		: {type: 'unavailable'};
 };
@@ -240,6 +242,7 @@
 			await Promise.all(earlierSessions.map(async session => session.handleNextIncarnation()));
 			const losses = [...sessions.values()]
 				.filter(({record: known}) => isReplacedBy(known, record))
+				.slice(0, maximumReplacedLosses)
 				.map(({record: known, loss}) => ({...loss.describe(), life: known.life}));
 			const isJoined = await commit({
 				type: 'minion/joined', term, record, ...(losses.length > 0 && {losses}),
--- a/packages/daemon/src/scheduler/command-batcher.test.ts
+++ b/packages/daemon/src/scheduler/command-batcher.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {
 	createVirtualTimerService, toBrand, type JobId, type PoolId, type QueueId,
 } from '@samphiremill/common';
@@ -17,6 +18,7 @@
 	const timers = createVirtualTimerService();
 	const proposed: LedgerCommand[] = [];
 	const settles: Array<(decision: ProposalResult) => void> = [];
+	const tooLarge: string[] = [];
 	const submit = createCommandBatcher({
 		timers,
 		spacingMs,
@@ -29,10 +31,13 @@
 		onError(err) {
 			throw err;
 		},
+		onTooLarge(type) {
+			tooLarge.push(type);
+		},
 	});
 	const nameCommands = () => proposed.map(command => command.type === 'batch' ? command.commands.map(part => part.type === 'job/cancelled' ? part.id : '') : command.type);
 	return {
-		timers, settles, submit, nameCommands, proposed,
+		timers, settles, submit, nameCommands, proposed, tooLarge,
 	};
 };
 
@@ -166,6 +171,7 @@
 		onError(err) {
 			reportedErrors.push(err);
 		},
+		onTooLarge: () => undefined,
 	});
 	const single = submit(cancel('a'));
 	await waitForNextTurn();
@@ -201,7 +207,7 @@
 });
 
 test('a command that does not fit into a frame between hosts is not proposed, and the next one is', async () => {
-	const {settles, submit, proposed} = createLog();
+	const {settles, submit, proposed, tooLarge} = createLog();
 	// In UTF-8 a control character has six bytes as JSON, and most others have up to three.
 	const large = [acceptWithSteps('large', 1_100_000), {type: 'configuration/replaced', document: '\u0001'.repeat(200_000)}, {type: 'configuration/replaced', document: '\u2603'.repeat(400_000)}] as const;
 	const decisions = large.map(async command => submit(command));
@@ -209,7 +215,8 @@
 	await waitForNextTurn();
 	expect(proposed).toEqual([cancel('next')]);
 	settles[0]?.({type: 'applied', outcome: {type: 'applied'}});
-	expect(await Promise.all(decisions)).toEqual(large.map(() => ({type: 'notProposed', isTooLarge: true})));
+	expect(await Promise.all(decisions)).toEqual(large.map(command => ({type: 'tooLarge', bytes: Buffer.byteLength(JSON.stringify(command))})));
+	expect(tooLarge).toEqual(large.map(({type}) => type));
 	expect(await next).toMatchObject({type: 'applied'});
 });
 
@@ -219,6 +226,7 @@
 		spacingMs: 0,
 		propose: async () => ({type: 'applied', outcome: {type: 'failed', reason: 'an error', mayHaveEffect}}),
 		onError: () => undefined,
+		onTooLarge: () => undefined,
 	});
 	expect(await propose({type: 'term/begun', term: 1})).toEqual({type: expected});
 });
--- a/packages/daemon/src/scheduler/command-batcher.ts
+++ b/packages/daemon/src/scheduler/command-batcher.ts
@@ -6,6 +6,7 @@
 import {Buffer} from 'node:buffer';
 import type {TimerService} from '@samphiremill/common';
 import type {LedgerCommand, LedgerOutcome} from '@samphiremill/core';
+import {getMostEndBytes, mostBytesPerRun} from './command-parts.js';
 
 /**
  * Result of a proposal to the replicated log; `unknown` if it may or may not have been applied. A command that could
@@ -13,7 +14,9 @@
  */
 export type ProposalResult
 	= | {readonly type: 'applied'; readonly outcome: LedgerOutcome | undefined}
-		| {readonly type: 'notProposed'; /** Whether no entry of the log takes the command, now or later. */ readonly isTooLarge?: true}
+		| {readonly type: 'notProposed'}
+	/** No entry of the log takes the command, now or later, so it must not be proposed again as it is. */
+		| {readonly type: 'tooLarge'; readonly bytes: number}
 		| {readonly type: 'unknown'};
 
 type QueuedCommand = {
@@ -29,7 +32,7 @@
  * Most bytes of one command and of several together. A proposal is one entry of the log, which has to fit into a frame of
  * 1 MiB between hosts: one that does not reaches no other host, and nothing after it is committed.
  */
-const maximumCommandBytes = 917_504;
+export const maximumCommandBytes = 917_504;
 const maximumBytesPerProposal = 524_288;
 
 /** Most bytes of the commands that wait, while the log accepts nothing. Beyond it callers are refused at once. */
@@ -55,9 +58,6 @@
 // Only accepted jobs carry a payload.
 const getPayloadLength = (command: LedgerCommand) => command.type === 'job/accepted' ? command.job.specification.payload.length : 0;
 
-// The ids, numbers and words of a run take less than this, and a code unit of its checkpoint at most six bytes of JSON.
-const mostBytesPerRun = 512;
-const mostBytesPerCodeUnit = 6;
 const mostBytesPerStartedJob = 32;
 
 /** A bound up to this one is used as it is; several such commands still fit into a proposal. */
@@ -71,7 +71,7 @@
 
 	if (command.type === 'runs/ended' && command.loss === undefined) {
 		const besidesEnds = mostBytesPerRun + ((command.startedJobs?.length ?? 0) * mostBytesPerStartedJob);
-		return command.ends.reduce((sum, {checkpoint}) => sum + mostBytesPerRun + (checkpoint.length * mostBytesPerCodeUnit), besidesEnds);
+		return command.ends.reduce((sum, end) => sum + getMostEndBytes(end), besidesEnds);
 	}
 
 	return Number.POSITIVE_INFINITY;
@@ -102,6 +102,8 @@
 	readonly propose: (command: LedgerCommand) => Promise<ProposalResult>;
 	/** Called with what `propose` threw. */
 	readonly onError: (err: unknown) => void;
+	/** Called with a command that no entry of the log takes, and its size. */
+	readonly onTooLarge: (type: LedgerCommand['type'], bytes: number) => void;
 	/** Least time between the beginnings of two proposals, in milliseconds, unless more waits than one proposal takes. */
 	readonly spacingMs: number;
 };
@@ -110,7 +112,7 @@
  * Creates a function that proposes a command, alone or in a batch with others. Commands are applied in the
  * order of the calls. A command that is too large for the log, or that finds the queue full, is not proposed.
  */
-export function createCommandBatcher({timers, propose, onError, spacingMs}: CommandBatcherOptions): (command: LedgerCommand) => Promise<ProposalResult> {
+export function createCommandBatcher({timers, propose, onError, onTooLarge, spacingMs}: CommandBatcherOptions): (command: LedgerCommand) => Promise<ProposalResult> {
 	let lastBeganAtMs = Number.NEGATIVE_INFINITY;
 	let queue: QueuedCommand[] = [];
 	let queuedBytes = 0;
@@ -169,7 +171,8 @@
 	return async command => new Promise(resolve => {
 		const bytes = getBytes(command);
 		if (bytes > maximumCommandBytes) {
-			resolve({type: 'notProposed', isTooLarge: true});
+			onTooLarge(command.type, bytes);
+			resolve({type: 'tooLarge', bytes});
 			return;
 		}
 
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -189,6 +189,9 @@
 /** How often the ledger is searched for ended jobs to forget. */
 export const jobCleanupPeriodMs = 10_000;
 
+/** Most ended jobs that one command forgets, so that it fits into an entry of the log. The others follow a period later. */
+export const maximumForgottenJobs = 10_000;
+
 /** Delay before a worker is considered for a move again after the platform refused to move it. */
 export const refusedMoveDelayMs = 1000;
 
@@ -238,3 +241,6 @@
 
 /** How long a listed run that is not assigned counts on its minion, in milliseconds. A stop takes less, and a row that stays listed is false. */
 export const unassignedRunCountMs = 5000;
+
+/** Of how many replaced incarnations the command that adds the next one describes the loss. There is one, or a few after a mix-up of addresses. */
+export const maximumReplacedLosses = 8;
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -265,6 +265,10 @@
 		onError(err) {
 			log.error('unexpected error in a proposal', {err: describeError(err)});
 		},
+		onTooLarge(type, bytes) {
+			metrics.count('commands_too_large_total', type);
+			log.error(`a command ${type} of ${bytes} bytes fits into no entry of the log`, {type, bytes});
+		},
 	});
 
 	const isLeading = (term: number) => {
--- a/packages/daemon/src/scheduler/late-start-guard.ts
+++ b/packages/daemon/src/scheduler/late-start-guard.ts
@@ -8,6 +8,7 @@
 	getInheritedLeaseMs, type MinionRecord, type RunAssignment, type RunEnd, type TaskId,
 } from '@samphiremill/core';
 import {holdTimeoutMarginMs, unansweredStartWindowMs, orderRetryDelayMs} from './constants.js';
+import {listForLog} from './logged-list.js';
 import {hasUncertainStart, type TrackedRun} from './tracked-run.js';
 import {createRunEnd, toRunEnds} from './run-orders.js';
 import type {SessionContext} from './session-context.js';
@@ -75,7 +76,7 @@
 		// More runs may have lapsed in the meantime.
 		const stillOpen = listUnblockedLapsedRuns();
 		log.info(`minion ${record.minion} was told not to start ${unblocked.length} lapsed runs`, {
-			minion: record.minion, life: record.life, stillOpen: stillOpen.length, tasks: unblocked.map(([task, run]) => `${task}#${run}`),
+			minion: record.minion, life: record.life, stillOpen: stillOpen.length, tasks: listForLog(unblocked).map(([task, run]) => `${task}#${run}`),
 		});
 		return stillOpen.length === 0;
 	};
@@ -137,7 +138,7 @@
 		dropExpiredStarts();
 		const openRuns = listPossibleRuns(uncertainRuns);
 		log.info(`minion ${record.minion} started a new incarnation`, {
-			minion: record.minion, life: record.life, runs: trackedRuns.length, open: [...openRuns].map(([task, run]) => `${task}#${run}`),
+			minion: record.minion, life: record.life, runs: trackedRuns.length, openCount: openRuns.size, open: listForLog([...openRuns]).map(([task, run]) => `${task}#${run}`),
 		});
 		await endRuns(trackedRuns.filter(trackedRun => !hasUncertainStart(trackedRun)).map(({assignment}) => createRunEnd(assignment, 'lapsed')));
 		await stopPossibleRuns(openRuns, sinceMs);
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -14,7 +14,7 @@
 import {createCheckedMinionPort} from './checked-minion-port.js';
 import type {ProposalResult} from './command-batcher.js';
 import {
-	lapsedStartAbsenceTimeoutMs, fillerPacePeriodMs, jobCleanupPeriodMs, leaderTickPeriodMs, minionAbsenceTimeoutMs, poolReportPeriodMs,
+	lapsedStartAbsenceTimeoutMs, fillerPacePeriodMs, jobCleanupPeriodMs, leaderTickPeriodMs, maximumForgottenJobs, minionAbsenceTimeoutMs, poolReportPeriodMs,
 } from './constants.js';
 import {createConfirmedStarts} from './confirmed-starts.js';
 import {createDutyTimes} from './duty-times.js';
@@ -393,7 +393,7 @@
 	const forgetEndedJobs = () => {
 		stragglerMitigator.pruneSteps();
 		adviceCache.forgetSteps(step => findTask(getLedger(), `${step}.0`) === undefined);
-		const ids = options.endedJobs.listExpired(limits.retentionMs);
+		const ids = options.endedJobs.listExpired(limits.retentionMs).slice(0, maximumForgottenJobs);
 		if (ids.length > 0 && canAct()) {
 			void commit({type: 'jobs/forgotten', ids});
 		}
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -12,6 +12,7 @@
 		| 'jobs_ended_total'
 		| 'runs_assigned_total'
 		| 'assignments_refused_total'
+		| 'commands_too_large_total'
 		| 'runs_ended_total'
 		| 'malformed_rows_total'
 		| 'leases_lapsed_total'
--- a/packages/daemon/src/scheduler/minion-loss.ts
+++ b/packages/daemon/src/scheduler/minion-loss.ts
@@ -4,7 +4,7 @@
  */
 import type {TimerService} from '@samphiremill/common';
 import {
-	freshRunMs, isSuddenLoss, type LostRun, type MinionLoss, type MinionRecord,
+	freshRunMs, isSuddenLoss, maximumLostRuns, type LostRun, type MinionLoss, type MinionRecord,
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
 import type {SessionContext} from './session-context.js';
@@ -45,6 +45,11 @@
 // A run whose start was never sent cannot have crashed the minion.
 const mayHaveStarted = ({startedAtMs, isInherited, mayStartLate}: TrackedRun) => startedAtMs !== undefined || isInherited || mayStartLate;
 
+// The runs that had just started say most about their tasks. An unknown time counts as none.
+const selectLostRuns = (runs: readonly LostRun[]): readonly LostRun[] => runs.length <= maximumLostRuns
+	? runs
+	: runs.toSorted((left, right) => (left.ranMs ?? 0) - (right.ranMs ?? 0)).slice(0, maximumLostRuns);
+
 export function createLossTracker({record, timers, log, context, listTrackedRuns}: LossTrackerOptions): LossTracker {
 	let lastContactAtMs: number = timers.getNow();
 	let hasHadContact = false;
@@ -98,7 +103,7 @@
 				atMs: Math.round(context.getSteadyTime() - (timers.getNow() - atMs)),
 				isRefused: hasRefused,
 				isShared: context.isLossShared(record.life, atMs),
-				runs: listLostRuns(atMs),
+				runs: selectLostRuns(listLostRuns(atMs)),
 			};
 		},
 	};
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -10,6 +10,7 @@
 import {
 	holdRetryDelayMs, holdTimeoutMarginMs, holdWaitMs, orderTimeoutMs, provenServiceMs, refusedHoldRetryDelayMs, refusedHoldsBeforeBackoff, warmUpHoldWaitMs,
 } from './constants.js';
+import {splitEnds} from './command-parts.js';
 import {createEndAcknowledgement} from './end-acknowledgement.js';
 import {createIncarnationCheck, type IncarnationSign} from './incarnation-check.js';
 import {createMinionLease} from './minion-lease.js';
@@ -18,6 +19,7 @@
 	createTrackedRun, toRunView, type TrackedRun, type RunView,
 } from './tracked-run.js';
 import {createLateStartGuard} from './late-start-guard.js';
+import {listForLog} from './logged-list.js';
 import {inferMissingEnds, recordListedRun} from './run-listing.js';
 import {createRunEnd, createRunOrders, toRunEnds} from './run-orders.js';
 import type {SessionContext} from './session-context.js';
@@ -252,13 +254,14 @@
 
 		const jobs = new Set(ends.flatMap(({task}) => findTask(context.getLedger(), task)?.job ?? []));
 		const activeJobs = [...jobs].filter(({status}) => status === 'active');
-		const isCommitted = await context.commit({
-			type: 'runs/ended', term: fencingToken, ends, atMs: context.getWallClock(), ...(hasLostRuns && {loss: loss.describe()}),
-		});
+		const lapsed = hasLostRuns ? ends.find(({ending}) => ending === 'lapsed') : undefined;
+		const results = await Promise.all(splitEnds(ends).map(async part => context.commit({
+			type: 'runs/ended', term: fencingToken, ends: part, atMs: context.getWallClock(), ...(lapsed !== undefined && part.includes(lapsed) && {loss: loss.describe()}),
+		})));
 		context.onEndsRecorded(activeJobs);
 		dropEndedRuns();
 		context.onRunsEnded();
-		return isCommitted;
+		return results.every(Boolean);
 	};
 
 	const endRuns = async (ends: readonly RunEnd[]): Promise<boolean> => {
@@ -268,7 +271,7 @@
 
 	const removeIncarnation = async (reason: string) => {
 		log.info(`removing minion ${record.minion}: ${reason}`, {
-			minion: record.minion, life: record.life, reason, runs: listLedgerRuns().map(([task, run]) => `${task}#${run}`),
+			minion: record.minion, life: record.life, reason, runCount: listLedgerRuns().length, runs: listForLog(listLedgerRuns()).map(([task, run]) => `${task}#${run}`),
 		});
 		await context.commit({
 			type: 'minion/left', term: fencingToken, life: record.life, loss: loss.describe(),
@@ -367,7 +370,7 @@
 	const logInferredEnds = (ends: readonly RunEnd[], sentAtMs: number) => {
 		if (ends.length > 0) {
 			log.info(`${ends.length} runs count as ended: minion ${record.minion} does not list them`, {
-				minion: record.minion, life: record.life, listingAgeMs: Math.round(timers.getNow() - sentAtMs), runs: ends.map(({task, run, ending}) => `${task}#${run} ${ending}`),
+				minion: record.minion, life: record.life, listingAgeMs: Math.round(timers.getNow() - sentAtMs), runs: listForLog(ends).map(({task, run, ending}) => `${task}#${run} ${ending}`),
 			});
 		}
 	};
@@ -623,7 +626,7 @@
 
 		metrics.count('leases_lapsed_total');
 		log.warn(`the lease on minion ${record.minion} ran out with ${runs.length} runs`, {
-			minion: record.minion, life: record.life, silentMs: Math.round(timers.getNow() - lastContactAtMs), tasks: runs.map(([task]) => task),
+			minion: record.minion, life: record.life, silentMs: Math.round(timers.getNow() - lastContactAtMs), tasks: listForLog(runs).map(([task]) => task),
 		});
 		const proposedAtMs = timers.getNow();
 		const isNoted = await commitEnds(runs.map(([task, number]) => createRunEnd({task, run: number, life: record.life}, 'lapsed')));
--- a/packages/daemon/src/scheduler/start-log.ts
+++ b/packages/daemon/src/scheduler/start-log.ts
@@ -5,6 +5,7 @@
 	countStepRuns, findTask, getStep, type Ledger, type RefusedAssignment, type RunAssignment,
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
+import {listForLog, maximumLoggedItems} from './logged-list.js';
 import type {SchedulerMetrics} from './metrics.js';
 
 /** Dependencies of the log of starts. */
@@ -53,9 +54,11 @@
 			}
 
 			for (const [job, assigned] of byJob) {
-				log.info(`job ${job}: ${assigned.length} tasks start`, {
-					id: job, plan, starts: assigned.map(assignment => describeStart(assignment)).join(' '),
-				});
+				for (let first = 0; first < assigned.length; first += maximumLoggedItems) {
+					log.info(`job ${job}: ${assigned.length} tasks start`, {
+						id: job, plan, starts: listForLog(assigned.slice(first)).map(assignment => describeStart(assignment)).join(' '),
+					});
+				}
 			}
 		},
 		recordRefused(plan, runs) {
--- a/packages/daemon/src/scheduler/start-planner.ts
+++ b/packages/daemon/src/scheduler/start-planner.ts
@@ -6,11 +6,12 @@
 	describeError, waitFor, type PoolId, type TimerService, type WorkerId,
 } from '@samphiremill/common';
 import {
-	getPoolIndex, planStarts, type Ledger, type LedgerCommand, type RunAssignment, type RunningSuspect, type StartPlanInput, type Task, type TaskId, type UsableMinion,
+	findTask, getPoolIndex, getStep, planStarts, type Ledger, type LedgerCommand, type RunAssignment, type RunningSuspect, type StartPlanInput, type Task, type TaskId, type UsableMinion,
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
-import type {AdviceCache} from './advice-cache.js';
+import {createStepId, type AdviceCache} from './advice-cache.js';
 import type {ProposalResult} from './command-batcher.js';
+import {splitAssignments} from './command-parts.js';
 import {planIntervalMs} from './constants.js';
 import type {DutyTimes} from './duty-times.js';
 import type {SchedulerPolicy} from './policy.js';
@@ -161,6 +162,34 @@
 		isOutcomeUnknown = type !== 'applied';
 	};
 
+	const getGang = ({task: id}: RunAssignment): string | undefined => {
+		const task = findTask(getLedger(), id);
+		return task !== undefined && getStep(task).isGang ? createStepId(task) : undefined;
+	};
+
+	// The parts of a plan are committed in its order, each as soon as it can be.
+	const commitPart = async (planNumber: number, runs: readonly RunAssignment[]): Promise<ProposalResult['type']> => {
+		const decision = await propose({
+			type: 'runs/assigned', term, runs, keepsLimits: true,
+		});
+		if (decision.type === 'unknown') {
+			startLog.recordUnknown(planNumber, runs);
+		}
+
+		if (decision.type !== 'applied' || decision.outcome?.type !== 'assigned' || !isActive()) {
+			return decision.type === 'applied' ? 'notProposed' : decision.type;
+		}
+
+		const {runs: assigned, refused} = decision.outcome;
+		startLog.recordAssigned(planNumber, assigned);
+		startLog.recordRefused(planNumber, refused);
+		for (const assignment of assigned) {
+			sessions.get(assignment.life)?.start(assignment);
+		}
+
+		return decision.type;
+	};
+
 	const plan = async () => {
 		// The capacity that the earlier plan uses would be assigned twice.
 		if (isOutcomeUnknown) {
@@ -180,27 +209,11 @@
 		proposedAtMs = timers.getNow();
 		planCount += 1;
 		const planNumber = planCount;
-		const decision = await propose({
-			type: 'runs/assigned', term, runs, keepsLimits: true,
-		});
+		const results = await Promise.all(splitAssignments(runs, getGang).map(async part => commitPart(planNumber, part)));
 		proposedAtMs = undefined;
-		isOutcomeUnknown = decision.type === 'unknown';
-		if (isOutcomeUnknown) {
-			startLog.recordUnknown(planNumber, runs);
-		}
-
-		if (decision.type !== 'applied' || decision.outcome?.type !== 'assigned' || !isActive()) {
-			isFullPlanRequested = true;
-			return;
-		}
-
-		const {runs: assigned, refused} = decision.outcome;
-		startLog.recordAssigned(planNumber, assigned);
-		startLog.recordRefused(planNumber, refused);
+		isOutcomeUnknown = results.includes('unknown');
+		isFullPlanRequested ||= results.some(result => result !== 'applied');
 		metrics.record('plan_ms', timers.getNow() - plannedAtMs);
-		for (const assignment of assigned) {
-			sessions.get(assignment.life)?.start(assignment);
-		}
 	};
 
 	const planSafely = async () => {
--- a/packages/daemon/src/scheduler/test-world/leadership.ts
+++ b/packages/daemon/src/scheduler/test-world/leadership.ts
@@ -73,6 +73,14 @@
 				onError(err) {
 					throw err;
 				},
+				onTooLarge(type, bytes) {
+					// The caller's own size, which is refused for good.
+					if (type === 'job/accepted') {
+						return;
+					}
+
+					throw new RangeError(`a command ${type} of ${bytes} bytes fits into no entry of the log`);
+				},
 			}),
 			onFenced: settings.onFenced,
 			minions: settings.alterPort(minions),
