--- a/packages/core/src/scheduler/actions/accept-job.ts
+++ b/packages/core/src/scheduler/actions/accept-job.ts
@@ -1,19 +1,31 @@
-import {createOccurrences} from '../ledger.js';
+import {estimateChainMs} from '../estimates.js';
+import {createDoneOccurrences} from '../done-occurrences.js';
+import {estimateJobBytes, hasRoomForJob} from '../job-memory.js';
+import {getOrCreateOccurrence} from '../occurrences.js';
 import {indexJob} from '../work-index.js';
 import type {
-	AcceptedJob, Job, Ledger, LedgerOutcome,
+	Job, Ledger, LedgerCommand, LedgerOutcome,
 } from '../types.js';
 
-/** Stores an accepted job. Ignores a job whose id is already known. */
-export function acceptJob(ledger: Ledger, accepted: AcceptedJob): LedgerOutcome {
+/** Stores an accepted job. Ignores a job whose id is already known, and refuses one for which there is no memory. */
+export function acceptJob(ledger: Ledger, {job: accepted, keepsBounds}: Pick<LedgerCommand & {type: 'job/accepted'}, 'job' | 'keepsBounds'>): LedgerOutcome {
 	if (ledger.jobs.has(accepted.id)) {
 		return {type: 'ignored'};
 	}
 
+	const {specification} = accepted;
+	if (keepsBounds && !hasRoomForJob(ledger.storedBytes, specification)) {
+		return {type: 'jobRefused', reason: 'storeFull'};
+	}
+
 	const job: Job = {
-		...accepted, status: 'active', endedAtMs: undefined, hasStarted: false, isStartConfirmed: false, givenUp: undefined, occurrences: [], runCount: 0,
+		...accepted, chainMs: estimateChainMs(specification), status: 'active', endedAtMs: undefined, hasStarted: false, isStartConfirmed: false, givenUp: undefined, isReleased: false, occurrences: new Map(), doneOccurrences: createDoneOccurrences(), runCount: 0,
 	};
-	job.occurrences = createOccurrences(job);
+	if (specification.schedule === undefined) {
+		getOrCreateOccurrence(job, 0);
+	}
+
+	ledger.storedBytes += estimateJobBytes(specification);
 	ledger.jobs.set(job.id, job);
 	ledger.activeJobs.add(job);
 	indexJob(ledger.index, job);
--- a/packages/core/src/scheduler/actions/assign-runs.test.ts
+++ b/packages/core/src/scheduler/actions/assign-runs.test.ts
@@ -2,7 +2,9 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {applyLedgerCommand} from '../apply-ledger-command.js';
-import {createLedger, findTask, getStep} from '../ledger.js';
+import {
+	createLedger, findTask, getStep, listTasks,
+} from '../ledger.js';
 import {planStarts} from '../plan-starts.js';
 import {
 	addResources, createResources, fitsInto, getReservedResources,
@@ -279,7 +281,7 @@
 	return {ledger, minions};
 };
 
-const listAllTasks = (ledger: Ledger) => [...ledger.jobs.values()].flatMap(({occurrences}) => occurrences.flatMap(({steps}) => steps.flatMap(({tasks}) => tasks)));
+const listAllTasks = (ledger: Ledger) => [...ledger.jobs.values()].flatMap(job => listTasks(job));
 
 const plan = ({ledger, minions}: ReturnType<typeof buildFleet>, hasCopies: boolean) => planStarts({
 	ledger,
--- a/packages/core/src/scheduler/actions/assign-runs.ts
+++ b/packages/core/src/scheduler/actions/assign-runs.ts
@@ -1,5 +1,5 @@
 import {
-	addRun, findTask, getStep, getStepProgress, removeRun,
+	addRun, findAssignableTask, findTask, getStep, getStepProgress, removeRun,
 } from '../ledger.js';
 import {findAssignmentLimit} from '../run-limits.js';
 import {recordJobStarted} from '../work-index.js';
@@ -48,7 +48,7 @@
 	const gangs = new Map<StepProgress, RunAssignment[]>();
 	const groups: RunAssignment[][] = [];
 	for (const assignment of runs) {
-		const task = findTask(ledger, assignment.task);
+		const task = findAssignableTask(ledger, assignment.task);
 		const progress = task && getStep(task).isGang ? getStepProgress(task) : undefined;
 		const gang = progress && gangs.get(progress);
 		if (gang !== undefined) {
@@ -75,7 +75,7 @@
 	const assigned: RunAssignment[] = [];
 	const refused: RefusedAssignment[] = [];
 	for (const assignment of runs) {
-		const task = findTask(ledger, assignment.task);
+		const task = findAssignableTask(ledger, assignment.task);
 		const reason = task === undefined ? 'jobEnded' : findReason(ledger, {assignment, task});
 		if (task !== undefined && reason === undefined) {
 			addRun(ledger, task, {number: assignment.run, life: assignment.life});
--- a/packages/core/src/scheduler/actions/change-minions.ts
+++ b/packages/core/src/scheduler/actions/change-minions.ts
@@ -1,5 +1,5 @@
 import {
-	createIncarnationUsage, findTask, dropTasksIfEnded, removeRun,
+	createIncarnationUsage, findTask, dropTasksIfOver, removeRun,
 } from '../ledger.js';
 import {recordPoolChanged} from '../work-index.js';
 import type {
@@ -32,7 +32,7 @@
 	for (const [id, number] of usage.runs) {
 		const task = findTask(ledger, id);
 		if (task !== undefined) {
-			dropTasksIfEnded(ledger, removeRun(ledger, task, {number, life: incarnation}).job);
+			dropTasksIfOver(ledger, removeRun(ledger, task, {number, life: incarnation}));
 		}
 	}
 
--- a/packages/core/src/scheduler/actions/end-runs.ts
+++ b/packages/core/src/scheduler/actions/end-runs.ts
@@ -1,15 +1,13 @@
 import {maximumLapsedRuns} from '../constants.js';
 import {
-	endJob, findTask, getStep, getStepProgress, isLateRunEnd, dropTasksIfEnded, removeRun, replaceTask,
+	endJob, findTask, getStep, getStepProgress, isLateRunEnd, dropTasksIfOver, removeRun, replaceTask,
 } from '../ledger.js';
+import {isJobDone} from '../occurrences.js';
 import type {
-	Job, Ledger, LedgerCommand, LedgerOutcome, RunEnd, RunEnding, Task, TaskRun,
+	Ledger, LedgerCommand, LedgerOutcome, RunEnd, RunEnding, Task, TaskRun,
 } from '../types.js';
 import {forgetLoss, recordPresumedCrash} from './record-crash.js';
 
-const isCompleted = (job: Job) =>
-	job.occurrences.every(({steps}) => steps.every(({doneCount, tasks}) => doneCount === tasks.length));
-
 const markDone = (ledger: Ledger, task: Task, atMs: number) => {
 	const {job} = task;
 	job.isStartConfirmed = true;
@@ -22,7 +20,7 @@
 		}
 	}
 
-	if (job.status === 'active' && !step.isLasting && isCompleted(job)) {
+	if (job.status === 'active' && !step.isLasting && isJobDone(job)) {
 		endJob(ledger, job, {status: 'completed', atMs});
 	}
 };
@@ -55,6 +53,7 @@
 	const task = replaceTask(ledger, answered, {lapsedRuns: answered.lapsedRuns.filter(({number}) => number !== end.run)});
 	ledger.incarnations.get(end.life)?.lapsed.delete(end.task);
 	applyEnding(ledger, task, {ending: end.ending, atMs});
+	dropTasksIfOver(ledger, task);
 	return true;
 };
 
@@ -94,7 +93,7 @@
 	const task = end.ending === 'lapsed' ? recordLapse(ledger, saved, run) : clearIfFailed(ledger, saved, end.ending);
 
 	applyEnding(ledger, task, {ending: end.ending, atMs});
-	dropTasksIfEnded(ledger, task.job);
+	dropTasksIfOver(ledger, task);
 	return true;
 };
 
--- a/packages/core/src/scheduler/admit-job.ts
+++ b/packages/core/src/scheduler/admit-job.ts
@@ -6,6 +6,7 @@
 import {
 	getLongestChainMs, getObjectiveMs, getOccurrenceWork, type ObjectivePolicy, type ParallelismLimit,
 } from './estimates.js';
+import {hasRoomForJob} from './job-memory.js';
 import {fitsInto} from './resources.js';
 import type {JobSpecification, Resources} from './types.js';
 
@@ -19,6 +20,8 @@
 	readonly workAhead: number;
 	/** The largest capacity per resource among the pool's minions; `undefined` while none is known. */
 	readonly largestMinion: Resources | undefined;
+	/** Bytes that the jobs of all pools take in the memory of a control host, by estimate. */
+	readonly storedBytes: number;
 };
 
 /** The decision on a submitted job. */
@@ -31,7 +34,9 @@
 	/** The work ahead of it would make it finish far beyond its objective. */
 	= | 'poolFull'
 	/** One of its tasks fits on no minion of the pool. */
-		| 'tooLarge';
+		| 'tooLarge'
+	/** The control hosts have no memory for one more job. */
+		| 'storeFull';
 
 // A late job is still of some use to its caller, and uses only capacity that others leave. A job that takes longer
 // than this many times its objective is of no use.
@@ -53,6 +58,12 @@
 		};
 	}
 
+	if (!hasRoomForJob(load.storedBytes, specification)) {
+		return {
+			type: 'refused', reason: 'storeFull', retryAfterMs: maximumRetryMs, expectedMs: Number.POSITIVE_INFINITY,
+		};
+	}
+
 	const hasNoObjective = specification.schedule !== undefined || specification.steps.some(({isLasting}) => isLasting);
 	if (hasNoObjective) {
 		return {type: 'accepted', expectedMs: 0};
--- a/packages/core/src/scheduler/apply-ledger-command.ts
+++ b/packages/core/src/scheduler/apply-ledger-command.ts
@@ -10,6 +10,7 @@
 import {recordWorkerOrderEnded, recordWorkerOrdered} from './actions/record-worker-orders.js';
 import {replaceConfiguration} from './actions/replace-configuration.js';
 import {findCommandFault} from './command-form.js';
+import {forgetJob} from './ledger.js';
 import type {
 	Ledger, LedgerCommand, LedgerOutcome, ParseConfiguration, StartedJobs,
 } from './types.js';
@@ -46,7 +47,7 @@
 		}
 
 		case 'job/accepted': {
-			return acceptJob(ledger, command.job);
+			return acceptJob(ledger, command);
 		}
 
 		case 'job/cancelled': {
@@ -104,7 +105,10 @@
 
 		case 'jobs/forgotten': {
 			for (const id of command.ids) {
-				ledger.jobs.delete(id);
+				const job = ledger.jobs.get(id);
+				if (job !== undefined) {
+					forgetJob(ledger, job);
+				}
 			}
 
 			return {type: 'applied'};
--- a/packages/core/src/scheduler/command-form.ts
+++ b/packages/core/src/scheduler/command-form.ts
@@ -64,7 +64,7 @@
 		}
 
 		case 'job/accepted': {
-			return isJob(command.job);
+			return isJob(command.job) && (command.keepsBounds === undefined || command.keepsBounds === true);
 		}
 
 		case 'job/cancelled': {
--- a/packages/core/src/scheduler/constants.ts
+++ b/packages/core/src/scheduler/constants.ts
@@ -108,3 +108,6 @@
 
 /** Most runs that a loss names, so that the command that carries it fits into an entry of the log. */
 export const maximumLostRuns = 256;
+
+/** Most tasks of due occurrences of schedules that are held at a time, over all jobs: they take some 32 MB. More wait until others are done. */
+export const maximumScheduledTasks = 50_000;
--- a/packages/core/src/scheduler/decisions.test.ts
+++ b/packages/core/src/scheduler/decisions.test.ts
@@ -92,7 +92,7 @@
 	const policy = {stretchFactor: 1.6, startLatencyMs: 600};
 	const parallelismLimit = {poolMillicores: 64_000, teamMillicores: 0};
 	const admit = (workAhead: number, specification = createTestSpecification({})) => admitJob(specification, policy, {
-		cpuMillicores: 64_000, parallelismLimit, workAhead, largestMinion: {cpuMillicores: 8000, memoryMb: 10_000, gpus: 0},
+		cpuMillicores: 64_000, parallelismLimit, workAhead, largestMinion: {cpuMillicores: 8000, memoryMb: 10_000, gpus: 0}, storedBytes: 0,
 	});
 	expect([
 		admit(0),
--- a/packages/core/src/scheduler/estimates.ts
+++ b/packages/core/src/scheduler/estimates.ts
@@ -36,6 +36,11 @@
 	return Math.max(0, ...ends);
 }
 
+/** Returns the duration of the longest chain of steps of a job that has its pool to itself, in milliseconds. */
+export function estimateChainMs({steps}: JobSpecification): number {
+	return getLongestChainMs(steps, {poolMillicores: 0, teamMillicores: 0});
+}
+
 /** Returns the work of one occurrence of a job without its long-running steps, in millicore milliseconds. */
 export function getOccurrenceWork(specification: JobSpecification): number {
 	let work = 0;
--- a/packages/core/src/scheduler/ledger.ts
+++ b/packages/core/src/scheduler/ledger.ts
@@ -4,13 +4,16 @@
 import {
 	toBrand, type JobId, type QueueId,
 } from '@samphiremill/common';
-import {createTaskId, parseTaskId} from './ids.js';
+import {addDoneOccurrence} from './done-occurrences.js';
+import {parseTaskId} from './ids.js';
+import {estimateJobBytes, releasedJobBytes} from './job-memory.js';
+import {emptySpecification, getOrCreateOccurrence, isOccurrenceOver} from './occurrences.js';
 import {addResources, createResources, getReservedResources} from './resources.js';
 import {
-	createWorkIndex, recordJobReleased, recordPoolChanged, recordTaskChanged, recordTeamCapacityFreed, unindexJob,
+	closeOccurrence, createWorkIndex, recordJobReleased, recordPoolChanged, recordTaskChanged, recordTeamCapacityFreed, unindexJob,
 } from './work-index.js';
 import type {
-	ActiveConfiguration, FleetConfiguration, IncarnationId, IncarnationUsage, Job, JobStatus, Ledger, MinionRecord, Occurrence, QueueDefinition, RunEnd, StepProgress, StepSpecification, Task, TaskRun,
+	ActiveConfiguration, FleetConfiguration, IncarnationId, IncarnationUsage, Job, JobStatus, Ledger, MinionRecord, QueueDefinition, RunEnd, StepProgress, StepSpecification, Task, TaskRun,
 } from './types.js';
 
 /** Creates an empty ledger. */
@@ -19,6 +22,7 @@
 		term: 0,
 		configuration: undefined,
 		jobs: new Map(),
+		storedBytes: 0,
 		activeJobs: new Set(),
 		incarnations: new Map(),
 		usedByTeam: new Map(),
@@ -51,50 +55,33 @@
 	return step;
 }
 
-/** Returns the progress of a task's step, or `undefined` if the job's occurrences were dropped after its end. */
+/** Returns the progress of a task's step, or `undefined` if the occurrence was dropped after its end or the job's. */
 export function getStepProgress(task: Pick<Task, 'job' | 'step' | 'occurrence'>): StepProgress | undefined {
-	return task.job.occurrences[task.occurrence]?.steps[task.step];
+	return task.job.occurrences.get(task.occurrence)?.steps[task.step];
 }
 
-/** Finds a task by id. Returns `undefined` if it is unknown or its job's occurrences were dropped. */
+/** Finds a task by id. Returns `undefined` if it is unknown, or its occurrence holds no tasks: it is not due yet, is done, or was dropped with its job. */
 export function findTask(ledger: Ledger, id: string): Task | undefined {
 	const parts = parseTaskId(id);
 	const job = parts === undefined ? undefined : ledger.jobs.get(parts.job);
-	return parts === undefined ? undefined : job?.occurrences[parts.occurrence]?.steps[parts.step]?.tasks[parts.index];
+	return parts === undefined ? undefined : job?.occurrences.get(parts.occurrence)?.steps[parts.step]?.tasks[parts.index];
 }
 
-const createOccurrence = (job: Job, occurrence: number): Occurrence => ({
-	steps: job.specification.steps.map(({count}, step) => ({
-		doneCount: 0,
-		idleCount: count,
-		tasks: Array.from({length: count}, (_, index): Task => ({
-			id: createTaskId({
-				job: job.id, occurrence, step, index,
-			}),
-			job,
-			occurrence,
-			step,
-			index,
-			runs: [],
-			lastRunNumber: 0,
-			lapsedRuns: [],
-			failures: 0,
-			losses: [],
-			checkpoint: '',
-			isDone: false,
-		})),
-	})),
-});
-
-/** Creates the occurrences of a new job, with no task started. */
-export function createOccurrences(job: Job): readonly Occurrence[] {
-	const count = job.specification.schedule?.count ?? 1;
-	return Array.from({length: count}, (_, occurrence) => createOccurrence(job, occurrence));
+/** Like `findTask`, but also finds a task of an occurrence of an active job that holds no tasks yet. */
+export function findAssignableTask(ledger: Ledger, id: string): Task | undefined {
+	const parts = parseTaskId(id);
+	const job = parts === undefined ? undefined : ledger.jobs.get(parts.job);
+	if (parts !== undefined && job?.status === 'active') {
+		getOrCreateOccurrence(job, parts.occurrence);
+	}
+
+	return findTask(ledger, id);
 }
 
-/** Lists all tasks of a job; none once the job has ended and has no runs left. */
+/** Lists the tasks of the occurrences that hold some, in their order; none once the job has ended and has no runs left. */
 export function listTasks(job: Job): readonly Task[] {
-	return job.occurrences.flatMap(({steps}) => steps.flatMap(({tasks}) => tasks));
+	const occurrences = [...job.occurrences].toSorted(([left], [right]) => left - right);
+	return occurrences.flatMap(([, {steps}]) => steps.flatMap(({tasks}) => tasks));
 }
 
 /** Counts the runs of a task's step on an incarnation; ended tasks count for as long as they have a run. */
@@ -114,7 +101,7 @@
 /** Replaces a task by a changed copy, and updates the counts of its step and the work index. Returns the copy. */
 export function replaceTask(ledger: Ledger, before: Task, change: Partial<Pick<Task, 'runs' | 'lastRunNumber' | 'lapsedRuns' | 'failures' | 'losses' | 'checkpoint' | 'isDone'>>): Task {
 	const after: Task = {...before, ...change};
-	const steps = before.job.occurrences[before.occurrence]?.steps ?? [];
+	const steps = before.job.occurrences.get(before.occurrence)?.steps ?? [];
 	const progress = steps[before.step];
 	if (progress !== undefined) {
 		progress.tasks[before.index] = after;
@@ -186,14 +173,36 @@
 	unindexJob(ledger.index, job);
 }
 
-/** Drops the tasks of a job that has ended and has no runs left. */
+/** Drops the tasks and the specification of a job that has ended and has no runs left. */
 export function dropTasksIfEnded(ledger: Ledger, job: Job): void {
-	if (job.status !== 'active' && job.runCount === 0) {
-		job.occurrences = [];
+	if (job.status !== 'active' && job.runCount === 0 && !job.isReleased) {
+		ledger.storedBytes += releasedJobBytes - estimateJobBytes(job.specification);
+		job.isReleased = true;
+		job.occurrences.clear();
+		job.specification = emptySpecification;
 		recordJobReleased(ledger.index, job);
 	}
 }
 
+/** Drops the tasks of a scheduled job's occurrence that is done and has no runs left, and the tasks of a job that has ended and has none. */
+export function dropTasksIfOver(ledger: Ledger, {job, occurrence: number}: Pick<Task, 'job' | 'occurrence'>): void {
+	const occurrence = job.occurrences.get(number);
+	const isScheduled = job.specification.schedule !== undefined;
+	if (job.status === 'active' && isScheduled && occurrence !== undefined && isOccurrenceOver(occurrence)) {
+		closeOccurrence(ledger.index, job, occurrence);
+		job.occurrences.delete(number);
+		addDoneOccurrence(job.doneOccurrences, number);
+	}
+
+	dropTasksIfEnded(ledger, job);
+}
+
+/** Forgets a job. */
+export function forgetJob(ledger: Ledger, job: Job): void {
+	ledger.jobs.delete(job.id);
+	ledger.storedBytes -= job.isReleased ? releasedJobBytes : estimateJobBytes(job.specification);
+}
+
 const compareByPrefixLength = (left: QueueDefinition, right: QueueDefinition) => right.pathPrefix.length - left.pathPrefix.length;
 
 const groupByHost = (queues: readonly QueueDefinition[]) => {
--- a/packages/core/src/scheduler/order-work.ts
+++ b/packages/core/src/scheduler/order-work.ts
@@ -52,7 +52,7 @@
 		return known.startDelayMs;
 	}
 
-	const progress = job.occurrences[occurrence];
+	const progress = job.occurrences.get(occurrence);
 	const remainingChainMs = progress === undefined ? 0 : getRemainingChainMs(job, progress, limit);
 	const startDelayMs = getObjectiveMs(job, getLongestChainMs(job.specification.steps, limit)) - remainingChainMs;
 	slackCache.set(occurrenceProgress, {limit, doneSteps: occurrenceProgress.doneSteps, startDelayMs});
--- a/packages/core/src/scheduler/snapshot.ts
+++ b/packages/core/src/scheduler/snapshot.ts
@@ -6,8 +6,15 @@
 import {recordMinionDraining} from './actions/change-minions.js';
 import {replaceConfiguration} from './actions/replace-configuration.js';
 import {
-	addRun, createLedger, createIncarnationUsage, createOccurrences, findTask, listTasks, replaceTask,
+	countDoneOccurrences, createDoneOccurrences, saveDoneOccurrences, type SavedDoneOccurrences,
+} from './done-occurrences.js';
+import {estimateChainMs} from './estimates.js';
+import {parseTaskId} from './ids.js';
+import {
+	addRun, createLedger, createIncarnationUsage, dropTasksIfOver, findTask, listTasks, replaceTask,
 } from './ledger.js';
+import {estimateJobBytes, releasedJobBytes} from './job-memory.js';
+import {getOrCreateOccurrence} from './occurrences.js';
 import {indexJob, unindexJob} from './work-index.js';
 import type {
 	AcceptedJob, ControlHostRecord, GiveUpReason, Job, JobStatus, Ledger, IncarnationId, MinionCrash, MinionRecord, ParseConfiguration, RunLoss, Task, TaskId, TaskRun, MaintenanceOrder, MaintenanceWave, WorkerOrder,
@@ -28,7 +35,9 @@
 	/** Absent from snapshots of earlier versions. */
 	readonly isStartConfirmed?: boolean;
 	readonly givenUp?: GiveUpReason;
-	/** Tasks that had at least one run; `undefined` once the job has ended and has no runs left. */
+	/** Absent if none of a schedule is done, and from snapshots of earlier versions, which keep the tasks of all of them. */
+	readonly doneOccurrences?: SavedDoneOccurrences;
+	/** Tasks that had at least one run, without those of done occurrences; `undefined` once the job has ended and has no runs left. */
 	readonly tasks: readonly SavedTask[] | undefined;
 };
 
@@ -53,15 +62,15 @@
 });
 
 const saveJob = (job: Job): SavedJob => {
-	const {status, endedAtMs, hasStarted, isStartConfirmed, givenUp, occurrences: _, runCount: __, ...accepted} = job;
-	const hasEnded = job.occurrences.length === 0;
+	const {chainMs: _, status, endedAtMs, hasStarted, isStartConfirmed, givenUp, isReleased: hasEnded, occurrences: __, doneOccurrences, runCount: ___, ...accepted} = job;
 	return {
-		job: hasEnded ? {...accepted, specification: {payload: '', steps: [], schedule: undefined}} : accepted,
+		job: accepted,
 		status,
 		endedAtMs,
 		hasStarted,
 		isStartConfirmed,
 		...(givenUp !== undefined && {givenUp}),
+		...(!hasEnded && countDoneOccurrences(doneOccurrences) > 0 && {doneOccurrences: saveDoneOccurrences(doneOccurrences)}),
 		tasks: hasEnded ? undefined : listTasks(job).filter(task => task.lastRunNumber > 0).map(task => saveTask(task)),
 	};
 };
@@ -84,7 +93,12 @@
 	return JSON.stringify(saved);
 }
 
-const restoreTask = (ledger: Ledger, {id, runs, ...saved}: SavedTask) => {
+const restoreTask = (ledger: Ledger, job: Job, {id, runs, ...saved}: SavedTask) => {
+	const parts = parseTaskId(id);
+	if (parts !== undefined) {
+		getOrCreateOccurrence(job, parts.occurrence);
+	}
+
 	const initial = findTask(ledger, id);
 	if (initial !== undefined) {
 		let task = replaceTask(ledger, initial, saved);
@@ -104,7 +118,7 @@
 const restoreJob = (ledger: Ledger, saved: SavedJob) => {
 	const {job: accepted, tasks} = saved;
 	const job: Job = {
-		...accepted, status: saved.status, endedAtMs: saved.endedAtMs, hasStarted: saved.hasStarted, isStartConfirmed: restoreStartConfirmed(saved), givenUp: saved.givenUp, occurrences: [], runCount: 0,
+		...accepted, chainMs: estimateChainMs(accepted.specification), status: saved.status, endedAtMs: saved.endedAtMs, hasStarted: saved.hasStarted, isStartConfirmed: restoreStartConfirmed(saved), givenUp: saved.givenUp, isReleased: tasks === undefined, occurrences: new Map(), doneOccurrences: createDoneOccurrences(saved.doneOccurrences), runCount: 0,
 	};
 	ledger.jobs.set(job.id, job);
 	if (job.status === 'active') {
@@ -112,16 +126,26 @@
 	}
 
 	if (tasks === undefined) {
+		ledger.storedBytes += releasedJobBytes;
 		return;
 	}
 
-	job.occurrences = createOccurrences(job);
+	ledger.storedBytes += estimateJobBytes(job.specification);
+	if (job.specification.schedule === undefined) {
+		getOrCreateOccurrence(job, 0);
+	}
+
 	if (job.status === 'active') {
 		indexJob(ledger.index, job);
 	}
 
 	for (const task of tasks) {
-		restoreTask(ledger, task);
+		restoreTask(ledger, job, task);
+	}
+
+	// Snapshots of earlier versions keep the tasks of done occurrences.
+	for (const occurrence of job.occurrences.keys()) {
+		dropTasksIfOver(ledger, {job, occurrence});
 	}
 
 	if (job.status !== 'active' && job.runCount > 0) {
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -6,6 +6,7 @@
 	Brand, DataCentreId, JobId, MinionId, NodeId, PoolId, QueueId, RackId, TeamId, WaveId, WorkerId,
 } from '@samphiremill/common';
 import type {StoreId} from '../replica/index.js';
+import type {DoneOccurrences} from './done-occurrences.js';
 import type {AssignmentLimit} from './run-limits.js';
 import type {WorkIndex} from './work-index.js';
 
@@ -277,7 +278,10 @@
 	readonly stretchFactor: number;
 	readonly startLatencyMs: number;
 	readonly advice: AdvicePolicy | undefined;
-	readonly specification: JobSpecification;
+	/** Emptied once the job has ended and none of its runs is left. */
+	specification: JobSpecification;
+	/** The duration of its longest chain of steps, in milliseconds, as estimated; 0 if the job had ended when its host learnt of it. */
+	readonly chainMs: number;
 	/** When the job was accepted, as Unix time in milliseconds. */
 	readonly acceptedAtMs: number;
 	status: JobStatus;
@@ -289,8 +293,12 @@
 	isStartConfirmed: boolean;
 	/** Why the job was given up; `undefined` unless one of its tasks crashed minions. */
 	givenUp: GiveUpReason | undefined;
-	/** Emptied once the job has ended and none of its runs is left. */
-	occurrences: readonly Occurrence[];
+	/** Whether the job has ended and none of its runs is left, so that its tasks are not kept. */
+	isReleased: boolean;
+	/** The occurrences that hold tasks, by number; none once the job has ended and none of its runs is left. */
+	readonly occurrences: Map<number, Occurrence>;
+	/** The occurrences of a schedule that are done, and hold no tasks any more. */
+	readonly doneOccurrences: DoneOccurrences;
 	runCount: number;
 };
 
@@ -358,6 +366,8 @@
 	term: number;
 	configuration: ActiveConfiguration | undefined;
 	readonly jobs: Map<JobId, Job>;
+	/** Bytes of memory that the jobs take, by estimate. */
+	storedBytes: number;
 	/** The jobs with status `active`, oldest first. */
 	readonly activeJobs: Set<Job>;
 	readonly incarnations: Map<IncarnationId, IncarnationUsage>;
@@ -434,8 +444,8 @@
 	/** Starts the term of a leader. */
 	= | {readonly type: 'term/begun'; readonly term: number}
 		| {readonly type: 'configuration/replaced'; readonly document: string}
-	/** Ignored unless `term` is still the newest, so that a job which a later leader refused is not accepted afterwards. */
-		| {readonly type: 'job/accepted'; readonly term: number; readonly job: AcceptedJob}
+	/** Ignored unless `term` is still the newest, so that a job which a later leader refused is not accepted afterwards. Refused if there is no memory for it; in entries of earlier versions, without `keepsBounds`, never. */
+		| {readonly type: 'job/accepted'; readonly term: number; readonly job: AcceptedJob; readonly keepsBounds?: true}
 		| {readonly type: 'job/cancelled'; readonly id: JobId; readonly atMs: number}
 	/** Ignored unless `term` is still the newest. */
 		| RunsAssignedCommand
@@ -472,6 +482,9 @@
 	readonly givenUp: JobId | undefined;
 };
 
+/** Why the ledger does not accept a job: its hosts have no memory for it. */
+export type JobRefusal = 'storeFull';
+
 /** The result of applying a command. */
 export type LedgerOutcome
 	= | {
@@ -481,6 +494,8 @@
 	}
 	/** The command had no effect: it is out of date, or was applied before. */
 	| {readonly type: 'ignored'}
+	/** The job was not accepted. */
+	| {readonly type: 'jobRefused'; readonly reason: JobRefusal}
 	/** The assignments that took effect, and those that were no longer valid. */
 	| {readonly type: 'assigned'; readonly runs: readonly RunAssignment[]; readonly refused: readonly RefusedAssignment[]}
 	/** The command could not be applied, on any host: it is malformed, of an unknown type, or led to an error. */
--- a/packages/core/src/scheduler/work-index.test.ts
+++ b/packages/core/src/scheduler/work-index.test.ts
@@ -17,7 +17,7 @@
 const isStepReady = (steps: readonly StepProgress[], {dependsOn}: StepSpecification, {idleCount}: StepProgress) =>
 	idleCount > 0 && dependsOn.every(earlier => steps[earlier]?.doneCount === steps[earlier]?.tasks.length);
 
-const listDueSteps = (job: Job, nowMs: number) => job.occurrences.flatMap(({steps}, occurrence) => {
+const listDueSteps = (job: Job, nowMs: number) => [...job.occurrences].flatMap(([occurrence, {steps}]) => {
 	const {schedule} = job.specification;
 	const isDue = schedule === undefined || schedule.firstDueAtMs + (occurrence * schedule.intervalMs) <= nowMs;
 	return isDue
--- a/packages/core/src/scheduler/work-index.ts
+++ b/packages/core/src/scheduler/work-index.ts
@@ -3,7 +3,12 @@
  * decision depends on what it concerns and not on the size of the ledger.
  */
 import type {JobId, PoolId, TeamId} from '@samphiremill/common';
+import {maximumScheduledTasks} from './constants.js';
+import {isOccurrenceDone} from './done-occurrences.js';
 import {getDueAtMs, getOccurrenceWork} from './estimates.js';
+import {
+	countOccurrenceTasks, getOccurrenceCount, getOrCreateOccurrence, isStepDone,
+} from './occurrences.js';
 import type {
 	Job, Occurrence, PoolWorkload, StepProgress, StepSpecification, Task, TaskId,
 } from './types.js';
@@ -63,8 +68,10 @@
 export type WorkIndex = {
 	readonly pools: Map<PoolId, MutablePoolIndex>;
 	readonly steps: Map<StepProgress, OpenStep>;
-	/** The number of the first occurrence of each scheduled job that was not due yet. */
+	/** The number of the first occurrence of each scheduled job that is not open yet. */
 	readonly nextDue: Map<Job, number>;
+	/** How many tasks the open occurrences of schedules have. */
+	readonly scheduledTasks: {count: number};
 	/** How many ready steps each team has, by pool. */
 	readonly readyByTeam: Map<TeamId, Map<PoolId, number>>;
 	/** Jobs that have ended and still have runs. */
@@ -89,6 +96,7 @@
 		pools: new Map(),
 		steps: new Map(),
 		nextDue: new Map(),
+		scheduledTasks: {count: 0},
 		readyByTeam: new Map(),
 		endedWithRuns: new Set(),
 		doneWithRuns: new Set(),
@@ -176,8 +184,6 @@
 	open.countedWorkload = workload;
 };
 
-const isStepDone = ({doneCount, tasks}: StepProgress) => doneCount === tasks.length;
-
 const refreshStep = (index: WorkIndex, open: OpenStep, steps: readonly StepProgress[]) => {
 	const pool = getMutablePool(index, open.job.pool);
 	const {specification, progress} = open;
@@ -194,7 +200,7 @@
 };
 
 const openOccurrence = (index: WorkIndex, job: Job, occurrence: number) => {
-	const steps = job.occurrences[occurrence]?.steps ?? [];
+	const steps = getOrCreateOccurrence(job, occurrence)?.steps ?? [];
 	const occurrenceProgress: OccurrenceProgress = {doneSteps: 0};
 	const work = getOccurrenceWork(job.specification);
 	const dueMs = getDueAtMs(job, occurrence);
@@ -223,28 +229,69 @@
 	}
 }
 
+// Returns the number of the next occurrence of a job that is not done.
+const skipDone = ({doneOccurrences}: Job, from: number): number => {
+	let next = from;
+	while (isOccurrenceDone(doneOccurrences, next)) {
+		next += 1;
+	}
+
+	return next;
+};
+
+// Returns whether an occurrence was opened. One that has been so already, as by an earlier leader, takes no further memory.
+const openNextOccurrence = (index: WorkIndex, job: Job, nowMs: number): boolean => {
+	const next = skipDone(job, index.nextDue.get(job) ?? 0);
+	if (next >= getOccurrenceCount(job.specification)) {
+		index.nextDue.delete(job);
+		return false;
+	}
+
+	index.nextDue.set(job, next);
+	const taskCount = countOccurrenceTasks(job.specification);
+	const hasRoom = index.scheduledTasks.count === 0 || index.scheduledTasks.count + taskCount <= maximumScheduledTasks;
+	if (getDueAtMs(job, next) > nowMs || !hasRoom) {
+		return false;
+	}
+
+	openOccurrence(index, job, next);
+	index.scheduledTasks.count += taskCount;
+	index.nextDue.set(job, next + 1);
+	return true;
+};
+
 /**
- * Opens the scheduled occurrences that have become due.
+ * Opens the scheduled occurrences that have become due. If too many tasks of schedules wait already, the next occurrences stay
+ * closed until others are done; the jobs take turns.
  *
  * @param nowMs - The current Unix time in milliseconds.
  */
 export function openDueOccurrences(index: WorkIndex, nowMs: number): void {
-	for (const [job, first] of index.nextDue) {
-		let next = first;
-		while (next < job.occurrences.length && getDueAtMs(job, next) <= nowMs) {
-			openOccurrence(index, job, next);
-			next += 1;
-		}
-
-		if (next >= job.occurrences.length) {
-			index.nextDue.delete(job);
-		} else if (next > first) {
-			index.nextDue.set(job, next);
-		}
+	let candidates = [...index.nextDue.keys()];
+	while (candidates.length > 0) {
+		candidates = candidates.filter(job => openNextOccurrence(index, job, nowMs));
 	}
 }
 
-const listSteps = (job: Job): readonly StepProgress[] => job.occurrences.flatMap(({steps}: Occurrence) => steps);
+const removeStep = (index: WorkIndex, progress: StepProgress): boolean => {
+	const open = index.steps.get(progress);
+	if (open === undefined) {
+		return false;
+	}
+
+	const pool = getMutablePool(index, open.job.pool);
+	setReady(index, pool, open, false);
+	setCountedWorkload(pool, open, emptyWorkload);
+	return index.steps.delete(progress);
+};
+
+/** Removes an occurrence of a scheduled job that holds its tasks no longer. */
+export function closeOccurrence(index: WorkIndex, job: Job, {steps}: Occurrence): void {
+	const wasOpen = steps.map(progress => removeStep(index, progress)).includes(true);
+	if (wasOpen) {
+		index.scheduledTasks.count -= countOccurrenceTasks(job.specification);
+	}
+}
 
 /** Removes a job that has ended. Its occurrences must not have been dropped yet. */
 export function unindexJob(index: WorkIndex, job: Job): void {
@@ -255,12 +302,11 @@
 		}
 	}
 
-	for (const progress of listSteps(job)) {
-		const open = index.steps.get(progress);
-		if (open !== undefined) {
-			setReady(index, pool, open, false);
-			setCountedWorkload(pool, open, emptyWorkload);
-			index.steps.delete(progress);
+	for (const occurrence of job.occurrences.values()) {
+		if (job.specification.schedule === undefined) {
+			occurrence.steps.map(progress => removeStep(index, progress));
+		} else {
+			closeOccurrence(index, job, occurrence);
 		}
 	}
 
--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -6,12 +6,12 @@
 } from '@samphiremill/common';
 import {
 	countPendingJobs, getPublicJobState, getOccurrenceWork, isJobId, isSameAmount, isWaveCompleted,
-	type Job, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord, type TeamDefinition,
+	type AdmissionRefusalReason, type Job, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord, type TeamDefinition,
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
 import type {ProposalResult} from './command-batcher.js';
 import {
-	departurePollPeriodMs, departureTimeoutMs, maximumReplacedLosses, maximumStartAheadMs,
+	departurePollPeriodMs, departureTimeoutMs, maximumReplacedLosses, maximumStartAheadMs, storeFullRetryMs,
 } from './constants.js';
 import type {DemandMeter} from './demand-meter.js';
 import type {EndedIncarnations} from './ended-incarnations.js';
@@ -127,13 +127,18 @@
 			expectedMs: Math.round(admission.expectedMs),
 			workCoreMs: Math.round(work / 1000),
 			workAheadCoreMs: Math.round(load.workAhead / 1000),
+			storedBytes: load.storedBytes,
 			poolMillicores: load.cpuMillicores,
 			configuration: configuration.version,
 		};
+		const refuse = (reason: AdmissionRefusalReason, retryAfterMs: number): ClusterAnswer => {
+			metrics.count('jobs_refused_total', reason);
+			log.info(`job ${id} refused: ${reason}`, {...inputs, reason, retryAfterMs: Math.round(retryAfterMs)});
+			return {type: 'refused', reason, retryAfterMs};
+		};
+
 		if (admission.type === 'refused') {
-			metrics.count('jobs_refused_total', admission.reason);
-			log.info(`job ${id} refused: ${admission.reason}`, {...inputs, reason: admission.reason, retryAfterMs: Math.round(admission.retryAfterMs)});
-			return {type: 'refused', reason: admission.reason, retryAfterMs: admission.retryAfterMs};
+			return refuse(admission.reason, admission.retryAfterMs);
 		}
 
 		const decision = await propose({
@@ -142,7 +147,13 @@
 			job: createAcceptedJob({
 				id, queue, team, specification, acceptedAtMs: getWallClock(),
 			}),
+			keepsBounds: true,
 		});
+		// Others were accepted in the meantime.
+		if (decision.type === 'applied' && decision.outcome?.type === 'jobRefused') {
+			return refuse(decision.outcome.reason, storeFullRetryMs);
+		}
+
 		const job = decision.type === 'applied' ? getLedger().jobs.get(id) : undefined;
 		const answer = job && answerForStored(job, team);
 		log.info(`job ${id}: ${answer?.type ?? decision.type}`, inputs);
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -244,3 +244,6 @@
 
 /** Of how many replaced incarnations the command that adds the next one describes the loss. There is one, or a few after a mix-up of addresses. */
 export const maximumReplacedLosses = 8;
+
+/** When a caller may try again whose job found no memory at its commit. Ended jobs are forgotten once in this time. */
+export const storeFullRetryMs = 10_000;
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -5,7 +5,7 @@
 import {PerformanceObserver, performance} from 'node:perf_hooks';
 import type {NodeId, TimerService, WorkerId} from '@samphiremill/common';
 import {
-	findTask, getLongestChainMs, getObjectiveMs, listTasks, sharedLossMs,
+	findTask, getObjectiveMs, listTasks, sharedLossMs,
 	type CrashVerdict, type Job, type Ledger, type LedgerCommand, type MaintenanceTimes, type MinionRecord, type Task,
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
@@ -260,8 +260,7 @@
 		},
 	};
 
-	const logJobEnd = ({id, status, queue, pool, specification, stretchFactor, startLatencyMs, acceptedAtMs, endedAtMs = acceptedAtMs}: Job) => {
-		const chainMs = getLongestChainMs(specification.steps, {poolMillicores: 0, teamMillicores: 0});
+	const logJobEnd = ({id, status, queue, pool, chainMs, stretchFactor, startLatencyMs, acceptedAtMs, endedAtMs = acceptedAtMs}: Job) => {
 		const objectiveMs = Math.round(getObjectiveMs({stretchFactor, startLatencyMs}, chainMs));
 		const tookMs = Math.round(endedAtMs - acceptedAtMs);
 		log.info(`job ${id}: ${status} ${tookMs} ms after it was accepted, objective ${objectiveMs} ms`, {
--- a/packages/daemon/src/scheduler/pool-view.ts
+++ b/packages/daemon/src/scheduler/pool-view.ts
@@ -160,6 +160,7 @@
 			parallelismLimit: {poolMillicores: cpuMillicores, teamMillicores: team?.maximum.cpuMillicores ?? 0},
 			workAhead: measureWorkAhead(getLedger(), {pool, work, nowMs: getWallClock()}),
 			largestMinion: largest,
+			storedBytes: getLedger().storedBytes,
 		};
 	};
 
--- a/packages/daemon/src/scheduler/waiting-report.test.ts
+++ b/packages/daemon/src/scheduler/waiting-report.test.ts
@@ -47,7 +47,7 @@
 	await world.advance(500);
 	const {id} = world.submit([{count: maximumReportedWaits + 2, isLasting: true}]);
 	await world.advance(500);
-	const tasks = world.getLedger().jobs.get(id)?.occurrences[0]?.steps[0]?.tasks ?? [];
+	const tasks = world.getLedger().jobs.get(id)?.occurrences.get(0)?.steps[0]?.tasks ?? [];
 	expect(collect(tasks, reportedWaitMs - 1, world.getLedger)).toEqual([]);
 	const [line, ...others] = collect(tasks, reportedWaitMs, world.getLedger);
 	expect(others).toEqual([]);
