--- a/packages/core/src/scheduler/actions/accept-job.ts
+++ b/packages/core/src/scheduler/actions/accept-job.ts
@@ -1,3 +1,4 @@
+import {isCancelledEarly} from '../early-cancels.js';
 import {estimateChainMs} from '../estimates.js';
 import {createDoneOccurrences} from '../done-occurrences.js';
 import {estimateJobBytes, hasRoomForJob} from '../job-memory.js';
@@ -7,12 +8,16 @@
 	Job, Ledger, LedgerCommand, LedgerOutcome,
 } from '../types.js';
 
-/** Stores an accepted job. Ignores a job whose id is already known, and refuses one for which there is no memory. */
+/** Stores an accepted job. Ignores a job whose id is already known, and refuses one that was cancelled before, or for which there is no memory. */
 export function acceptJob(ledger: Ledger, {job: accepted, keepsBounds}: Pick<LedgerCommand & {type: 'job/accepted'}, 'job' | 'keepsBounds'>): LedgerOutcome {
 	if (ledger.jobs.has(accepted.id)) {
 		return {type: 'ignored'};
 	}
 
+	if (isCancelledEarly(ledger, accepted)) {
+		return {type: 'jobRefused', reason: 'cancelled'};
+	}
+
 	const {specification} = accepted;
 	if (keepsBounds && !hasRoomForJob(ledger.storedBytes, specification)) {
 		return {type: 'jobRefused', reason: 'storeFull'};
--- a/packages/core/src/scheduler/command-form.ts
+++ b/packages/core/src/scheduler/command-form.ts
@@ -10,7 +10,7 @@
 const hasTexts = (fields: Fields, names: readonly string[]) => names.every(name => isText(fields[name]));
 const hasNumbers = (fields: Fields, names: readonly string[]) => names.every(name => Number.isFinite(fields[name]));
 const isListOf = (value: unknown, isItem: (item: unknown) => boolean): value is readonly unknown[] => Array.isArray(value) && value.every(item => isItem(item));
-const isLifeOrAbsent = (value: unknown) => value === undefined || isText(value);
+const isTextOrAbsent = (value: unknown) => value === undefined || isText(value);
 
 const isResources = (value: unknown) => isRecord(value) && hasNumbers(value, ['cpuMillicores', 'memoryMb', 'gpus']);
 
@@ -25,7 +25,7 @@
 
 const isJob = (value: unknown) => isRecord(value)
 	&& hasTexts(value, ['id', 'queue', 'pool'])
-	&& isLifeOrAbsent(value.team)
+	&& isTextOrAbsent(value.team)
 	&& isRecord(value.specification)
 	&& isListOf(value.specification.steps, isStep)
 	&& isSchedule(value.specification.schedule);
@@ -45,6 +45,8 @@
 const isLossOrAbsent = (value: unknown) => value === undefined || isLoss(value);
 const areLossesOrAbsent = (value: unknown) => value === undefined || isListOf(value, loss => isLoss(loss) && isRecord(loss) && isText(loss.life));
 
+const isCallerOrAbsent = (value: unknown) => value === undefined || (isRecord(value) && isTextOrAbsent(value.team));
+
 const isWave = (value: unknown) => isRecord(value)
 	&& hasTexts(value, ['wave'])
 	&& isListOf(value.workers, isText)
@@ -68,7 +70,7 @@
 		}
 
 		case 'job/cancelled': {
-			return hasTexts(command, ['id']) && hasNumbers(command, ['atMs']);
+			return hasTexts(command, ['id']) && hasNumbers(command, ['atMs']) && isCallerOrAbsent(command.caller);
 		}
 
 		case 'runs/assigned': {
@@ -100,7 +102,7 @@
 		}
 
 		case 'wave/workerOrdered': {
-			return hasTexts(command, ['wave', 'worker']) && isLifeOrAbsent(command.life) && (command.orderedBefore === undefined || isCount(command.orderedBefore));
+			return hasTexts(command, ['wave', 'worker']) && isTextOrAbsent(command.life) && (command.orderedBefore === undefined || isCount(command.orderedBefore));
 		}
 
 		case 'wave/workerBegun': {
--- a/packages/core/src/scheduler/constants.ts
+++ b/packages/core/src/scheduler/constants.ts
@@ -111,3 +111,12 @@
 
 /** Most tasks of due occurrences of schedules that are held at a time, over all jobs: they take some 32 MB. More wait until others are done. */
 export const maximumScheduledTasks = 50_000;
+
+/**
+ * Of how many ids a cancel is kept that came before the job. A submission that it overtakes is a few seconds behind; at the longest deadline
+ * of a minute this is enough for 160 such cancels a second.
+ */
+export const maximumEarlyCancels = 10_000;
+
+/** How many teams' cancels are kept for one id. */
+export const maximumCancelsPerId = 4;
--- a/packages/core/src/scheduler/ledger.ts
+++ b/packages/core/src/scheduler/ledger.ts
@@ -24,6 +24,7 @@
 		jobs: new Map(),
 		storedBytes: 0,
 		activeJobs: new Set(),
+		earlyCancels: new Map(),
 		incarnations: new Map(),
 		usedByTeam: new Map(),
 		waves: new Map(),
--- a/packages/core/src/scheduler/snapshot.ts
+++ b/packages/core/src/scheduler/snapshot.ts
@@ -2,7 +2,7 @@
  * Serialises the ledger and restores it. Of jobs that have ended and have no runs left, the specification and
  * the tasks are not saved.
  */
-import type {WorkerId} from '@samphiremill/common';
+import type {JobId, WorkerId} from '@samphiremill/common';
 import {recordMinionDraining} from './actions/change-minions.js';
 import {replaceConfiguration} from './actions/replace-configuration.js';
 import {
@@ -17,7 +17,7 @@
 import {getOrCreateOccurrence} from './occurrences.js';
 import {indexJob, unindexJob} from './work-index.js';
 import type {
-	AcceptedJob, ControlHostRecord, GiveUpReason, Job, JobStatus, Ledger, IncarnationId, MinionCrash, MinionRecord, ParseConfiguration, RunLoss, Task, TaskId, TaskRun, MaintenanceOrder, MaintenanceWave, WorkerOrder,
+	AcceptedJob, ControlHostRecord, GiveUpReason, Job, JobCaller, JobStatus, Ledger, IncarnationId, MinionCrash, MinionRecord, ParseConfiguration, RunLoss, Task, TaskId, TaskRun, MaintenanceOrder, MaintenanceWave, WorkerOrder,
 } from './types.js';
 
 type SavedTask = Pick<Task, 'lastRunNumber' | 'lapsedRuns' | 'failures' | 'checkpoint' | 'isDone'> & {
@@ -55,6 +55,8 @@
 	readonly controlHosts: readonly ControlHostRecord[];
 	/** Absent from snapshots of earlier versions. */
 	readonly crashes?: readonly MinionCrash[];
+	/** Absent if there are none, and from snapshots of earlier versions. */
+	readonly earlyCancels?: ReadonlyArray<readonly [JobId, readonly JobCaller[]]>;
 };
 
 const saveTask = ({id, runs, lastRunNumber, lapsedRuns, failures, losses, checkpoint, isDone}: Task): SavedTask => ({
@@ -89,6 +91,7 @@
 		workerOrders: [...ledger.workerOrders],
 		controlHosts: [...ledger.controlHosts.values()],
 		crashes: ledger.crashes,
+		...(ledger.earlyCancels.size > 0 && {earlyCancels: [...ledger.earlyCancels]}),
 	};
 	return JSON.stringify(saved);
 }
@@ -195,6 +198,10 @@
 	}
 
 	ledger.crashes = saved.crashes ?? [];
+	for (const [id, callers] of saved.earlyCancels ?? []) {
+		ledger.earlyCancels.set(id, callers);
+	}
+
 	for (const record of saved.controlHosts) {
 		ledger.controlHosts.set(record.node, record);
 	}
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -370,6 +370,8 @@
 	storedBytes: number;
 	/** The jobs with status `active`, oldest first. */
 	readonly activeJobs: Set<Job>;
+	/** Who cancelled jobs that were not accepted yet, by the id of the job; the latest ids, oldest first. */
+	readonly earlyCancels: Map<JobId, readonly JobCaller[]>;
 	readonly incarnations: Map<IncarnationId, IncarnationUsage>;
 	readonly usedByTeam: Map<TeamId, MutableResources>;
 	readonly waves: Map<WaveId, MaintenanceWave>;
@@ -381,6 +383,12 @@
 	readonly index: WorkIndex;
 };
 
+/** Whose job a cancel means. */
+export type JobCaller = {
+	/** `undefined` for a caller without a key, who may cancel only jobs without a team. */
+	readonly team: TeamId | undefined;
+};
+
 /** The fields of a job that are fixed when it is accepted. */
 export type AcceptedJob = Pick<Job, 'id' | 'queue' | 'pool' | 'team' | 'priority' | 'maximumAttempts' | 'stretchFactor' | 'startLatencyMs' | 'advice' | 'specification' | 'acceptedAtMs'>;
 
@@ -446,7 +454,8 @@
 		| {readonly type: 'configuration/replaced'; readonly document: string}
 	/** Ignored unless `term` is still the newest, so that a job which a later leader refused is not accepted afterwards. Refused if there is no memory for it; in entries of earlier versions, without `keepsBounds`, never. */
 		| {readonly type: 'job/accepted'; readonly term: number; readonly job: AcceptedJob; readonly keepsBounds?: true}
-		| {readonly type: 'job/cancelled'; readonly id: JobId; readonly atMs: number}
+	/** With `caller` also a cancel of a job that its caller's leader does not know: one that is accepted later is refused. Absent from commands of earlier versions. */
+		| {readonly type: 'job/cancelled'; readonly id: JobId; readonly atMs: number; readonly caller?: JobCaller}
 	/** Ignored unless `term` is still the newest. */
 		| RunsAssignedCommand
 		| {readonly type: 'runs/ended'; readonly term: number; readonly ends: readonly RunEnd[]; readonly atMs: number; /** If the ends lapsed with a minion that does not answer. */ readonly loss?: MinionLoss; readonly startedJobs?: StartedJobs}
@@ -482,8 +491,8 @@
 	readonly givenUp: JobId | undefined;
 };
 
-/** Why the ledger does not accept a job: its hosts have no memory for it. */
-export type JobRefusal = 'storeFull';
+/** Why the ledger does not accept a job: its hosts have no memory for it, or it was cancelled before. */
+export type JobRefusal = 'storeFull' | 'cancelled';
 
 /** The result of applying a command. */
 export type LedgerOutcome
--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -5,7 +5,7 @@
 	waitFor, type JobId, type TeamId, type TimerService,
 } from '@samphiremill/common';
 import {
-	countPendingJobs, getPublicJobState, getOccurrenceWork, isJobId, isSameAmount, isWaveCompleted,
+	countPendingJobs, getPublicJobState, getOccurrenceWork, isCancelledEarly, isJobId, isSameAmount, isWaveCompleted,
 	type AdmissionRefusalReason, type Job, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord, type TeamDefinition,
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
@@ -54,6 +54,9 @@
 /** Whether a team may know of a job: it is its own, or one of a queue that is open to all. */
 const isOwnJob = (job: Job, team: TeamDefinition | undefined) => job.team === undefined || job.team === team?.team;
 
+/** What a caller is told who submits a job that was cancelled before. */
+const cancelledEarly: ClusterAnswer = {type: 'invalidRequest', message: 'the job was cancelled before it was accepted; choose another id'};
+
 /** Returns what a caller is told whose request did not take effect for certain. */
 const toFailure = (decision: ProposalResult): ClusterAnswer => {
 	if (decision.type === 'unknown') {
@@ -95,6 +98,10 @@
 			return answerForStored(job, team);
 		}
 
+		if (isCancelledEarly(getLedger(), {id, team: team?.team})) {
+			return cancelledEarly;
+		}
+
 		const known = submitting.get(id);
 		if (known !== undefined && known.team === team?.team) {
 			return known.answer;
@@ -149,9 +156,15 @@
 			}),
 			keepsBounds: true,
 		});
-		// Others were accepted in the meantime.
+		// Others were accepted in the meantime, or a cancel overtook the job.
 		if (decision.type === 'applied' && decision.outcome?.type === 'jobRefused') {
-			return refuse(decision.outcome.reason, storeFullRetryMs);
+			const {reason} = decision.outcome;
+			if (reason === 'storeFull') {
+				return refuse(reason, storeFullRetryMs);
+			}
+
+			log.info(`job ${id} refused: ${reason}`, {...inputs, reason});
+			return cancelledEarly;
 		}
 
 		const job = decision.type === 'applied' ? getLedger().jobs.get(id) : undefined;
@@ -192,19 +205,33 @@
 		return 'answer' in found ? found.answer : {type: 'jobState', state: getPublicJobState(found.job, isStartConfirmed(found.job))};
 	};
 
+	// The submission of a job that is not known may be under way, so the answer that there is none has to bind it: it is given once the log has the cancel.
 	const cancelJob = async ({target}: ClusterCall & {type: 'job/cancel'}): Promise<ClusterAnswer> => {
-		const found = findOwnJob(target);
-		if ('answer' in found) {
-			return found.answer.type === 'pendingJobs' ? {type: 'unknownJob'} : found.answer;
+		const access = checkAccess(getLedger(), target);
+		if (access.type === 'denied') {
+			return access.answer;
 		}
 
-		const {id} = found.job;
-		const decision = await propose({type: 'job/cancelled', id, atMs: getWallClock()});
-		log.info(`job ${id}: cancellation ${decision.type}`, {id, state: found.job.status});
+		const {found: {rest: id}, team} = access;
+		if (!isJobId(id)) {
+			return {type: 'unknownJob'};
+		}
+
+		const known = getLedger().jobs.get(id);
+		const decision = await propose({
+			type: 'job/cancelled', id, atMs: getWallClock(), caller: {team: team?.team},
+		});
+		log.info(`job ${id}: cancellation ${decision.type}`, {id, state: known?.status ?? 'unknown', team: team?.team});
 		if (decision.type !== 'applied') {
 			return toFailure(decision);
 		}
 
+		const job = getLedger().jobs.get(id);
+		// Another team must not learn that the job exists.
+		if (job === undefined || !isOwnJob(job, team)) {
+			return {type: 'unknownJob'};
+		}
+
 		metrics.count('jobs_cancelled_total');
 		stopUnneededRuns();
 		requestPlan();
