--- a/packages/daemon/src/scheduler/early-cancels.test.ts
+++ b/packages/daemon/src/scheduler/early-cancels.test.ts
@@ -33,6 +33,15 @@
 	expect(world.listViolations().filter(violation => !violation.startsWith('afterCancel'))).toEqual([]);
 });
 
+test('a submission that is decided while a cancel is on its way into the log is refused', async () => {
+	const world = await startTestWorld({seed: 94});
+	const id = toBrand<JobId>('00000000000000ab');
+	const cancelled = world.cancel(id);
+	const submitted = world.submitAgain(id, steps);
+	await world.advance(3000);
+	expect([await cancelled, await submitted, world.countStarts()]).toEqual([{type: 'unknownJob'}, cancelledBefore, 0]);
+});
+
 test('a cancel that is not committed is not confirmed', async () => {
 	const world = await startTestWorld({seed: 93});
 	world.stallLog(8000);
