--- a/packages/core/src/scheduler/actions/assign-runs.ts
+++ b/packages/core/src/scheduler/actions/assign-runs.ts
@@ -2,6 +2,7 @@
 	addRun, findAssignableTask, findTask, getStep, getStepProgress, removeRun,
 } from '../ledger.js';
 import {findAssignmentLimit} from '../run-limits.js';
+import {recordUncertainStarts} from '../uncertain-starts.js';
 import {recordJobStarted} from '../work-index.js';
 import type {
 	Ledger, LedgerOutcome, AssignmentRefusal, RefusedAssignment, RunAssignment, RunsAssignedCommand, StepProgress, Task,
@@ -122,6 +123,7 @@
  */
 export function assignRuns(ledger: Ledger, {runs, keepsLimits}: Pick<RunsAssignedCommand, 'runs' | 'keepsLimits'>): LedgerOutcome {
 	const {assigned, refused} = keepsLimits ? assignWithinLimits(ledger, runs) : assignEach(ledger, runs, findOutdatedReason);
+	recordUncertainStarts(ledger, assigned);
 	for (const {task: id} of assigned) {
 		const task = findTask(ledger, id);
 		if (task !== undefined) {
--- a/packages/core/src/scheduler/actions/change-minions.ts
+++ b/packages/core/src/scheduler/actions/change-minions.ts
@@ -1,3 +1,5 @@
+import type {MinionId} from '@samphiremill/common';
+import {maximumEndedMinions} from '../constants.js';
 import {
 	createIncarnationUsage, findTask, dropTasksIfOver, removeRun,
 } from '../ledger.js';
@@ -17,6 +19,16 @@
 	readonly loss: MinionLoss | undefined;
 };
 
+// Deleted first, so that the set stays ordered by time.
+const recordEndedMinion = ({endedMinions}: Ledger, minion: MinionId) => {
+	endedMinions.delete(minion);
+	endedMinions.add(minion);
+	const [oldest] = endedMinions;
+	if (oldest !== undefined && endedMinions.size > maximumEndedMinions) {
+		endedMinions.delete(oldest);
+	}
+};
+
 /**
  * Removes an incarnation of a minion, together with its runs, which ended with it. Ignores an unknown incarnation.
  *
@@ -37,6 +49,7 @@
 	}
 
 	ledger.incarnations.delete(incarnation);
+	recordEndedMinion(ledger, usage.record.minion);
 	return verdict === undefined ? {type: 'applied'} : {type: 'applied', crashes: [verdict]};
 }
 
@@ -51,6 +64,17 @@
 	return {type: 'applied'};
 }
 
+/** Records that no call for an earlier incarnation can have granted this one a lease that is still valid. */
+export function settleMinion(ledger: Ledger, incarnation: IncarnationId): LedgerOutcome {
+	const usage = ledger.incarnations.get(incarnation);
+	if (usage?.mayHoldForeignLease !== true) {
+		return {type: 'ignored'};
+	}
+
+	usage.mayHoldForeignLease = false;
+	return {type: 'applied'};
+}
+
 /**
  * Changes the capacity of a minion. If it shrinks below what runs there, nothing more starts until enough has ended. Ignored
  * if the incarnation is unknown.
@@ -87,7 +111,7 @@
 		return removed.type === 'applied' ? removed.crashes ?? [] : [];
 	});
 
-	ledger.incarnations.set(record.life, createIncarnationUsage(record));
+	ledger.incarnations.set(record.life, {...createIncarnationUsage(record), mayHoldForeignLease: ledger.endedMinions.delete(record.minion)});
 	recordPoolChanged(ledger.index, record.pool);
 	return crashes.length === 0 ? {type: 'applied'} : {type: 'applied', crashes};
 }
--- a/packages/core/src/scheduler/apply-ledger-command.ts
+++ b/packages/core/src/scheduler/apply-ledger-command.ts
@@ -3,7 +3,7 @@
 import {assignRuns} from './actions/assign-runs.js';
 import {cancelJob} from './actions/cancel-job.js';
 import {
-	addMinion, recordMinionDraining, removeMinion, resizeMinion,
+	addMinion, recordMinionDraining, removeMinion, resizeMinion, settleMinion,
 } from './actions/change-minions.js';
 import {recordMaintenanceStarted, recordMaintenanceOrdered, startWave} from './actions/change-waves.js';
 import {endRuns} from './actions/end-runs.js';
@@ -11,6 +11,7 @@
 import {replaceConfiguration} from './actions/replace-configuration.js';
 import {findCommandFault} from './command-form.js';
 import {forgetJob} from './ledger.js';
+import {applyStartReport} from './uncertain-starts.js';
 import type {
 	Ledger, LedgerCommand, LedgerOutcome, ParseConfiguration, StartedJobs,
 } from './types.js';
@@ -78,6 +79,10 @@
 			return recordMinionDraining(ledger, command.life);
 		}
 
+		case 'minion/settled': {
+			return settleMinion(ledger, command.life);
+		}
+
 		case 'wave/started': {
 			return startWave(ledger, command.wave);
 		}
@@ -145,6 +150,10 @@
 			confirmStarts(ledger, command.startedJobs);
 		}
 
+		if ('startReport' in command && command.startReport !== undefined) {
+			applyStartReport(ledger, command.startReport);
+		}
+
 		return applyWellFormed(ledger, command, parse);
 	} catch (err) {
 		return {type: 'failed', reason: describeError(err), mayHaveEffect: true};
--- a/packages/core/src/scheduler/command-form.ts
+++ b/packages/core/src/scheduler/command-form.ts
@@ -45,6 +45,7 @@
 const isLossOrAbsent = (value: unknown) => value === undefined || isLoss(value);
 const areLossesOrAbsent = (value: unknown) => value === undefined || isListOf(value, loss => isLoss(loss) && isRecord(loss) && isText(loss.life));
 
+const isStartReportOrAbsent = (value: unknown) => value === undefined || (isRecord(value) && isCount(value.upTo) && isListOf(value.uncertain, isText));
 const isCallerOrAbsent = (value: unknown) => value === undefined || (isRecord(value) && isTextOrAbsent(value.team));
 
 const isWave = (value: unknown) => isRecord(value)
@@ -74,11 +75,11 @@
 		}
 
 		case 'runs/assigned': {
-			return isListOf(command.runs, isAssignment) && (command.keepsLimits === undefined || command.keepsLimits === true);
+			return isListOf(command.runs, isAssignment) && (command.keepsLimits === undefined || command.keepsLimits === true) && isStartReportOrAbsent(command.startReport);
 		}
 
 		case 'runs/ended': {
-			return isListOf(command.ends, isRunEnd) && Number.isFinite(command.atMs) && isLossOrAbsent(command.loss) && areTextsOrAbsent(command.startedJobs);
+			return isListOf(command.ends, isRunEnd) && Number.isFinite(command.atMs) && isLossOrAbsent(command.loss) && areTextsOrAbsent(command.startedJobs) && isStartReportOrAbsent(command.startReport);
 		}
 
 		case 'minion/joined': {
@@ -93,6 +94,7 @@
 			return isText(command.life) && isResources(command.capacity) && (command.sequence === undefined || Number.isFinite(command.sequence));
 		}
 
+		case 'minion/settled':
 		case 'minion/draining': {
 			return isText(command.life);
 		}
--- a/packages/core/src/scheduler/constants.ts
+++ b/packages/core/src/scheduler/constants.ts
@@ -120,3 +120,6 @@
 
 /** How many teams' cancels are kept for one id. */
 export const maximumCancelsPerId = 4;
+
+/** How many minions are remembered whose incarnations ended, to recognise those that come back under their ids. */
+export const maximumEndedMinions = 2000;
--- a/packages/core/src/scheduler/ledger.ts
+++ b/packages/core/src/scheduler/ledger.ts
@@ -9,6 +9,7 @@
 import {estimateJobBytes, releasedJobBytes} from './job-memory.js';
 import {emptySpecification, getOrCreateOccurrence, isOccurrenceOver} from './occurrences.js';
 import {addResources, createResources, getReservedResources} from './resources.js';
+import {createRunKey} from './uncertain-starts.js';
 import {
 	closeOccurrence, createWorkIndex, recordJobReleased, recordPoolChanged, recordTaskChanged, recordTeamCapacityFreed, unindexJob,
 } from './work-index.js';
@@ -24,6 +25,9 @@
 		jobs: new Map(),
 		storedBytes: 0,
 		activeJobs: new Set(),
+		uncertainStarts: new Map(),
+		assignmentCount: 0,
+		endedMinions: new Set(),
 		earlyCancels: new Map(),
 		incarnations: new Map(),
 		usedByTeam: new Map(),
@@ -38,7 +42,7 @@
 /** Creates the usage of an incarnation of a minion that has no runs yet. */
 export function createIncarnationUsage(record: MinionRecord): IncarnationUsage {
 	return {
-		record, capacitySequence: undefined, runs: new Map(), lapsed: new Map(), used: createResources(), isDraining: false,
+		record, capacitySequence: undefined, runs: new Map(), lapsed: new Map(), used: createResources(), isDraining: false, mayHoldForeignLease: false,
 	};
 }
 
@@ -153,6 +157,7 @@
 export function removeRun(ledger: Ledger, before: Task, run: TaskRun): Task {
 	const task = replaceTask(ledger, before, {runs: before.runs.filter(({number}) => number !== run.number)});
 	updateRunUsage(ledger, task, {run, factor: -1});
+	ledger.uncertainStarts.delete(createRunKey({task: task.id, run: run.number}));
 	recordCapacityFreed(ledger, task, run);
 	return task;
 }
--- a/packages/core/src/scheduler/malformed-commands.test.ts
+++ b/packages/core/src/scheduler/malformed-commands.test.ts
@@ -19,6 +19,7 @@
 	'minion/joined',
 	'minion/left',
 	'minion/draining',
+	'minion/settled',
 	'wave/started',
 	'wave/workerOrdered',
 	'wave/workerBegun',
--- a/packages/core/src/scheduler/snapshot.ts
+++ b/packages/core/src/scheduler/snapshot.ts
@@ -2,7 +2,7 @@
  * Serialises the ledger and restores it. Of jobs that have ended and have no runs left, the specification and
  * the tasks are not saved.
  */
-import type {JobId, WorkerId} from '@samphiremill/common';
+import type {JobId, MinionId, WorkerId} from '@samphiremill/common';
 import {recordMinionDraining} from './actions/change-minions.js';
 import {replaceConfiguration} from './actions/replace-configuration.js';
 import {
@@ -15,9 +15,10 @@
 } from './ledger.js';
 import {estimateJobBytes, releasedJobBytes} from './job-memory.js';
 import {getOrCreateOccurrence} from './occurrences.js';
+import {createRunKey} from './uncertain-starts.js';
 import {indexJob, unindexJob} from './work-index.js';
 import type {
-	AcceptedJob, ControlHostRecord, GiveUpReason, Job, JobCaller, JobStatus, Ledger, IncarnationId, MinionCrash, MinionRecord, ParseConfiguration, RunLoss, Task, TaskId, TaskRun, MaintenanceOrder, MaintenanceWave, WorkerOrder,
+	AcceptedJob, ControlHostRecord, GiveUpReason, Job, JobCaller, JobStatus, Ledger, IncarnationId, MinionCrash, MinionRecord, ParseConfiguration, RunLoss, Task, TaskId, TaskRun, MaintenanceOrder, MaintenanceWave, UncertainStart, WorkerOrder,
 } from './types.js';
 
 type SavedTask = Pick<Task, 'lastRunNumber' | 'lapsedRuns' | 'failures' | 'checkpoint' | 'isDone'> & {
@@ -55,6 +56,12 @@
 	readonly controlHosts: readonly ControlHostRecord[];
 	/** Absent from snapshots of earlier versions. */
 	readonly crashes?: readonly MinionCrash[];
+	/** The incarnations that may hold a lease which a call for an earlier one granted, and the minions that ended. Absent from snapshots of earlier versions. */
+	readonly foreignLeaseLives?: readonly IncarnationId[];
+	readonly endedMinions?: readonly MinionId[];
+	/** Absent from snapshots of earlier versions. */
+	readonly uncertainStarts?: readonly UncertainStart[];
+	readonly assignmentCount?: number;
 	/** Absent if there are none, and from snapshots of earlier versions. */
 	readonly earlyCancels?: ReadonlyArray<readonly [JobId, readonly JobCaller[]]>;
 };
@@ -91,6 +98,10 @@
 		workerOrders: [...ledger.workerOrders],
 		controlHosts: [...ledger.controlHosts.values()],
 		crashes: ledger.crashes,
+		foreignLeaseLives: [...ledger.incarnations.values()].filter(({mayHoldForeignLease}) => mayHoldForeignLease).map(({record}) => record.life),
+		endedMinions: [...ledger.endedMinions],
+		uncertainStarts: [...ledger.uncertainStarts.values()],
+		assignmentCount: ledger.assignmentCount,
 		...(ledger.earlyCancels.size > 0 && {earlyCancels: [...ledger.earlyCancels]}),
 	};
 	return JSON.stringify(saved);
@@ -181,6 +192,17 @@
 		}
 	}
 
+	for (const life of saved.foreignLeaseLives ?? []) {
+		const usage = ledger.incarnations.get(life);
+		if (usage !== undefined) {
+			usage.mayHoldForeignLease = true;
+		}
+	}
+
+	for (const minion of saved.endedMinions ?? []) {
+		ledger.endedMinions.add(minion);
+	}
+
 	for (const life of saved.drainingLives) {
 		recordMinionDraining(ledger, life);
 	}
@@ -197,6 +219,11 @@
 		ledger.workerOrders.set(worker, order);
 	}
 
+	ledger.assignmentCount = saved.assignmentCount ?? 0;
+	for (const start of saved.uncertainStarts ?? []) {
+		ledger.uncertainStarts.set(createRunKey(start), start);
+	}
+
 	ledger.crashes = saved.crashes ?? [];
 	for (const [id, callers] of saved.earlyCancels ?? []) {
 		ledger.earlyCancels.set(id, callers);
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -348,6 +348,11 @@
 	readonly used: MutableResources;
 	/** Whether the minion announced that it will leave. */
 	isDraining: boolean;
+	/**
+	 * Whether the minion started again under its id, and a call for an earlier incarnation may have granted this one its longest lease: the
+	 * deadline of such a call is on the clock of the earlier one.
+	 */
+	mayHoldForeignLease: boolean;
 };
 
 /** An amount of resources that is updated in place. */
@@ -370,6 +375,12 @@
 	storedBytes: number;
 	/** The jobs with status `active`, oldest first. */
 	readonly activeJobs: Set<Job>;
+	/** Runs whose minion may not have confirmed their start yet, as far as the log tells, in the order of their assignment. */
+	readonly uncertainStarts: Map<RunKey, UncertainStart>;
+	/** How many commands have assigned runs. */
+	assignmentCount: number;
+	/** The minions whose incarnations ended; the latest ones, oldest first. One that comes back under its id follows an earlier incarnation. */
+	readonly endedMinions: Set<MinionId>;
 	/** Who cancelled jobs that were not accepted yet, by the id of the job; the latest ids, oldest first. */
 	readonly earlyCancels: Map<JobId, readonly JobCaller[]>;
 	readonly incarnations: Map<IncarnationId, IncarnationUsage>;
@@ -405,6 +416,21 @@
  */
 export type AssignmentRefusal = 'jobEnded' | 'taskDone' | 'copies' | 'runNumber' | 'minionLeft' | 'gang' | AssignmentLimit;
 
+/** Identifies a run of a task: `TASK#NUMBER`. */
+export type RunKey = Brand<string, 'RunKey'>;
+
+/** An assigned run of which it is not known for certain that its incarnation has started it. */
+export type UncertainStart = RunAssignment & {
+	/** The number of the command that assigned it. */
+	readonly assignment: number;
+};
+
+/** Which starts the leader knows to be certain: all that were assigned up to a command, but for those listed. Absent from commands of earlier versions. */
+export type StartReport = {
+	readonly upTo: number;
+	readonly uncertain: readonly RunKey[];
+};
+
 /** An assignment that did not take effect. */
 export type RefusedAssignment = RunAssignment & {
 	readonly reason: AssignmentRefusal;
@@ -443,6 +469,7 @@
 	readonly term: number;
 	readonly runs: readonly RunAssignment[];
 	readonly keepsLimits?: true;
+	readonly startReport?: StartReport;
 };
 /** Jobs of which a minion has confirmed a run since the leader's last command with such jobs. Absent from commands of earlier versions. */
 export type StartedJobs = readonly JobId[];
@@ -458,7 +485,7 @@
 		| {readonly type: 'job/cancelled'; readonly id: JobId; readonly atMs: number; readonly caller?: JobCaller}
 	/** Ignored unless `term` is still the newest. */
 		| RunsAssignedCommand
-		| {readonly type: 'runs/ended'; readonly term: number; readonly ends: readonly RunEnd[]; readonly atMs: number; /** If the ends lapsed with a minion that does not answer. */ readonly loss?: MinionLoss; readonly startedJobs?: StartedJobs}
+		| {readonly type: 'runs/ended'; readonly term: number; readonly ends: readonly RunEnd[]; readonly atMs: number; /** If the ends lapsed with a minion that does not answer. */ readonly loss?: MinionLoss; readonly startedJobs?: StartedJobs; readonly startReport?: StartReport}
 	/** `losses` holds the earlier incarnations that ended before this one started on their worker, as far as the leader knew them. */
 		| {readonly type: 'minion/joined'; readonly term: number; readonly record: MinionRecord; readonly losses?: ReadonlyArray<MinionLoss & {readonly life: IncarnationId}>; readonly startedJobs?: StartedJobs}
 	/** `loss` is present if the incarnation has certainly ended, and nobody announced its end. */
@@ -467,6 +494,8 @@
 		| {readonly type: 'minion/resized'; readonly term: number; readonly life: IncarnationId; readonly capacity: Resources; /** The number of the report. Absent from commands of earlier versions. */ readonly sequence?: number}
 	/** The minion announced that it will leave. */
 		| {readonly type: 'minion/draining'; readonly term: number; readonly life: IncarnationId}
+	/** A lease that a call for an earlier incarnation may have granted this one is over. */
+		| {readonly type: 'minion/settled'; readonly term: number; readonly life: IncarnationId}
 		| {readonly type: 'wave/started'; readonly wave: Omit<MaintenanceWave, 'ordered'>}
 	/** Ignored if the wave has another number of ordered workers than `orderedBefore`, which its maximum was checked for. Absent from commands of earlier versions. */
 		| {readonly type: 'wave/workerOrdered'; readonly term: number; readonly wave: WaveId; readonly worker: WorkerId; readonly life: IncarnationId | undefined; readonly orderedBefore?: number}
--- a/packages/daemon/src/scheduler/clock-readings.ts
+++ b/packages/daemon/src/scheduler/clock-readings.ts
@@ -14,6 +14,8 @@
 	readonly record: (reading: TimedClockReading) => void;
 	/** Returns the latest reading that is believed. */
 	readonly getLatest: () => ClockReading | undefined;
+	/** Returns whether a reading is behind what the latest one allows, as of a clock that has started anew. */
+	readonly isBehind: (reading: TimedClockReading) => boolean;
 };
 
 // The clock may run slow, never fast.
@@ -45,5 +47,6 @@
 			}
 		},
 		getLatest: () => latest,
+		isBehind: reading => latest !== undefined && isBehind(reading, latest),
 	};
 }
--- a/packages/daemon/src/scheduler/ended-incarnations.ts
+++ b/packages/daemon/src/scheduler/ended-incarnations.ts
@@ -2,8 +2,8 @@
  * Minion incarnations that have certainly ended. A report that was in flight when its minion ended would otherwise
  * re-add the incarnation: the leader would poll it until it times out, and its worker would count as switched on.
  */
-import type {MinionId, TimerService} from '@samphiremill/common';
-import {isIncarnationOf, type IncarnationId} from '@samphiremill/core';
+import type {TimerService} from '@samphiremill/common';
+import type {IncarnationId} from '@samphiremill/core';
 import {endedIncarnationRetentionMs} from './constants.js';
 
 /** The incarnations that ended recently. */
@@ -11,8 +11,6 @@
 	readonly markEnded: (life: IncarnationId) => void;
 	/** Whether the incarnation has ended, so that a report from it is outdated. */
 	readonly has: (life: IncarnationId) => boolean;
-	/** Whether an earlier incarnation of the minion ended recently. */
-	readonly hasEarlier: (minion: MinionId) => boolean;
 };
 
 export function createEndedIncarnations(timers: Pick<TimerService, 'getNow'>): EndedIncarnations {
@@ -39,9 +37,5 @@
 			dropExpired();
 			return endedAtMs.has(life);
 		},
-		hasEarlier(minion) {
-			dropExpired();
-			return [...endedAtMs.keys()].some(life => isIncarnationOf(life, minion));
-		},
 	};
 }
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -30,6 +30,7 @@
 import {clearPoolGauges, reportPools} from './pool-report.js';
 import {createPoolView} from './pool-view.js';
 import {createReportedIncarnations} from './reported-incarnations.js';
+import {createStartReports} from './start-reports.js';
 import {createSteadyTime} from './steady-time.js';
 import {createStragglerMitigator} from './straggler-mitigator.js';
 import type {SessionContext} from './session-context.js';
@@ -187,7 +188,7 @@
 			return false;
 		}
 
-		const carrier = confirmedStarts.addTo(command);
+		const carrier = confirmedStarts.addTo(startReports.addTo(command));
 		const decision = await propose(carrier);
 		if (decision.type !== 'applied') {
 			confirmedStarts.recordUnapplied(carrier);
@@ -230,7 +231,6 @@
 		termBeganAtMs: termStartedAtMs,
 		getLedger,
 		canAct: () => !isStopped && canAct(),
-		hasEarlierIncarnation: endedIncarnations.hasEarlier,
 		isLossShared: (life, atMs) => [...sessions.values()].some(({record, loss}) =>
 			record.life !== life && !loss.wasLostSuddenly() && Math.abs((loss.getLostAtMs() ?? Number.NEGATIVE_INFINITY) - atMs) <= sharedLossMs),
 		commit,
@@ -277,10 +277,12 @@
 		?? (maintenance.isCordoned(worker) ? 'maintenance' : undefined)
 		?? (moves.isCordoned(worker) ? 'move' : undefined);
 
+	const startReports = createStartReports({getLedger, isCertain: ({task, run, life}) => sessions.get(life)?.isStartCertain(task, run) ?? false});
+
 	const isPlaceable = (session: MinionSession) => findMinionGate(session) === undefined;
 
 	const planner = createStartPlanner({
-		term, timers, log, metrics, sessions, adviceCache, stragglerMitigator, getLedger, getWallClock, getSteadyTime, canAct, isActive, isPlaceable, propose, measure: dutyTimes.measure, compareReadySteps: policy.compareReadySteps, getWaitMs: waitingTasks.getWaitMs,
+		term, timers, log, metrics, sessions, adviceCache, stragglerMitigator, getLedger, getWallClock, getSteadyTime, canAct, isActive, isPlaceable, propose: async command => propose(startReports.addTo(command)), measure: dutyTimes.measure, compareReadySteps: policy.compareReadySteps, getWaitMs: waitingTasks.getWaitMs,
 	});
 
 	const stopTaskRuns = (task: Task, reason: string) => {
@@ -323,6 +325,16 @@
 		}
 	};
 
+	// While nothing else is committed, nothing carries the report.
+	const reportStarts = () => {
+		const startReport = startReports.takeOverdue();
+		if (startReport !== undefined) {
+			void commitCurrentTerm({
+				type: 'runs/assigned', term, runs: [], keepsLimits: true, startReport,
+			});
+		}
+	};
+
 	const moves = createWorkerMoves({
 		metrics,
 		timers,
@@ -384,6 +396,7 @@
 			});
 		}
 
+		runIsolated('start reports', reportStarts);
 		runIsolated('absent minions', dropAbsentMinions);
 		runIsolated('waiting tasks', waitingTasks.refresh);
 		planner.requestFullPlan();
--- a/packages/daemon/src/scheduler/minion-lease.ts
+++ b/packages/daemon/src/scheduler/minion-lease.ts
@@ -15,7 +15,7 @@
 	readonly longestHoldMs: number;
 	/** Start of the term on the monotonic clock. Leases granted by earlier leaders may still be valid for some time after it. */
 	readonly inheritedSinceMs: number;
-	/** Until when a lease that was granted by a start of the previous incarnation may be valid, on the monotonic clock. */
+	/** Until when a lease may be valid that a call for an earlier incarnation granted, on the monotonic clock. */
 	readonly foreignLeaseUntilMs: number;
 };
 
@@ -28,6 +28,10 @@
 	 * @param sentAtMs - When the reading was requested, on the monotonic clock.
 	 */
 	readonly recordClock: (minionClockMs: number, sentAtMs: number) => void;
+	/** Whether an answer since the last listing showed a clock that has started anew, so that answers without a start time may be of another incarnation. */
+	readonly hasClockRestarted: () => boolean;
+	/** Records that the incarnation itself has answered a call that was sent at this time. */
+	readonly recordOwnAnswer: (sentAtMs: number) => void;
 	/**
 	 * Extends the lease. Must not be called for a minion that does not answer: a call without an answer may have
 	 * been executed.
@@ -52,15 +56,22 @@
 	let clock: ClockReading | undefined;
 	let latestDeadlineMs = 0;
 	let grantedAtMs = 0;
+	let clockRestartedAtMs = Number.NEGATIVE_INFINITY;
+	let ownAnswerSentAtMs = 0;
 	// Of a deadline that was granted on a false reading; the call with the last one may be carried out late.
 	const longestValidityMs = unansweredStartWindowMs + getInheritedLeaseMs(longestHoldMs);
 
 	return {
 		recordClock(minionClockMs, sentAtMs) {
 			const reading = {minionClockMs, sentAtMs, receivedAtMs: timers.getNow()};
+			clockRestartedAtMs = readings.isBehind(reading) ? timers.getNow() : clockRestartedAtMs;
 			readings.record(reading);
 			clock = readings.getLatest() === reading ? reading : clock;
 		},
+		hasClockRestarted: () => clockRestartedAtMs >= ownAnswerSentAtMs,
+		recordOwnAnswer(sentAtMs) {
+			ownAnswerSentAtMs = sentAtMs;
+		},
 		grant() {
 			if (clock === undefined) {
 				return undefined;
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -4,7 +4,7 @@
  */
 import {describeError, waitAtMost} from '@samphiremill/common';
 import {
-	findTask, getInheritedLeaseMs, getRunLimit, isBlockedByUnassigned, getStep, isLateRunEnd, isSuspectedSlow, recordSlowness, recordRunDone, recordRunFailed, initialMinionHealth, initialMinionSpeed,
+	createRunKey, findTask, getInheritedLeaseMs, getRunLimit, isBlockedByUnassigned, getStep, isLateRunEnd, isSuspectedSlow, recordSlowness, recordRunDone, recordRunFailed, initialMinionHealth, initialMinionSpeed,
 	type MinionHealth, type MinionSpeed, type MinionRecord, type RunAssignment, type RunEnd, type Task, type TaskId,
 } from '@samphiremill/core';
 import {
@@ -12,6 +12,7 @@
 } from './constants.js';
 import {splitEnds} from './command-parts.js';
 import {createEndAcknowledgement} from './end-acknowledgement.js';
+import {createForeignLease} from './foreign-lease.js';
 import {createIncarnationCheck, type IncarnationSign} from './incarnation-check.js';
 import {createMinionLease} from './minion-lease.js';
 import {createLossTracker, type LossTracker} from './minion-loss.js';
@@ -61,6 +62,8 @@
 	readonly recordSlowness: (slowness: number) => void;
 	readonly getRun: (task: TaskId) => RunView | undefined;
 	readonly listRuns: () => readonly RunView[];
+	/** Whether this incarnation has certainly started the run. */
+	readonly isStartCertain: (task: TaskId, run: number) => boolean;
 	/** Lists the tasks that run on the minion without being assigned, and are being stopped. */
 	readonly listUnassignedTasks: () => readonly TaskId[];
 	/** Tells whether and how the minion was lost. */
@@ -91,13 +94,13 @@
 	};
 	const trackedRuns = new Map<TaskId, TrackedRun>();
 	const longestLeaseMs = getInheritedLeaseMs(context.longestHoldMs);
+	const foreignLease = createForeignLease({record, context, longestLeaseMs});
 	const lease = createMinionLease({
 		timers,
 		leaseMs,
 		longestHoldMs: context.longestHoldMs,
 		inheritedSinceMs: context.termBeganAtMs,
-		// The deadline of a start that was sent to the previous incarnation is on that incarnation's clock.
-		foreignLeaseUntilMs: context.hasEarlierIncarnation(record.minion) ? timers.getNow() + longestLeaseMs : 0,
+		foreignLeaseUntilMs: foreignLease.untilMs,
 	});
 	const attribution = createStartAttribution(timers);
 	const acknowledgement = createEndAcknowledgement();
@@ -431,6 +434,7 @@
 		}
 
 		isSynced = true;
+		lease.recordOwnAnswer(sentAtMs);
 		lapsedRuns.clear();
 		confirmStarts(report);
 		const unassigned: RunningEntry[] = [];
@@ -606,11 +610,20 @@
 		}
 	};
 
-	// A start without an answer may have reached the next incarnation, and granted it the longest lease.
+	// When a start order that may have reached the next incarnation, and granted it the longest lease, was last under way.
+	const getUncertainStartAtMs = ({isInherited, assignment, unansweredAtMs}: TrackedRun): number | undefined => {
+		const isUncertain = isInherited && context.getLedger().uncertainStarts.has(createRunKey(assignment));
+		return isUncertain ? Math.max(context.termBeganAtMs, unansweredAtMs ?? 0) : unansweredAtMs;
+	};
+
 	const mayOutliveLease = (task: TaskId, run: number) => {
 		const trackedRun = trackedRuns.get(task);
-		return trackedRun?.assignment.run === run && trackedRun.unansweredAtMs !== undefined && trackedRun.listedAtMs === undefined
-			&& timers.getNow() - trackedRun.unansweredAtMs < longestLeaseMs;
+		if (trackedRun?.assignment.run !== run || trackedRun.listedAtMs !== undefined) {
+			return false;
+		}
+
+		const sentAtMs = getUncertainStartAtMs(trackedRun);
+		return sentAtMs !== undefined && timers.getNow() - sentAtMs < longestLeaseMs;
 	};
 
 	const listExpiredRuns = () => listLedgerRuns().filter(([task, run]) => !mayOutliveLease(task, run));
@@ -706,6 +719,7 @@
 		},
 		tick() {
 			adoptUnknownRuns();
+			foreignLease.settleIfOver();
 			for (const trackedRun of trackedRuns.values()) {
 				// The stop was requested before a listing had shown the run.
 				if (trackedRun.isStopRequested && trackedRun.phase === 'running') {
@@ -739,6 +753,10 @@
 			const trackedRun = trackedRuns.get(task);
 			return trackedRun && toRunView(trackedRun);
 		},
+		isStartCertain(task, run) {
+			const trackedRun = trackedRuns.get(task);
+			return trackedRun?.assignment.run === run && (trackedRun.isStartCertain || trackedRun.listedAtMs !== undefined);
+		},
 		listUnassignedTasks: unassignedRuns.listTasks,
 		listRuns: () => [...trackedRuns.values()].map(trackedRun => toRunView(trackedRun)),
 		loss,
--- a/packages/daemon/src/scheduler/quiet-listing.test.ts
+++ b/packages/daemon/src/scheduler/quiet-listing.test.ts
@@ -41,7 +41,6 @@
 		termBeganAtMs: 0,
 		getLedger: createLedger,
 		canAct: () => true,
-		hasEarlierIncarnation: () => false,
 		async commit() {
 			commitCount += 1;
 			return true;
--- a/packages/daemon/src/scheduler/run-orders.ts
+++ b/packages/daemon/src/scheduler/run-orders.ts
@@ -128,6 +128,8 @@
 		if (result.type === 'started') {
 			trackedRun.phase = trackedRun.phase === 'stopping' ? 'stopping' : 'running';
 			trackedRun.startedAtMs ??= timers.getNow();
+			// An answer to a start does not say which incarnation it is from; its clock does.
+			trackedRun.isStartCertain ||= !trackedRun.mayStartLate && !lease.hasClockRestarted();
 			context.onRunStarted(trackedRun.assignment.task);
 			context.onStartConfirmed(trackedRun.assignment.task);
 			trackedRun.listingExpectedFromMs ??= timers.getNow();
--- a/packages/daemon/src/scheduler/session-context.ts
+++ b/packages/daemon/src/scheduler/session-context.ts
@@ -1,7 +1,7 @@
 /**
  * The services that the leader provides to its minion sessions.
  */
-import type {MinionId, TimerService} from '@samphiremill/common';
+import type {TimerService} from '@samphiremill/common';
 import type {
 	Job, Ledger, LedgerCommand, IncarnationId, Task, TaskId, Ticket,
 } from '@samphiremill/core';
@@ -25,8 +25,6 @@
 	readonly getLedger: () => Ledger;
 	/** Whether this host may still send orders. Called immediately before each order. */
 	readonly canAct: () => boolean;
-	/** Whether an earlier incarnation of the minion ended recently. */
-	readonly hasEarlierIncarnation: (minion: MinionId) => boolean;
 	/** Resolves to true once the command is applied, and to false if it was not or if that is unknown. */
 	readonly commit: (command: LedgerCommand) => Promise<boolean>;
 	readonly getWallClock: () => number;
--- a/packages/daemon/src/scheduler/tracked-run.ts
+++ b/packages/daemon/src/scheduler/tracked-run.ts
@@ -34,6 +34,8 @@
 	isLasting: boolean | undefined;
 	/** Whether a start order was sent and not answered, so that the minion may still execute it. */
 	mayStartLate: boolean;
+	/** Whether this incarnation has certainly started the run: it answered by its own clock, and no other order is under way. */
+	isStartCertain: boolean;
 	/** When the latest start order without an answer timed out. */
 	unansweredAtMs: number | undefined;
 	startedAtMs: number | undefined;
@@ -62,6 +64,7 @@
 		isInherited,
 		isLasting: undefined,
 		mayStartLate: false,
+		isStartCertain: false,
 		unansweredAtMs: undefined,
 		startedAtMs: undefined,
 		listingExpectedFromMs: undefined,
