Leases: reports on uncertain starts are at most one in 50 ms, and count towards the size of a proposal

Cause, by reading: each assignment and each end carried the whole list of uncertain starts, some 45 bytes each, so that one commit carried it many times. Nor was it in the bound that the batcher takes for the size of such commands: some hundred commands with full lists would not have fitted into a frame.

Change: one report in 50 ms (or by itself after 100 ms), bounded bytes.

--- a/packages/daemon/src/scheduler/command-batcher.test.ts
+++ b/packages/daemon/src/scheduler/command-batcher.test.ts
@@ -2,7 +2,7 @@
 import {
 	createVirtualTimerService, toBrand, type JobId, type PoolId, type QueueId,
 } from '@samphiremill/common';
-import {plainStep, type LedgerCommand} from '@samphiremill/core';
+import {plainStep, type LedgerCommand, type RunKey} from '@samphiremill/core';
 import {expect, test} from 'vitest';
 import {encodeFrame} from '../peers/frames.js';
 import {maximumFrameBytes} from '../peers/constants.js';
@@ -206,6 +206,24 @@
 	expect(Math.max(...proposed.map(command => encodeFrame(command).length))).toBeLessThan(maximumFrameBytes);
 });
 
+test('reports on starts count towards the size of a proposal', async () => {
+	const {settles, submit, proposed} = createLog();
+	const uncertain = Array.from({length: 256}, (_, index) => toBrand<RunKey>(`ffffffffffffffff.99999.9999.${99_999 - index}#1000000`));
+	for (let index = 0; index < 200; index += 1) {
+		void submit({
+			type: 'runs/ended', term: 1, ends: [], atMs: 0, startReport: {upTo: 1, uncertain},
+		});
+	}
+
+	for (let turn = 0; turn < 40; turn += 1) {
+		await waitForNextTurn(); // eslint-disable-line no-await-in-loop -- turns run one at a time
+		settles[turn]?.({type: 'applied', outcome: {type: 'applied'}});
+	}
+
+	expect(proposed.flatMap(command => command.type === 'batch' ? command.commands : [command]).length).toBe(200);
+	expect(Math.max(...proposed.map(command => encodeFrame(command).length))).toBeLessThan(maximumFrameBytes);
+});
+
 test('a command that does not fit into a frame between hosts is not proposed, and the next one is', async () => {
 	const {settles, submit, proposed, tooLarge} = createLog();
 	// In UTF-8 a control character has six bytes as JSON, and most others have up to three.
--- a/packages/daemon/src/scheduler/command-batcher.ts
+++ b/packages/daemon/src/scheduler/command-batcher.ts
@@ -6,7 +6,7 @@
 import {Buffer} from 'node:buffer';
 import type {TimerService} from '@samphiremill/common';
 import type {LedgerCommand, LedgerOutcome} from '@samphiremill/core';
-import {getMostEndBytes, mostBytesPerRun} from './command-parts.js';
+import {getMostEndBytes, getMostReportBytes, mostBytesPerRun} from './command-parts.js';
 
 /**
  * Result of a proposal to the replicated log; `unknown` if it may or may not have been applied. A command that could
@@ -66,11 +66,11 @@
 // Most commands assign and end runs.
 const boundBytes = (command: LedgerCommand): number => {
 	if (command.type === 'runs/assigned') {
-		return (command.runs.length + 1) * mostBytesPerRun;
+		return ((command.runs.length + 1) * mostBytesPerRun) + getMostReportBytes(command.startReport);
 	}
 
 	if (command.type === 'runs/ended' && command.loss === undefined) {
-		const besidesEnds = mostBytesPerRun + ((command.startedJobs?.length ?? 0) * mostBytesPerStartedJob);
+		const besidesEnds = mostBytesPerRun + ((command.startedJobs?.length ?? 0) * mostBytesPerStartedJob) + getMostReportBytes(command.startReport);
 		return command.ends.reduce((sum, end) => sum + getMostEndBytes(end), besidesEnds);
 	}
 
--- a/packages/daemon/src/scheduler/command-parts.ts
+++ b/packages/daemon/src/scheduler/command-parts.ts
@@ -1,7 +1,9 @@
 /**
  * Splits what grows with the work over several commands, so that each of them fits into an entry of the log by construction.
  */
-import {maximumGangTasks, type RunAssignment, type RunEnd} from '@samphiremill/core';
+import {
+	maximumGangTasks, type RunAssignment, type RunEnd, type StartReport,
+} from '@samphiremill/core';
 
 /** Most runs that one command assigns. A gang is assigned in one command, so it must not be larger. */
 export const maximumRunsPerCommand = maximumGangTasks;
@@ -15,6 +17,14 @@
 /** Most bytes of a UTF-16 code unit in JSON. */
 export const mostBytesPerCodeUnit = 6;
 
+/** Most bytes of the key of a run as JSON. */
+const mostBytesPerRunKey = 128;
+
+/** Returns an upper bound for the bytes of a report on starts as JSON. */
+export function getMostReportBytes(report: StartReport | undefined): number {
+	return report === undefined ? 0 : (report.uncertain.length + 1) * mostBytesPerRunKey;
+}
+
 /** Returns an upper bound for the bytes of an end as JSON. */
 export function getMostEndBytes({checkpoint}: Pick<RunEnd, 'checkpoint'>): number {
 	return mostBytesPerRun + (checkpoint.length * mostBytesPerCodeUnit);
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -277,7 +277,7 @@
 		?? (maintenance.isCordoned(worker) ? 'maintenance' : undefined)
 		?? (moves.isCordoned(worker) ? 'move' : undefined);
 
-	const startReports = createStartReports({getLedger, isCertain: ({task, run, life}) => sessions.get(life)?.isStartCertain(task, run) ?? false});
+	const startReports = createStartReports({timers, getLedger, isCertain: ({task, run, life}) => sessions.get(life)?.isStartCertain(task, run) ?? false});
 
 	const isPlaceable = (session: MinionSession) => findMinionGate(session) === undefined;
 
--- a/packages/daemon/src/scheduler/start-reports.ts
+++ b/packages/daemon/src/scheduler/start-reports.ts
@@ -2,6 +2,7 @@
  * Tells the log which starts are certain, with commands that are committed anyway. What it does not say by the time of a change of leader, the
  * next leader takes for starts that the next incarnation of their minion may have carried out.
  */
+import type {TimerService} from '@samphiremill/common';
 import type {
 	Ledger, LedgerCommand, RunKey, StartReport, UncertainStart,
 } from '@samphiremill/core';
@@ -9,8 +10,12 @@
 /** Most uncertain starts that a report lists. With more there is no report, so that all starts stay uncertain. */
 export const maximumReportedStarts = 256;
 
+/** Least time between two reports, in milliseconds, so that they add little to the log. */
+export const startReportPeriodMs = 50;
+
 /** Dependencies of the reports of one leader. */
 export type StartReportOptions = {
+	readonly timers: Pick<TimerService, 'getNow'>;
 	readonly getLedger: () => Ledger;
 	/** Whether the incarnation of the run has certainly started it. */
 	readonly isCertain: (start: UncertainStart) => boolean;
@@ -18,43 +23,52 @@
 
 /** The reports of one leader. */
 export type StartReports = {
-	/** Adds a report to a command that can carry one, if there is something to say; returns other commands as they are. */
+	/** Adds a report to a command that can carry one, if one is due and there is something to say; returns other commands as they are. */
 	readonly addTo: (command: LedgerCommand) => LedgerCommand;
-	/** Returns a report for a command of its own, if there is something to say that no command has carried since the last call. */
+	/** Returns a report for a command of its own, if one is due that no command has carried. */
 	readonly takeOverdue: () => StartReport | undefined;
 };
 
 /** Creates the reports of a new leader. */
-export function createStartReports({getLedger, isCertain}: StartReportOptions): StartReports {
-	let hasReported = false;
+export function createStartReports({timers, getLedger, isCertain}: StartReportOptions): StartReports {
+	let reportedAtMs = Number.NEGATIVE_INFINITY;
 
-	const createReport = (): StartReport | undefined => {
-		const {uncertainStarts, assignmentCount} = getLedger();
+	const listUncertain = (): readonly RunKey[] => {
 		const uncertain: RunKey[] = [];
-		for (const [key, start] of uncertainStarts) {
+		for (const [key, start] of getLedger().uncertainStarts) {
 			if (!isCertain(start)) {
 				uncertain.push(key);
 			}
+
+			if (uncertain.length > maximumReportedStarts) {
+				break;
+			}
+		}
+
+		return uncertain;
+	};
+
+	const takeReport = (periodMs: number): StartReport | undefined => {
+		const {uncertainStarts, assignmentCount} = getLedger();
+		if (uncertainStarts.size === 0 || timers.getNow() - reportedAtMs < periodMs) {
+			return undefined;
+		}
+
+		const uncertain = listUncertain();
+		if (uncertain.length === uncertainStarts.size || uncertain.length > maximumReportedStarts) {
+			return undefined;
 		}
 
-		const isUseful = uncertain.length < uncertainStarts.size && uncertain.length <= maximumReportedStarts;
-		return isUseful ? {upTo: assignmentCount, uncertain} : undefined;
+		reportedAtMs = timers.getNow();
+		return {upTo: assignmentCount, uncertain};
 	};
 
 	return {
 		addTo(command) {
-			if (command.type !== 'runs/assigned' && command.type !== 'runs/ended') {
-				return command;
-			}
-
-			const startReport = command.startReport ?? createReport();
-			hasReported ||= startReport !== undefined;
-			return startReport === undefined ? command : {...command, startReport};
-		},
-		takeOverdue() {
-			const isOverdue = !hasReported;
-			hasReported = false;
-			return isOverdue ? createReport() : undefined;
+			const canCarry = (command.type === 'runs/assigned' || command.type === 'runs/ended') && command.startReport === undefined;
+			const startReport = canCarry ? takeReport(startReportPeriodMs) : undefined;
+			return canCarry && startReport !== undefined ? {...command, startReport} : command;
 		},
+		takeOverdue: () => takeReport(2 * startReportPeriodMs),
 	};
 }
