--- a/packages/daemon/src/scheduler/start-planner.ts
+++ b/packages/daemon/src/scheduler/start-planner.ts
@@ -167,7 +167,6 @@
 		return task !== undefined && getStep(task).isGang ? createStepId(task) : undefined;
 	};
 
-	// The parts of a plan are committed in its order, each as soon as it can be.
 	const commitPart = async (planNumber: number, runs: readonly RunAssignment[]): Promise<ProposalResult['type']> => {
 		const decision = await propose({
 			type: 'runs/assigned', term, runs, keepsLimits: true,
@@ -190,6 +189,18 @@
 		return decision.type;
 	};
 
+	// One after the other, so that callers are answered between the starts of a large plan. What follows a part that was not applied is planned again.
+	const commitParts = async (planNumber: number, parts: ReadonlyArray<readonly RunAssignment[]>): Promise<ProposalResult['type']> => {
+		for (const part of parts) {
+			const result = await commitPart(planNumber, part); // eslint-disable-line no-await-in-loop -- one after the other
+			if (result !== 'applied') {
+				return result;
+			}
+		}
+
+		return 'applied';
+	};
+
 	const plan = async () => {
 		// The capacity that the earlier plan uses would be assigned twice.
 		if (isOutcomeUnknown) {
@@ -209,10 +220,10 @@
 		proposedAtMs = timers.getNow();
 		planCount += 1;
 		const planNumber = planCount;
-		const results = await Promise.all(splitAssignments(runs, getGang).map(async part => commitPart(planNumber, part)));
+		const result = await commitParts(planNumber, splitAssignments(runs, getGang));
 		proposedAtMs = undefined;
-		isOutcomeUnknown = results.includes('unknown');
-		isFullPlanRequested ||= results.some(result => result !== 'applied');
+		isOutcomeUnknown = result === 'unknown';
+		isFullPlanRequested ||= result !== 'applied';
 		metrics.record('plan_ms', timers.getNow() - plannedAtMs);
 	};
 
