--- a/packages/core/src/scheduler/minion-capacity.ts
+++ b/packages/core/src/scheduler/minion-capacity.ts
@@ -24,6 +24,8 @@
 	 * the minion; then it takes long-running tasks only if no other minion does.
 	 */
 	readonly runLimit: number;
+	/** How many more runs of tasks that end may be started there before others are confirmed; unlimited if absent. */
+	readonly startsLeft?: number;
 	/** The minion will be drained soon, so other minions are preferred for long-running tasks. */
 	readonly isDrainingSoon: boolean;
 	/** The minion is suspected of being slow. It gets work only if no other minion has capacity. */
@@ -91,7 +93,7 @@
 	return {
 		minion,
 		free: {...getFreeResources(ledger, minion, usage)},
-		runsLeft: getRunsLeft(ledger, minion, usage),
+		runsLeft: Math.min(getRunsLeft(ledger, minion, usage), minion.startsLeft ?? Number.POSITIVE_INFINITY),
 		crashSuspect: minion.crashSuspect,
 		plannedJob: undefined,
 	};
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -16,6 +16,7 @@
 import {createIncarnationCheck, type IncarnationSign} from './incarnation-check.js';
 import {createMinionLease} from './minion-lease.js';
 import {createLossTracker, type LossTracker} from './minion-loss.js';
+import {countStartsLeft} from './start-limit.js';
 import {
 	createTrackedRun, toRunView, type TrackedRun, type RunView,
 } from './tracked-run.js';
@@ -56,6 +57,8 @@
 	readonly isDraining: () => boolean;
 	/** Returns how many runs of tasks that end the minion may have at once. */
 	readonly getRunLimit: () => number;
+	/** Returns how many more runs of tasks that end may be started on the minion before others are confirmed. */
+	readonly getStartsLeft: () => number;
 	/** Whether runs on this minion are suspected to be slow. */
 	readonly isSuspect: () => boolean;
 	/** Records the duration of a run here relative to the median of the same work on other minions. */
@@ -745,6 +748,7 @@
 		isAnswering,
 		isDraining,
 		getRunLimit: () => getRunLimit(health, timers.getNow()),
+		getStartsLeft: () => countStartsLeft(trackedRuns),
 		isSuspect: () => isSuspectedSlow(speed, timers.getNow()),
 		recordSlowness(slowness) {
 			speed = recordSlowness(speed, {slowness, nowMs: timers.getNow()});
--- a/packages/daemon/src/scheduler/start-planner.ts
+++ b/packages/daemon/src/scheduler/start-planner.ts
@@ -64,12 +64,12 @@
 };
 
 /** Returns what a plan has to know of a minion, given the workers that are due for maintenance. */
-export function toUsableMinion({record, getRunLimit, isSuspect, listUnassignedTasks}: MinionSession, {due, crashSuspect}: {
+export function toUsableMinion({record, getRunLimit, getStartsLeft, isSuspect, listUnassignedTasks}: MinionSession, {due, crashSuspect}: {
 	readonly due?: ReadonlySet<WorkerId>;
 	readonly crashSuspect?: RunningSuspect | undefined;
 } = {}): UsableMinion {
 	return {
-		record, runLimit: getRunLimit(), isDrainingSoon: due?.has(record.worker) ?? false, isSuspect: isSuspect(), crashSuspect, unassignedTasks: listUnassignedTasks(),
+		record, runLimit: getRunLimit(), startsLeft: getStartsLeft(), isDrainingSoon: due?.has(record.worker) ?? false, isSuspect: isSuspect(), crashSuspect, unassignedTasks: listUnassignedTasks(),
 	};
 }
 
