--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -96,6 +96,14 @@
 /** How often the leader checks for work that becomes due with time alone. */
 export const leaderTickPeriodMs = 100;
 
+/**
+ * The largest part of the leader's time that plans of worker moves may take, and that maintenance may; and the longest pause that
+ * follows from it, short beside the time of a move.
+ */
+export const maximumMovesShare = 0.04;
+export const maximumMaintenanceShare = 0.04;
+export const longestDutyPauseMs = 400;
+
 /** How often the pace of filler tasks is set. */
 export const fillerPacePeriodMs = 500;
 
--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -15,7 +15,7 @@
 import {createCheckedMinionPort} from './checked-minion-port.js';
 import type {ProposalResult} from './command-batcher.js';
 import {
-	lapsedStartAbsenceTimeoutMs, fillerPacePeriodMs, jobCleanupPeriodMs, leaderTickPeriodMs, maximumForgottenJobs, minionAbsenceTimeoutMs, poolReportPeriodMs,
+	lapsedStartAbsenceTimeoutMs, fillerPacePeriodMs, jobCleanupPeriodMs, leaderTickPeriodMs, maximumForgottenJobs, maximumMaintenanceShare, maximumMovesShare, minionAbsenceTimeoutMs, poolReportPeriodMs,
 } from './constants.js';
 import {createConfirmedStarts} from './confirmed-starts.js';
 import {createDutyTimes} from './duty-times.js';
@@ -27,6 +27,7 @@
 import {paceFillers} from './filler-pacing.js';
 import type {SchedulerMetrics} from './metrics.js';
 import {openMinionSession, type MinionSession} from './minion-session.js';
+import {createPacedDuty} from './paced-duty.js';
 import {defaultPolicy, type SchedulerPolicy} from './policy.js';
 import {clearPoolGauges, reportPools} from './pool-report.js';
 import {createPoolView} from './pool-view.js';
@@ -45,7 +46,7 @@
 import {createMaintenanceController} from './maintenance-controller.js';
 import {reportWaitingTasks, type MinionGate} from './waiting-report.js';
 import {createWaitingTasks} from './waiting-tasks.js';
-import {createWorkerMoves} from './worker-moves.js';
+import {createWorkerMoves, type RunningWorker} from './worker-moves.js';
 import {createWorkerOrders} from './worker-orders.js';
 
 /** Configured durations and capabilities of the scheduler. */
@@ -367,6 +368,16 @@
 		}
 	};
 
+	const toRunningWorker = ({record, isUsable}: MinionSession): RunningWorker => ({
+		worker: record.worker,
+		life: record.life,
+		pool: record.pool,
+		millicores: record.capacity.cpuMillicores,
+		kind: getWorkerKind(record),
+		runCount: getLedger().incarnations.get(record.life)?.runs.size ?? 0,
+		isMovable: isUsable(),
+	});
+
 	const moves = createWorkerMoves({
 		metrics,
 		timers,
@@ -375,15 +386,12 @@
 		orders,
 		areEarlierPlansSettled: planner.areEarlierPlansSettled,
 		planWorkerMoves: policy.planWorkerMoves,
-		listRunning: () => [...sessions.values()].map(({record, isUsable}) => ({
-			worker: record.worker,
-			life: record.life,
-			pool: record.pool,
-			millicores: record.capacity.cpuMillicores,
-			kind: getWorkerKind(record),
-			runCount: getLedger().incarnations.get(record.life)?.runs.size ?? 0,
-			isMovable: isUsable(),
-		})),
+		listRunning: () => [...sessions.values()].map(session => toRunningWorker(session)),
+		findRunning(worker) {
+			const session = sessions.findByWorker(worker);
+			return session && toRunningWorker(session);
+		},
+		pacePlans: createPacedDuty({timers, maximumShare: maximumMovesShare}),
 		isRunning: sessions.hasWorker,
 		listPoolBalances: () => pools.listPoolBalances(),
 		isStandbyPool: pool => getLedger().configuration?.pools.some(definition => definition.isStandby && definition.pool === pool) ?? false,
@@ -402,6 +410,8 @@
 		timers, log, metrics, workers, orders, sessions, getLedger, getWallClock, times: options.maintenanceTimes, listSwitchedOff: moves.listSwitchedOff, isMoving: moves.isMoving, listLoadedPools: pools.listLoadedPools, listLongRunningTasksFor: planner.listLongRunningTasksFor, listUsableMinions: planner.listUsableMinions, isAllowed: adviceCache.isAllowed, areEarlierPlansSettled: planner.areEarlierPlansSettled, term, commit, onChanged: sessionContext.onMinionsChanged,
 	});
 
+	const paceMaintenance = createPacedDuty({timers, maximumShare: maximumMaintenanceShare});
+
 	const tick = () => {
 		if (!canAct()) {
 			return;
@@ -421,7 +431,9 @@
 		});
 		if (limits.hasWorkerOrders) {
 			dutyTimes.measure('upkeep', () => {
-				runIsolated('upkeep', maintenance.tick);
+				runIsolated('upkeep', () => {
+					paceMaintenance(maintenance.tick);
+				});
 			});
 			dutyTimes.measure('moves', () => {
 				runIsolated('moves', moves.tick);
--- a/packages/daemon/src/scheduler/pool-view.test.ts
+++ b/packages/daemon/src/scheduler/pool-view.test.ts
@@ -23,7 +23,7 @@
 		getLedger: () => ledger,
 		getWallClock: () => 0,
 		sessions: {
-			get: () => undefined, values: () => sessions, hasWorker: () => false, getLatest: () => undefined, listPool: () => sessions, sync: () => undefined, closeAll: () => undefined,
+			get: () => undefined, values: () => sessions, hasWorker: () => false, findByWorker: () => undefined, getLatest: () => undefined, listPool: () => sessions, sync: () => undefined, closeAll: () => undefined,
 		},
 		isPlaceable(session) {
 			world.looks += 1;
--- a/packages/daemon/src/scheduler/session-registry.ts
+++ b/packages/daemon/src/scheduler/session-registry.ts
@@ -11,6 +11,8 @@
 	readonly values: () => Iterable<MinionSession>;
 	/** Returns the session of the latest incarnation of a minion. */
 	readonly getLatest: (minion: MinionId) => MinionSession | undefined;
+	/** Returns the session of the minion of a worker. */
+	readonly findByWorker: (worker: WorkerId) => MinionSession | undefined;
 	/** Whether the worker has a minion with a session. */
 	readonly hasWorker: (worker: WorkerId) => boolean;
 	/** Returns the sessions of one pool. */
@@ -66,6 +68,7 @@
 		get: life => sessions.get(life),
 		values: () => sessions.values(),
 		getLatest: minion => [...byMinion.get(minion) ?? []].toSorted((left, right) => left.record.bornAtMs - right.record.bornAtMs).at(-1),
+		findByWorker: worker => [...byWorker.get(worker) ?? []].at(-1),
 		hasWorker: worker => byWorker.has(worker),
 		listPool: pool => byPool.get(pool) ?? [],
 		sync() {
--- a/packages/daemon/src/scheduler/worker-moves.test.ts
+++ b/packages/daemon/src/scheduler/worker-moves.test.ts
@@ -3,14 +3,15 @@
  * pool of this worker.
  */
 import {
-	createSuccess, createVirtualTimerService, toBrand, type NodeId, type PoolId, type WorkerId,
+	createSuccess, createVirtualTimerService, toBrand, type MonotonicMs, type NodeId, type PoolId, type WorkerId,
 } from '@samphiremill/common';
 import {createLedger, type IncarnationId, type PoolBalance} from '@samphiremill/core';
 import {expect, test} from 'vitest';
-import {firstWorkerOrderDelayMs, leaderTickPeriodMs} from './constants.js';
+import {firstWorkerOrderDelayMs, leaderTickPeriodMs, maximumMovesShare} from './constants.js';
 import {createSchedulerMetrics} from './metrics.js';
+import {createPacedDuty} from './paced-duty.js';
 import type {ListedWorker, WorkerOrderResult} from './types.js';
-import {createWorkerMoves} from './worker-moves.js';
+import {createWorkerMoves, type RunningWorker} from './worker-moves.js';
 import {createWorkerOrders} from './worker-orders.js';
 
 const pool = toBrand<PoolId>('counter');
@@ -37,12 +38,13 @@
 ];
 
 // The plan moves the worker out of its pool whenever no long-running task waits there.
-const start = () => {
+const start = ({planMs = 0} = {}) => {
 	const timers = createVirtualTimerService();
 	let result: WorkerOrderResult = 'throttled';
 	let waitingLastingCount = 0;
 	let orderCount = 0;
 	let listCount = 0;
+	let planningMs = 0;
 	const carryOut = async () => {
 		orderCount += 1;
 		await new Promise<void>(resolve => {
@@ -51,6 +53,9 @@
 		return result;
 	};
 
+	const running: RunningWorker = {
+		worker, life, pool, millicores: 8000, kind: '', runCount: 0, isMovable: true,
+	};
 	const moves = createWorkerMoves({
 		timers,
 		log: {
@@ -63,10 +68,11 @@
 		}),
 		listRunning() {
 			listCount += 1;
-			return [{
-				worker, life, pool, millicores: 8000, kind: '', runCount: 0, isMovable: true,
-			}];
+			planningMs += planMs;
+			return [running];
 		},
+		findRunning: other => other === worker ? running : undefined,
+		pacePlans: createPacedDuty({timers: {getNow: () => toBrand<MonotonicMs>(timers.getNow() + planningMs)}, maximumShare: maximumMovesShare}),
 		isRunning: other => other === worker,
 		listPoolBalances: () => [createBalance({pool, isStandby: false, waitingLastingCount}), createBalance({pool: standbyPool, isStandby: true, waitingLastingCount: 0})],
 		isStandbyPool: other => other === standbyPool,
@@ -150,3 +156,17 @@
 	world.moves.tick();
 	expect(world.countLists() - before).toBe(1);
 });
+
+// With hundreds of workers, plans took up to a tenth of a busy leader's time (incident 68).
+test('plans that take long leave most of the time to others, and a chosen move is ordered at the next tick all the same', async () => {
+	const planMs = 12;
+	const world = start({planMs});
+	await world.advance(firstWorkerOrderDelayMs + leaderTickPeriodMs);
+	const before = {lists: world.countLists(), orders: world.countOrders()};
+	await world.advance(3 * leaderTickPeriodMs);
+	expect(world.countOrders()).toBeGreaterThan(before.orders);
+	await world.advance(10_000 - (3 * leaderTickPeriodMs));
+	const share = (world.countLists() - before.lists) * planMs / 10_000;
+	expect(share).toBeGreaterThan(0);
+	expect(share).toBeLessThanOrEqual(maximumMovesShare);
+});
--- a/packages/daemon/src/scheduler/worker-moves.ts
+++ b/packages/daemon/src/scheduler/worker-moves.ts
@@ -10,6 +10,7 @@
 	workerListPeriodMs, moveArrivalTimeoutMs, moveGiveUpDelayMs, moveSettleDelayMs, refusedMoveDelayMs,
 } from './constants.js';
 import type {SchedulerMetrics} from './metrics.js';
+import type {PacedDuty} from './paced-duty.js';
 import type {SchedulerPolicy} from './policy.js';
 import type {ListedWorker, WorkerPort} from './types.js';
 import type {WorkerOrders} from './worker-orders.js';
@@ -34,8 +35,12 @@
 	readonly workers: WorkerPort;
 	readonly orders: WorkerOrders;
 	readonly listRunning: () => readonly RunningWorker[];
+	/** Returns the worker if it is among the running ones. */
+	readonly findRunning: (worker: WorkerId) => RunningWorker | undefined;
 	/** Whether the worker is among the running ones. */
 	readonly isRunning: (worker: WorkerId) => boolean;
+	/** Spaces the plans, which look at all workers. Moves that were planned are followed at each tick. */
+	readonly pacePlans: PacedDuty;
 	readonly listPoolBalances: () => readonly PoolBalance[];
 	readonly isStandbyPool: (pool: PoolId) => boolean;
 	/** Whether the worker is drained for maintenance. */
@@ -72,13 +77,16 @@
 	readonly isUncertain: boolean;
 };
 
-export function createWorkerMoves({timers, log, metrics, workers, orders, listRunning, isRunning, listPoolBalances, isStandbyPool, isCordonedForMaintenance, moveMs, areEarlierPlansSettled, planWorkerMoves, term, commit, onChanged}: WorkerMovesOptions): WorkerMoves {
+export function createWorkerMoves({timers, log, metrics, workers, orders, listRunning, findRunning, isRunning, pacePlans, listPoolBalances, isStandbyPool, isCordonedForMaintenance, moveMs, areEarlierPlansSettled, planWorkerMoves, term, commit, onChanged}: WorkerMovesOptions): WorkerMoves {
 	const active = new Map<WorkerId, ActiveMove>();
 	const idleSince = new Map<WorkerId, number>();
 	const refusedAtMs = new Map<WorkerId, number>();
 	let listedWorkers: readonly ListedWorker[] = [];
 	let isListing = false;
 	let listAtMs = Number.NEGATIVE_INFINITY;
+	/** Pools in which long-running tasks waited at the last plan. */
+	let waitingPools: ReadonlySet<PoolId> = new Set();
+	let hasStandbyPool = false;
 
 	const isAvailable = (worker: WorkerId) => !active.has(worker) && !isCordonedForMaintenance(worker) && orders.canOrder(worker) && timers.getNow() - (refusedAtMs.get(worker) ?? Number.NEGATIVE_INFINITY) > refusedMoveDelayMs;
 
@@ -174,9 +182,9 @@
 	const isGivenUp = ({worker, startedAtMs, isUncertain}: ActiveMove, isPoolWaiting: boolean) =>
 		isPoolWaiting && !isUncertain && orders.canOrder(worker) && timers.getNow() - startedAtMs >= moveGiveUpDelayMs;
 
-	const tickMove = (move: ActiveMove, running: ReadonlyMap<WorkerId, RunningWorker>, isPoolWaiting: boolean) => {
+	const followMove = (move: ActiveMove) => {
 		const nowMs = timers.getNow();
-		const present = running.get(move.worker);
+		const present = findRunning(move.worker);
 		if (move.confirmedAtMs !== undefined) {
 			const hasArrived = present !== undefined && present.life !== move.life && present.pool === move.to;
 			// A worker that moves to a standby pool is switched off and reports nothing, so its move ends with the time of a move.
@@ -198,7 +206,7 @@
 			return;
 		}
 
-		if (isGivenUp(move, isPoolWaiting)) {
+		if (isGivenUp(move, waitingPools.has(move.from))) {
 			log.info(`worker ${move.worker} is not moved: long-running tasks wait in pool ${move.from}`, {worker: move.worker, from: move.from, to: move.to});
 			active.delete(move.worker);
 			return;
@@ -207,38 +215,48 @@
 		void sendMove(move);
 	};
 
+	const planMoves = (balances: readonly PoolBalance[]) => {
+		const running = listRunning();
+		updateIdleTimes(running);
+		const runningByWorker = new Map(running.map(worker => [worker.worker, worker]));
+		const movable = running
+			.filter(({worker, isMovable}) => isMovable && isAvailable(worker))
+			.map(({worker, pool, millicores, kind}) => ({
+				worker, pool, millicores, kind, idleMs: idleSince.has(worker) ? timers.getNow() - (idleSince.get(worker) ?? 0) : 0,
+			}));
+		const switchedOff = listSwitchedOff()
+			.filter(({worker}) => isAvailable(worker))
+			.map(({worker, pool, millicores}) => ({
+				worker, pool, millicores, kind: '', idleMs: Number.POSITIVE_INFINITY,
+			}));
+		for (const move of planWorkerMoves({pools: balances, workers: [...movable, ...switchedOff], moveMs})) {
+			beginMove(move, runningByWorker, balances);
+		}
+	};
+
 	return {
 		tick() {
-			const balances = listPoolBalances();
-			if (!orders.isOpen() || balances.every(({isStandby}) => !isStandby)) {
-				return;
+			const isOpen = orders.isOpen();
+			if (isOpen && hasStandbyPool) {
+				for (const move of active.values()) {
+					followMove(move);
+				}
 			}
 
-			if (!isListing && timers.getNow() - listAtMs > workerListPeriodMs) {
-				void refreshList();
-			}
+			pacePlans(() => {
+				const balances = listPoolBalances();
+				waitingPools = new Set(balances.filter(({waitingLastingCount}) => waitingLastingCount > 0).map(({pool}) => pool));
+				hasStandbyPool = balances.some(({isStandby}) => isStandby);
+				if (!isOpen || !hasStandbyPool) {
+					return;
+				}
 
-			const running = listRunning();
-			updateIdleTimes(running);
-			const runningByWorker = new Map(running.map(worker => [worker.worker, worker]));
-			const waitingPools = new Set(balances.filter(({waitingLastingCount}) => waitingLastingCount > 0).map(({pool}) => pool));
-			for (const move of active.values()) {
-				tickMove(move, runningByWorker, waitingPools.has(move.from));
-			}
+				if (!isListing && timers.getNow() - listAtMs > workerListPeriodMs) {
+					void refreshList();
+				}
 
-			const movable = running
-				.filter(({worker, isMovable}) => isMovable && isAvailable(worker))
-				.map(({worker, pool, millicores, kind}) => ({
-					worker, pool, millicores, kind, idleMs: idleSince.has(worker) ? timers.getNow() - (idleSince.get(worker) ?? 0) : 0,
-				}));
-			const switchedOff = listSwitchedOff()
-				.filter(({worker}) => isAvailable(worker))
-				.map(({worker, pool, millicores}) => ({
-					worker, pool, millicores, kind: '', idleMs: Number.POSITIVE_INFINITY,
-				}));
-			for (const move of planWorkerMoves({pools: balances, workers: [...movable, ...switchedOff], moveMs})) {
-				beginMove(move, runningByWorker, balances);
-			}
+				planMoves(balances);
+			});
 		},
 		isCordoned: worker => active.has(worker) && active.get(worker)?.confirmedAtMs === undefined,
 		isMoving: worker => active.has(worker),
