--- a/packages/daemon/src/scheduler/leader.ts
+++ b/packages/daemon/src/scheduler/leader.ts
@@ -191,7 +191,7 @@
 			return false;
 		}
 
-		const carrier = confirmedStarts.addTo(startReports.addTo(command));
+		const carrier = confirmedStarts.addTo(addStartReport(command));
 		const decision = await propose(carrier);
 		if (decision.type !== 'applied') {
 			confirmedStarts.recordUnapplied(carrier);
@@ -312,10 +312,12 @@
 
 	const startReports = createStartReports({timers, getLedger, isCertain: ({task, run, life}) => sessions.get(life)?.isStartCertain(task, run) ?? false});
 
+	const addStartReport = (command: LedgerCommand): LedgerCommand => dutyTimes.measure('start reports', () => startReports.addTo(command));
+
 	const isPlaceable = (session: MinionSession) => findMinionGate(session) === undefined;
 
 	const planner = createStartPlanner({
-		term, timers, log, metrics, sessions, adviceCache, stragglerMitigator, getLedger, getWallClock, getSteadyTime, canAct, isActive, isPlaceable, propose: async command => propose(startReports.addTo(command)), measure: dutyTimes.measure, compareReadySteps: policy.compareReadySteps, getWaitMs: waitingTasks.getWaitMs, startsUnderWay, mayBeOrderedAway: orders.isInherited,
+		term, timers, log, metrics, sessions, adviceCache, stragglerMitigator, getLedger, getWallClock, getSteadyTime, canAct, isActive, isPlaceable, propose: async command => propose(addStartReport(command)), measure: dutyTimes.measure, compareReadySteps: policy.compareReadySteps, getWaitMs: waitingTasks.getWaitMs, startsUnderWay, mayBeOrderedAway: orders.isInherited,
 	});
 
 	const stopTaskRuns = (task: Task, reason: string) => {
--- a/packages/daemon/src/scheduler/start-reports.ts
+++ b/packages/daemon/src/scheduler/start-reports.ts
@@ -10,7 +10,10 @@
 /** Most uncertain starts that a report lists. With more there is no report, so that all starts stay uncertain. */
 export const maximumReportedStarts = 256;
 
-/** Least time between two reports, in milliseconds, so that they add little to the log. */
+/**
+ * Least time between two looks at the uncertain starts, in milliseconds. Each goes through all of them, whether or not a report comes of it; commands
+ * that could carry one come hundreds of times a second.
+ */
 export const startReportPeriodMs = 50;
 
 /** Dependencies of the reports of one leader. */
@@ -31,7 +34,7 @@
 
 /** Creates the reports of a new leader. */
 export function createStartReports({timers, getLedger, isCertain}: StartReportOptions): StartReports {
-	let reportedAtMs = Number.NEGATIVE_INFINITY;
+	let lookedAtMs = Number.NEGATIVE_INFINITY;
 
 	const listUncertain = (): readonly RunKey[] => {
 		const uncertain: RunKey[] = [];
@@ -50,16 +53,16 @@
 
 	const takeReport = (periodMs: number): StartReport | undefined => {
 		const {uncertainStarts, assignmentCount} = getLedger();
-		if (uncertainStarts.size === 0 || timers.getNow() - reportedAtMs < periodMs) {
+		if (uncertainStarts.size === 0 || timers.getNow() - lookedAtMs < periodMs) {
 			return undefined;
 		}
 
+		lookedAtMs = timers.getNow();
 		const uncertain = listUncertain();
 		if (uncertain.length === uncertainStarts.size || uncertain.length > maximumReportedStarts) {
 			return undefined;
 		}
 
-		reportedAtMs = timers.getNow();
 		return {upTo: assignmentCount, uncertain};
 	};
 
