--- a/review/stand-ins-3/minion.js
+++ b/review/stand-ins-3/minion.js
@@ -46,6 +46,7 @@
 	let bornAtMs = Date.now();
 	let startedAtMs = performance.now();
 	let isDown = false;
+	let isCut = false;
 	const runs = new Map();
 	const closedRuns = new Map();
 	let finished = [];
@@ -208,9 +209,28 @@
 		}
 	};
 
+	const forgetAll = () => {
+		const lost = [...runs.values()];
+		runs.clear();
+		closedRuns.clear();
+		finished = [];
+		nextNumber = 1;
+		sequence = 0;
+		fencingToken = 0;
+		leaseEndsAtMs = Number.POSITIVE_INFINITY;
+		heartbeatAddress = undefined;
+		return lost;
+	};
+
+	const beginLife = () => {
+		bornAtMs = Math.max(Date.now(), bornAtMs + 1);
+		startedAtMs = performance.now();
+	};
+
 	const server = createServer(async (req, res) => {
 		const body = await readJson(req).catch(() => undefined);
-		if (body === undefined) {
+		// What is sent during a cut does not arrive.
+		if (body === undefined || isCut) {
 			return;
 		}
 
@@ -244,7 +264,9 @@
 			record(`${id} answers the start of ${body.task}#${body.runId} with ${status} ${answer.reason ?? ''}`);
 		}
 
-		send(res, status, answer);
+		if (!isCut) {
+			send(res, status, answer);
+		}
 	});
 	server.listen({host, port});
 	await once(server, 'listening');
@@ -295,7 +317,7 @@
 		listRunning: () => [...runs.values()],
 		async beginReports(controlAddresses, onReported = () => undefined) {
 			while (!isClosed) { // eslint-disable-line no-unmodified-loop-condition -- `close` ends it
-				if (isDown) {
+				if (isDown || isCut) {
 					await sleep(pollMs); // eslint-disable-line no-await-in-loop -- until it is back
 					continue;
 				}
@@ -309,15 +331,7 @@
 		/** Ends the minion with all its runs. It listens again after `downMs`, under its old id, and knows nothing of before. */
 		async crash(downMs) {
 			isDown = true;
-			const lost = [...runs.values()];
-			runs.clear();
-			closedRuns.clear();
-			finished = [];
-			nextNumber = 1;
-			sequence = 0;
-			fencingToken = 0;
-			leaseEndsAtMs = Number.POSITIVE_INFINITY;
-			heartbeatAddress = undefined;
+			const lost = forgetAll();
 			record(`${id} crashes under ${lost.map(({task, run}) => `${task}#${run}`).join(' ')}`);
 			emit({type: 'crashed', lost});
 			server.close();
@@ -327,13 +341,23 @@
 				return;
 			}
 
-			bornAtMs = Date.now();
-			startedAtMs = performance.now();
+			beginLife();
 			server.listen({host, port});
 			await once(server, 'listening');
 			isDown = false;
 			record(`${id} is back`);
 		},
+		/** Cuts the minion off for a time. It crashes behind the cut, and is back at once under its old id, with nothing of before. */
+		async cutAndRestart(cutMs) {
+			isCut = true;
+			const lost = forgetAll();
+			record(`${id} is cut off, and crashes behind the cut under ${lost.map(({task, run}) => `${task}#${run}`).join(' ')}`);
+			emit({type: 'crashed', lost});
+			beginLife();
+			await sleep(cutMs);
+			isCut = false;
+			record(`${id} is not cut off any more`);
+		},
 		close() {
 			isClosed = true;
 			clearInterval(endingTimer);
--- a/review/stand-ins-3/public-queue.js
+++ b/review/stand-ins-3/public-queue.js
@@ -43,5 +43,14 @@
 		}
 	}
 
+	if (hasTrouble) {
+		const [address] = fleet.cluster.entryAddresses;
+		const {status} = await callHttp({
+			address, method: 'DELETE', target: `${queue.prefix}${id}`, headers,
+		});
+		await sleep(bounds.cancel_ms + bounds.stopTimeoutMs + bounds.contactMs);
+		record(`the client cancels the job: ${status}; afterwards ${countRuns()} of its work units run`);
+	}
+
 	fleet.checkExits();
 });
