--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Plays the case. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f target/samphiremill.mjs ] && [ -f target/review-3/deadly-task.mjs ] || exit 2
-exec node target/review-3/deadly-task.mjs review/13
+[ -f target/samphiremill.mjs ] && [ -f target/review-3/advice-burst.mjs ] || exit 2
+exec node target/review-3/advice-burst.mjs review/13/record.txt
--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Plays the case. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f target/samphiremill.mjs ] && [ -f target/review-3/limit-after-shrink.mjs ] || exit 2
-exec node target/review-3/limit-after-shrink.mjs review/14
+[ -f target/samphiremill.mjs ] && [ -f target/review-3/public-queue.mjs ] || exit 2
+exec node target/review-3/public-queue.mjs review/14/record.txt
--- a/review/stand-ins-3/case.js
+++ b/review/stand-ins-3/case.js
@@ -1,9 +1,8 @@
 /**
- * Runs one case: writes what happens to the record in the folder of the case, and exits with 1 if the rule was broken, 0 if it held, and 2
+ * Runs one case: writes what happens to the file that its argument names, and exits with 1 if the rule was broken, 0 if it held, and 2
  * if the case could not run.
  */
 import {writeFileSync} from 'node:fs';
-import path from 'node:path';
 import process from 'node:process';
 
 /** Whether the case plays its disruption. */
@@ -20,7 +19,7 @@
  * @param play - Gets `record` and `breakRule`, and resolves to a function that releases everything the case holds.
  */
 export async function runCase(play) {
-	const folder = process.argv[2];
+	const recordFile = process.argv[2];
 	const startedAtMs = performance.now();
 	const lines = [];
 	const breaks = [];
@@ -53,7 +52,7 @@
 		await release(); // eslint-disable-line no-await-in-loop -- in reverse order of the start
 	}
 
-	writeFileSync(path.join(folder, 'record.txt'), `${lines.join('\n')}\n`);
+	writeFileSync(recordFile, `${lines.join('\n')}\n`);
 	process.stdout.write(`${lines.at(-1)}\n`);
 	process.exit(exitCode); // eslint-disable-line unicorn/no-process-exit -- some stand-ins still wait for their timers
 }
--- a/review/stand-ins-3/late-start-after-done.js
+++ b/review/stand-ins-3/late-start-after-done.js
@@ -12,8 +12,8 @@
 const request = {cpu: 1000, memMb: 1000};
 const taskMs = 500;
 /** A late order is carried out 2 to 12 s after it was sent. */
-const latenessMs = 9000;
-const cutMs = 6000;
+const latenessMs = 8500;
+const cutMs = 5500;
 
 await runCase(async ({record, breakRule, defer}) => {
 	let delayedStart;
