--- a/review/stand-ins-3/case.js
+++ b/review/stand-ins-3/case.js
@@ -37,10 +37,15 @@
 		releases.unshift(release);
 	};
 
+	// An error that no handler of the stand-ins catches ends the case as one that could not run; Node.js itself would exit with 1
+	const uncaught = new Promise((resolve, reject) => {
+		process.on('uncaughtException', reject);
+	});
+
 	let exitCode = 0;
 	try {
 		record(hasTrouble ? 'with the disruption' : 'without the disruption');
-		await play({record, breakRule, defer});
+		await Promise.race([play({record, breakRule, defer}), uncaught]);
 		exitCode = breaks.length > 0 ? 1 : 0;
 		record(breaks.length > 0 ? `the rule was broken ${breaks.length} times` : 'the rule held');
 	} catch (err) {
