--- a/packages/daemon/src/scheduler/cluster-client.ts
+++ b/packages/daemon/src/scheduler/cluster-client.ts
@@ -7,7 +7,9 @@
 import type {PeerTransport} from '../peers/index.js';
 import {getAnswerAfterDoubt} from './answer-after-doubt.js';
 import {callAttemptTimeoutMs, callRetryDelayMs} from './constants.js';
-import type {ClusterCall, ClusterCallResult, ClusterReply} from './types.js';
+import type {
+	ClusterAnswer, ClusterCall, ClusterCallResult, ClusterReply,
+} from './types.js';
 
 /** Method of the peer requests that carry a `ClusterCall` to a control host. */
 export const clusterCallMethod = 'cluster/call';
@@ -20,6 +22,16 @@
 	readonly timeoutMs: number;
 	/** Checked before each attempt; `true` ends the call at once. */
 	readonly shouldGiveUp?: () => boolean;
+	/** Called after each attempt. */
+	readonly onAttempt?: ((attempt: CallAttempt) => void) | undefined;
+};
+
+/** One attempt of a call, at one control host. */
+export type CallAttempt = {
+	readonly to: NodeId;
+	readonly tookMs: number;
+	/** The type of the answer, of the reply without one, or of the error. */
+	readonly result: ClusterAnswer['type'] | ClusterReply['type'] | 'notSent' | 'noAnswer' | 'unreadable';
 };
 
 /** Sends requests to the leading control host. */
@@ -85,26 +97,40 @@
 		leader = reply.leader;
 	};
 
-	const attempt = async (call: ClusterCall, remainingMs: number): Promise<ClusterCallResult> => {
+	const attempt = async (call: ClusterCall, remainingMs: number, onAttempt: ClusterCallOptions['onAttempt']): Promise<ClusterCallResult> => {
 		const to = chooseHost();
 		if (to === undefined) {
 			return {type: 'notRun'};
 		}
 
+		const startedAtMs = timers.getNow();
+		const report = (result: CallAttempt['result']) => {
+			onAttempt?.({to, tookMs: timers.getNow() - startedAtMs, result});
+		};
+
 		const result = await transport.request({
 			to, method: clusterCallMethod, params: call, timeoutMs: Math.max(1, Math.min(callAttemptTimeoutMs, remainingMs)),
 		});
 		if (!result.ok) {
+			const wasSent = result.err.type !== 'peer/notSent';
+			report(wasSent ? 'noAnswer' : 'notSent');
 			leader = leader === to ? undefined : leader;
-			return {type: result.err.type === 'peer/notSent' ? 'notRun' : 'uncertain'};
+			return {type: wasSent ? 'uncertain' : 'notRun'};
 		}
 
 		if (!isClusterReply(result.value)) {
+			report('unreadable');
 			return {type: 'uncertain'};
 		}
 
 		applyReply(result.value);
-		return result.value.type === 'answer' ? {type: 'answered', answer: result.value.answer} : {type: 'notRun'};
+		if (result.value.type === 'notLeader') {
+			report('notLeader');
+			return {type: 'notRun'};
+		}
+
+		report(result.value.answer.type);
+		return {type: 'answered', answer: result.value.answer};
 	};
 
 	const getResultAfterDoubt = (request: ClusterCall, result: ClusterCallResult): ClusterCallResult => {
@@ -124,7 +150,7 @@
 			settingsHosts = next;
 		},
 		getHosts: listHosts,
-		async call(call, {timeoutMs, shouldGiveUp = () => false}) {
+		async call(call, {timeoutMs, shouldGiveUp = () => false, onAttempt}) {
 			const startedAtMs = timers.getNow();
 			let isUncertain = false;
 			for (;;) {
@@ -134,7 +160,7 @@
 				}
 
 				const hadLeader = leader !== undefined;
-				const result = await attempt(call, remainingMs); // eslint-disable-line no-await-in-loop -- hosts are tried one at a time
+				const result = await attempt(call, remainingMs, onAttempt); // eslint-disable-line no-await-in-loop -- hosts are tried one at a time
 				if (isFinal(result)) {
 					return isUncertain ? getResultAfterDoubt(call, result) : result;
 				}
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -16,7 +16,7 @@
 import {beginTerm} from './begin-term.js';
 import {createClockGuard} from './clock-guard.js';
 import {createCommandBatcher} from './command-batcher.js';
-import {clusterCallMethod, createClusterClient} from './cluster-client.js';
+import {clusterCallMethod, createClusterClient, type ClusterCallOptions} from './cluster-client.js';
 import {
 	commitSpacingMs, failedVoterRetryDelayMs, jobCleanupPeriodMs, joinRefreshPeriodMs, joinRetryPeriodMs, leadershipCheckPeriodMs, relayAnswerDelayMs, reportBundlePeriodMs, voterAbsenceTimeoutMs, voterCheckPeriodMs,
 } from './constants.js';
@@ -31,6 +31,7 @@
 	chooseReportHost, executeMinionCall, createRelayedMinionPort, minionCallMethod, needsRelays, type MinionCall,
 } from './minion-relay.js';
 import {createReportCollector} from './report-collector.js';
+import {createOrderLog} from './order-log.js';
 import {createWaveTimes} from './wave-times.js';
 import {createWorkerOrderTimes} from './worker-order-times.js';
 import type {
@@ -68,6 +69,7 @@
 	readonly workers: WorkerPort;
 	readonly parseConfiguration: ParseConfiguration;
 	readonly checkConfiguration: (document: string) => readonly ConfigurationFinding[];
+	readonly readConfigurationVersion: (document: string) => number | undefined;
 	readonly metrics: SchedulerMetrics;
 };
 
@@ -104,7 +106,7 @@
  */
 export async function startControlHost(options: ControlHostOptions): Promise<Result<ControlHost, StoreError>> {
 	const {
-		settings, timers, random, log, metrics, getWallClock, parseConfiguration,
+		settings, timers, random, log, metrics, getWallClock, parseConfiguration, readConfigurationVersion,
 	} = options;
 	const {self} = settings;
 	const opened = await openReplicaStore<LedgerCommand>({
@@ -348,7 +350,20 @@
 		},
 	});
 
-	const call: ControlHost['call'] = async (request, {timeoutMs}) => {
+	const beginOrder = createOrderLog({
+		timers,
+		log,
+		metrics,
+		readConfigurationVersion,
+		getLead() {
+			const {role, term, leader: node} = replica.getState();
+			return {
+				role, term, leader: node, hasDuties: leader !== undefined,
+			};
+		},
+	});
+
+	const findAnswer = async (request: ClusterCall, {timeoutMs, onAttempt}: ClusterCallOptions): Promise<ClusterAnswer> => {
 		if (leader !== undefined) {
 			return leader.answer(request);
 		}
@@ -357,7 +372,7 @@
 			return {type: 'done'};
 		}
 
-		const result = await client.call(request, {timeoutMs});
+		const result = await client.call(request, {timeoutMs, onAttempt});
 		if (result.type === 'answered') {
 			return result.answer;
 		}
@@ -365,6 +380,13 @@
 		return {type: result.type === 'notRun' ? 'unavailable' : 'uncertain'};
 	};
 
+	const call: ControlHost['call'] = async (request, {timeoutMs}) => {
+		const trace = beginOrder(request);
+		const answer = await findAnswer(request, {timeoutMs, onAttempt: trace?.addAttempt});
+		trace?.end(answer);
+		return answer;
+	};
+
 	const isMember = () => ledger.controlHosts.get(self)?.storeId === storeId;
 
 	const requestJoin = async () => {
--- a/packages/daemon/src/scheduler/metrics.ts
+++ b/packages/daemon/src/scheduler/metrics.ts
@@ -28,7 +28,14 @@
 		| 'requests_not_answered_total';
 
 /** Names of the latency histograms, in milliseconds. */
-export type SchedulerLatency = 'commit_ms' | 'plan_ms' | 'request_ms' | 'snapshot_ms';
+export type SchedulerLatency
+	= | 'commit_ms'
+		| 'plan_ms'
+		| 'request_ms'
+		| 'snapshot_ms'
+		| 'order_confirmed_ms'
+		| 'order_rejected_ms'
+		| 'order_failed_ms';
 
 /** Names of the gauges. */
 export type SchedulerGauge = 'pool_cores' | 'pool_burst_readiness' | 'control_host' | 'entry_host';
@@ -45,7 +52,7 @@
 
 const highestTrackableMs = 60_000;
 const significantDigits = 2;
-const quantiles = [50, 90, 99];
+const quantiles = [50, 90, 99, 100];
 const prefix = 'samphiremill_';
 
 const createHistogram = () => new int32Histogram.default(1, highestTrackableMs, significantDigits); // eslint-disable-line new-cap -- the CommonJS build exports the class under this name
