--- a/packages/daemon/src/scheduler/cluster-client.test.ts
+++ b/packages/daemon/src/scheduler/cluster-client.test.ts
@@ -67,7 +67,7 @@
 				type: 'answer', leader: to, answer: {type: 'noConfiguration'}, hosts: host.hosts,
 			}
 			: {type: 'notLeader', leader: host.leader, hosts: host.hosts});
-	}, ['a', 'b', 'c']);
+	}, {seeds: ['a', 'b', 'c']});
 	const callAndWait = async () => {
 		const result = client.call(call, {timeoutMs: 3000});
 		await passTime(3500);
@@ -87,3 +87,17 @@
 	expect(await callAndWait(), asked.join(' ')).toMatchObject({type: 'answered'});
 	expect(client.getHosts().slice(0, 3)).toEqual(['d', 'e', 'f']);
 });
+
+// Incident 77: an order that came to a host during a change of leader went round the other hosts until its time was up.
+test('a call is answered on this host once this host leads', async () => {
+	let isLeading = false;
+	const {client, passTime} = createTestClusterClient(() => async () => createSuccess<unknown>({type: 'notLeader', leader: isLeading ? 'entry' : undefined, hosts: []}), {
+		answerHere: () => isLeading ? Promise.resolve({type: 'done'}) : undefined,
+	});
+	const result = client.call(call, {timeoutMs: 3000});
+	await passTime(500);
+	isLeading = true;
+	client.setLeader(toBrand<NodeId>('entry'));
+	await passTime(300);
+	expect(await Promise.race([result, Promise.resolve('waits')])).toEqual({type: 'answered', answer: {type: 'done'}});
+});
--- a/packages/daemon/src/scheduler/cluster-client.ts
+++ b/packages/daemon/src/scheduler/cluster-client.ts
@@ -54,11 +54,13 @@
  *
  * @param options - `seeds` are the control hosts named in the settings.
  */
-export function createClusterClient({transport, timers, self, seeds}: {
+export function createClusterClient({transport, timers, self, seeds, answerHere = () => undefined}: {
 	readonly transport: Pick<PeerTransport, 'request'>;
 	readonly timers: TimerService;
 	readonly self: NodeId;
 	readonly seeds: readonly NodeId[];
+	/** Answers a call while this host leads; returns `undefined` while it does not. */
+	readonly answerHere?: (call: ClusterCall) => Promise<ClusterAnswer> | undefined;
 }): ClusterClient {
 	let settingsHosts = seeds;
 	let namedHosts: ReadonlySet<NodeId> = new Set();
@@ -98,7 +100,8 @@
 	};
 
 	const attempt = async (call: ClusterCall, remainingMs: number, onAttempt: ClusterCallOptions['onAttempt']): Promise<ClusterCallResult> => {
-		const to = chooseHost();
+		const answering = answerHere(call);
+		const to = answering === undefined ? chooseHost() : self;
 		if (to === undefined) {
 			return {type: 'notRun'};
 		}
@@ -108,6 +111,12 @@
 			onAttempt?.({to, tookMs: timers.getNow() - startedAtMs, result});
 		};
 
+		if (answering !== undefined) {
+			const answer = await answering;
+			report(answer.type);
+			return {type: 'answered', answer};
+		}
+
 		const result = await transport.request({
 			to, method: clusterCallMethod, params: call, timeoutMs: Math.max(1, Math.min(callAttemptTimeoutMs, remainingMs)),
 		});
--- a/packages/daemon/src/scheduler/test-cluster-client.ts
+++ b/packages/daemon/src/scheduler/test-cluster-client.ts
@@ -4,6 +4,7 @@
 } from '@samphiremill/common';
 import type {PeerTransport} from '../peers/index.js';
 import {createClusterClient} from './cluster-client.js';
+import type {ClusterAnswer, ClusterCall} from './types.js';
 
 const stepMs = 50;
 
@@ -14,11 +15,14 @@
  * Creates a client.
  *
  * @param createRequest - Returns the function that answers the client's requests.
- * @param seeds - The names of the control hosts of the settings.
+ * @param options - `seeds` are the names of the control hosts of the settings; `answerHere` answers while this host leads.
  */
 export function createTestClusterClient(
 	createRequest: (timers: TimerService) => PeerTransport['request'],
-	seeds: readonly string[] = ['control-1', 'control-2'],
+	{seeds = ['control-1', 'control-2'], answerHere}: {
+		readonly seeds?: readonly string[];
+		readonly answerHere?: (call: ClusterCall) => Promise<ClusterAnswer> | undefined;
+	} = {},
 ) {
 	const timers = createVirtualTimerService(0);
 	const client = createClusterClient({
@@ -26,6 +30,7 @@
 		self: toBrand<NodeId>('entry'),
 		seeds: seeds.map(name => toBrand<NodeId>(name)),
 		transport: {request: createRequest(timers)},
+		...(answerHere !== undefined && {answerHere}),
 	});
 	const passTime = async (durationMs: number) => {
 		for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
