--- a/packages/daemon/src/scheduler/cluster-client.test.ts
+++ b/packages/daemon/src/scheduler/cluster-client.test.ts
@@ -101,3 +101,25 @@
 	await passTime(300);
 	expect(await Promise.race([result, Promise.resolve('waits')])).toEqual({type: 'answered', answer: {type: 'done'}});
 });
+
+// Incident 77: an order at a follower of a leader that had stopped was held for as long as one attempt lasts, beyond the patience of its sender.
+test.each(['control-2', 'entry'])('an attempt at a silent host ends as soon as this host knows another leader (%s)', async nextLeader => {
+	const asked: string[] = [];
+	const {client, passTime} = createTestClusterClient(timers => async ({to, timeoutMs}) => {
+		asked.push(to);
+		if (to === 'control-1') {
+			await waitFor(timers, timeoutMs);
+			return createFailure({type: 'peer/noAnswer'});
+		}
+
+		return createSuccess<unknown>({type: 'answer', leader: to, answer: {type: 'done'}});
+	}, {answerHere: () => nextLeader === 'entry' && asked.length > 0 ? Promise.resolve({type: 'done'}) : undefined});
+	client.setLeader(toBrand<NodeId>('control-1'));
+	const result = client.call(call, {timeoutMs: 3000});
+	await passTime(300);
+	client.setLeader(undefined);
+	client.setLeader(toBrand<NodeId>(nextLeader));
+	await passTime(200);
+	expect(await Promise.race([result, Promise.resolve('waits')])).toEqual({type: 'answered', answer: {type: 'done'}});
+	expect(asked).toEqual(nextLeader === 'entry' ? ['control-1'] : ['control-1', 'control-2']);
+});
--- a/packages/daemon/src/scheduler/cluster-client.ts
+++ b/packages/daemon/src/scheduler/cluster-client.ts
@@ -31,7 +31,7 @@
 	readonly to: NodeId;
 	readonly tookMs: number;
 	/** The type of the answer, of the reply without one, or of the error. */
-	readonly result: ClusterAnswer['type'] | ClusterReply['type'] | 'notSent' | 'noAnswer' | 'unreadable';
+	readonly result: ClusterAnswer['type'] | ClusterReply['type'] | 'notSent' | 'noAnswer' | 'unreadable' | 'leaderChanged';
 };
 
 /** Sends requests to the leading control host. */
@@ -42,6 +42,7 @@
 	readonly addHosts: (hosts: readonly NodeId[]) => void;
 	/** Replaces the control hosts of the settings. */
 	readonly setSeeds: (seeds: readonly NodeId[]) => void;
+	/** Sets the leader that this host follows. An attempt at another host ends. */
 	readonly setLeader: (leader: NodeId | undefined) => void;
 	readonly getHosts: () => readonly NodeId[];
 };
@@ -66,6 +67,7 @@
 	let namedHosts: ReadonlySet<NodeId> = new Set();
 	let leader: NodeId | undefined;
 	let nextHost = 0;
+	const leaderListeners = new Set<(found: NodeId) => void>();
 
 	const addHosts = (found: readonly NodeId[]) => {
 		namedHosts = new Set([...namedHosts, ...found]);
@@ -99,6 +101,24 @@
 		leader = reply.leader;
 	};
 
+	// Resolves once this host knows that another host than the asked one leads; the attempt then has an uncertain result.
+	const watchLeader = (asked: NodeId) => {
+		let stop = () => undefined as void;
+		const changed = new Promise<'leaderChanged'>(resolve => {
+			const handleLeader = (found: NodeId) => {
+				if (found !== asked) {
+					resolve('leaderChanged');
+				}
+			};
+
+			leaderListeners.add(handleLeader);
+			stop = () => {
+				leaderListeners.delete(handleLeader);
+			};
+		});
+		return {changed, stop};
+	};
+
 	const attempt = async (call: ClusterCall, remainingMs: number, onAttempt: ClusterCallOptions['onAttempt']): Promise<ClusterCallResult> => {
 		const answering = answerHere(call);
 		const to = answering === undefined ? chooseHost() : self;
@@ -117,9 +137,16 @@
 			return {type: 'answered', answer};
 		}
 
-		const result = await transport.request({
+		const {changed, stop} = watchLeader(to);
+		const result = await Promise.race([changed, transport.request({
 			to, method: clusterCallMethod, params: call, timeoutMs: Math.max(1, Math.min(callAttemptTimeoutMs, remainingMs)),
-		});
+		})]);
+		stop();
+		if (result === 'leaderChanged') {
+			report('leaderChanged');
+			return {type: 'uncertain'};
+		}
+
 		if (!result.ok) {
 			const wasSent = result.err.type !== 'peer/notSent';
 			report(wasSent ? 'noAnswer' : 'notSent');
@@ -154,6 +181,11 @@
 		addHosts,
 		setLeader(found) {
 			leader = found;
+			if (found !== undefined) {
+				for (const handleLeader of leaderListeners) {
+					handleLeader(found);
+				}
+			}
 		},
 		setSeeds(next) {
 			settingsHosts = next;
