--- a/packages/daemon/src/scheduler/cluster-client.test.ts
+++ b/packages/daemon/src/scheduler/cluster-client.test.ts
@@ -123,3 +123,32 @@
 	expect(await Promise.race([result, Promise.resolve('waits')])).toEqual({type: 'answered', answer: {type: 'done'}});
 	expect(asked).toEqual(nextLeader === 'entry' ? ['control-1'] : ['control-1', 'control-2']);
 });
+
+// Incident 77: a follower of a leader that was gone waited for a link with it, twice for longer than the sender of the order has patience.
+test('a host without a link is not waited for while another one is linked', async () => {
+	const asked: string[] = [];
+	const {client, passTime} = createTestClusterClient(timers => async ({to, timeoutMs}) => {
+		asked.push(to);
+		if (to === 'control-1') {
+			await waitFor(timers, timeoutMs);
+			return createFailure({type: 'peer/notSent'});
+		}
+
+		return createSuccess<unknown>({type: 'answer', leader: to, answer: {type: 'done'}});
+	}, {isLinked: host => host !== 'control-1'});
+	client.setLeader(toBrand<NodeId>('control-1'));
+	for (let order = 0; order < 4; order += 1) {
+		const result = client.call(call, {timeoutMs: 3000});
+		await passTime(600); // eslint-disable-line no-await-in-loop -- one order after the other
+		// eslint-disable-next-line no-await-in-loop -- one order after the other
+		expect(await Promise.race([result, Promise.resolve('waits')]), asked.join(' ')).toEqual({type: 'answered', answer: {type: 'done'}});
+		client.setLeader(undefined);
+	}
+});
+
+test('a host that is linked by the attempt itself is found although none is linked', async () => {
+	const {client, passTime} = createTestClusterClient(() => async () => createSuccess<unknown>({type: 'answer', leader: 'control-2', answer: {type: 'done'}}), {isLinked: () => false});
+	const result = client.call(call, {timeoutMs: 3000});
+	await passTime(100);
+	expect(await Promise.race([result, Promise.resolve('waits')])).toEqual({type: 'answered', answer: {type: 'done'}});
+});
--- a/packages/daemon/src/scheduler/cluster-client.ts
+++ b/packages/daemon/src/scheduler/cluster-client.ts
@@ -6,7 +6,7 @@
 } from '@samphiremill/common';
 import type {PeerTransport} from '../peers/index.js';
 import {getAnswerAfterDoubt} from './answer-after-doubt.js';
-import {callAttemptTimeoutMs, callRetryDelayMs} from './constants.js';
+import {callAttemptTimeoutMs, callRetryDelayMs, unlinkedAttemptTimeoutMs} from './constants.js';
 import type {
 	ClusterAnswer, ClusterCall, ClusterCallResult, ClusterReply,
 } from './types.js';
@@ -55,13 +55,15 @@
  *
  * @param options - `seeds` are the control hosts named in the settings.
  */
-export function createClusterClient({transport, timers, self, seeds, answerHere = () => undefined}: {
+export function createClusterClient({transport, timers, self, seeds, answerHere = () => undefined, isLinked = () => true}: {
 	readonly transport: Pick<PeerTransport, 'request'>;
 	readonly timers: TimerService;
 	readonly self: NodeId;
 	readonly seeds: readonly NodeId[];
 	/** Answers a call while this host leads; returns `undefined` while it does not. */
 	readonly answerHere?: (call: ClusterCall) => Promise<ClusterAnswer> | undefined;
+	/** Whether the link with a host is up, for a process that keeps its links open. A process that opens them on demand leaves it out. */
+	readonly isLinked?: (host: NodeId) => boolean;
 }): ClusterClient {
 	let settingsHosts = seeds;
 	let namedHosts: ReadonlySet<NodeId> = new Set();
@@ -76,7 +78,7 @@
 	const listHosts = () => [...new Set([...namedHosts, ...settingsHosts])];
 
 	const chooseHost = (): NodeId | undefined => {
-		if (leader !== undefined && leader !== self) {
+		if (leader !== undefined && leader !== self && isLinked(leader)) {
 			return leader;
 		}
 
@@ -137,9 +139,10 @@
 			return {type: 'answered', answer};
 		}
 
+		const attemptTimeoutMs = isLinked(to) ? callAttemptTimeoutMs : unlinkedAttemptTimeoutMs;
 		const {changed, stop} = watchLeader(to);
 		const result = await Promise.race([changed, transport.request({
-			to, method: clusterCallMethod, params: call, timeoutMs: Math.max(1, Math.min(callAttemptTimeoutMs, remainingMs)),
+			to, method: clusterCallMethod, params: call, timeoutMs: Math.max(1, Math.min(attemptTimeoutMs, remainingMs)),
 		})]);
 		stop();
 		if (result === 'leaderChanged') {
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -1,6 +1,9 @@
 /** How long a host waits for one control host to answer before it tries another. */
 export const callAttemptTimeoutMs = 1200;
 
+/** The same for a control host without a link, whose answer takes a handshake longer. A host that is gone does not answer at all. */
+export const unlinkedAttemptTimeoutMs = 300;
+
 /** How often an entry host asks the leader for the limits on callers' requests. */
 export const limitsPollPeriodMs = 1000;
 
--- a/packages/daemon/src/scheduler/test-cluster-client.ts
+++ b/packages/daemon/src/scheduler/test-cluster-client.ts
@@ -15,13 +15,14 @@
  * Creates a client.
  *
  * @param createRequest - Returns the function that answers the client's requests.
- * @param options - `seeds` are the names of the control hosts of the settings; `answerHere` answers while this host leads.
+ * @param options - `seeds` are the names of the control hosts of the settings; `answerHere` answers while this host leads; `isLinked` tells of the links that are kept open.
  */
 export function createTestClusterClient(
 	createRequest: (timers: TimerService) => PeerTransport['request'],
-	{seeds = ['control-1', 'control-2'], answerHere}: {
+	{seeds = ['control-1', 'control-2'], answerHere, isLinked}: {
 		readonly seeds?: readonly string[];
 		readonly answerHere?: (call: ClusterCall) => Promise<ClusterAnswer> | undefined;
+		readonly isLinked?: (host: NodeId) => boolean;
 	} = {},
 ) {
 	const timers = createVirtualTimerService(0);
@@ -31,6 +32,7 @@
 		seeds: seeds.map(name => toBrand<NodeId>(name)),
 		transport: {request: createRequest(timers)},
 		...(answerHere !== undefined && {answerHere}),
+		...(isLinked !== undefined && {isLinked}),
 	});
 	const passTime = async (durationMs: number) => {
 		for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
