--- a/packages/core/src/replica/constants.ts
+++ b/packages/core/src/replica/constants.ts
@@ -62,6 +62,9 @@
 /** A voter change is aborted if its learner has synced nothing for so long, so that another host can take its place. */
 export const learnerStallTimeoutMs = 2000;
 
+/** A leader whose ticks are further apart has stood still: it ticks each 50 ms. */
+export const standstillMs = 150;
+
 /** A snapshot transfer without progress is aborted after this time. */
 export const snapshotStallTimeoutMs = 2000;
 
--- a/packages/core/src/replica/replication.ts
+++ b/packages/core/src/replica/replication.ts
@@ -9,6 +9,7 @@
 } from './log.js';
 import type {AppendedMessage} from './messages.js';
 import {persistState} from './persistence.js';
+import {standstillMs} from './constants.js';
 import {getQuorumValue, hasVoter} from './quorum.js';
 import {
 	chainSteps, createStep, type ReplicaContext, type ReplicaStep,
@@ -19,7 +20,7 @@
 import {createPeerTraffic, recordRejectedEntries, recordRejection} from './peer-traffic.js';
 import {sendNewEntries, sendRound, setProgress} from './sending.js';
 import type {
-	Leadership, LogEntry, LogPayload, PeerProgress, ReplicaConfig, ReplicaState, StoreId, VoterIdentity,
+	Leadership, LeaderTick, LogEntry, LogPayload, PeerProgress, ReplicaConfig, ReplicaState, StoreId, VoterIdentity,
 } from './types.js';
 import {getVoterProgress} from './voter-progress.js';
 
@@ -136,6 +137,7 @@
 		firstIndex: getLastIndex(state.log) + 1,
 		startedAtMs: context.nowMs,
 		activity: {syncedIndex: 0, progressedAtMs: context.nowMs, leaseHeldAtMs: context.nowMs},
+		lastTick: {atMs: context.nowMs, isAfterStandstill: false},
 		round: 0,
 		roundSentAtMs: List(),
 		nextHeartbeatMs: context.nowMs,
@@ -157,14 +159,27 @@
 const getLastAckMs = (progress: PeerProgress | undefined, leadership: Leadership) =>
 	Math.max(progress?.lastAckMs ?? 0, leadership.startedAtMs);
 
-/** Sends heartbeats. Steps down if a majority has not answered for an election timeout, or if this leader is stalled. */
+// Timers run before the messages that came in while the process stood still are read. Two such ticks in a row have a look at the
+// messages between them, so the second one counts as any other.
+const recordTick = ({lastTick}: Leadership, nowMs: number): LeaderTick => ({
+	atMs: nowMs, isAfterStandstill: nowMs - lastTick.atMs > standstillMs && !lastTick.isAfterStandstill,
+});
+
+/**
+ * Sends heartbeats. Steps down if a majority has not answered for an election timeout, or if this leader is stalled; but not before
+ * it has read what came in while its process stood still.
+ */
 export function tickLeadership<Command>(state: ReplicaState<Command>, context: ReplicaContext): ReplicaStep<Command> {
-	const {leadership} = state;
 	const {nowMs, cfg} = context;
-	if (leadership === undefined) {
+	if (state.leadership === undefined) {
 		return createStep(state);
 	}
 
+	const leadership = {...state.leadership, lastTick: recordTick(state.leadership, nowMs)};
+	if (leadership.lastTick.isAfterStandstill) {
+		return sendRound({...state, leadership}, context);
+	}
+
 	const quorumContactMs = getQuorumValue(state.voters.map(voter =>
 		voter.node === cfg.self ? nowMs : getLastAckMs(getVoterProgress(leadership, voter), leadership)));
 	if (nowMs - quorumContactMs > cfg.limits.electionTimeoutMs) {
--- a/packages/core/src/replica/types.ts
+++ b/packages/core/src/replica/types.ts
@@ -265,6 +265,14 @@
 	readonly leaseHeldAtMs: number;
 };
 
+/** The last tick of a leader. */
+export type LeaderTick = {
+	/** In monotonic milliseconds. */
+	readonly atMs: number;
+	/** Whether it was the first one after the process had stood still. What came in meanwhile was not read yet. */
+	readonly isAfterStandstill: boolean;
+};
+
 /** The state that only a leader keeps. */
 export type Leadership = {
 	readonly progress: ImmutableMap<NodeId, PeerProgress>;
@@ -272,6 +280,7 @@
 	readonly firstIndex: number;
 	readonly startedAtMs: number;
 	readonly activity: LeaderActivity;
+	readonly lastTick: LeaderTick;
 	readonly round: number;
 	/** When each round of the last election timeout was sent. */
 	readonly roundSentAtMs: List<{readonly round: number; readonly sentAtMs: number}>;
