--- a/packages/core/src/replica/test-control-hosts.ts
+++ b/packages/core/src/replica/test-control-hosts.ts
@@ -85,7 +85,7 @@
 	let acknowledgedCount = 0;
 	const padding = '.'.repeat(load.padding);
 
-	const isRunning = (name: string) => network.isHealthy(name) && !resumeAtMs.has(name);
+	const isRunning = (name: string) => network.isUp(name) && !resumeAtMs.has(name);
 
 	const isMember = (name: string) => listJoined(network.getApplied(name))
 		.some(({node, storeId}) => node === toBrand<NodeId>(name) && storeId === network.getStoreId(name));
--- a/packages/core/src/replica/test-network.ts
+++ b/packages/core/src/replica/test-network.ts
@@ -95,6 +95,8 @@
 	readonly getLeader: () => string | undefined;
 	readonly getFreshness: (name: string) => ReturnType<typeof getConfigurationFreshness>;
 	readonly getOutcome: (id: RequestId) => TestOutcome | undefined;
+	/** Whether the node runs, whatever its disk does. */
+	readonly isUp: (name: string) => boolean;
 	/** Whether the node runs and its disk works. */
 	readonly isHealthy: (name: string) => boolean;
 	/** Whether both nodes run and messages pass in both directions. */
@@ -468,6 +470,7 @@
 			.toSorted(([, left], [, right]) => right.state.term - left.state.term)[0]?.[0],
 		getFreshness: name => getConfigurationFreshness(getNode(name).state, {nowMs: getLocalMs(name), leaseMs: limits.configurationLeaseMs}),
 		getOutcome: id => outcomes.get(id),
+		isUp: name => getNode(name).isUp,
 		isHealthy: name => getNode(name).isUp && !fullDisks.has(name),
 		isLinked: (left, right) => getNode(left).isUp && getNode(right).isUp
 			&& !blockedLinks.has(`${left}>${right}`) && !blockedLinks.has(`${right}>${left}`),
