--- a/packages/core/src/replica/leader-standstill.test.ts
+++ b/packages/core/src/replica/leader-standstill.test.ts
@@ -19,7 +19,9 @@
 		self: toBrand<NodeId>(name), storeId: network.getStoreId(name)!, nodes: [], limits: controlHostReplicaLimits, random: createSeededRandom(1),
 	});
 	const reduce = (name: string, state: ReplicaState<string>, event: ReplicaEvent<string>) => reduceReplica(state, event, createCfg(name));
-	return {network, leader, follower: names.find(name => name !== leader) ?? '', reduce};
+	return {
+		network, leader, follower: names.find(name => name !== leader) ?? '', reduce,
+	};
 };
 
 // Incident 77: a leader that had just restarted applied its log and began its duties in one go, and then took the answers that it had not read yet for silence.
--- a/packages/core/src/replica/test-calm-commits.ts
+++ b/packages/core/src/replica/test-calm-commits.ts
@@ -154,7 +154,9 @@
 		const victim = random() < 0.6 && leader !== undefined && members.has(leader) ? leader : pick(random, [...members]);
 		last = `seed ${seed}: ${victim} (leader ${leader ?? 'none'}) ${kind} at ${network.getNowMs()} ms`;
 		trace?.(last);
-		faults[kind]!({network, hosts, names, members, random, pass}, victim);
+		faults[kind]!({
+			network, hosts, names, members, random, pass,
+		}, victim);
 		last += `, until ${network.getNowMs()} ms`;
 		pass(catchUpMs + pickBetween(random, 0, 4000), true);
 	}
--- a/packages/daemon/src/scheduler/cluster-client.test.ts
+++ b/packages/daemon/src/scheduler/cluster-client.test.ts
@@ -3,6 +3,7 @@
 } from '@samphiremill/common';
 import {expect, test} from 'vitest';
 import {createTestClusterClient} from './test-cluster-client.js';
+import type {ClusterAnswer} from './types.js';
 
 const attemptMs = 300;
 const call = {type: 'limits/read'} as const;
@@ -92,7 +93,7 @@
 test('a call is answered on this host once this host leads', async () => {
 	let isLeading = false;
 	const {client, passTime} = createTestClusterClient(() => async () => createSuccess<unknown>({type: 'notLeader', leader: isLeading ? 'entry' : undefined, hosts: []}), {
-		answerHere: () => isLeading ? Promise.resolve({type: 'done'}) : undefined,
+		answerHere: (): Promise<ClusterAnswer> | undefined => isLeading ? Promise.resolve({type: 'done'}) : undefined,
 	});
 	const result = client.call(call, {timeoutMs: 3000});
 	await passTime(500);
@@ -113,7 +114,7 @@
 		}
 
 		return createSuccess<unknown>({type: 'answer', leader: to, answer: {type: 'done'}});
-	}, {answerHere: () => nextLeader === 'entry' && asked.length > 0 ? Promise.resolve({type: 'done'}) : undefined});
+	}, {answerHere: (): Promise<ClusterAnswer> | undefined => nextLeader === 'entry' && asked.length > 0 ? Promise.resolve({type: 'done'}) : undefined});
 	client.setLeader(toBrand<NodeId>('control-1'));
 	const result = client.call(call, {timeoutMs: 3000});
 	await passTime(300);
--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -188,7 +188,7 @@
 	});
 
 	const client = createClusterClient({
-		transport, timers, self, seeds: settings.seeds, answerHere: request => leader?.answer(request), isLinked: node => isReachable(node),
+		transport, timers, self, seeds: settings.seeds, answerHere: (request): Promise<ClusterAnswer> | undefined => leader?.answer(request), isLinked: node => isReachable(node),
 	});
 
 	const createNodes = (seeds: readonly NodeId[]) => [...new Set([self, ...seeds])].map(node => ({
