--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -6,12 +6,12 @@
 } from '@samphiremill/common';
 import {
 	countPendingJobs, getPublicJobState, getOccurrenceWork, getQueuePlace, isCancelledEarly, isJobId, isSameAmount, isWaveCompleted, mayAccessJob,
-	type AdmissionRefusalReason, type Job, type JobCaller, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord,
+	type AdmissionRefusalReason, type IncarnationId, type Job, type JobCaller, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord,
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
 import type {ProposalResult} from './command-batcher.js';
 import {
-	departurePollPeriodMs, departureTimeoutMs, maximumReplacedLosses, maximumStartAheadMs, storeFullRetryMs,
+	departurePollPeriodMs, departureTimeoutMs, lapsingDepartureTimeoutMs, maximumReplacedLosses, maximumStartAheadMs, storeFullRetryMs,
 } from './constants.js';
 import type {DemandMeter} from './demand-meter.js';
 import type {EndedIncarnations} from './ended-incarnations.js';
@@ -342,25 +342,53 @@
 		return isCommitted;
 	};
 
+	const hasRuns = (life: IncarnationId) => (getLedger().incarnations.get(life)?.runs.size ?? 0) > 0;
+
+	const waitForRuns = async (life: IncarnationId, timeoutMs: number, isHopeless: () => boolean = () => false) => {
+		const untilMs = timers.getNow() + timeoutMs;
+		while (hasRuns(life) && timers.getNow() < untilMs && !isHopeless()) {
+			await waitFor(timers, departurePollPeriodMs); // eslint-disable-line no-await-in-loop -- polls until no runs are left
+		}
+	};
+
 	// The minion keeps running its tasks until it has its answer. Its runs are stopped first, so that no task is assigned elsewhere while it still runs.
-	const stopRuns = async ({record: {life}, listRuns, stop}: MinionSession): Promise<boolean> => {
-		const hasRuns = () => (getLedger().incarnations.get(life)?.runs.size ?? 0) > 0;
-		const untilMs = timers.getNow() + departureTimeoutMs;
+	const stopRuns = async ({record: {life}, listRuns, stop, isRefusingConnections}: MinionSession) => {
 		for (const {task} of listRuns()) {
 			stop(task, 'its minion is leaving');
 		}
 
-		while (hasRuns() && timers.getNow() < untilMs) {
-			await waitFor(timers, departurePollPeriodMs); // eslint-disable-line no-await-in-loop -- polls until no runs are left
-		}
+		await waitForRuns(life, departureTimeoutMs, isRefusingConnections);
+	};
 
-		return !hasRuns();
+	const removeDeparted = async ({record: {minion, life}, listRuns}: MinionSession): Promise<boolean> => {
+		const hasLeft = !hasRuns(life) && await commit({type: 'minion/left', term, life});
+		log.info(`minion ${minion} ${hasLeft ? 'left' : 'is leaving and still has runs'}`, {minion, life, runs: listRuns().length});
+		return hasLeft;
 	};
 
+	// No stop reaches a minion that listens no more, and it ends only with its answer. Its runs count until their lease is over.
+	const removeOnceLapsed = async (session: MinionSession) => {
+		await waitForRuns(session.record.life, lapsingDepartureTimeoutMs);
+		await removeDeparted(session);
+		onChanged();
+	};
+
+	/** Resolves to whether the minion may end. */
 	const completeDeparture = async (session: MinionSession): Promise<boolean> => {
-		const {life} = session.record;
+		const {minion, life} = session.record;
 		const isDraining = getLedger().incarnations.get(life)?.isDraining === true || await commit({type: 'minion/draining', term, life});
-		return isDraining && await stopRuns(session) && commit({type: 'minion/left', term, life});
+		if (!isDraining) {
+			return false;
+		}
+
+		await stopRuns(session);
+		if (!hasRuns(life) || !session.isRefusingConnections()) {
+			return removeDeparted(session);
+		}
+
+		log.info(`minion ${minion} is leaving, and no process listens at its address: its runs count until their lease is over`, {minion, life, runs: session.listRuns().length});
+		void removeOnceLapsed(session);
+		return true;
 	};
 
 	const handleMinionLeave = async ({minion, bornAtMs}: ClusterCall & {type: 'minion/leave'}): Promise<ClusterAnswer> => {
@@ -372,9 +400,8 @@
 				endedIncarnations.markEnded(life);
 			}
 
-			const hasLeft = await completeDeparture(session); // eslint-disable-line no-await-in-loop -- rarely more than one
-			log.info(`minion ${minion} ${hasLeft ? 'left' : 'is leaving and still has runs'}`, {minion, life, runs: session.listRuns().length});
-			if (!hasLeft) {
+			const mayEnd = await completeDeparture(session); // eslint-disable-line no-await-in-loop -- rarely more than one
+			if (!mayEnd) {
 				return {type: 'unavailable'};
 			}
 		}
--- a/packages/daemon/src/scheduler/constants.ts
+++ b/packages/daemon/src/scheduler/constants.ts
@@ -158,6 +158,9 @@
 export const departureTimeoutMs = 800;
 export const departurePollPeriodMs = 20;
 
+/** The same for a minion that listens no more, after its leave is confirmed; longer than an inherited lease of the longest kind lasts. */
+export const lapsingDepartureTimeoutMs = 15_000;
+
 /**
  * How far the start of a minion may lie in the future of this host's clock. The clocks of hosts differ and jump by
  * seconds; minutes leave room for that, while a start beyond them is not a time that any clock of the fleet shows.
--- a/packages/daemon/src/scheduler/minion-session.ts
+++ b/packages/daemon/src/scheduler/minion-session.ts
@@ -69,6 +69,8 @@
 	readonly listRuns: () => readonly RunView[];
 	/** Whether this incarnation has certainly started the run. */
 	readonly isStartCertain: (task: TaskId, run: number) => boolean;
+	/** Whether no process listens at the minion's address, as far as the last hold call tells. */
+	readonly isRefusingConnections: () => boolean;
 	/** Lists the tasks that run on the minion without being assigned, and are being stopped. */
 	readonly listUnassignedTasks: () => readonly TaskId[];
 	/** Tells whether and how the minion was lost. */
@@ -763,6 +765,7 @@
 			const trackedRun = trackedRuns.get(task);
 			return trackedRun?.assignment.run === run && (trackedRun.isStartCertain || trackedRun.listedAtMs !== undefined) && !uncertainRuns.hasOtherStart({task, run});
 		},
+		isRefusingConnections: () => refusedHolds > 0,
 		listUnassignedTasks: unassignedRuns.listTasks,
 		listRuns: () => [...trackedRuns.values()].map(trackedRun => toRunView(trackedRun)),
 		loss,
--- a/packages/daemon/src/scheduler/test-world/faults.ts
+++ b/packages/daemon/src/scheduler/test-world/faults.ts
@@ -12,7 +12,7 @@
 type MinionFaults = Pick<
 	TestWorld,
 	| 'silence' | 'resize' | 'drain' | 'crash' | 'crashVisibly' | 'cutWithResets' | 'makeDeadly' | 'countCrashesUnder' | 'restart' | 'restartUnnoticed'
-	| 'cutFromLeader' | 'delayHold' | 'leaveUnconfirmed' | 'stall' | 'failAll' | 'disturbOrders'
+	| 'cutFromLeader' | 'delayHold' | 'leaveUnconfirmed' | 'leaveUnlistening' | 'stall' | 'failAll' | 'disturbOrders'
 >;
 
 type LeaderFaults = Pick<
@@ -132,6 +132,26 @@
 				});
 			});
 		},
+		async leaveUnlistening(index, endsAfterMs) {
+			const minion = fleet.findMinion(index);
+			if (minion === undefined) {
+				return undefined;
+			}
+
+			minion.isRefusing = true;
+			faults.silentlyLeaving.add(minion.record.life);
+			simulation.checks.record({type: 'minionLeaving', life: minion.record.life});
+			recordFault(endsAfterMs);
+			timers.scheduleOnce(endsAfterMs, () => {
+				fleet.remove(minion);
+			});
+			const answer = await simulation.leader?.answer({type: 'minion/leave', minion: minion.record.minion, bornAtMs: minion.record.bornAtMs});
+			if (answer?.type === 'done') {
+				fleet.remove(minion);
+			}
+
+			return answer?.type;
+		},
 		stall(index) {
 			disturb(index, minion => {
 				minion.isStalled = true;
--- a/packages/daemon/src/scheduler/test-world/types.ts
+++ b/packages/daemon/src/scheduler/test-world/types.ts
@@ -162,6 +162,8 @@
 	readonly sendLateOrdersToNextIncarnation: (options?: {readonly areStartsLost?: boolean}) => void;
 	/** The minion calls leave, ignores the answer, and ends after this time. */
 	readonly leaveUnconfirmed: (index: number, endsAfterMs: number) => void;
+	/** The minion's process listens no more, and calls leave; it ends with its answer, or after this time. Returns the type of the answer. */
+	readonly leaveUnlistening: (index: number, endsAfterMs: number) => Promise<string | undefined>;
 	readonly listRunsByIncarnation: () => readonly string[];
 	/** Runs that start on the minion from now on never end unless they are stopped. */
 	readonly stall: (index: number) => void;
