--- a/packages/daemon/src/scheduler/control-host.ts
+++ b/packages/daemon/src/scheduler/control-host.ts
@@ -16,6 +16,7 @@
 import {beginTerm} from './begin-term.js';
 import {createClockGuard} from './clock-guard.js';
 import {createCommandBatcher} from './command-batcher.js';
+import {isCutOff} from './cut-off.js';
 import {clusterCallMethod, createClusterClient, type ClusterCallOptions} from './cluster-client.js';
 import {
 	commitSpacingMs, failedVoterRetryDelayMs, jobCleanupPeriodMs, joinRefreshPeriodMs, joinRetryPeriodMs, leadershipCheckPeriodMs, relayAnswerDelayMs, reportBundlePeriodMs, voterAbsenceTimeoutMs, voterCheckPeriodMs,
@@ -372,6 +373,10 @@
 			return {type: 'done'};
 		}
 
+		if (isAlone()) {
+			return {type: 'unavailable'};
+		}
+
 		const result = await client.call(request, {timeoutMs, onAttempt});
 		if (result.type === 'answered') {
 			return result.answer;
@@ -412,6 +417,14 @@
 
 	const isReachable = (node: NodeId) => node === self || transport.listLinkedPeers().includes(node);
 
+	const isAlone = () => isCutOff({
+		nowMs: timers.getNow(),
+		startedAtMs,
+		hosts: [...new Set([...listControlHosts(), ...client.getHosts()])].filter(node => node !== self),
+		isLinked: isReachable,
+		getLastLinkedAtMs: node => lastLinkedAtMs.get(node),
+	});
+
 	const maintainVoters = () => {
 		const nowMs = timers.getNow();
 		for (const node of transport.listLinkedPeers()) {
