--- a/packages/daemon/src/scheduler/cut-off.test.ts
+++ b/packages/daemon/src/scheduler/cut-off.test.ts
@@ -2,7 +2,8 @@
 import {expect, test} from 'vitest';
 import {cutOffAfterMs, isCutOff} from './cut-off.js';
 
-const [near, far] = ['near', 'far'].map(name => toBrand<NodeId>(name)) as [NodeId, NodeId];
+const near = toBrand<NodeId>('near');
+const far = toBrand<NodeId>('far');
 const nowMs = 60_000;
 
 const decide = (lastLinkedAtMs: Partial<Record<string, number>>, {linked = [], startedAtMs = 0}: {readonly linked?: readonly NodeId[]; readonly startedAtMs?: number} = {}) => isCutOff({
