--- a/packages/daemon/src/scheduler/call-handlers.ts
+++ b/packages/daemon/src/scheduler/call-handlers.ts
@@ -2,22 +2,22 @@
  * Handles the calls of callers, minions, operators and control hosts to the leader.
  */
 import {
-	waitFor, type JobId, type TeamId, type TimerService,
+	type JobId, type TeamId, type TimerService,
 } from '@samphiremill/common';
 import {
 	countPendingJobs, getPublicJobState, getOccurrenceWork, getQueuePlace, isCancelledEarly, isJobId, isSameAmount, isWaveCompleted, mayAccessJob,
-	type AdmissionRefusalReason, type IncarnationId, type Job, type JobCaller, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord,
+	type AdmissionRefusalReason, type Job, type JobCaller, type JobSpecification, type Ledger, type LedgerCommand, type MinionRecord,
 } from '@samphiremill/core';
 import type {StructuredLogger} from '../runtime/types.js';
 import type {ProposalResult} from './command-batcher.js';
 import {
-	departurePollPeriodMs, departureTimeoutMs, lapsingDepartureTimeoutMs, maximumReplacedLosses, maximumStartAheadMs, storeFullRetryMs,
+	maximumReplacedLosses, maximumStartAheadMs, storeFullRetryMs,
 } from './constants.js';
 import type {DemandMeter} from './demand-meter.js';
+import {createDepartures} from './departures.js';
 import type {EndedIncarnations} from './ended-incarnations.js';
 import {createAcceptedJob, checkAccess, type GrantedAccess} from './job-access.js';
 import type {SchedulerMetrics} from './metrics.js';
-import type {MinionSession} from './minion-session.js';
 import type {SchedulerPolicy} from './policy.js';
 import type {PoolView} from './pool-view.js';
 import type {ReportedIncarnations} from './reported-incarnations.js';
@@ -342,54 +342,9 @@
 		return isCommitted;
 	};
 
-	const hasRuns = (life: IncarnationId) => (getLedger().incarnations.get(life)?.runs.size ?? 0) > 0;
-
-	const waitForRuns = async (life: IncarnationId, timeoutMs: number, isHopeless: () => boolean = () => false) => {
-		const untilMs = timers.getNow() + timeoutMs;
-		while (hasRuns(life) && timers.getNow() < untilMs && !isHopeless()) {
-			await waitFor(timers, departurePollPeriodMs); // eslint-disable-line no-await-in-loop -- polls until no runs are left
-		}
-	};
-
-	// The minion keeps running its tasks until it has its answer. Its runs are stopped first, so that no task is assigned elsewhere while it still runs.
-	const stopRuns = async ({record: {life}, listRuns, stop, isRefusingConnections}: MinionSession) => {
-		for (const {task} of listRuns()) {
-			stop(task, 'its minion is leaving');
-		}
-
-		await waitForRuns(life, departureTimeoutMs, isRefusingConnections);
-	};
-
-	const removeDeparted = async ({record: {minion, life}, listRuns}: MinionSession): Promise<boolean> => {
-		const hasLeft = !hasRuns(life) && await commit({type: 'minion/left', term, life});
-		log.info(`minion ${minion} ${hasLeft ? 'left' : 'is leaving and still has runs'}`, {minion, life, runs: listRuns().length});
-		return hasLeft;
-	};
-
-	// No stop reaches a minion that listens no more, and it ends only with its answer. Its runs count until their lease is over.
-	const removeOnceLapsed = async (session: MinionSession) => {
-		await waitForRuns(session.record.life, lapsingDepartureTimeoutMs);
-		await removeDeparted(session);
-		onChanged();
-	};
-
-	/** Resolves to whether the minion may end. */
-	const completeDeparture = async (session: MinionSession): Promise<boolean> => {
-		const {minion, life} = session.record;
-		const isDraining = getLedger().incarnations.get(life)?.isDraining === true || await commit({type: 'minion/draining', term, life});
-		if (!isDraining) {
-			return false;
-		}
-
-		await stopRuns(session);
-		if (!hasRuns(life) || !session.isRefusingConnections()) {
-			return removeDeparted(session);
-		}
-
-		log.info(`minion ${minion} is leaving, and no process listens at its address: its runs count until their lease is over`, {minion, life, runs: session.listRuns().length});
-		void removeOnceLapsed(session);
-		return true;
-	};
+	const completeDeparture = createDepartures({
+		term, timers, log, getLedger, commit, onChanged,
+	});
 
 	const handleMinionLeave = async ({minion, bornAtMs}: ClusterCall & {type: 'minion/leave'}): Promise<ClusterAnswer> => {
 		const leaving = [...sessions.values()].filter(({record}) => record.minion === minion && (bornAtMs === undefined || record.bornAtMs === bornAtMs));
