--- a/packages/daemon/src/scheduler/cluster-client.ts
+++ b/packages/daemon/src/scheduler/cluster-client.ts
@@ -4,7 +4,7 @@
 import {
 	toBrand, waitFor, type NodeId, type TimerService,
 } from '@samphiremill/common';
-import type {PeerTransport} from '../peers/index.js';
+import type {OutgoingPeerRequest, PeerTransport} from '../peers/index.js';
 import {getAnswerAfterDoubt} from './answer-after-doubt.js';
 import {callAttemptTimeoutMs, callRetryDelayMs, unlinkedAttemptTimeoutMs} from './constants.js';
 import type {
@@ -103,23 +103,22 @@
 		leader = reply.leader;
 	};
 
-	// Resolves once this host knows that another host than the asked one leads; the attempt then has an uncertain result.
-	const watchLeader = (asked: NodeId) => {
-		let stop = () => undefined as void;
-		const changed = new Promise<'leaderChanged'>(resolve => {
-			const handleLeader = (found: NodeId) => {
-				if (found !== asked) {
-					resolve('leaderChanged');
-				}
-			};
+	/** Ends with `leaderChanged` once this host knows that another host than the asked one leads. The call may still be carried out. */
+	const request = async (req: OutgoingPeerRequest) => new Promise<Awaited<ReturnType<PeerTransport['request']>> | 'leaderChanged'>(resolve => {
+		const settle: typeof resolve = result => {
+			leaderListeners.delete(handleLeader);
+			resolve(result);
+		};
 
-			leaderListeners.add(handleLeader);
-			stop = () => {
-				leaderListeners.delete(handleLeader);
-			};
-		});
-		return {changed, stop};
-	};
+		const handleLeader = (found: NodeId) => {
+			if (found !== req.to) {
+				settle('leaderChanged');
+			}
+		};
+
+		leaderListeners.add(handleLeader);
+		void transport.request(req).then(settle);
+	});
 
 	const attempt = async (call: ClusterCall, remainingMs: number, onAttempt: ClusterCallOptions['onAttempt']): Promise<ClusterCallResult> => {
 		const answering = answerHere(call);
@@ -140,11 +139,9 @@
 		}
 
 		const attemptTimeoutMs = isLinked(to) ? callAttemptTimeoutMs : unlinkedAttemptTimeoutMs;
-		const {changed, stop} = watchLeader(to);
-		const result = await Promise.race([changed, transport.request({
+		const result = await request({
 			to, method: clusterCallMethod, params: call, timeoutMs: Math.max(1, Math.min(attemptTimeoutMs, remainingMs)),
-		})]);
-		stop();
+		});
 		if (result === 'leaderChanged') {
 			report('leaderChanged');
 			return {type: 'uncertain'};
